--- /dev/null
+++ b/crates/hickory-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the systems that hickorydoor talks to.
--- /dev/null
+++ b/crates/hickoryctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Command-line tool for hickorydoor operators.
+
+fn main() {}
--- /dev/null
+++ b/crates/hickoryd/src/lib.rs
@@ -0,0 +1,1 @@
+//! The hickorydoor daemon: entry and agent roles.
--- /dev/null
+++ b/crates/hickorydoor/src/agent_config.rs
@@ -0,0 +1,173 @@
+//! How an agent keeps its configuration and its links to entries.
+
+use crate::agent::Agent;
+use crate::agent_event::UpstreamReport;
+use crate::id::HostId;
+use crate::id::Revision;
+use crate::id::VersionId;
+use crate::load_report::LoadReport;
+use crate::message::AgentHello;
+use crate::message::AgentMessage;
+use crate::message::ConfigUpdate;
+use crate::message::EntryHello;
+use crate::message::EntryMessage;
+use crate::message::Offer;
+use crate::observation::Observation;
+use crate::time::DurationMs;
+use crate::time::TimeMs;
+
+/// Time that a peer has to answer a pull.
+const PULL_TIMEOUT_MS: DurationMs = DurationMs::from_secs(1);
+
+impl Agent {
+    pub(crate) fn on_link_up(&mut self, entry: &HostId) {
+        let link = self.links.entry(entry.clone()).or_default();
+        link.connected = true;
+        link.lost_at_ms = None;
+    }
+
+    pub(crate) fn on_link_down(&mut self, entry: &HostId, now: TimeMs) {
+        if let Some(link) = self.links.get_mut(entry) {
+            link.connected = false;
+            link.lost_at_ms = Some(now);
+        }
+    }
+
+    pub(crate) fn on_message(&mut self, entry: &HostId, message: EntryMessage, now: TimeMs) {
+        match message {
+            EntryMessage::Hello(hello) => self.on_hello(entry, &hello, now),
+            EntryMessage::Dispatch(dispatch) => self.on_dispatch(entry, *dispatch, now),
+            EntryMessage::Cancel { attempt } => self.on_cancel(&attempt),
+            EntryMessage::Credit { attempt, bytes } => self.on_credit(&attempt, bytes),
+            EntryMessage::Resume { attempt, offset } => {
+                self.on_resume(entry, &attempt, offset, now);
+            }
+            EntryMessage::Settled { requests } => self.usage.settle(&requests),
+            EntryMessage::Verdicts(_verdicts) => {}
+            EntryMessage::Heartbeat { revision } | EntryMessage::ConfigNotice { revision } => {
+                self.on_peer_revision(entry, revision, now);
+            }
+            EntryMessage::ConfigPull { have } => self.on_config_pull(entry, have),
+            EntryMessage::ConfigUpdate(update) => self.on_config_update(update),
+            EntryMessage::LeaveNotice => self.on_leave_notice(),
+        }
+    }
+
+    fn on_hello(&mut self, entry: &HostId, hello: &EntryHello, now: TimeMs) {
+        let link = self.links.entry(entry.clone()).or_default();
+        link.connected = true;
+        link.lost_at_ms = None;
+        if link.incarnation != hello.incarnation {
+            link.incarnation = hello.incarnation;
+            link.received = 0;
+        }
+        let reply = AgentHello {
+            agent: self.settings.host.clone(),
+            upstream: self.settings.upstream.clone(),
+            incarnation: self.settings.incarnation,
+            data_centre: self.settings.data_centre.clone(),
+            region: self.settings.region.clone(),
+            offer: self.offer(),
+            revision: self.revision(),
+            draining: self.draining,
+        };
+        self.send(entry, AgentMessage::Hello(reply));
+        self.send_report(entry, now);
+        self.on_peer_revision(entry, hello.revision, now);
+    }
+
+    fn offer(&self) -> Offer {
+        match &self.settings.offer {
+            Offer::Engine { .. } => Offer::Engine { versions: self.versions() },
+            service @ Offer::Service { .. } => service.clone(),
+        }
+    }
+
+    /// Versions that the engine serves: as reported, or as configured until it has reported.
+    pub(crate) fn versions(&self) -> Vec<VersionId> {
+        match &self.settings.offer {
+            Offer::Engine { versions } if self.report.versions.is_empty() => versions.clone(),
+            Offer::Engine { .. } => self.report.versions.clone(),
+            Offer::Service { .. } => Vec::new(),
+        }
+    }
+
+    pub(crate) fn on_upstream_report(&mut self, report: Option<UpstreamReport>) {
+        self.upstream_up = report.is_some();
+        if let Some(report) = report {
+            self.report = report;
+        }
+    }
+
+    pub(crate) fn tick_reports(&mut self, now: TimeMs) {
+        if now < self.next_report_at_ms {
+            return;
+        }
+        self.next_report_at_ms = now + self.settings.report_interval_ms;
+        for entry in self.connected_entries() {
+            self.send_report(&entry, now);
+        }
+    }
+
+    fn send_report(&mut self, entry: &HostId, now: TimeMs) {
+        let received_from_entry = self.links.get(entry).map_or(0, |link| link.received);
+        let report = LoadReport {
+            observed_at_ms: now,
+            revision: self.revision(),
+            running: self.running() as u32,
+            queued: self.report.queued,
+            admission_limit: self.admission_limit(),
+            warm_limit: self.settings.warm_limit,
+            queued_prompt_tokens: self.report.queued_prompt_tokens,
+            prefill_tokens_per_s: self.report.prefill_tokens_per_s,
+            token_interval_ms: self.report.token_interval_ms,
+            first_token_ms: DurationMs::new(self.first_token_ms as u64),
+            versions: self.versions(),
+            received_from_entry,
+        };
+        self.send(entry, AgentMessage::Load(Box::new(report)));
+    }
+
+    fn on_peer_revision(&mut self, entry: &HostId, revision: Revision, now: TimeMs) {
+        if revision <= self.revision() {
+            return;
+        }
+        if self.pull.as_ref().is_some_and(|(_, until)| now < *until) {
+            return;
+        }
+        self.pull = Some((entry.clone(), now + PULL_TIMEOUT_MS));
+        let have = self.revision();
+        self.send(entry, AgentMessage::ConfigPull { have });
+    }
+
+    fn on_config_pull(&mut self, entry: &HostId, have: Revision) {
+        if let Some(update) = self.config.updates_since(have) {
+            self.send(entry, AgentMessage::ConfigUpdate(update));
+        }
+    }
+
+    fn on_config_update(&mut self, update: ConfigUpdate) {
+        self.pull = None;
+        let result = self.config.apply(update);
+        let revision = self.revision();
+        match result {
+            Ok(false) => {}
+            Ok(true) => {
+                self.record(Observation::RevisionInForce { revision });
+                for entry in self.connected_entries() {
+                    self.send(&entry, AgentMessage::ConfigNotice { revision });
+                }
+            }
+            Err(_error) => self.record(Observation::ConfigurationRefused { revision }),
+        }
+    }
+
+    fn on_leave_notice(&mut self) {
+        if self.draining {
+            return;
+        }
+        for entry in self.connected_entries() {
+            self.send(&entry, AgentMessage::Draining);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/entry.rs
@@ -0,0 +1,179 @@
+//! Reducer of the entry role.
+//!
+//! [`Entry::apply`] takes one event and the time and returns the effects to carry out. The entry
+//! joins the concerns that have modules of their own; the handlers are grouped by concern:
+//! `entry_request` places requests, `entry_answer` handles what agents send, `entry_config` keeps
+//! configuration and members, `entry_billing` stores bills.
+
+use std::collections::HashMap;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::config_log::ConfigLog;
+use crate::configuration::Configuration;
+use crate::entry_effect::EntryEffect;
+use crate::entry_event::EntryEvent;
+use crate::entry_settings::EntrySettings;
+use crate::id::CallerId;
+use crate::id::HostId;
+use crate::id::KvCallId;
+use crate::id::Revision;
+use crate::id::Serial;
+use crate::kv_call::KvCall;
+use crate::ledger::Ledger;
+use crate::member_table::MemberTable;
+use crate::message::EntryMessage;
+use crate::observation::Observation;
+use crate::request_state::RequestState;
+use crate::time::TimeMs;
+
+/// Why a key-value call was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum KvPurpose {
+    /// Reads the whole configuration.
+    LoadConfiguration,
+    /// Watches the change records.
+    WatchChanges,
+    /// Stores the oldest sealed batch.
+    StoreBatch,
+}
+
+/// State of one entry.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub(crate) settings: EntrySettings,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) config: ConfigLog,
+    pub(crate) members: MemberTable,
+    pub(crate) requests: HashMap<Serial, RequestState>,
+    pub(crate) callers: HashMap<CallerId, Serial>,
+    pub(crate) ledger: Ledger,
+    pub(crate) kv_calls: HashMap<KvCallId, KvPurpose>,
+    pub(crate) pull: Option<(HostId, TimeMs)>,
+    pub(crate) next_load_at_ms: TimeMs,
+    pub(crate) next_heartbeat_at_ms: TimeMs,
+    pub(crate) next_seal_at_ms: TimeMs,
+    pub(crate) next_store_at_ms: TimeMs,
+    pub(crate) draining: bool,
+    pub(crate) stopped: bool,
+    next_serial: Serial,
+    next_kv_call: KvCallId,
+    effects: Vec<EntryEffect>,
+}
+
+impl Entry {
+    /// An entry that knows no configuration and no agents yet.
+    ///
+    /// The same settings, seed, events and times always give the same effects.
+    pub fn new(settings: EntrySettings, seed: u64, now: TimeMs) -> Self {
+        Self {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            config: ConfigLog::default(),
+            members: MemberTable::default(),
+            requests: HashMap::new(),
+            callers: HashMap::new(),
+            ledger: Ledger::new(settings.host.clone(), settings.incarnation),
+            kv_calls: HashMap::new(),
+            pull: None,
+            next_load_at_ms: now,
+            next_heartbeat_at_ms: now + settings.heartbeat_interval_ms,
+            next_seal_at_ms: now + settings.billing_interval_ms,
+            next_store_at_ms: now,
+            draining: false,
+            stopped: false,
+            next_serial: Serial::default(),
+            next_kv_call: KvCallId::default(),
+            effects: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Applies one event and returns the effects to carry out, in order.
+    pub fn apply(&mut self, event: EntryEvent, now: TimeMs) -> Vec<EntryEffect> {
+        match event {
+            EntryEvent::Request(request) => self.on_request(*request, now),
+            EntryEvent::CallerRead { caller, bytes } => self.on_caller_read(caller, bytes),
+            EntryEvent::CallerGone { caller } => self.on_caller_gone(caller, now),
+            EntryEvent::LinkUp { agent } => self.on_link_up(&agent),
+            EntryEvent::LinkDown { agent } => self.on_link_down(&agent, now),
+            EntryEvent::Message { agent, message } => self.on_message(&agent, message, now),
+            EntryEvent::Rated { request, ordinal, rating } => {
+                self.on_rated(&request, ordinal, rating, now);
+            }
+            EntryEvent::HostList(records) => self.on_host_list(records, now),
+            EntryEvent::Kv { call, outcome } => self.on_kv(call, outcome, now),
+            EntryEvent::Tick => self.on_tick(now),
+            EntryEvent::Shutdown => self.on_shutdown(now),
+        }
+        self.finish_shutdown();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> &Configuration {
+        self.config.current()
+    }
+
+    /// The revision in force.
+    pub fn revision(&self) -> Revision {
+        self.config.revision()
+    }
+
+    /// The agents that this entry knows.
+    pub const fn members(&self) -> &MemberTable {
+        &self.members
+    }
+
+    /// Requests in flight.
+    pub fn requests_in_flight(&self) -> usize {
+        self.requests.len()
+    }
+
+    fn on_tick(&mut self, now: TimeMs) {
+        self.expire_requests(now);
+        self.tick_configuration(now);
+        self.tick_links(now);
+        self.tick_billing(now);
+    }
+
+    fn on_shutdown(&mut self, now: TimeMs) {
+        self.draining = true;
+        self.ledger.seal(now);
+        self.store_next_batch(now);
+    }
+
+    fn finish_shutdown(&mut self) {
+        let idle = self.requests.is_empty() && self.ledger.is_drained();
+        if self.draining && idle && !self.stopped {
+            self.stopped = true;
+            self.push(EntryEffect::Stopped);
+        }
+    }
+
+    pub(crate) fn push(&mut self, effect: EntryEffect) {
+        self.effects.push(effect);
+    }
+
+    pub(crate) fn send(&mut self, agent: &HostId, message: EntryMessage) {
+        self.push(EntryEffect::Send { agent: agent.clone(), message });
+    }
+
+    pub(crate) fn record(&mut self, observation: Observation) {
+        self.push(EntryEffect::Record(observation));
+    }
+
+    pub(crate) fn call_kv(&mut self, purpose: KvPurpose, operation: KvCall) -> KvCallId {
+        let call = self.next_kv_call;
+        self.next_kv_call = call.next();
+        self.kv_calls.insert(call, purpose);
+        self.push(EntryEffect::Kv { call, operation });
+        call
+    }
+
+    pub(crate) fn take_serial(&mut self) -> Serial {
+        let serial = self.next_serial;
+        self.next_serial = serial.next();
+        serial
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -0,0 +1,393 @@
+//! How an entry handles what agents and the rating service send.
+
+use bytes::Bytes;
+use compact_str::CompactString;
+
+use crate::caller_request::Ask;
+use crate::entry::Entry;
+use crate::entry_effect::EntryEffect;
+use crate::entry_effect::ResponseHead;
+use crate::entry_event::RatingFault;
+use crate::id::AttemptId;
+use crate::id::CallerId;
+use crate::id::HostId;
+use crate::id::RequestId;
+use crate::id::Serial;
+use crate::message::AgentMessage;
+use crate::message::AgentRefusal;
+use crate::message::AttemptFault;
+use crate::message::EntryMessage;
+use crate::observation::Observation;
+use crate::observation::RequestOutcome;
+use crate::quantity::ByteCount;
+use crate::quantity::Tokens;
+use crate::refusal::RefusalReason;
+use crate::refusal::RunState;
+use crate::request_state::Attempt;
+use crate::request_state::Plan;
+use crate::time::DurationMs;
+use crate::time::TimeMs;
+use crate::usage::Usage;
+
+/// Answers up to this size are held until they are complete, so that a failed attempt can be
+/// repeated without the caller noticing.
+const MAX_HELD_BYTES: ByteCount = ByteCount::new(8 << 20);
+
+impl Entry {
+    pub(crate) fn on_message(&mut self, agent: &HostId, message: AgentMessage, now: TimeMs) {
+        match message {
+            AgentMessage::Refused { attempt, reason, retry_after_ms } => {
+                self.on_refused(agent, &attempt, reason, retry_after_ms, now);
+            }
+            AgentMessage::Started { attempt, status, content_type } => {
+                self.on_started(agent, &attempt, status, content_type);
+            }
+            AgentMessage::Chunk { attempt, offset, tokens, data } => {
+                self.on_chunk(agent, &attempt, offset, tokens, &data, now);
+            }
+            AgentMessage::Ended { attempt, length, usage } => {
+                self.on_ended(agent, &attempt, length, usage, now);
+            }
+            AgentMessage::Failed { attempt, fault, usage } => {
+                self.on_failed(agent, &attempt, fault, usage, now);
+            }
+            AgentMessage::Hello(hello) => self.on_hello(agent, hello, now),
+            AgentMessage::Load(report) => self.on_load(agent, *report, now),
+            AgentMessage::Evidence(_digests) => {}
+            AgentMessage::Draining => self.on_draining(agent),
+            AgentMessage::IncarnationClosed { incarnation } => {
+                self.on_incarnation_closed(incarnation);
+            }
+            AgentMessage::ConfigNotice { revision } => self.on_peer_revision(agent, revision, now),
+            AgentMessage::ConfigPull { have } => self.on_config_pull(agent, have),
+            AgentMessage::ConfigUpdate(update) => self.on_config_update(update),
+        }
+    }
+
+    /// The request whose current attempt this is; late messages of other attempts find none.
+    fn current(&mut self, agent: &HostId, attempt: &AttemptId) -> Option<Serial> {
+        let request = &attempt.request;
+        let own =
+            request.entry == self.settings.host && request.incarnation == self.settings.incarnation;
+        let state = self.requests.get(&request.serial).filter(|_| own)?;
+        let current = state.attempt.as_ref()?;
+        let same = current.ordinal == attempt.ordinal && current.agent == *agent;
+        let matches = same && !current.complete;
+        matches.then_some(request.serial)
+    }
+
+    fn attempt_mut(&mut self, serial: Serial) -> Option<&mut Attempt> {
+        self.requests.get_mut(&serial)?.attempt.as_mut()
+    }
+
+    fn on_refused(
+        &mut self,
+        agent: &HostId,
+        attempt: &AttemptId,
+        reason: AgentRefusal,
+        _retry_after_ms: DurationMs,
+        now: TimeMs,
+    ) {
+        let Some(serial) = self.current(agent, attempt) else {
+            return;
+        };
+        self.release_attempt(serial);
+        if let Some(state) = self.requests.get_mut(&serial) {
+            state.excluded.push(agent.clone());
+        }
+        self.record(Observation::AttemptRefused {
+            attempt: attempt.clone(),
+            agent: agent.clone(),
+            reason,
+        });
+        self.dispatch(serial, now);
+    }
+
+    fn on_started(
+        &mut self,
+        agent: &HostId,
+        attempt: &AttemptId,
+        status: u16,
+        content_type: CompactString,
+    ) {
+        let Some(serial) = self.current(agent, attempt) else {
+            return;
+        };
+        if let Some(current) = self.attempt_mut(serial) {
+            current.started = Some((status, content_type));
+        }
+        if let Some(state) = self.requests.get_mut(&serial) {
+            state.run = RunState::Unknown;
+        }
+    }
+
+    fn on_chunk(
+        &mut self,
+        agent: &HostId,
+        attempt: &AttemptId,
+        offset: ByteCount,
+        tokens: Tokens,
+        data: &Bytes,
+        now: TimeMs,
+    ) {
+        let Some(serial) = self.current(agent, attempt) else {
+            return;
+        };
+        let Some(current) = self.attempt_mut(serial) else {
+            return;
+        };
+        if offset > current.received {
+            // Bytes are missing in between; ask for them again.
+            let offset = current.received;
+            self.send(agent, EntryMessage::Resume { attempt: attempt.clone(), offset });
+            return;
+        }
+        let known = current.received.saturating_sub(offset).get() as usize;
+        if known >= data.len() {
+            return;
+        }
+        let data = data.slice(known..);
+        let length = ByteCount::new(data.len() as u64);
+        current.received += length;
+        if known == 0 {
+            current.tokens += tokens;
+        }
+        if let Some(state) = self.requests.get_mut(&serial) {
+            state.first_token_at_ms.get_or_insert(now);
+        }
+        self.deliver(serial, attempt, data, length);
+    }
+
+    fn deliver(&mut self, serial: Serial, attempt: &AttemptId, data: Bytes, length: ByteCount) {
+        let Some(state) = self.requests.get_mut(&serial) else {
+            return;
+        };
+        if state.streams() || state.head_sent {
+            let caller = state.caller;
+            self.send_head(serial);
+            self.push(EntryEffect::Body { caller, data });
+            return;
+        }
+        state.held.push(data);
+        state.held_bytes += length;
+        if state.held_bytes > MAX_HELD_BYTES {
+            self.release_held(serial);
+        }
+        let agent = self.attempt_mut(serial).map(|current| current.agent.clone());
+        if let Some(agent) = agent {
+            self.send(&agent, EntryMessage::Credit { attempt: attempt.clone(), bytes: length });
+        }
+    }
+
+    fn send_head(&mut self, serial: Serial) {
+        let Some(state) = self.requests.get_mut(&serial) else {
+            return;
+        };
+        if state.head_sent {
+            return;
+        }
+        let Some(attempt) = &state.attempt else {
+            return;
+        };
+        let Some((status, content_type)) = attempt.started.clone() else {
+            return;
+        };
+        state.head_sent = true;
+        let head = ResponseHead {
+            request: state.id.clone(),
+            status,
+            content_type,
+            version: attempt.version.clone(),
+            session_moved: state.session_moved,
+            stream: state.streams(),
+        };
+        let caller = state.caller;
+        self.push(EntryEffect::Respond { caller, head });
+    }
+
+    fn release_held(&mut self, serial: Serial) {
+        self.send_head(serial);
+        let Some(state) = self.requests.get_mut(&serial) else {
+            return;
+        };
+        let caller = state.caller;
+        state.held_bytes = ByteCount::default();
+        let pieces = std::mem::take(&mut state.held);
+        for data in pieces {
+            self.push(EntryEffect::Body { caller, data });
+        }
+    }
+
+    fn on_ended(
+        &mut self,
+        agent: &HostId,
+        attempt: &AttemptId,
+        length: ByteCount,
+        usage: Usage,
+        now: TimeMs,
+    ) {
+        let Some(serial) = self.current(agent, attempt) else {
+            return;
+        };
+        let Some(current) = self.attempt_mut(serial) else {
+            return;
+        };
+        if current.received < length {
+            let offset = current.received;
+            self.send(agent, EntryMessage::Resume { attempt: attempt.clone(), offset });
+            return;
+        }
+        current.complete = true;
+        let version = current.version.clone();
+        self.add_usage(serial, version, usage);
+        if !self.ask_for_rating(serial) {
+            self.release_answer(serial, now);
+        }
+    }
+
+    /// Delivers the rest of a complete answer and ends the request.
+    fn release_answer(&mut self, serial: Serial, now: TimeMs) {
+        self.release_held(serial);
+        self.release_attempt(serial);
+        if let Some(state) = self.requests.get(&serial) {
+            let caller = state.caller;
+            self.push(EntryEffect::End { caller });
+        }
+        self.finish(serial, RequestOutcome::Served, now);
+    }
+
+    /// Has the answer of a cascade step judged; returns whether a rating is needed.
+    fn ask_for_rating(&mut self, serial: Serial) -> bool {
+        let Some(state) = self.requests.get(&serial) else {
+            return false;
+        };
+        let (Some(attempt), Some(_), false) =
+            (&state.attempt, state.rating_needed(), state.head_sent)
+        else {
+            return false;
+        };
+        let (Some(version), Ask::Chat(chat)) = (attempt.version.clone(), &state.request.ask) else {
+            return false;
+        };
+        let effect = EntryEffect::Rate {
+            request: state.id.clone(),
+            ordinal: attempt.ordinal,
+            version,
+            prompt: chat.body.clone(),
+            answer: state.held.concat().into(),
+        };
+        self.push(effect);
+        true
+    }
+
+    pub(crate) fn on_rated(
+        &mut self,
+        request: &RequestId,
+        ordinal: u32,
+        rating: Result<f64, RatingFault>,
+        now: TimeMs,
+    ) {
+        let serial = request.serial;
+        let Some(state) = self.requests.get_mut(&serial).filter(|state| state.id == *request)
+        else {
+            return;
+        };
+        let waits = state.attempt.as_ref().is_some_and(|a| a.ordinal == ordinal && a.complete);
+        let Some(release_score) = state.rating_needed().filter(|_| waits) else {
+            return;
+        };
+        if rating.is_ok_and(|score| score >= release_score) {
+            self.release_answer(serial, now);
+            return;
+        }
+        if let Plan::Models { step, .. } = &mut state.plan {
+            *step += 1;
+        }
+        state.held.clear();
+        state.held_bytes = ByteCount::default();
+        state.excluded.clear();
+        self.release_attempt(serial);
+        self.dispatch(serial, now);
+    }
+
+    fn on_failed(
+        &mut self,
+        agent: &HostId,
+        attempt: &AttemptId,
+        fault: AttemptFault,
+        usage: Usage,
+        now: TimeMs,
+    ) {
+        let Some(serial) = self.current(agent, attempt) else {
+            return;
+        };
+        self.record(Observation::AttemptFailed {
+            attempt: attempt.clone(),
+            agent: agent.clone(),
+            fault,
+        });
+        let version = self.release_attempt(serial).and_then(|attempt| attempt.version);
+        self.add_usage(serial, version, usage);
+        self.after_failure(serial, agent, fault, now);
+    }
+
+    /// The attempt's link stayed down for the whole resume window.
+    pub(crate) fn on_attempt_lost(&mut self, serial: Serial, now: TimeMs) {
+        let Some(attempt) = self.requests.get(&serial).and_then(|state| state.attempt.as_ref())
+        else {
+            return;
+        };
+        let agent = attempt.agent.clone();
+        self.cancel_attempt(serial);
+        self.after_failure(serial, &agent, AttemptFault::ConnectionLost, now);
+    }
+
+    fn after_failure(&mut self, serial: Serial, agent: &HostId, fault: AttemptFault, now: TimeMs) {
+        let Some(state) = self.requests.get_mut(&serial) else {
+            return;
+        };
+        state.excluded.push(agent.clone());
+        state.run = RunState::Unknown;
+        let retry = !state.head_sent && state.is_repeatable();
+        if retry && matches!(fault, AttemptFault::UpstreamError | AttemptFault::ConnectionLost) {
+            state.held.clear();
+            state.held_bytes = ByteCount::default();
+            self.dispatch(serial, now);
+            return;
+        }
+        let repeatable = state.is_repeatable();
+        let reason = match fault {
+            AttemptFault::DeadlineExceeded => RefusalReason::DeadlineExceeded,
+            AttemptFault::DuplicateInProgress => RefusalReason::DuplicateInProgress,
+            AttemptFault::KeyReused => RefusalReason::KeyReused,
+            AttemptFault::OutcomeUnknown => RefusalReason::OutcomeUnknown,
+            _ if repeatable => RefusalReason::UpstreamFailed,
+            _ => RefusalReason::OutcomeUnknown,
+        };
+        self.refuse(serial, reason, None, now);
+    }
+
+    pub(crate) fn on_caller_read(&mut self, caller: CallerId, bytes: ByteCount) {
+        let Some(state) = self.callers.get(&caller).and_then(|serial| self.requests.get(serial))
+        else {
+            return;
+        };
+        let Some(attempt) = &state.attempt else {
+            return;
+        };
+        if !state.streams() {
+            // Held answers were credited when they arrived.
+            return;
+        }
+        let agent = attempt.agent.clone();
+        let attempt = AttemptId { request: state.id.clone(), ordinal: attempt.ordinal };
+        self.send(&agent, EntryMessage::Credit { attempt, bytes });
+    }
+
+    pub(crate) fn on_caller_gone(&mut self, caller: CallerId, now: TimeMs) {
+        if let Some(serial) = self.callers.get(&caller).copied() {
+            self.cancel_attempt(serial);
+            self.finish(serial, RequestOutcome::CallerGone, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/entry_config.rs
@@ -0,0 +1,300 @@
+//! How an entry keeps its configuration and its links to agents.
+
+use crate::change::ChangeRecord;
+use crate::configuration::Configuration;
+use crate::entry::Entry;
+use crate::entry::KvPurpose;
+use crate::entry_effect::EntryEffect;
+use crate::host_record::HostRecord;
+use crate::id::AttemptId;
+use crate::id::HostId;
+use crate::id::KvCallId;
+use crate::id::Revision;
+use crate::item::Item;
+use crate::keys;
+use crate::kv_call::KvCall;
+use crate::kv_call::KvOperation;
+use crate::kv_call::KvOutcome;
+use crate::kv_call::KvPair;
+use crate::kv_call::KvReply;
+use crate::load_report::LoadReport;
+use crate::message::AgentHello;
+use crate::message::ConfigUpdate;
+use crate::message::EntryHello;
+use crate::message::EntryMessage;
+use crate::observation::Observation;
+use crate::raw_configuration::RawChangeRecord;
+use crate::raw_configuration::RawItem;
+use crate::time::DurationMs;
+use crate::time::TimeMs;
+
+/// Pause before the configuration is read again after a failed read or a cut watch.
+const RELOAD_PAUSE_MS: DurationMs = DurationMs::from_secs(1);
+/// Time that a peer has to answer a pull.
+const PULL_TIMEOUT_MS: DurationMs = DurationMs::from_secs(1);
+/// First pause before a lost link is opened again; it doubles up to [`MAX_CONNECT_PAUSE_MS`].
+const CONNECT_PAUSE_MS: u64 = 100;
+const MAX_CONNECT_PAUSE_MS: u64 = 5_000;
+
+impl Entry {
+    pub(crate) fn tick_configuration(&mut self, now: TimeMs) {
+        let busy = self.kv_calls.values().any(|purpose| {
+            matches!(purpose, KvPurpose::LoadConfiguration | KvPurpose::WatchChanges)
+        });
+        if !busy && now >= self.next_load_at_ms && !self.draining {
+            self.load_configuration();
+        }
+    }
+
+    fn load_configuration(&mut self) {
+        let operation = KvCall::Transaction {
+            compares: Vec::new(),
+            then: vec![
+                KvOperation::Get { key: keys::HEAD.into() },
+                KvOperation::List { prefix: keys::CONFIG_PREFIX.into(), limit: 0 },
+            ],
+            otherwise: Vec::new(),
+        };
+        self.call_kv(KvPurpose::LoadConfiguration, operation);
+    }
+
+    pub(crate) fn on_kv(&mut self, call: KvCallId, outcome: KvOutcome, now: TimeMs) {
+        let Some(purpose) = self.kv_calls.get(&call).copied() else {
+            return;
+        };
+        let watching = matches!(outcome, KvOutcome::Watched { .. });
+        if !watching {
+            self.kv_calls.remove(&call);
+        }
+        match purpose {
+            KvPurpose::LoadConfiguration => self.on_configuration_loaded(outcome, now),
+            KvPurpose::WatchChanges => self.on_changes(outcome, now),
+            KvPurpose::StoreBatch => self.on_batch_stored(outcome, now),
+        }
+    }
+
+    fn on_configuration_loaded(&mut self, outcome: KvOutcome, now: TimeMs) {
+        let KvOutcome::Reply(KvReply::Transaction { store_revision, results, .. }) = outcome else {
+            self.next_load_at_ms = now + RELOAD_PAUSE_MS;
+            self.record(Observation::KvUnavailable);
+            return;
+        };
+        if let Some(configuration) = decode_configuration(&results) {
+            self.on_config_update(ConfigUpdate::Snapshot(Box::new(configuration)));
+        } else {
+            self.record(Observation::ConfigurationRefused { revision: self.revision() });
+        }
+        let operation = KvCall::Watch {
+            prefix: keys::CHANGES_PREFIX.into(),
+            from_store_revision: store_revision + 1,
+        };
+        self.call_kv(KvPurpose::WatchChanges, operation);
+    }
+
+    fn on_changes(&mut self, outcome: KvOutcome, now: TimeMs) {
+        match outcome {
+            KvOutcome::Watched { written, .. } => {
+                let records = written.iter().filter_map(decode_change).collect();
+                self.on_config_update(ConfigUpdate::Deltas(records));
+            }
+            KvOutcome::Reply(_) | KvOutcome::Fault(_) => {
+                self.next_load_at_ms = now + RELOAD_PAUSE_MS;
+            }
+        }
+    }
+
+    pub(crate) fn on_config_update(&mut self, update: ConfigUpdate) {
+        self.pull = None;
+        let result = self.config.apply(update);
+        let revision = self.revision();
+        match result {
+            Ok(false) => {}
+            Ok(true) => {
+                self.record(Observation::RevisionInForce { revision });
+                self.announce(revision);
+            }
+            Err(_error) => self.record(Observation::ConfigurationRefused { revision }),
+        }
+    }
+
+    fn announce(&mut self, revision: Revision) {
+        let connected: Vec<HostId> = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.hello.is_some())
+            .map(|(agent, _)| agent.clone())
+            .collect();
+        for agent in connected {
+            self.send(&agent, EntryMessage::ConfigNotice { revision });
+        }
+    }
+
+    pub(crate) fn on_peer_revision(&mut self, agent: &HostId, revision: Revision, now: TimeMs) {
+        if revision <= self.revision() {
+            return;
+        }
+        if self.pull.as_ref().is_some_and(|(_, until)| now < *until) {
+            return;
+        }
+        self.pull = Some((agent.clone(), now + PULL_TIMEOUT_MS));
+        let have = self.revision();
+        self.send(agent, EntryMessage::ConfigPull { have });
+    }
+
+    pub(crate) fn on_config_pull(&mut self, agent: &HostId, have: Revision) {
+        if let Some(update) = self.config.updates_since(have) {
+            self.send(agent, EntryMessage::ConfigUpdate(update));
+        }
+    }
+
+    pub(crate) fn on_host_list(&mut self, records: Vec<HostRecord>, now: TimeMs) {
+        self.members.apply_list(records);
+        self.tick_links(now);
+    }
+
+    pub(crate) fn tick_links(&mut self, now: TimeMs) {
+        let mut open =
+            self.members.iter().filter(|(_, member)| member.connected || member.connecting).count();
+        let mut connects = Vec::new();
+        for (agent, member) in self.members.iter_mut() {
+            let Some(record) = &member.record else {
+                continue;
+            };
+            let idle = !member.connected && !member.connecting && !member.draining;
+            if idle && now >= member.next_connect_at_ms && open < self.settings.max_links {
+                member.connecting = true;
+                open += 1;
+                connects.push((agent.clone(), record.address));
+            }
+        }
+        for (agent, address) in connects {
+            self.push(EntryEffect::Connect { agent, address });
+        }
+        if now >= self.next_heartbeat_at_ms {
+            self.next_heartbeat_at_ms = now + self.settings.heartbeat_interval_ms;
+            self.send_heartbeats();
+        }
+    }
+
+    fn send_heartbeats(&mut self) {
+        let revision = self.revision();
+        let connected: Vec<HostId> = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.connected)
+            .map(|(agent, _)| agent.clone())
+            .collect();
+        for agent in connected {
+            self.send(&agent, EntryMessage::Heartbeat { revision });
+        }
+    }
+
+    pub(crate) fn on_link_up(&mut self, agent: &HostId) {
+        let Some(member) = self.members.get_mut(agent) else {
+            self.push(EntryEffect::Disconnect { agent: agent.clone() });
+            return;
+        };
+        member.connected = true;
+        member.connecting = false;
+        member.failed_connects = 0;
+        let hello = EntryHello {
+            entry: self.settings.host.clone(),
+            incarnation: self.settings.incarnation,
+            data_centre: self.settings.data_centre.clone(),
+            revision: self.revision(),
+        };
+        self.send(agent, EntryMessage::Hello(hello));
+    }
+
+    pub(crate) fn on_link_down(&mut self, agent: &HostId, now: TimeMs) {
+        if let Some(member) = self.members.get_mut(agent) {
+            let was_connected = member.connected;
+            member.connected = false;
+            member.connecting = false;
+            member.failed_connects += u32::from(!was_connected);
+            let pause_ms = CONNECT_PAUSE_MS << member.failed_connects.min(6);
+            member.next_connect_at_ms = now + DurationMs::new(pause_ms.min(MAX_CONNECT_PAUSE_MS));
+            if was_connected {
+                self.record(Observation::AgentUsable { agent: agent.clone(), usable: false });
+            }
+        }
+        for state in self.requests.values_mut() {
+            if let Some(attempt) = state.running_on(agent) {
+                attempt.link_lost_at_ms.get_or_insert(now);
+            }
+        }
+    }
+
+    pub(crate) fn on_hello(&mut self, agent: &HostId, hello: AgentHello, now: TimeMs) {
+        let incarnation = hello.incarnation;
+        let revision = hello.revision;
+        let usable = !hello.draining;
+        self.members.apply_hello(agent, hello, now);
+        self.record(Observation::AgentUsable { agent: agent.clone(), usable });
+        self.on_peer_revision(agent, revision, now);
+        let mut resumes = Vec::new();
+        let mut lost = Vec::new();
+        for (serial, state) in &mut self.requests {
+            let request = state.id.clone();
+            let Some(attempt) = state.running_on(agent) else {
+                continue;
+            };
+            if attempt.agent_incarnation == incarnation {
+                attempt.link_lost_at_ms = None;
+                let id = AttemptId { request, ordinal: attempt.ordinal };
+                resumes.push((id, attempt.received));
+            } else {
+                lost.push(*serial);
+            }
+        }
+        resumes.sort_unstable();
+        lost.sort_unstable();
+        for (attempt, offset) in resumes {
+            self.send(agent, EntryMessage::Resume { attempt, offset });
+        }
+        for serial in lost {
+            self.on_attempt_lost(serial, now);
+        }
+    }
+
+    pub(crate) fn on_load(&mut self, agent: &HostId, report: LoadReport, now: TimeMs) {
+        let revision = report.revision;
+        if let Some(member) = self.members.get_mut(agent) {
+            member.load = report;
+            member.load_received_at_ms = now;
+        }
+        self.on_peer_revision(agent, revision, now);
+    }
+
+    pub(crate) fn on_draining(&mut self, agent: &HostId) {
+        if let Some(member) = self.members.get_mut(agent) {
+            member.draining = true;
+            self.record(Observation::AgentUsable { agent: agent.clone(), usable: false });
+        }
+    }
+}
+
+fn decode_configuration(results: &[Vec<KvPair>]) -> Option<Configuration> {
+    let [head, items] = results else {
+        return None;
+    };
+    let revision = head.first().and_then(decode_head).unwrap_or_default();
+    let items: Option<Vec<Item>> = items
+        .iter()
+        .map(|pair| {
+            let raw: RawItem = serde_json::from_slice(&pair.value).ok()?;
+            Item::try_from(raw).ok()
+        })
+        .collect();
+    Configuration::from_items(revision, items?).ok()
+}
+
+fn decode_head(pair: &KvPair) -> Option<Revision> {
+    let head: crate::head::Head = serde_json::from_slice(&pair.value).ok()?;
+    Some(head.revision)
+}
+
+fn decode_change(pair: &KvPair) -> Option<ChangeRecord> {
+    let raw: RawChangeRecord = serde_json::from_slice(&pair.value).ok()?;
+    ChangeRecord::try_from(raw).ok()
+}
--- /dev/null
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -0,0 +1,392 @@
+//! How an entry admits, resolves and places requests.
+
+use smallvec::SmallVec;
+
+use crate::bill::BillLine;
+use crate::caller_request::Ask;
+use crate::caller_request::CallerRequest;
+use crate::caller_request::ChatRequest;
+use crate::caller_request::ServiceRequest;
+use crate::class::Class;
+use crate::customer::Customer;
+use crate::entry::Entry;
+use crate::entry_effect::EntryEffect;
+use crate::id::HostId;
+use crate::id::ModelId;
+use crate::id::RequestId;
+use crate::id::Serial;
+use crate::id::VersionId;
+use crate::message::Call;
+use crate::message::Dispatch;
+use crate::message::EntryMessage;
+use crate::message::ModelCall;
+use crate::message::ServiceCall;
+use crate::observation::Observation;
+use crate::observation::RequestOutcome;
+use crate::observation::RequestRecord;
+use crate::placement;
+use crate::quantity::ByteCount;
+use crate::quantity::Tokens;
+use crate::refusal::Refusal;
+use crate::refusal::RefusalReason;
+use crate::refusal::RunState;
+use crate::request_state::Attempt;
+use crate::request_state::Plan;
+use crate::request_state::RequestState;
+use crate::time::DurationMs;
+use crate::time::TimeMs;
+use crate::usage::Usage;
+
+/// When callers may retry after a refusal for lack of upstreams.
+const RETRY_AFTER_MS: DurationMs = DurationMs::from_secs(1);
+
+impl Entry {
+    pub(crate) fn on_request(&mut self, request: CallerRequest, now: TimeMs) {
+        let caller = request.caller;
+        match self.admit(request, now) {
+            Ok(state) => {
+                let serial = state.id.serial;
+                self.callers.insert(caller, serial);
+                self.requests.insert(serial, state);
+                self.dispatch(serial, now);
+            }
+            Err(refusal) => self.push(EntryEffect::Refuse { caller, request: None, refusal }),
+        }
+    }
+
+    fn admit(&mut self, request: CallerRequest, now: TimeMs) -> Result<RequestState, Refusal> {
+        if self.draining {
+            return Err(Refusal::not_run(RefusalReason::ShuttingDown).retry_after(RETRY_AFTER_MS));
+        }
+        let configuration = self.config.current();
+        let customer = configuration
+            .customer_by_key(&request.key)
+            .ok_or(Refusal::not_run(RefusalReason::UnknownKey))?;
+        let plan = match &request.ask {
+            Ask::Chat(chat) => self.plan_chat(customer, chat)?,
+            Ask::Service(service) => self.plan_service(customer, service)?,
+        };
+        let defaults = &configuration.defaults;
+        let deadline_ms = request.deadline_ms.unwrap_or(match request.class {
+            Class::Interactive => defaults.interactive_deadline_ms,
+            Class::Batch => defaults.batch_deadline_ms,
+        });
+        let customer = customer.id.clone();
+        let id = RequestId {
+            entry: self.settings.host.clone(),
+            incarnation: self.settings.incarnation,
+            serial: self.take_serial(),
+        };
+        Ok(RequestState {
+            id,
+            caller: request.caller,
+            customer,
+            class: request.class,
+            plan,
+            accepted_at_ms: now,
+            deadline_ms: now + deadline_ms,
+            attempts: 0,
+            attempt: None,
+            excluded: SmallVec::new(),
+            run: RunState::NotRun,
+            lines: Vec::new(),
+            head_sent: false,
+            held: Vec::new(),
+            held_bytes: ByteCount::default(),
+            first_dispatch_at_ms: None,
+            first_token_at_ms: None,
+            session_moved: false,
+            request,
+        })
+    }
+
+    fn plan_chat(&self, customer: &Customer, chat: &ChatRequest) -> Result<Plan, Refusal> {
+        let unknown = || Refusal::not_run(RefusalReason::UnknownModel { name: chat.model.clone() });
+        if let Some(model) = customer.models.iter().find(|id| id.as_str() == chat.model) {
+            return Ok(Plan::Models { steps: vec![model.clone()], step: 0, release_score: None });
+        }
+        let cascade = customer
+            .cascades
+            .iter()
+            .find(|id| id.as_str() == chat.model)
+            .and_then(|id| self.config.current().cascades.get(id))
+            .ok_or_else(unknown)?;
+        let steps: Vec<ModelId> =
+            cascade.steps.iter().filter(|step| customer.allows_model(step)).cloned().collect();
+        if steps.is_empty() {
+            return Err(unknown());
+        }
+        Ok(Plan::Models { steps, step: 0, release_score: Some(cascade.release_score) })
+    }
+
+    fn plan_service(&self, customer: &Customer, request: &ServiceRequest) -> Result<Plan, Refusal> {
+        let service = self.config.current().services.get(&request.service);
+        match service {
+            Some(service) if customer.services.contains(&service.name) => {
+                Ok(Plan::Service { repeatable: service.is_repeatable(&request.method) })
+            }
+            _ => {
+                let name = request.service.as_str().into();
+                Err(Refusal::not_run(RefusalReason::UnknownModel { name }))
+            }
+        }
+    }
+
+    /// Sends the request to an agent, or refuses it if none can take it.
+    pub(crate) fn dispatch(&mut self, serial: Serial, now: TimeMs) {
+        let Some(state) = self.requests.get(&serial) else {
+            return;
+        };
+        if state.attempts >= self.settings.max_attempts {
+            self.refuse(serial, RefusalReason::NoUpstream, Some(RETRY_AFTER_MS), now);
+            return;
+        }
+        let Some((agent, version)) = self.place(serial) else {
+            self.refuse(serial, RefusalReason::NoUpstream, Some(RETRY_AFTER_MS), now);
+            return;
+        };
+        self.send_attempt(serial, &agent, version, now);
+    }
+
+    /// Chooses an agent, and for model calls the version that it runs.
+    fn place(&mut self, serial: Serial) -> Option<(HostId, Option<VersionId>)> {
+        let state = self.requests.get(&serial)?;
+        let version = match &state.plan {
+            Plan::Models { steps, step, .. } => Some(self.choose_version(state, &steps[*step])?),
+            Plan::Service { .. } => None,
+        };
+        let configuration = self.config.current();
+        let candidates = self.members.iter().filter(|(agent, member)| {
+            let serves = match (&version, &state.request.ask) {
+                (Some(version), _) => member.serves_version(version),
+                (None, Ask::Service(call)) => member.serves_service(&call.service),
+                (None, Ask::Chat(_)) => false,
+            };
+            serves && member.is_usable(configuration) && !state.excluded.contains(agent)
+        });
+        let agent = placement::choose(candidates, &mut self.rng)?;
+        Some((agent, version))
+    }
+
+    /// Chooses the version of a model for a request without regard to its session.
+    fn choose_version(&self, state: &RequestState, model: &ModelId) -> Option<VersionId> {
+        let configuration = self.config.current();
+        let model = configuration.models.get(model)?;
+        let customer = configuration.customers.get(&state.customer)?;
+        // The newest version that takes new sessions is the default.
+        let newest = model.versions.iter().rev().find(|version| {
+            version.state.takes_new_sessions() && customer.allows_version(model, version)
+        });
+        newest.map(|version| version.id.clone())
+    }
+
+    fn send_attempt(
+        &mut self,
+        serial: Serial,
+        agent: &HostId,
+        version: Option<VersionId>,
+        now: TimeMs,
+    ) {
+        let Some(member) = self.members.get_mut(agent) else {
+            return;
+        };
+        let Some(hello) = &member.hello else {
+            return;
+        };
+        let agent_incarnation = hello.incarnation;
+        let expected_first_token_ms = member.load.first_token_ms;
+        member.sent += 1;
+        member.in_flight += 1;
+        let defaults = &self.config.current().defaults;
+        let expected_answer = Tokens::new(defaults.expected_answer_tokens);
+        let Some(state) = self.requests.get_mut(&serial) else {
+            return;
+        };
+        let attempt = crate::id::AttemptId { request: state.id.clone(), ordinal: state.attempts };
+        let call = match &state.request.ask {
+            Ask::Chat(chat) => {
+                let Some(version) = version.clone() else {
+                    return;
+                };
+                Call::Model(model_call(chat, version, state.streams(), expected_answer))
+            }
+            Ask::Service(request) => Call::Service(service_call(request, state.is_repeatable())),
+        };
+        let dispatch = Dispatch {
+            attempt: attempt.clone(),
+            customer: state.customer.clone(),
+            class: state.class,
+            session: state.request.session.clone(),
+            time_left_ms: state.deadline_ms.since(now),
+            call,
+        };
+        state.attempt = Some(Attempt {
+            ordinal: state.attempts,
+            agent: agent.clone(),
+            agent_incarnation,
+            version: version.clone(),
+            started: None,
+            received: ByteCount::default(),
+            tokens: Tokens::default(),
+            link_lost_at_ms: None,
+            complete: false,
+        });
+        state.attempts += 1;
+        state.first_dispatch_at_ms.get_or_insert(now);
+        self.send(agent, EntryMessage::Dispatch(Box::new(dispatch)));
+        self.record(Observation::Dispatched {
+            attempt,
+            agent: agent.clone(),
+            version,
+            expected_first_token_ms,
+        });
+    }
+
+    /// Gives the request its final refusal, or cuts its answer if that has begun.
+    pub(crate) fn refuse(
+        &mut self,
+        serial: Serial,
+        reason: RefusalReason,
+        retry_after_ms: Option<DurationMs>,
+        now: TimeMs,
+    ) {
+        self.release_attempt(serial);
+        let Some(state) = self.requests.get(&serial) else {
+            return;
+        };
+        let caller = state.caller;
+        let code = reason.code();
+        let refusal = Refusal { reason, run: state.run, retry_after_ms };
+        if state.head_sent {
+            self.push(EntryEffect::Abort { caller, refusal });
+            self.finish(serial, RequestOutcome::Aborted(code), now);
+        } else {
+            let request = Some(state.id.clone());
+            self.push(EntryEffect::Refuse { caller, request, refusal });
+            self.finish(serial, RequestOutcome::Refused(code), now);
+        }
+    }
+
+    /// Forgets the current attempt and returns it.
+    pub(crate) fn release_attempt(&mut self, serial: Serial) -> Option<Attempt> {
+        let attempt = self.requests.get_mut(&serial)?.attempt.take()?;
+        if let Some(member) = self.members.get_mut(&attempt.agent) {
+            member.in_flight = member.in_flight.saturating_sub(1);
+        }
+        Some(attempt)
+    }
+
+    /// Cancels the current attempt at its agent and bills what it delivered.
+    pub(crate) fn cancel_attempt(&mut self, serial: Serial) {
+        let Some(attempt) = self.release_attempt(serial) else {
+            return;
+        };
+        let Some(state) = self.requests.get(&serial) else {
+            return;
+        };
+        let id = crate::id::AttemptId { request: state.id.clone(), ordinal: attempt.ordinal };
+        let prompt_tokens = match &state.request.ask {
+            Ask::Chat(chat) if attempt.tokens > Tokens::default() => chat.prompt_tokens,
+            _ => Tokens::default(),
+        };
+        let usage = Usage { prompt_tokens, answer_tokens: attempt.tokens };
+        self.send(&attempt.agent, EntryMessage::Cancel { attempt: id });
+        self.add_usage(serial, attempt.version, usage);
+    }
+
+    /// Adds the usage of an attempt to the request's bill.
+    pub(crate) fn add_usage(&mut self, serial: Serial, version: Option<VersionId>, usage: Usage) {
+        if usage == Usage::default() && version.is_some() {
+            return;
+        }
+        let configuration = self.config.current();
+        let model = version.as_ref().and_then(|id| configuration.version(id));
+        let cost_micros = model.map(|(model, _)| model.cost(&usage)).unwrap_or_default();
+        if let Some(state) = self.requests.get_mut(&serial) {
+            state.lines.push(BillLine { version, usage, cost_micros });
+        }
+    }
+
+    /// Ends the request: bills it, reports it and forgets it.
+    pub(crate) fn finish(&mut self, serial: Serial, outcome: RequestOutcome, now: TimeMs) {
+        let Some(state) = self.requests.remove(&serial) else {
+            return;
+        };
+        self.callers.remove(&state.caller);
+        let mut usage = Usage::default();
+        let mut version = None;
+        for line in &state.lines {
+            usage += line.usage;
+            version.clone_from(&line.version);
+        }
+        let record = RequestRecord {
+            request: state.id.clone(),
+            customer: state.customer.clone(),
+            class: state.class,
+            version,
+            agent: state.excluded.last().cloned(),
+            attempts: state.attempts,
+            queue_ms: state.first_dispatch_at_ms.unwrap_or(now).since(state.accepted_at_ms),
+            first_token_ms: state.first_token_at_ms.map(|at| at.since(state.accepted_at_ms)),
+            total_ms: now.since(state.accepted_at_ms),
+            usage,
+            cost_micros: state.lines.iter().map(|line| line.cost_micros).sum(),
+            outcome,
+        };
+        self.bill(state);
+        self.record(Observation::Request(Box::new(record)));
+    }
+
+    /// Fails requests whose deadline or resume window has passed.
+    pub(crate) fn expire_requests(&mut self, now: TimeMs) {
+        let window_ms = self.settings.resume_window_ms;
+        let mut late = Vec::new();
+        let mut lost = Vec::new();
+        for (serial, state) in &self.requests {
+            let lost_at_ms = state.attempt.as_ref().and_then(|attempt| attempt.link_lost_at_ms);
+            if now >= state.deadline_ms {
+                late.push(*serial);
+            } else if lost_at_ms.is_some_and(|at| now >= at + window_ms) {
+                lost.push(*serial);
+            }
+        }
+        late.sort_unstable();
+        lost.sort_unstable();
+        for serial in late {
+            self.cancel_attempt(serial);
+            self.refuse(serial, RefusalReason::DeadlineExceeded, None, now);
+        }
+        for serial in lost {
+            self.on_attempt_lost(serial, now);
+        }
+    }
+}
+
+fn model_call(
+    chat: &ChatRequest,
+    version: VersionId,
+    stream: bool,
+    expected_answer: Tokens,
+) -> ModelCall {
+    ModelCall {
+        version,
+        stream,
+        include_usage: chat.include_usage,
+        prompt_tokens: chat.prompt_tokens,
+        answer_tokens: chat.max_tokens.unwrap_or(expected_answer),
+        prefix_hash: chat.prefix_hash,
+        body: chat.body.clone(),
+    }
+}
+
+fn service_call(request: &ServiceRequest, repeatable: bool) -> ServiceCall {
+    ServiceCall {
+        service: request.service.clone(),
+        method: request.method.clone(),
+        path: request.path.clone(),
+        content_type: request.content_type.clone(),
+        idempotency_key: request.idempotency_key.clone(),
+        repeatable,
+        body: request.body.clone(),
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/keys.rs
@@ -0,0 +1,49 @@
+//! Key paths in the key-value service.
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::id::Revision;
+use crate::id::Sequence;
+use crate::item::ItemKey;
+
+/// Prefix of all configuration items.
+pub const CONFIG_PREFIX: &str = "/hickorydoor/config/";
+/// Key of the head: the newest revision and its change id.
+pub const HEAD: &str = "/hickorydoor/head";
+/// Prefix of all change records.
+pub const CHANGES_PREFIX: &str = "/hickorydoor/changes/";
+/// Prefix of all billing ledgers.
+pub const BILLS_PREFIX: &str = "/hickorydoor/bills/";
+
+// Twenty digits hold every u64, so that keys sort in numeric order.
+const NUMBER_WIDTH: usize = 20;
+
+/// Key of a configuration item.
+pub fn item(key: &ItemKey) -> CompactString {
+    format_compact!("{CONFIG_PREFIX}{key}")
+}
+
+/// Key of the change record of a revision.
+pub fn change(revision: Revision) -> CompactString {
+    format_compact!("{CHANGES_PREFIX}{:0width$}", revision.get(), width = NUMBER_WIDTH)
+}
+
+/// Prefix of the ledger of one entry incarnation.
+pub fn ledger(entry: &HostId, incarnation: Incarnation) -> CompactString {
+    format_compact!("{BILLS_PREFIX}{entry}/{incarnation}/")
+}
+
+/// Key of a billing batch.
+pub fn batch(entry: &HostId, incarnation: Incarnation, sequence: Sequence) -> CompactString {
+    let ledger = ledger(entry, incarnation);
+    format_compact!("{ledger}batch/{:0width$}", sequence.get(), width = NUMBER_WIDTH)
+}
+
+/// Key whose presence closes a ledger.
+pub fn ledger_closed(entry: &HostId, incarnation: Incarnation) -> CompactString {
+    let ledger = ledger(entry, incarnation);
+    format_compact!("{ledger}closed")
+}
--- /dev/null
+++ b/crates/hickorydoor/src/lib.rs
@@ -0,0 +1,102 @@
+//! Decision logic of hickorydoor, a model-aware router for versions and cascades.
+//!
+//! The crate holds two reducers without sockets, clocks, threads or global randomness. A reducer
+//! takes one event and the time, changes its state and returns the effects to carry out:
+//!
+//! ```
+//! use hickorydoor::Entry;
+//! use hickorydoor::EntryEvent;
+//! use hickorydoor::EntrySettings;
+//! use hickorydoor::TimeMs;
+//! use hickorydoor::id::Incarnation;
+//!
+//! # fn main() -> Result<(), hickorydoor::id::IdError> {
+//! let settings = EntrySettings::new(
+//!     "entry-1".parse()?,
+//!     Incarnation::new(1),
+//!     "arauco-1".parse()?,
+//!     "la-rioja".parse()?,
+//! );
+//! let mut entry = Entry::new(settings, 42, TimeMs::new(0));
+//! let effects = entry.apply(EntryEvent::Tick, TimeMs::new(0));
+//! // The first effect reads the configuration from the key-value service.
+//! assert_eq!(effects.len(), 1);
+//! # Ok(())
+//! # }
+//! ```
+//!
+//! [`Entry`] accepts callers' requests and places them; [`Agent`] stands beside one upstream and
+//! gates it. They exchange [`EntryMessage`] and [`AgentMessage`], whose encoded form is in
+//! [`wire`]. Operators' configuration is written as [`RawConfiguration`] and checked into a
+//! [`Configuration`].
+
+pub mod agent;
+mod agent_attempt;
+mod agent_config;
+pub mod agent_effect;
+pub mod agent_event;
+pub mod agent_settings;
+pub mod bill;
+pub mod caller_request;
+pub mod cascade;
+pub mod change;
+pub mod class;
+pub mod config_log;
+pub mod configuration;
+pub mod customer;
+pub mod data_centre;
+pub mod defaults;
+pub mod entry;
+mod entry_answer;
+mod entry_billing;
+mod entry_config;
+pub mod entry_effect;
+pub mod entry_event;
+mod entry_request;
+pub mod entry_settings;
+pub mod error;
+pub mod evidence;
+pub mod exception;
+pub mod head;
+pub mod host_record;
+pub mod id;
+pub mod item;
+pub mod key_digest;
+pub mod keys;
+pub mod kv_call;
+pub mod ledger;
+pub mod load_report;
+pub mod member_table;
+pub mod message;
+pub mod model;
+pub mod observation;
+pub mod placement;
+pub mod quantity;
+pub mod raw_configuration;
+pub mod refusal;
+mod request_state;
+pub mod service;
+pub mod time;
+pub mod usage;
+pub mod usage_store;
+pub mod wire;
+
+pub use agent::Agent;
+pub use agent_effect::AgentEffect;
+pub use agent_event::AgentEvent;
+pub use agent_settings::AgentSettings;
+pub use caller_request::CallerRequest;
+pub use class::Class;
+pub use configuration::Configuration;
+pub use entry::Entry;
+pub use entry_effect::EntryEffect;
+pub use entry_event::EntryEvent;
+pub use entry_settings::EntrySettings;
+pub use error::Category;
+pub use key_digest::KeyDigest;
+pub use message::AgentMessage;
+pub use message::EntryMessage;
+pub use raw_configuration::RawConfiguration;
+pub use refusal::Refusal;
+pub use time::DurationMs;
+pub use time::TimeMs;
--- /dev/null
+++ b/crates/hickorydoor/src/member_table.rs
@@ -0,0 +1,155 @@
+//! Agents as an entry sees them.
+//!
+//! An agent is usable while its link is up, its hello has arrived, it is not draining, the
+//! platform does not list it as leaving, and its data centre is in.
+
+use indexmap::IndexMap;
+
+use crate::configuration::Configuration;
+use crate::host_record::HostRecord;
+use crate::host_record::HostRole;
+use crate::host_record::HostState;
+use crate::id::HostId;
+use crate::id::ServiceName;
+use crate::id::VersionId;
+use crate::load_report::LoadReport;
+use crate::message::AgentHello;
+use crate::message::Offer;
+use crate::time::TimeMs;
+
+/// What an entry knows about one agent.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// The platform's record, once listed.
+    pub record: Option<HostRecord>,
+    /// The agent's hello on the current link.
+    pub hello: Option<AgentHello>,
+    /// Whether a connection is open.
+    pub connected: bool,
+    /// Whether a connection is being opened.
+    pub connecting: bool,
+    /// When the next connection attempt may be made.
+    pub next_connect_at_ms: TimeMs,
+    /// Connection attempts that failed in a row.
+    pub failed_connects: u32,
+    /// Whether the agent or the platform said that it is leaving.
+    pub draining: bool,
+    /// The newest load report.
+    pub load: LoadReport,
+    /// When that report arrived, on this entry's clock.
+    pub load_received_at_ms: TimeMs,
+    /// Attempts sent to the agent on its current incarnation.
+    pub sent: u64,
+    /// Attempts of this entry that run there.
+    pub in_flight: u32,
+}
+
+impl Member {
+    fn new() -> Self {
+        Self {
+            record: None,
+            hello: None,
+            connected: false,
+            connecting: false,
+            next_connect_at_ms: TimeMs::default(),
+            failed_connects: 0,
+            draining: false,
+            load: LoadReport::default(),
+            load_received_at_ms: TimeMs::default(),
+            sent: 0,
+            in_flight: 0,
+        }
+    }
+
+    /// Attempts sent since the newest load report was made.
+    pub const fn sent_since_report(&self) -> u64 {
+        self.sent.saturating_sub(self.load.received_from_entry)
+    }
+
+    /// Whether the agent may get new work under this configuration.
+    pub fn is_usable(&self, configuration: &Configuration) -> bool {
+        let Some(hello) = &self.hello else {
+            return false;
+        };
+        self.connected && !self.draining && !configuration.is_out(&hello.data_centre)
+    }
+
+    /// Whether the agent's engine serves this version.
+    pub fn serves_version(&self, version: &VersionId) -> bool {
+        self.load.versions.contains(version)
+    }
+
+    /// Whether the agent stands beside this service.
+    pub fn serves_service(&self, service: &ServiceName) -> bool {
+        match &self.hello {
+            Some(hello) => {
+                matches!(&hello.offer, Offer::Service { service: own } if own == service)
+            }
+            None => false,
+        }
+    }
+}
+
+/// All agents that an entry knows.
+#[derive(Clone, Debug, Default)]
+pub struct MemberTable {
+    members: IndexMap<HostId, Member>,
+}
+
+impl MemberTable {
+    /// The agent on this host.
+    pub fn get(&self, agent: &HostId) -> Option<&Member> {
+        self.members.get(agent)
+    }
+
+    /// The agent on this host, for changes.
+    pub fn get_mut(&mut self, agent: &HostId) -> Option<&mut Member> {
+        self.members.get_mut(agent)
+    }
+
+    /// Every agent with its host.
+    pub fn iter(&self) -> impl Iterator<Item = (&HostId, &Member)> {
+        self.members.iter()
+    }
+
+    /// Every agent with its host, for changes.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&HostId, &mut Member)> {
+        self.members.iter_mut()
+    }
+
+    /// Takes over the platform's list. Hosts that it no longer names are forgotten once they are
+    /// not connected.
+    pub fn apply_list(&mut self, records: Vec<HostRecord>) {
+        for member in self.members.values_mut() {
+            member.record = None;
+        }
+        for record in records {
+            if record.role != HostRole::Agent {
+                continue;
+            }
+            let member = self.members.entry(record.host.clone()).or_insert_with(Member::new);
+            member.draining |= record.state == HostState::Leaving;
+            member.record = Some(record);
+        }
+        self.members.retain(|_, member| member.record.is_some() || member.connected);
+    }
+
+    /// Takes over the hello of an agent.
+    pub fn apply_hello(&mut self, agent: &HostId, hello: AgentHello, now: TimeMs) {
+        let member = self.members.entry(agent.clone()).or_insert_with(Member::new);
+        let restarted =
+            member.hello.as_ref().is_none_or(|old| old.incarnation != hello.incarnation);
+        if restarted {
+            member.sent = 0;
+            member.load = LoadReport::default();
+        }
+        if let Offer::Engine { versions } = &hello.offer {
+            member.load.versions.clone_from(versions);
+        }
+        let leaving =
+            member.record.as_ref().is_some_and(|record| record.state == HostState::Leaving);
+        member.draining = hello.draining || leaving;
+        member.load_received_at_ms = now;
+        member.hello = Some(hello);
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/observation.rs
@@ -0,0 +1,123 @@
+//! What the reducers report to logs, metrics and histograms.
+//!
+//! Observations hold ids and figures only, never prompts, answers or keys.
+
+use crate::class::Class;
+use crate::id::AttemptId;
+use crate::id::CustomerId;
+use crate::id::HostId;
+use crate::id::RequestId;
+use crate::id::Revision;
+use crate::id::Sequence;
+use crate::id::VersionId;
+use crate::message::AgentRefusal;
+use crate::message::AttemptFault;
+use crate::quantity::CostMicros;
+use crate::time::DurationMs;
+use crate::usage::Usage;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RequestOutcome {
+    /// The whole answer was delivered.
+    Served,
+    /// The request was refused; the code says why.
+    Refused(&'static str),
+    /// The answer was cut after it began.
+    Aborted(&'static str),
+    /// The caller hung up.
+    CallerGone,
+}
+
+/// A finished request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RequestRecord {
+    /// The request.
+    pub request: RequestId,
+    /// The customer.
+    pub customer: CustomerId,
+    /// The class.
+    pub class: Class,
+    /// The version that answered last.
+    pub version: Option<VersionId>,
+    /// The agent that was used last.
+    pub agent: Option<HostId>,
+    /// Attempts made.
+    pub attempts: u32,
+    /// Time until the first attempt was sent.
+    pub queue_ms: DurationMs,
+    /// Time until the first token.
+    pub first_token_ms: Option<DurationMs>,
+    /// Time until the end.
+    pub total_ms: DurationMs,
+    /// Tokens billed.
+    pub usage: Usage,
+    /// Price billed.
+    pub cost_micros: CostMicros,
+    /// How it ended.
+    pub outcome: RequestOutcome,
+}
+
+/// Something worth a log line or a metric.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Observation {
+    /// A request ended.
+    Request(Box<RequestRecord>),
+    /// An attempt was handed to an agent.
+    Dispatched {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The agent.
+        agent: HostId,
+        /// The version.
+        version: Option<VersionId>,
+        /// Expected time to the first token.
+        expected_first_token_ms: DurationMs,
+    },
+    /// An agent refused an attempt.
+    AttemptRefused {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The agent.
+        agent: HostId,
+        /// Why.
+        reason: AgentRefusal,
+    },
+    /// An attempt failed.
+    AttemptFailed {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The agent.
+        agent: HostId,
+        /// What is known.
+        fault: AttemptFault,
+    },
+    /// A configuration came into force.
+    RevisionInForce {
+        /// The revision.
+        revision: Revision,
+    },
+    /// A configuration update was refused.
+    ConfigurationRefused {
+        /// The revision in force.
+        revision: Revision,
+    },
+    /// An agent became usable or stopped being usable.
+    AgentUsable {
+        /// The agent.
+        agent: HostId,
+        /// Whether it is usable now.
+        usable: bool,
+    },
+    /// A billing batch is stored.
+    BatchStored {
+        /// The batch.
+        sequence: Sequence,
+        /// Requests in it.
+        requests: u64,
+    },
+    /// The ledger of this incarnation was closed by an agent.
+    LedgerClosed,
+    /// The key-value service did not answer a call.
+    KvUnavailable,
+}
--- /dev/null
+++ b/crates/hickorydoor/src/request_state.rs
@@ -0,0 +1,138 @@
+//! A request in flight at an entry.
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use smallvec::SmallVec;
+
+use crate::bill::BillLine;
+use crate::caller_request::CallerRequest;
+use crate::class::Class;
+use crate::id::CallerId;
+use crate::id::CustomerId;
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::id::ModelId;
+use crate::id::RequestId;
+use crate::id::VersionId;
+use crate::quantity::ByteCount;
+use crate::quantity::Tokens;
+use crate::refusal::RunState;
+use crate::time::TimeMs;
+
+/// The attempt of a request that runs now.
+#[derive(Clone, Debug)]
+pub(crate) struct Attempt {
+    /// Number of the attempt.
+    pub ordinal: u32,
+    /// The agent that it was sent to.
+    pub agent: HostId,
+    /// The life of that agent.
+    pub agent_incarnation: Incarnation,
+    /// The version; absent for plain services.
+    pub version: Option<VersionId>,
+    /// Status and content type, once the upstream began to answer.
+    pub started: Option<(u16, CompactString)>,
+    /// Bytes of the answer that have arrived.
+    pub received: ByteCount,
+    /// Tokens of the answer that have arrived.
+    pub tokens: Tokens,
+    /// When the link was lost, if it is.
+    pub link_lost_at_ms: Option<TimeMs>,
+    /// Set when the whole answer has arrived and waits for its rating.
+    pub complete: bool,
+}
+
+/// What a request wants to run.
+#[derive(Clone, Debug)]
+pub(crate) enum Plan {
+    /// Models in the order in which they are tried.
+    Models {
+        /// The models; a plain request has one.
+        steps: Vec<ModelId>,
+        /// Index of the current step.
+        step: usize,
+        /// Lowest rating that releases an answer, for cascades.
+        release_score: Option<f64>,
+    },
+    /// A plain service.
+    Service {
+        /// Whether the call may be repeated.
+        repeatable: bool,
+    },
+}
+
+/// A request in flight.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestState {
+    /// The request.
+    pub id: RequestId,
+    /// The HTTP exchange.
+    pub caller: CallerId,
+    /// What the caller sent.
+    pub request: CallerRequest,
+    /// The customer.
+    pub customer: CustomerId,
+    /// The class.
+    pub class: Class,
+    /// What to run.
+    pub plan: Plan,
+    /// When the request arrived.
+    pub accepted_at_ms: TimeMs,
+    /// When it must be done.
+    pub deadline_ms: TimeMs,
+    /// Attempts made so far.
+    pub attempts: u32,
+    /// The attempt that runs.
+    pub attempt: Option<Attempt>,
+    /// Agents that refused or failed this request.
+    pub excluded: SmallVec<[HostId; 4]>,
+    /// What is known about whether it was run.
+    pub run: RunState,
+    /// Usage of finished attempts.
+    pub lines: Vec<BillLine>,
+    /// Whether the head was sent to the caller.
+    pub head_sent: bool,
+    /// Pieces of an answer that is held until it is complete.
+    pub held: Vec<Bytes>,
+    /// Bytes in `held`.
+    pub held_bytes: ByteCount,
+    /// When the first attempt was sent.
+    pub first_dispatch_at_ms: Option<TimeMs>,
+    /// When the first byte arrived.
+    pub first_token_at_ms: Option<TimeMs>,
+    /// Set when the session had to leave its version.
+    pub session_moved: bool,
+}
+
+impl RequestState {
+    /// Whether the answer is streamed to the caller as it arrives.
+    pub fn streams(&self) -> bool {
+        match &self.request.ask {
+            crate::caller_request::Ask::Chat(chat) => {
+                chat.stream && !matches!(&self.plan, Plan::Models { release_score: Some(_), .. })
+            }
+            crate::caller_request::Ask::Service(_) => false,
+        }
+    }
+
+    /// The attempt, if it still runs on this agent.
+    pub fn running_on(&mut self, agent: &HostId) -> Option<&mut Attempt> {
+        self.attempt.as_mut().filter(|attempt| attempt.agent == *agent && !attempt.complete)
+    }
+
+    /// The cascade's release score, if a dearer step is left after the current one.
+    pub fn rating_needed(&self) -> Option<f64> {
+        match &self.plan {
+            Plan::Models { steps, step, release_score } if step + 1 < steps.len() => *release_score,
+            _ => None,
+        }
+    }
+
+    /// Whether the request may run again when its outcome is not known.
+    pub const fn is_repeatable(&self) -> bool {
+        match self.plan {
+            Plan::Models { .. } => true,
+            Plan::Service { repeatable } => repeatable,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/time.rs
@@ -0,0 +1,122 @@
+//! Points in time and durations in milliseconds.
+//!
+//! Reducers never read a clock. The daemon passes [`TimeMs`], milliseconds since the Unix epoch,
+//! and guarantees that it does not decrease within one process.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::ops::Add;
+use std::ops::Sub;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A point in time, in milliseconds since the Unix epoch.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TimeMs(u64);
+
+impl TimeMs {
+    /// Wraps milliseconds since the Unix epoch.
+    pub const fn new(unix_ms: u64) -> Self {
+        Self(unix_ms)
+    }
+
+    /// Milliseconds since the Unix epoch.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
+    /// The time that has passed since `earlier`, or zero if `earlier` is later.
+    pub const fn since(self, earlier: Self) -> DurationMs {
+        DurationMs(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<DurationMs> for TimeMs {
+    type Output = Self;
+
+    fn add(self, rhs: DurationMs) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl Sub<DurationMs> for TimeMs {
+    type Output = Self;
+
+    fn sub(self, rhs: DurationMs) -> Self {
+        Self(self.0.saturating_sub(rhs.0))
+    }
+}
+
+impl fmt::Display for TimeMs {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for TimeMs {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        text.parse().map(Self)
+    }
+}
+
+/// A length of time in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct DurationMs(u64);
+
+impl DurationMs {
+    /// Wraps milliseconds.
+    pub const fn new(ms: u64) -> Self {
+        Self(ms)
+    }
+
+    /// Wraps seconds.
+    pub const fn from_secs(seconds: u64) -> Self {
+        Self(seconds * 1000)
+    }
+
+    /// The length in milliseconds.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
+    /// The length in milliseconds as a floating-point number.
+    pub const fn as_f64(self) -> f64 {
+        self.0 as f64
+    }
+}
+
+impl Add for DurationMs {
+    type Output = Self;
+
+    fn add(self, rhs: Self) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl From<DurationMs> for std::time::Duration {
+    fn from(duration: DurationMs) -> Self {
+        Self::from_millis(duration.0)
+    }
+}
+
+impl fmt::Display for DurationMs {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ms", self.0)
+    }
+}
+
+impl FromStr for DurationMs {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        text.trim_end_matches("ms").trim_end().parse().map(Self)
+    }
+}
