--- /dev/null
+++ b/crates/hickorydoor/examples/policy/fleet.rs
@@ -0,0 +1,175 @@
+//! Hosts, settings and configuration of a deployment.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use hickorydoor::AgentSettings;
+use hickorydoor::Configuration;
+use hickorydoor::DurationMs;
+use hickorydoor::EntrySettings;
+use hickorydoor::KeyDigest;
+use hickorydoor::cascade::Cascade;
+use hickorydoor::change::Operation;
+use hickorydoor::customer::Customer;
+use hickorydoor::customer::CustomerLimits;
+use hickorydoor::data_centre::DataCentre;
+use hickorydoor::host_record::HostRecord;
+use hickorydoor::host_record::HostRole;
+use hickorydoor::host_record::HostState;
+use hickorydoor::id::DataCentreId;
+use hickorydoor::id::HostId;
+use hickorydoor::id::Incarnation;
+use hickorydoor::id::RegionId;
+use hickorydoor::id::Revision;
+use hickorydoor::id::SessionId;
+use hickorydoor::id::VersionId;
+use hickorydoor::item::Item;
+use hickorydoor::message::Offer;
+use hickorydoor::model::Model;
+use hickorydoor::model::Version;
+use hickorydoor::model::VersionState;
+use hickorydoor::placement::PlacementRule;
+use hickorydoor::quantity::CostMicros;
+use hickorydoor::quantity::Share;
+
+use crate::deployment::Deployment;
+use crate::engine;
+
+/// A policy under comparison.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Policy {
+    pub name: &'static str,
+    pub placement: PlacementRule,
+    /// Whether agents start at the cold limit and ramp up.
+    pub ramp: bool,
+}
+
+/// The policy and its baselines. The baselines have fixed admission limits, as a balancer without
+/// agents would have.
+pub const POLICIES: [Policy; 4] = [
+    Policy { name: "two-choices", placement: PlacementRule::TwoChoices, ramp: true },
+    Policy { name: "random", placement: PlacementRule::Random, ramp: false },
+    Policy { name: "round-robin", placement: PlacementRule::RoundRobin, ramp: false },
+    Policy { name: "least-requests", placement: PlacementRule::LeastRequests, ramp: false },
+];
+
+const REGION: &str = "region";
+
+pub fn entry_host(index: usize) -> HostId {
+    id(&format!("entry-{index}"))
+}
+
+pub fn agent_host(index: usize) -> HostId {
+    id(&format!("agent-{index}"))
+}
+
+pub fn session_id(index: usize) -> SessionId {
+    id(&format!("session-{index}"))
+}
+
+pub fn customer_key(index: usize) -> KeyDigest {
+    KeyDigest::of_key(&format!("key-{index}"))
+}
+
+/// Half of the engines of each data centre serve the large model.
+pub fn version_of(deployment: &Deployment, index: usize) -> VersionId {
+    let large = index / deployment.data_centres % 2 == 1;
+    id(if large { "large-1" } else { "small-1" })
+}
+
+fn data_centre(index: usize) -> DataCentreId {
+    id(&format!("dc-{index}"))
+}
+
+fn id<T: for<'a> TryFrom<&'a str>>(text: &str) -> T {
+    let Ok(id) = T::try_from(text) else {
+        panic!("{text:?} is not a valid id");
+    };
+    id
+}
+
+pub fn entry_settings(deployment: &Deployment, index: usize, policy: Policy) -> EntrySettings {
+    let home = data_centre(index % deployment.data_centres);
+    let mut settings = EntrySettings::new(entry_host(index), Incarnation::new(1), home, id(REGION));
+    settings.placement = policy.placement;
+    settings
+}
+
+pub fn agent_settings(deployment: &Deployment, index: usize, policy: Policy) -> AgentSettings {
+    let mut settings = AgentSettings::new(
+        agent_host(index),
+        id(&format!("engine-{index}")),
+        Incarnation::new(1),
+        data_centre(index % deployment.data_centres),
+        id::<RegionId>(REGION),
+        Offer::Engine { versions: vec![version_of(deployment, index)] },
+    );
+    settings.report_interval_ms = DurationMs::new(deployment.report_interval_ms);
+    settings.warm_limit = engine::SLOTS as u32;
+    settings.cold_limit = if policy.ramp { engine::COLD_SLOTS as u32 } else { settings.warm_limit };
+    settings
+}
+
+pub fn host_records(deployment: &Deployment) -> Vec<HostRecord> {
+    (0..deployment.engines)
+        .map(|index| HostRecord {
+            host: agent_host(index),
+            role: HostRole::Agent,
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            data_centre: data_centre(index % deployment.data_centres),
+            region: id(REGION),
+            state: HostState::Live,
+        })
+        .collect()
+}
+
+pub fn configuration(deployment: &Deployment) -> Configuration {
+    let mut items = vec![model("small", 100, 400), model("large", 500, 2_000)];
+    items.push(Item::Cascade(Cascade {
+        id: id("auto"),
+        steps: vec![id("small"), id("large")],
+        release_score: 0.7,
+    }));
+    for index in 0..deployment.data_centres {
+        items.push(Item::DataCentre(DataCentre {
+            id: data_centre(index),
+            region: id(REGION),
+            out: false,
+        }));
+    }
+    items.extend((0..deployment.customers).map(customer));
+    Configuration::from_items(Revision::new(1), items).expect("the items fit together")
+}
+
+fn model(name: &str, prompt_cost: u64, answer_cost: u64) -> Item {
+    Item::Model(Model {
+        id: id(name),
+        prompt_cost_micros_per_1k_tokens: CostMicros::new(prompt_cost),
+        answer_cost_micros_per_1k_tokens: CostMicros::new(answer_cost),
+        versions: vec![Version {
+            id: id(&format!("{name}-1")),
+            state: VersionState::Active,
+            canary_share: Share::ZERO,
+        }],
+    })
+}
+
+fn customer(index: usize) -> Item {
+    Item::Customer(Customer {
+        id: id(&format!("customer-{index}")),
+        key_digests: vec![customer_key(index)],
+        models: vec![id("small"), id("large")],
+        versions: Vec::new(),
+        cascades: vec![id("auto")],
+        services: Vec::new(),
+        limits: CustomerLimits::default(),
+        weight: 1,
+    })
+}
+
+/// Takes a data centre out or back in under the next revision.
+pub fn set_out(configuration: &mut Configuration, index: usize, out: bool) {
+    let item = Item::DataCentre(DataCentre { id: data_centre(index), region: id(REGION), out });
+    configuration.apply_operations(&[Operation::Put(item)]).expect("the data centre is known");
+    configuration.revision = configuration.revision.next();
+}
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -164,7 +164,8 @@
             };
             serves && member.is_usable(configuration) && !state.excluded.contains(agent)
         });
-        let agent = placement::choose(candidates, &mut self.rng)?;
+        let rule = self.settings.placement;
+        let agent = placement::choose(rule, candidates, serial.get(), &mut self.rng)?;
         Some((agent, version))
     }
 
--- a/crates/hickorydoor/src/entry_settings.rs
+++ b/crates/hickorydoor/src/entry_settings.rs
@@ -4,6 +4,7 @@
 use crate::id::HostId;
 use crate::id::Incarnation;
 use crate::id::RegionId;
+use crate::placement::PlacementRule;
 use crate::time::DurationMs;
 
 /// Settings of one entry.
@@ -27,6 +28,8 @@
     pub resume_window_ms: DurationMs,
     /// Attempts of one request at most, refusals included.
     pub max_attempts: u32,
+    /// How upstreams are chosen.
+    pub placement: PlacementRule,
 }
 
 impl EntrySettings {
@@ -47,6 +50,7 @@
             heartbeat_interval_ms: DurationMs::from_secs(1),
             resume_window_ms: DurationMs::from_secs(10),
             max_attempts: 4,
+            placement: PlacementRule::default(),
         }
     }
 }
