--- a/crates/hickorydoor/examples/policy/fleet.rs
+++ b/crates/hickorydoor/examples/policy/fleet.rs
@@ -46,7 +46,8 @@
 
 /// The policy and its baselines. The baselines have fixed admission limits, as a balancer without
 /// agents would have.
-pub const POLICIES: [Policy; 4] = [
+pub const POLICIES: [Policy; 5] = [
+    Policy { name: "expected-time", placement: PlacementRule::ExpectedTime, ramp: true },
     Policy { name: "two-choices", placement: PlacementRule::TwoChoices, ramp: true },
     Policy { name: "random", placement: PlacementRule::Random, ramp: false },
     Policy { name: "round-robin", placement: PlacementRule::RoundRobin, ramp: false },
--- a/crates/hickorydoor/examples/policy/main.rs
+++ b/crates/hickorydoor/examples/policy/main.rs
@@ -1,7 +1,7 @@
 //! Measures the placement, cold-start, queueing and retry policies against simple baselines.
 //!
 //! The real reducers run in virtual time against a short model of an engine, with fixed seeds.
-//! `policy [DEPLOYMENT] [FAULT]` limits the runs to names that contain the given texts. The table
+//! `policy [DEPLOYMENT] [FAULT] [POLICY]` limits the runs to names that contain the given texts. The table
 //! is also written to `target/policy.csv`.
 
 mod deployment;
@@ -28,12 +28,14 @@
     let mut wanted = std::env::args().skip(1);
     let deployment = wanted.next().unwrap_or_default();
     let fault = wanted.next().unwrap_or_default();
+    let policy = wanted.next().unwrap_or_default();
+    let policies = POLICIES.iter().filter(|known| known.name.contains(&policy));
     let mut runs = Vec::new();
     for chosen in [deployment::COOPERATIVES, deployment::SEATING, deployment::LARGE] {
         for kind in Fault::ALL {
             let fits = kind != Fault::DataCentreOut || chosen.data_centres > 1;
             if fits && chosen.name.contains(&deployment) && kind.name().contains(&fault) {
-                runs.extend(POLICIES.map(|policy| (chosen, kind, policy)));
+                runs.extend(policies.clone().map(|policy| (chosen, kind, *policy)));
             }
         }
     }
--- a/crates/hickorydoor/src/agent.rs
+++ b/crates/hickorydoor/src/agent.rs
@@ -20,6 +20,7 @@
 use crate::id::Revision;
 use crate::message::AgentMessage;
 use crate::observation::Observation;
+use crate::speed_estimate::SpeedEstimate;
 use crate::time::TimeMs;
 use crate::usage_store::UsageStore;
 
@@ -46,6 +47,7 @@
     pub(crate) fenced: HashMap<AttemptId, TimeMs>,
     pub(crate) usage: UsageStore,
     pub(crate) report: UpstreamReport,
+    pub(crate) speed: SpeedEstimate,
     pub(crate) upstream_up: bool,
     pub(crate) first_token_ms: f64,
     pub(crate) pull: Option<(HostId, TimeMs)>,
@@ -67,6 +69,7 @@
             fenced: HashMap::new(),
             usage: UsageStore::default(),
             report: UpstreamReport::default(),
+            speed: SpeedEstimate::default(),
             upstream_up: true,
             first_token_ms: 0.0,
             pull: None,
--- a/crates/hickorydoor/src/agent_config.rs
+++ b/crates/hickorydoor/src/agent_config.rs
@@ -95,6 +95,7 @@
     pub(crate) fn on_upstream_report(&mut self, report: Option<UpstreamReport>) {
         self.upstream_up = report.is_some();
         if let Some(report) = report {
+            self.speed.observe(&report, self.settings.warm_limit);
             self.report = report;
         }
     }
@@ -111,16 +112,17 @@
 
     fn send_report(&mut self, entry: &HostId, now: TimeMs) {
         let received_from_entry = self.links.get(entry).map_or(0, |link| link.received);
+        let running = self.running() as u32;
         let report = LoadReport {
             observed_at_ms: now,
             revision: self.revision(),
-            running: self.running() as u32,
+            running,
             queued: self.report.queued,
             admission_limit: self.admission_limit(),
             warm_limit: self.settings.warm_limit,
             queued_prompt_tokens: self.report.queued_prompt_tokens,
-            prefill_tokens_per_s: self.report.prefill_tokens_per_s,
-            token_interval_ms: self.report.token_interval_ms,
+            prefill_tokens_per_s: self.speed.prefill_tokens_per_s(),
+            token_interval_ms: self.speed.token_interval_ms(running, self.settings.warm_limit),
             first_token_ms: DurationMs::new(self.first_token_ms as u64),
             versions: self.versions(),
             received_from_entry,
--- a/crates/hickorydoor/src/entry.rs
+++ b/crates/hickorydoor/src/entry.rs
@@ -25,6 +25,7 @@
 use crate::member_table::MemberTable;
 use crate::message::EntryMessage;
 use crate::observation::Observation;
+use crate::placement::Placement;
 use crate::request_state::RequestState;
 use crate::time::TimeMs;
 
@@ -46,6 +47,7 @@
     pub(crate) rng: Pcg64Mcg,
     pub(crate) config: ConfigLog,
     pub(crate) members: MemberTable,
+    pub(crate) placement: Placement,
     pub(crate) requests: HashMap<Serial, RequestState>,
     pub(crate) callers: HashMap<CallerId, Serial>,
     pub(crate) ledger: Ledger,
@@ -71,6 +73,11 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             config: ConfigLog::default(),
             members: MemberTable::default(),
+            placement: Placement::new(
+                settings.placement,
+                settings.data_centre.clone(),
+                settings.region.clone(),
+            ),
             requests: HashMap::new(),
             callers: HashMap::new(),
             ledger: Ledger::new(settings.host.clone(), settings.incarnation),
--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -239,6 +239,9 @@
         }
         current.complete = true;
         let version = current.version.clone();
+        if let Some(state) = self.requests.get(&serial).filter(|_| version.is_some()) {
+            self.placement.lengths.learn(&state.customer, state.class, usage.answer_tokens);
+        }
         self.add_usage(serial, version, usage);
         if !self.ask_for_rating(serial) {
             self.release_answer(serial, now);
--- a/crates/hickorydoor/src/entry_config.rs
+++ b/crates/hickorydoor/src/entry_config.rs
@@ -259,10 +259,7 @@
 
     pub(crate) fn on_load(&mut self, agent: &HostId, report: LoadReport, now: TimeMs) {
         let revision = report.revision;
-        if let Some(member) = self.members.get_mut(agent) {
-            member.load = report;
-            member.load_received_at_ms = now;
-        }
+        self.members.apply_load(agent, report, now);
         self.on_peer_revision(agent, revision, now);
     }
 
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -11,7 +11,6 @@
 use crate::customer::Customer;
 use crate::entry::Entry;
 use crate::entry_effect::EntryEffect;
-use crate::id::HostId;
 use crate::id::ModelId;
 use crate::id::RequestId;
 use crate::id::Serial;
@@ -24,7 +23,9 @@
 use crate::observation::Observation;
 use crate::observation::RequestOutcome;
 use crate::observation::RequestRecord;
-use crate::placement;
+use crate::placement::Need;
+use crate::placement::Placed;
+use crate::placement::PlacementRequest;
 use crate::quantity::ByteCount;
 use crate::quantity::Tokens;
 use crate::refusal::Refusal;
@@ -35,6 +36,7 @@
 use crate::request_state::RequestState;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
+use crate::upstream_score::Work;
 use crate::usage::Usage;
 
 /// When callers may retry after a refusal for lack of upstreams.
@@ -141,32 +143,53 @@
             self.refuse(serial, RefusalReason::NoUpstream, Some(RETRY_AFTER_MS), now);
             return;
         }
-        let Some((agent, version)) = self.place(serial) else {
+        let Some((placed, version)) = self.place(serial, now) else {
             self.refuse(serial, RefusalReason::NoUpstream, Some(RETRY_AFTER_MS), now);
             return;
         };
-        self.send_attempt(serial, &agent, version, now);
+        self.send_attempt(serial, &placed, version, now);
     }
 
     /// Chooses an agent, and for model calls the version that it runs.
-    fn place(&mut self, serial: Serial) -> Option<(HostId, Option<VersionId>)> {
+    fn place(&mut self, serial: Serial, now: TimeMs) -> Option<(Placed, Option<VersionId>)> {
         let state = self.requests.get(&serial)?;
         let version = match &state.plan {
             Plan::Models { steps, step, .. } => Some(self.choose_version(state, &steps[*step])?),
             Plan::Service { .. } => None,
         };
+        let need = match (&version, &state.request.ask) {
+            (Some(version), _) => Need::Version(version),
+            (None, Ask::Service(call)) => Need::Service(&call.service),
+            (None, Ask::Chat(_)) => return None,
+        };
+        let request = PlacementRequest {
+            need,
+            work: self.work(state),
+            prefix: prefix_of(state),
+            excluded: &state.excluded,
+        };
         let configuration = self.config.current();
-        let candidates = self.members.iter().filter(|(agent, member)| {
-            let serves = match (&version, &state.request.ask) {
-                (Some(version), _) => member.serves_version(version),
-                (None, Ask::Service(call)) => member.serves_service(&call.service),
-                (None, Ask::Chat(_)) => false,
-            };
-            serves && member.is_usable(configuration) && !state.excluded.contains(agent)
-        });
-        let rule = self.settings.placement;
-        let agent = placement::choose(rule, candidates, serial.get(), &mut self.rng)?;
-        Some((agent, version))
+        let placed =
+            self.placement.choose(&self.members, configuration, &request, now, &mut self.rng)?;
+        Some((placed, version))
+    }
+
+    /// The expected work of a request.
+    fn work(&self, state: &RequestState) -> Work {
+        let default = Tokens::new(self.config.current().defaults.expected_answer_tokens);
+        let learned = self.placement.lengths.expected(&state.customer, state.class, default);
+        match &state.request.ask {
+            Ask::Chat(chat) => Work {
+                class: state.class,
+                prompt_tokens: chat.prompt_tokens,
+                answer_tokens: chat.max_tokens.map_or(learned, |limit| limit.min(learned)),
+            },
+            Ask::Service(_) => Work {
+                class: state.class,
+                prompt_tokens: Tokens::default(),
+                answer_tokens: Tokens::default(),
+            },
+        }
     }
 
     /// Chooses the version of a model for a request without regard to its session.
@@ -184,10 +207,14 @@
     fn send_attempt(
         &mut self,
         serial: Serial,
-        agent: &HostId,
+        placed: &Placed,
         version: Option<VersionId>,
         now: TimeMs,
     ) {
+        let agent = &placed.agent;
+        let Some(work) = self.requests.get(&serial).map(|state| self.work(state)) else {
+            return;
+        };
         let Some(member) = self.members.get_mut(agent) else {
             return;
         };
@@ -195,11 +222,7 @@
             return;
         };
         let agent_incarnation = hello.incarnation;
-        let expected_first_token_ms = member.load.first_token_ms;
-        member.sent += 1;
-        member.in_flight += 1;
-        let defaults = &self.config.current().defaults;
-        let expected_answer = Tokens::new(defaults.expected_answer_tokens);
+        member.count_sent(work.prompt_tokens);
         let Some(state) = self.requests.get_mut(&serial) else {
             return;
         };
@@ -209,7 +232,7 @@
                 let Some(version) = version.clone() else {
                     return;
                 };
-                Call::Model(model_call(chat, version, state.streams(), expected_answer))
+                Call::Model(model_call(chat, version, state.streams(), work.answer_tokens))
             }
             Ask::Service(request) => Call::Service(service_call(request, state.is_repeatable())),
         };
@@ -239,7 +262,7 @@
             attempt,
             agent: agent.clone(),
             version,
-            expected_first_token_ms,
+            expected_first_token_ms: placed.first_token_ms,
         });
     }
 
@@ -363,6 +386,13 @@
     }
 }
 
+fn prefix_of(state: &RequestState) -> u64 {
+    match &state.request.ask {
+        Ask::Chat(chat) => chat.prefix_hash,
+        Ask::Service(_) => 0,
+    }
+}
+
 fn model_call(
     chat: &ChatRequest,
     version: VersionId,
@@ -374,7 +404,7 @@
         stream,
         include_usage: chat.include_usage,
         prompt_tokens: chat.prompt_tokens,
-        answer_tokens: chat.max_tokens.unwrap_or(expected_answer),
+        answer_tokens: expected_answer,
         prefix_hash: chat.prefix_hash,
         body: chat.body.clone(),
     }
--- a/crates/hickorydoor/src/member_table.rs
+++ b/crates/hickorydoor/src/member_table.rs
@@ -3,6 +3,8 @@
 //! An agent is usable while its link is up, its hello has arrived, it is not draining, the
 //! platform does not list it as leaving, and its data centre is in.
 
+use std::collections::VecDeque;
+
 use indexmap::IndexMap;
 
 use crate::configuration::Configuration;
@@ -15,6 +17,7 @@
 use crate::load_report::LoadReport;
 use crate::message::AgentHello;
 use crate::message::Offer;
+use crate::quantity::Tokens;
 use crate::time::TimeMs;
 
 /// What an entry knows about one agent.
@@ -42,8 +45,15 @@
     pub sent: u64,
     /// Attempts of this entry that run there.
     pub in_flight: u32,
+    /// Numbers and prompt tokens of the attempts that the newest report may not include.
+    unreported: VecDeque<(u64, Tokens)>,
+    /// Attempts of other entries that ran there when the newest report was made.
+    pub others_running: u32,
 }
 
+/// Unreported attempts whose prompts are remembered.
+const MAX_UNREPORTED: usize = 256;
+
 impl Member {
     fn new() -> Self {
         Self {
@@ -58,6 +68,8 @@
             load_received_at_ms: TimeMs::default(),
             sent: 0,
             in_flight: 0,
+            unreported: VecDeque::new(),
+            others_running: 0,
         }
     }
 
@@ -66,6 +78,50 @@
         self.sent.saturating_sub(self.load.received_from_entry)
     }
 
+    /// Prompt tokens sent since the newest load report was made.
+    pub fn sent_tokens_since_report(&self) -> Tokens {
+        self.unreported.iter().map(|(_, tokens)| *tokens).sum()
+    }
+
+    /// Counts an attempt that is sent to the agent.
+    pub fn count_sent(&mut self, prompt_tokens: Tokens) {
+        self.sent += 1;
+        self.in_flight += 1;
+        if self.unreported.len() == MAX_UNREPORTED {
+            self.unreported.pop_front();
+        }
+        self.unreported.push_back((self.sent, prompt_tokens));
+    }
+
+    /// Whether the agent is likely to admit one more attempt.
+    pub const fn has_room(&self) -> bool {
+        let limit = self.load.admission_limit as u64;
+        // A limit of 0 means that no report has arrived yet.
+        limit == 0 || self.load.running as u64 + self.sent_since_report() < limit
+    }
+
+    /// Takes over a load report; returns whether the served versions changed.
+    fn apply_load(&mut self, load: LoadReport, now: TimeMs) -> bool {
+        let changed = self.load.versions != load.versions;
+        let included = load.received_from_entry;
+        while self.unreported.front().is_some_and(|(number, _)| *number <= included) {
+            self.unreported.pop_front();
+        }
+        self.load = load;
+        let own = u64::from(self.in_flight).saturating_sub(self.sent_since_report());
+        self.others_running = self.load.running.saturating_sub(own as u32);
+        self.load_received_at_ms = now;
+        changed
+    }
+
+    /// The service beside the agent, if it is one.
+    pub fn service(&self) -> Option<&ServiceName> {
+        match &self.hello.as_ref()?.offer {
+            Offer::Service { service } => Some(service),
+            Offer::Engine { .. } => None,
+        }
+    }
+
     /// Whether the agent may get new work under this configuration.
     pub fn is_usable(&self, configuration: &Configuration) -> bool {
         let Some(hello) = &self.hello else {
@@ -94,6 +150,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct MemberTable {
     members: IndexMap<HostId, Member>,
+    generation: u64,
 }
 
 impl MemberTable {
@@ -107,6 +164,23 @@
         self.members.get_mut(agent)
     }
 
+    /// The agent at this position, if there is one.
+    pub fn at(&self, position: usize) -> Option<(&HostId, &Member)> {
+        self.members.get_index(position)
+    }
+
+    /// Grows whenever the agents, their positions or what they serve change.
+    pub const fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Takes over a load report of an agent.
+    pub fn apply_load(&mut self, agent: &HostId, load: LoadReport, now: TimeMs) {
+        if let Some(member) = self.members.get_mut(agent) {
+            self.generation += u64::from(member.apply_load(load, now));
+        }
+    }
+
     /// Every agent with its host.
     pub fn iter(&self) -> impl Iterator<Item = (&HostId, &Member)> {
         self.members.iter()
@@ -120,6 +194,7 @@
     /// Takes over the platform's list. Hosts that it no longer names are forgotten once they are
     /// not connected.
     pub fn apply_list(&mut self, records: Vec<HostRecord>) {
+        self.generation += 1;
         for member in self.members.values_mut() {
             member.record = None;
         }
@@ -136,11 +211,13 @@
 
     /// Takes over the hello of an agent.
     pub fn apply_hello(&mut self, agent: &HostId, hello: AgentHello, now: TimeMs) {
+        self.generation += 1;
         let member = self.members.entry(agent.clone()).or_insert_with(Member::new);
         let restarted =
             member.hello.as_ref().is_none_or(|old| old.incarnation != hello.incarnation);
         if restarted {
             member.sent = 0;
+            member.unreported.clear();
             member.load = LoadReport::default();
         }
         if let Offer::Engine { versions } = &hello.offer {
