--- a/crates/hickorydoor/examples/policy/fleet.rs
+++ b/crates/hickorydoor/examples/policy/fleet.rs
@@ -107,6 +107,7 @@
     );
     settings.report_interval_ms = DurationMs::new(deployment.report_interval_ms);
     settings.warm_limit = engine::SLOTS as u32;
+    settings.warm_token_interval_ms = DurationMs::new(20);
     settings.cold_limit = if policy.ramp { engine::COLD_SLOTS as u32 } else { settings.warm_limit };
     settings
 }
--- a/crates/hickorydoor/examples/policy/report.rs
+++ b/crates/hickorydoor/examples/policy/report.rs
@@ -5,8 +5,10 @@
 use crate::fault::FAULT_AT_S;
 
 const DIGITS: u8 = 3;
-/// The p95 has recovered once it stays below this multiple of its value before the fault.
+/// The p95 has recovered once it stays below the goal, or below this multiple of its value before
+/// the fault if that is higher.
 const RECOVERED: f64 = 1.5;
+const GOAL_US: f64 = 730_000.0;
 
 #[derive(Debug)]
 pub struct Report {
@@ -59,6 +61,7 @@
             before.add(second).expect("the histograms resize themselves");
         }
         let normal = before.value_at_quantile(0.95) as f64 * RECOVERED;
+        let normal = normal.max(GOAL_US);
         // Windows of 5 s hold enough requests for a p95 in the small deployments.
         let windows = self.by_second.windows(5).enumerate().skip(from_s as usize);
         let bad = windows.filter(|(_, window)| {
--- a/crates/hickorydoor/src/agent.rs
+++ b/crates/hickorydoor/src/agent.rs
@@ -7,6 +7,7 @@
 
 use std::collections::HashMap;
 
+use crate::admission::Admission;
 use crate::agent_attempt::AttemptState;
 use crate::agent_effect::AgentEffect;
 use crate::agent_event::AgentEvent;
@@ -19,6 +20,7 @@
 use crate::id::Incarnation;
 use crate::id::Revision;
 use crate::message::AgentMessage;
+use crate::message::Offer;
 use crate::observation::Observation;
 use crate::speed_estimate::SpeedEstimate;
 use crate::time::TimeMs;
@@ -48,6 +50,7 @@
     pub(crate) usage: UsageStore,
     pub(crate) report: UpstreamReport,
     pub(crate) speed: SpeedEstimate,
+    pub(crate) admission: Admission,
     pub(crate) upstream_up: bool,
     pub(crate) first_token_ms: f64,
     pub(crate) pull: Option<(HostId, TimeMs)>,
@@ -70,6 +73,13 @@
             usage: UsageStore::default(),
             report: UpstreamReport::default(),
             speed: SpeedEstimate::default(),
+            admission: Admission::new(
+                settings.cold_limit,
+                settings.warm_limit,
+                matches!(settings.offer, Offer::Engine { .. }),
+                settings.warm_token_interval_ms.as_f64(),
+                now,
+            ),
             upstream_up: true,
             first_token_ms: 0.0,
             pull: None,
@@ -99,7 +109,7 @@
             AgentEvent::UpstreamFailed { attempt, fault } => {
                 self.on_upstream_failed(&attempt, fault, now);
             }
-            AgentEvent::UpstreamReport(report) => self.on_upstream_report(report),
+            AgentEvent::UpstreamReport(report) => self.on_upstream_report(report, now),
             AgentEvent::Kv { .. } => {}
             AgentEvent::Tick => self.on_tick(now),
             AgentEvent::Shutdown => self.on_shutdown(),
@@ -130,6 +140,7 @@
 
     fn on_tick(&mut self, now: TimeMs) {
         self.expire_attempts(now);
+        self.tick_admission(now);
         self.tick_reports(now);
     }
 
--- a/crates/hickorydoor/src/agent_attempt.rs
+++ b/crates/hickorydoor/src/agent_attempt.rs
@@ -55,13 +55,14 @@
 pub(crate) struct AttemptState {
     entry: HostId,
     customer: CustomerId,
-    class: Class,
+    pub(crate) class: Class,
     version: Option<VersionId>,
     prompt_tokens: Tokens,
-    admitted_at_ms: TimeMs,
+    pub(crate) admitted_at_ms: TimeMs,
     deadline_ms: TimeMs,
     started: Option<(u16, CompactString)>,
-    first_token_at_ms: Option<TimeMs>,
+    pub(crate) first_token_at_ms: Option<TimeMs>,
+    last_piece_at_ms: TimeMs,
     pieces: VecDeque<Piece>,
     sent: ByteCount,
     credited: ByteCount,
@@ -87,7 +88,7 @@
 impl Agent {
     /// Attempts that the agent admits at the same time.
     pub(crate) const fn admission_limit(&self) -> u32 {
-        self.settings.warm_limit
+        self.admission.limit()
     }
 
     pub(crate) fn on_dispatch(&mut self, entry: &HostId, dispatch: Dispatch, now: TimeMs) {
@@ -126,7 +127,7 @@
         {
             return Err(AgentRefusal::VersionNotServed);
         }
-        if self.running() >= self.admission_limit() as usize {
+        if !self.admission.admits(self.running()) {
             return Err(AgentRefusal::AtLimit);
         }
         Ok(())
@@ -170,12 +171,16 @@
             deadline_ms: now + dispatch.time_left_ms,
             started: None,
             first_token_at_ms: None,
+            last_piece_at_ms: now,
             pieces: VecDeque::new(),
             sent: ByteCount::default(),
             credited: ByteCount::default(),
             tokens: Tokens::default(),
             ending: None,
         };
+        if self.running() == 0 {
+            self.admission.start_silence(now);
+        }
         self.attempts.insert(dispatch.attempt.clone(), state);
         self.push(AgentEffect::CallUpstream {
             attempt: dispatch.attempt,
@@ -280,6 +285,8 @@
         };
         let first = state.first_token_at_ms.is_none();
         let first_token_ms = now.since(state.admitted_at_ms);
+        let gap_ms = now.since(state.last_piece_at_ms);
+        state.last_piece_at_ms = now;
         state.first_token_at_ms.get_or_insert(now);
         let offset = state.sent;
         state.sent += ByteCount::new(data.len() as u64);
@@ -291,6 +298,9 @@
         if first {
             let step = FIRST_TOKEN_WEIGHT * (first_token_ms.as_f64() - self.first_token_ms);
             self.first_token_ms += step;
+            self.admit_more_after(first_token_ms, now);
+        } else {
+            self.judge_output(tokens, gap_ms, now);
         }
     }
 
@@ -298,12 +308,13 @@
         &mut self,
         attempt: &AttemptId,
         usage: Option<Usage>,
-        _now: TimeMs,
+        now: TimeMs,
     ) {
         let Some(state) = self.attempts.get(attempt) else {
             return;
         };
         let usage = usage.unwrap_or_else(|| state.usage_so_far());
+        self.admission.on_call_ended(true, now);
         self.end_attempt(attempt, Ending::Complete(usage));
     }
 
@@ -311,22 +322,25 @@
         &mut self,
         attempt: &AttemptId,
         fault: UpstreamFault,
-        _now: TimeMs,
+        now: TimeMs,
     ) {
         let Some(state) = self.attempts.get(attempt) else {
             return;
         };
         let usage = state.usage_so_far();
+        let entry = state.entry.clone();
         match fault {
             UpstreamFault::NotSent => {
-                let entry = state.entry.clone();
+                self.restart_admission(now);
                 self.attempts.remove(attempt);
                 self.refuse(&entry, attempt, AgentRefusal::UpstreamDown);
             }
             UpstreamFault::ServerError => {
+                self.admission.on_call_ended(false, now);
                 self.end_attempt(attempt, Ending::Failed(AttemptFault::UpstreamError, usage));
             }
             UpstreamFault::ConnectionLost => {
+                self.restart_admission(now);
                 self.end_attempt(attempt, Ending::Failed(AttemptFault::ConnectionLost, usage));
             }
         }
--- a/crates/hickorydoor/src/agent_config.rs
+++ b/crates/hickorydoor/src/agent_config.rs
@@ -92,12 +92,20 @@
         }
     }
 
-    pub(crate) fn on_upstream_report(&mut self, report: Option<UpstreamReport>) {
-        self.upstream_up = report.is_some();
-        if let Some(report) = report {
-            self.speed.observe(&report, self.settings.warm_limit);
-            self.report = report;
+    pub(crate) fn on_upstream_report(&mut self, report: Option<UpstreamReport>, now: TimeMs) {
+        let was_up = std::mem::replace(&mut self.upstream_up, report.is_some());
+        let Some(report) = report else {
+            if was_up {
+                self.restart_admission(now);
+            }
+            return;
+        };
+        let known = !self.report.versions.is_empty();
+        if known && self.report.versions != report.versions {
+            self.restart_admission(now);
         }
+        self.speed.observe(&report, self.settings.warm_limit);
+        self.report = report;
     }
 
     pub(crate) fn tick_reports(&mut self, now: TimeMs) {
@@ -110,6 +118,12 @@
         }
     }
 
+    /// Sends a report at once, for changes that entries must not learn late.
+    pub(crate) fn report_now(&mut self, now: TimeMs) {
+        self.next_report_at_ms = now;
+        self.tick_reports(now);
+    }
+
     fn send_report(&mut self, entry: &HostId, now: TimeMs) {
         let received_from_entry = self.links.get(entry).map_or(0, |link| link.received);
         let running = self.running() as u32;
--- a/crates/hickorydoor/src/agent_settings.rs
+++ b/crates/hickorydoor/src/agent_settings.rs
@@ -28,6 +28,8 @@
     pub warm_limit: u32,
     /// Attempts that the upstream bears right after a cold start.
     pub cold_limit: u32,
+    /// Time between two tokens on the warm engine without other work, as far as it is known.
+    pub warm_token_interval_ms: DurationMs,
     /// Time between two load reports on a link.
     pub report_interval_ms: DurationMs,
     /// How long an attempt survives the loss of its link.
@@ -55,6 +57,7 @@
             offer,
             warm_limit: 64,
             cold_limit: 4,
+            warm_token_interval_ms: DurationMs::new(20),
             report_interval_ms: DurationMs::from_secs(1),
             resume_window_ms: DurationMs::from_secs(10),
             window_bytes: ByteCount::new(64 << 10),
--- a/crates/hickorydoor/src/lib.rs
+++ b/crates/hickorydoor/src/lib.rs
@@ -30,7 +30,9 @@
 //! [`wire`]. Operators' configuration is written as [`RawConfiguration`] and checked into a
 //! [`Configuration`].
 
+pub mod admission;
 pub mod agent;
+mod agent_admission;
 mod agent_attempt;
 mod agent_config;
 pub mod agent_effect;
@@ -42,6 +44,7 @@
 pub mod cascade;
 pub mod change;
 pub mod class;
+pub mod cold_start;
 pub mod config_log;
 pub mod configuration;
 pub mod customer;
