Let requests wait at the entry, weighted fair among customers

Cause: a request that finds every upstream at its limit is refused although room appears within milliseconds.

--- a/crates/hickorydoor/src/entry.rs
+++ b/crates/hickorydoor/src/entry.rs
@@ -7,6 +7,7 @@
 
 use std::collections::HashMap;
 
+use compact_str::CompactString;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -15,6 +16,7 @@
 use crate::entry_effect::EntryEffect;
 use crate::entry_event::EntryEvent;
 use crate::entry_settings::EntrySettings;
+use crate::fair_queue::FairQueue;
 use crate::id::CallerId;
 use crate::id::HostId;
 use crate::id::KvCallId;
@@ -49,6 +51,9 @@
     pub(crate) members: MemberTable,
     pub(crate) placement: Placement,
     pub(crate) requests: HashMap<Serial, RequestState>,
+    pub(crate) queues: HashMap<CompactString, FairQueue>,
+    /// Set when an upstream may have got room for a waiting request.
+    pub(crate) room_freed: bool,
     pub(crate) callers: HashMap<CallerId, Serial>,
     pub(crate) ledger: Ledger,
     pub(crate) kv_calls: HashMap<KvCallId, KvPurpose>,
@@ -79,6 +84,8 @@
                 settings.region.clone(),
             ),
             requests: HashMap::new(),
+            queues: HashMap::new(),
+            room_freed: false,
             callers: HashMap::new(),
             ledger: Ledger::new(settings.host.clone(), settings.incarnation),
             kv_calls: HashMap::new(),
@@ -113,6 +120,9 @@
             EntryEvent::Tick => self.on_tick(now),
             EntryEvent::Shutdown => self.on_shutdown(now),
         }
+        if std::mem::take(&mut self.room_freed) {
+            self.drain_queues(now);
+        }
         self.finish_shutdown();
         std::mem::take(&mut self.effects)
     }
@@ -138,7 +148,9 @@
     }
 
     fn on_tick(&mut self, now: TimeMs) {
+        self.expire_queues(now);
         self.expire_requests(now);
+        self.room_freed = true;
         self.tick_configuration(now);
         self.tick_links(now);
         self.tick_billing(now);
--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -92,7 +92,11 @@
             return;
         };
         self.release_attempt(serial);
-        if let Some(state) = self.requests.get_mut(&serial) {
+        if reason == AgentRefusal::AtLimit {
+            if let Some(member) = self.members.get_mut(agent) {
+                member.note_full();
+            }
+        } else if let Some(state) = self.requests.get_mut(&serial) {
             state.excluded.push(agent.clone());
         }
         self.record(Observation::AttemptRefused {
@@ -100,7 +104,11 @@
             agent: agent.clone(),
             reason,
         });
-        self.dispatch(serial, now);
+        if reason == AgentRefusal::AtLimit {
+            self.enqueue_again(serial, now);
+        } else {
+            self.dispatch(serial, now);
+        }
     }
 
     fn on_started(
--- a/crates/hickorydoor/src/entry_config.rs
+++ b/crates/hickorydoor/src/entry_config.rs
@@ -260,6 +260,7 @@
     pub(crate) fn on_load(&mut self, agent: &HostId, report: LoadReport, now: TimeMs) {
         let revision = report.revision;
         self.members.apply_load(agent, report, now);
+        self.room_freed = true;
         self.on_peer_revision(agent, revision, now);
     }
 
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -42,6 +42,10 @@
 /// When callers may retry after a refusal for lack of upstreams.
 const RETRY_AFTER_MS: DurationMs = DurationMs::from_secs(1);
 
+/// No version of the model is permitted and takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct NoVersion;
+
 impl Entry {
     pub(crate) fn on_request(&mut self, request: CallerRequest, now: TimeMs) {
         let caller = request.caller;
@@ -139,31 +143,36 @@
         let Some(state) = self.requests.get(&serial) else {
             return;
         };
-        if state.attempts >= self.settings.max_attempts {
+        if self.is_exhausted(state) {
             self.refuse(serial, RefusalReason::NoUpstream, Some(RETRY_AFTER_MS), now);
             return;
         }
-        let Some((placed, version)) = self.place(serial, now) else {
+        if !self.must_wait(serial)
+            && let Some((placed, version)) = self.place(serial, now)
+        {
+            self.send_attempt(serial, &placed, version, now);
+        } else if self.has_upstream(serial) {
+            self.enqueue(serial, now);
+        } else {
             self.refuse(serial, RefusalReason::NoUpstream, Some(RETRY_AFTER_MS), now);
-            return;
-        };
-        self.send_attempt(serial, &placed, version, now);
+        }
+    }
+
+    fn is_exhausted(&self, state: &RequestState) -> bool {
+        state.excluded.len() >= self.settings.max_attempts as usize
+            || state.attempts >= self.settings.max_dispatches
     }
 
     /// Chooses an agent, and for model calls the version that it runs.
-    fn place(&mut self, serial: Serial, now: TimeMs) -> Option<(Placed, Option<VersionId>)> {
+    pub(crate) fn place(
+        &mut self,
+        serial: Serial,
+        now: TimeMs,
+    ) -> Option<(Placed, Option<VersionId>)> {
         let state = self.requests.get(&serial)?;
-        let version = match &state.plan {
-            Plan::Models { steps, step, .. } => Some(self.choose_version(state, &steps[*step])?),
-            Plan::Service { .. } => None,
-        };
-        let need = match (&version, &state.request.ask) {
-            (Some(version), _) => Need::Version(version),
-            (None, Ask::Service(call)) => Need::Service(&call.service),
-            (None, Ask::Chat(_)) => return None,
-        };
+        let version = self.version_for(state).ok()?;
         let request = PlacementRequest {
-            need,
+            need: need(state, version.as_ref())?,
             work: self.work(state),
             prefix: prefix_of(state),
             excluded: &state.excluded,
@@ -174,8 +183,35 @@
         Some((placed, version))
     }
 
+    /// Whether any usable upstream serves the request, with or without room.
+    fn has_upstream(&self, serial: Serial) -> bool {
+        let find = || {
+            let state = self.requests.get(&serial)?;
+            let version = self.version_for(state).ok()?;
+            let need = need(state, version.as_ref())?;
+            let configuration = self.config.current();
+            let mut usable = self.members.iter().filter(|(agent, member)| {
+                need.is_met_by(member)
+                    && member.is_usable(configuration)
+                    && !state.excluded.contains(agent)
+            });
+            usable.next()
+        };
+        find().is_some()
+    }
+
+    /// The version to run; none for plain services.
+    fn version_for(&self, state: &RequestState) -> Result<Option<VersionId>, NoVersion> {
+        match &state.plan {
+            Plan::Models { steps, step, .. } => {
+                self.choose_version(state, &steps[*step]).map(Some).ok_or(NoVersion)
+            }
+            Plan::Service { .. } => Ok(None),
+        }
+    }
+
     /// The expected work of a request.
-    fn work(&self, state: &RequestState) -> Work {
+    pub(crate) fn work(&self, state: &RequestState) -> Work {
         let default = Tokens::new(self.config.current().defaults.expected_answer_tokens);
         let learned = self.placement.lengths.expected(&state.customer, state.class, default);
         match &state.request.ask {
@@ -204,7 +240,7 @@
         newest.map(|version| version.id.clone())
     }
 
-    fn send_attempt(
+    pub(crate) fn send_attempt(
         &mut self,
         serial: Serial,
         placed: &Placed,
@@ -297,6 +333,7 @@
         if let Some(member) = self.members.get_mut(&attempt.agent) {
             member.in_flight = member.in_flight.saturating_sub(1);
         }
+        self.room_freed = true;
         Some(attempt)
     }
 
@@ -337,6 +374,7 @@
             return;
         };
         self.callers.remove(&state.caller);
+        self.leave_queue(&state);
         let mut usage = Usage::default();
         let mut version = None;
         for line in &state.lines {
@@ -386,6 +424,14 @@
     }
 }
 
+fn need<'a>(state: &'a RequestState, version: Option<&'a VersionId>) -> Option<Need<'a>> {
+    match (version, &state.request.ask) {
+        (Some(version), _) => Some(Need::Version(version)),
+        (None, Ask::Service(call)) => Some(Need::Service(&call.service)),
+        (None, Ask::Chat(_)) => None,
+    }
+}
+
 fn prefix_of(state: &RequestState) -> u64 {
     match &state.request.ask {
         Ask::Chat(chat) => chat.prefix_hash,
--- a/crates/hickorydoor/src/entry_settings.rs
+++ b/crates/hickorydoor/src/entry_settings.rs
@@ -26,8 +26,11 @@
     pub heartbeat_interval_ms: DurationMs,
     /// How long an attempt survives the loss of its link.
     pub resume_window_ms: DurationMs,
-    /// Attempts of one request at most, refusals included.
+    /// Upstreams that one request may be tried on before it fails, refusals at the admission limit
+    /// not included.
     pub max_attempts: u32,
+    /// Attempts of one request at most, all refusals included.
+    pub max_dispatches: u32,
     /// How upstreams are chosen.
     pub placement: PlacementRule,
 }
@@ -50,6 +53,7 @@
             heartbeat_interval_ms: DurationMs::from_secs(1),
             resume_window_ms: DurationMs::from_secs(10),
             max_attempts: 4,
+            max_dispatches: 16,
             placement: PlacementRule::default(),
         }
     }
--- a/crates/hickorydoor/src/member_table.rs
+++ b/crates/hickorydoor/src/member_table.rs
@@ -97,7 +97,12 @@
     pub const fn has_room(&self) -> bool {
         let limit = self.load.admission_limit as u64;
         // A limit of 0 means that no report has arrived yet.
-        limit == 0 || self.load.running as u64 + self.sent_since_report() < limit
+        limit == 0 || self.others_running as u64 + (self.in_flight as u64) < limit
+    }
+
+    /// The agent refused an attempt at its limit, so other entries hold the rest of it.
+    pub const fn note_full(&mut self) {
+        self.others_running = self.load.admission_limit.saturating_sub(self.in_flight);
     }
 
     /// Takes over a load report; returns whether the served versions changed.
--- a/crates/hickorydoor/src/placement.rs
+++ b/crates/hickorydoor/src/placement.rs
@@ -64,7 +64,8 @@
 }
 
 impl Need<'_> {
-    fn is_met_by(self, member: &Member) -> bool {
+    /// Whether this agent's upstream has what is needed.
+    pub fn is_met_by(self, member: &Member) -> bool {
         match self {
             Self::Version(version) => member.serves_version(version),
             Self::Service(service) => member.serves_service(service),
