Add the key-value client and its stand-in

The daemon and hickoryctl need the operations of kv_call over etcd v3's JSON gateway. The client keeps apart refused connections (NotSent) and lost answers (OutcomeUnknown), tries several endpoints, and bounds each call in time and size.

A read without conditions uses /v3/kv/range, everything else /v3/kv/txn.

--- a/crates/hickory-kv/src/lib.rs
+++ b/crates/hickory-kv/src/lib.rs
@@ -1,1 +1,38 @@
-//! Client for the key-value service's etcd v3 JSON gateway.
+//! Client for the key-value service.
+//!
+//! The service speaks etcd v3's JSON gateway. [`Client`] carries out the operations that
+//! [`hickorydoor::kv_call`] describes as data:
+//!
+//! ```no_run
+//! use hickory_kv::Client;
+//! use hickory_kv::ClientSettings;
+//! use hickorydoor::kv_call::KvCall;
+//! use hickorydoor::kv_call::KvOutcome;
+//! use hickorydoor::time::DurationMs;
+//!
+//! # async fn grant() -> Result<(), hickory_kv::SettingsError> {
+//! let settings = ClientSettings::new(["http://127.0.0.1:2379"])?;
+//! let client = Client::new(settings);
+//! let outcome = client.call(KvCall::Grant { ttl_ms: DurationMs::from_secs(10) }).await;
+//! assert!(matches!(outcome, KvOutcome::Reply(_)));
+//! # Ok(())
+//! # }
+//! ```
+//!
+//! Failures keep apart what had no effect ([`CallError::Connect`]) from what may have had one
+//! ([`CallError::AnswerLost`]), because callers repeat the former and read back the latter.
+
+mod base64_text;
+mod call_error;
+mod client;
+mod client_settings;
+mod int_text;
+mod reply_wire;
+mod request_wire;
+mod watch;
+
+pub use call_error::CallError;
+pub use client::Client;
+pub use client_settings::ClientSettings;
+pub use client_settings::SettingsError;
+pub use watch::Watch;
--- /dev/null
+++ b/crates/hickory-kv/src/reply_wire.rs
@@ -0,0 +1,196 @@
+//! Replies in the gateway's JSON form.
+//!
+//! The gateway leaves out fields that have their default value.
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use hickorydoor::kv_call::KvCall;
+use hickorydoor::kv_call::KvOutcome;
+use hickorydoor::kv_call::KvPair;
+use hickorydoor::kv_call::KvReply;
+use hickorydoor::time::DurationMs;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use crate::base64_text;
+use crate::call_error::CallError;
+use crate::int_text;
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Header {
+    #[serde(with = "int_text")]
+    revision: u64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct KeyValue {
+    #[serde(with = "base64_text")]
+    key: Bytes,
+    #[serde(with = "base64_text")]
+    value: Bytes,
+    #[serde(with = "int_text")]
+    create_revision: u64,
+    #[serde(with = "int_text")]
+    mod_revision: u64,
+}
+
+impl TryFrom<KeyValue> for KvPair {
+    type Error = CallError;
+
+    fn try_from(raw: KeyValue) -> Result<Self, CallError> {
+        Ok(Self {
+            key: key_text(&raw.key)?,
+            value: raw.value,
+            create_revision: raw.create_revision,
+            modify_revision: raw.mod_revision,
+        })
+    }
+}
+
+fn key_text(key: &[u8]) -> Result<CompactString, CallError> {
+    let malformed = |_error| CallError::AnswerMalformed { detail: "a key is not UTF-8".into() };
+    CompactString::from_utf8(key).map_err(malformed)
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct RangeResponse {
+    header: Header,
+    kvs: Vec<KeyValue>,
+}
+
+impl RangeResponse {
+    fn into_pairs(self) -> Result<Vec<KvPair>, CallError> {
+        self.kvs.into_iter().map(KvPair::try_from).collect()
+    }
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct OperationResponse {
+    response_range: Option<RangeResponse>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct TransactionResponse {
+    header: Header,
+    succeeded: bool,
+    responses: Vec<OperationResponse>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct LeaseResponse {
+    #[serde(rename = "ID", with = "int_text")]
+    id: u64,
+    #[serde(rename = "TTL", with = "int_text")]
+    ttl_s: u64,
+}
+
+#[derive(Deserialize)]
+struct Streamed<T> {
+    result: T,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct WatchResponse {
+    header: Header,
+    canceled: bool,
+    events: Vec<WatchEvent>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct WatchEvent {
+    #[serde(rename = "type")]
+    kind: EventKind,
+    kv: KeyValue,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+enum EventKind {
+    #[default]
+    Put,
+    Delete,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct ErrorResponse {
+    message: CompactString,
+}
+
+/// The reply to `call` at `path`.
+pub fn decode(call: &KvCall, path: &str, body: &[u8]) -> Result<KvReply, CallError> {
+    match call {
+        KvCall::Transaction { .. } if path == "/v3/kv/range" => {
+            let raw: RangeResponse = parse(body)?;
+            let store_revision = raw.header.revision;
+            let results = vec![raw.into_pairs()?];
+            Ok(KvReply::Transaction { succeeded: true, store_revision, results })
+        }
+        KvCall::Transaction { .. } => transaction(parse(body)?),
+        KvCall::Grant { .. } => Ok(lease(&parse(body)?)),
+        KvCall::KeepAlive { lease: id } => {
+            let mut raw = parse::<Streamed<LeaseResponse>>(body)?.result;
+            raw.id = *id;
+            Ok(lease(&raw))
+        }
+        KvCall::Revoke { .. } | KvCall::Watch { .. } | KvCall::Unwatch => Ok(KvReply::Done),
+    }
+}
+
+fn transaction(raw: TransactionResponse) -> Result<KvReply, CallError> {
+    let pairs = |response: OperationResponse| match response.response_range {
+        Some(range) => range.into_pairs(),
+        None => Ok(Vec::new()),
+    };
+    Ok(KvReply::Transaction {
+        succeeded: raw.succeeded,
+        store_revision: raw.header.revision,
+        results: raw.responses.into_iter().map(pairs).collect::<Result<_, _>>()?,
+    })
+}
+
+fn lease(raw: &LeaseResponse) -> KvReply {
+    KvReply::Lease { lease: raw.id, ttl_ms: DurationMs::from_secs(raw.ttl_s) }
+}
+
+/// What a watch message reports; absent for messages without events.
+pub fn decode_watch(message: &[u8]) -> Result<Option<KvOutcome>, CallError> {
+    let raw = parse::<Streamed<WatchResponse>>(message)?.result;
+    if raw.canceled {
+        return Err(CallError::AnswerLost { detail: "the service ended the watch".into() });
+    }
+    if raw.events.is_empty() {
+        return Ok(None);
+    }
+    let mut written = Vec::new();
+    let mut deleted = Vec::new();
+    for event in raw.events {
+        match event.kind {
+            EventKind::Put => written.push(event.kv.try_into()?),
+            EventKind::Delete => deleted.push(key_text(&event.kv.key)?),
+        }
+    }
+    Ok(Some(KvOutcome::Watched { store_revision: raw.header.revision, written, deleted }))
+}
+
+/// The service's message in an error answer, or the start of the answer if it has none.
+pub fn decode_error(body: &[u8]) -> CompactString {
+    const SHOWN_CHARS: usize = 200;
+    match serde_json::from_slice::<ErrorResponse>(body) {
+        Ok(error) if !error.message.is_empty() => error.message,
+        _ => String::from_utf8_lossy(body).chars().take(SHOWN_CHARS).collect(),
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, CallError> {
+    serde_json::from_slice(body)
+        .map_err(|error| CallError::AnswerMalformed { detail: error.to_string().into() })
+}
--- /dev/null
+++ b/crates/hickory-kv/tests/watches.rs
@@ -0,0 +1,66 @@
+//! Watches against the stand-in, with its faults.
+
+use bytes::Bytes;
+use hickory_kv::Client;
+use hickory_kv::ClientSettings;
+use hickory_standins::Kv;
+use hickorydoor::kv_call::KvCall;
+use hickorydoor::kv_call::KvFault;
+use hickorydoor::kv_call::KvOperation;
+use hickorydoor::kv_call::KvOutcome;
+
+fn client(kv: &Kv) -> Client {
+    Client::new(ClientSettings::new([kv.url()]).expect("the URL is valid"))
+}
+
+async fn run(client: &Client, operation: KvOperation) {
+    let call =
+        KvCall::Transaction { compares: Vec::new(), then: vec![operation], otherwise: Vec::new() };
+    assert!(matches!(client.call(call).await, KvOutcome::Reply(_)));
+}
+
+async fn put(client: &Client, key: &str, value: &'static [u8]) {
+    let value = Bytes::from_static(value);
+    run(client, KvOperation::Put { key: key.into(), value, lease: None }).await;
+}
+
+fn reported(outcome: &KvOutcome) -> (Vec<&str>, Vec<&str>) {
+    let KvOutcome::Watched { written, deleted, .. } = outcome else {
+        panic!("expected a report, got {outcome:?}");
+    };
+    let written = written.iter().map(|pair| pair.key.as_str()).collect();
+    (written, deleted.iter().map(compact_str::CompactString::as_str).collect())
+}
+
+// Guards against missing the changes between a read and the start of its watch.
+#[tokio::test]
+async fn a_watch_reports_from_its_start_revision() {
+    let kv = Kv::start().await.expect("a port is free");
+    let client = client(&kv);
+    put(&client, "/w/1", b"a").await;
+    put(&client, "/other", b"a").await;
+    let mut watch = client.watch("/w/", 1).await;
+    assert_eq!(reported(&watch.next().await), (vec!["/w/1"], vec![]));
+    put(&client, "/other", b"b").await;
+    put(&client, "/w/2", b"b").await;
+    assert_eq!(reported(&watch.next().await), (vec!["/w/2"], vec![]));
+    run(&client, KvOperation::Delete { key: "/w/1".into() }).await;
+    assert_eq!(reported(&watch.next().await), (vec![], vec!["/w/1"]));
+}
+
+// Guards against a watch that ends without telling, or hangs after a cut.
+#[tokio::test]
+async fn a_cut_watch_is_lost_for_good() {
+    let kv = Kv::start().await.expect("a port is free");
+    let client = client(&kv);
+    let lost = KvOutcome::Fault(KvFault::WatchLost);
+    let mut watch = client.watch("/w/", 0).await;
+    kv.cut_watches();
+    assert_eq!(watch.next().await, lost);
+    put(&client, "/w/1", b"a").await;
+    assert_eq!(watch.next().await, lost);
+    let mut watch = client.watch("/w/", 0).await;
+    kv.set_down(true).await.expect("the port closes");
+    assert_eq!(watch.next().await, lost);
+    assert_eq!(client.watch("/w/", 0).await.next().await, lost);
+}
