Add stand-ins for engines, services and the platform

Tests of the daemon need an engine with an OpenAI-style API, load reports and fenced orders, a plain service that records its runs, the rating service, the host list and the weight store. Faults are set at run time: down, slow, hung, cut streams, errors, cold start, lost answers, lag.

--- a/crates/hickory-standins/src/lib.rs
+++ b/crates/hickory-standins/src/lib.rs
@@ -4,22 +4,45 @@
 //! its handle is dropped. Faults are set on the handle while it runs:
 //!
 //! ```
-//! use hickory_standins::Kv;
+//! use hickory_standins::Engine;
+//! use hickory_standins::EngineSettings;
 //!
 //! # #[tokio::main]
 //! # async fn main() -> std::io::Result<()> {
-//! let kv = Kv::start().await?;
-//! kv.set_down(true).await?;
-//! assert_eq!(kv.counts().transactions, 0);
+//! let engine = Engine::start(EngineSettings::new(["brine-small-1"])).await?;
+//! engine.update(|settings| settings.error_rate = 0.1);
+//! engine.set_down(true).await?;
+//! assert_eq!(engine.counts().completions, 0);
 //! # Ok(())
 //! # }
 //! ```
 
+mod engine;
+mod engine_completion;
+mod engine_settings;
+mod engine_state;
+mod host_list;
 mod kv;
 mod kv_faults;
 mod kv_store;
 mod kv_wire;
+mod rating;
 mod server;
+mod service;
+mod weight_store;
 
+pub use engine::Engine;
+pub use engine_settings::ColdStart;
+pub use engine_settings::EngineSettings;
+pub use engine_state::EngineCounts;
+pub use host_list::Host;
+pub use host_list::HostList;
+pub use host_list::HostRole;
+pub use host_list::HostState;
 pub use kv::Kv;
 pub use kv_faults::KvCounts;
+pub use rating::Rating;
+pub use rating::RatingCall;
+pub use service::Service;
+pub use service::ServiceCall;
+pub use weight_store::WeightStore;
--- /dev/null
+++ b/crates/hickory-standins/src/weight_store.rs
@@ -0,0 +1,145 @@
+//! Stand-in for the store of model weights.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::Path;
+use axum::extract::State;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::get;
+use bytes::Bytes;
+use futures_util::stream;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::CONTENT_LENGTH;
+use tokio::time::Instant;
+
+use crate::server::Server;
+
+const CHUNK_BYTES: u64 = 16 * 1024;
+
+#[derive(Debug)]
+struct WeightState {
+    sizes: BTreeMap<String, u64>,
+    bytes_per_s: u64,
+    /// When the rate allows the next chunk of any download.
+    next_chunk_at: Instant,
+    downloads: BTreeMap<String, u64>,
+}
+
+impl WeightState {
+    /// Reserves the rate for a chunk; returns when it may be sent.
+    fn reserve(&mut self, bytes: u64, now: Instant) -> Instant {
+        let start = self.next_chunk_at.max(now);
+        let seconds = bytes as f64 / self.bytes_per_s as f64;
+        self.next_chunk_at = start + Duration::from_secs_f64(seconds);
+        self.next_chunk_at
+    }
+}
+
+/// Stand-in for the store of model weights, whose rate is shared by all downloads.
+#[derive(Debug)]
+pub struct WeightStore {
+    server: Server,
+    state: Arc<Mutex<WeightState>>,
+}
+
+impl WeightStore {
+    /// Starts on a free loopback port with this rate over all downloads.
+    ///
+    /// # Errors
+    /// Fails if no port can be opened.
+    pub async fn start(bytes_per_s: u64) -> io::Result<Self> {
+        Self::start_at(bytes_per_s, SocketAddr::from(([127, 0, 0, 1], 0))).await
+    }
+
+    /// Starts on this address.
+    ///
+    /// # Errors
+    /// Fails if the port cannot be opened.
+    pub async fn start_at(bytes_per_s: u64, address: SocketAddr) -> io::Result<Self> {
+        let state = Arc::new(Mutex::new(WeightState {
+            sizes: BTreeMap::new(),
+            bytes_per_s: bytes_per_s.max(1),
+            next_chunk_at: Instant::now(),
+            downloads: BTreeMap::new(),
+        }));
+        let router =
+            Router::new().route("/weights/{version}", get(download)).with_state(Arc::clone(&state));
+        Ok(Self { server: Server::start_at(router, address).await?, state })
+    }
+
+    /// The address that it serves on.
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// The base URL.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address())
+    }
+
+    /// Refuses connections and closes the open ones, or serves again.
+    ///
+    /// # Errors
+    /// Fails if the port cannot be opened again.
+    pub async fn set_down(&self, down: bool) -> io::Result<()> {
+        self.server.set_down(down).await
+    }
+
+    /// Adds weights of this size.
+    pub fn add(&self, version: &str, size_bytes: u64) {
+        lock(&self.state).sizes.insert(version.to_owned(), size_bytes);
+    }
+
+    /// Sets the rate over all downloads.
+    pub fn set_rate(&self, bytes_per_s: u64) {
+        lock(&self.state).bytes_per_s = bytes_per_s.max(1);
+    }
+
+    /// Downloads of a version that have started.
+    pub fn downloads_of(&self, version: &str) -> u64 {
+        lock(&self.state).downloads.get(version).copied().unwrap_or(0)
+    }
+}
+
+fn lock(state: &Mutex<WeightState>) -> MutexGuard<'_, WeightState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn download(
+    State(state): State<Arc<Mutex<WeightState>>>,
+    Path(version): Path<String>,
+) -> Response {
+    let size_bytes = {
+        let mut state = lock(&state);
+        let Some(size_bytes) = state.sizes.get(&version).copied() else {
+            return StatusCode::NOT_FOUND.into_response();
+        };
+        *state.downloads.entry(version).or_default() += 1;
+        size_bytes
+    };
+    let chunks = stream::unfold((state, size_bytes), |(state, left)| async move {
+        let bytes = left.min(CHUNK_BYTES);
+        if bytes == 0 {
+            return None;
+        }
+        let at = lock(&state).reserve(bytes, Instant::now());
+        tokio::time::sleep_until(at).await;
+        let chunk = Bytes::from(vec![0; bytes as usize]);
+        Some((Ok::<_, Infallible>(chunk), (state, left - bytes)))
+    });
+    let mut response = Body::from_stream(chunks).into_response();
+    response.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(size_bytes));
+    response
+}
