Add operators' changes as pure state machines

An attempt reads the configuration, plans the operator's action and writes items, head and record in one transaction that compares the head. A write whose answer is lost is sent again unchanged; its failure branch reads back the record of the revision, so the outcome becomes definite as soon as the service answers. After a lost race the action is planned again only if the items that it touches are unchanged.

The decoder of stored configuration moves from entry_config to stored_configuration, where the operators' tools use it as well.

--- a/crates/hickorydoor/src/change.rs
+++ b/crates/hickorydoor/src/change.rs
@@ -18,6 +18,16 @@
     Delete(ItemKey),
 }
 
+impl Operation {
+    /// The item that this step changes.
+    pub fn key(&self) -> ItemKey {
+        match self {
+            Self::Put(item) => item.key(),
+            Self::Delete(key) => key.clone(),
+        }
+    }
+}
+
 /// A change that was accepted under a revision.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ChangeRecord {
--- /dev/null
+++ b/crates/hickorydoor/src/config_diff.rs
@@ -0,0 +1,82 @@
+//! The difference between two configurations.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use crate::change::Operation;
+use crate::configuration::Configuration;
+use crate::item::Item;
+use crate::item::ItemKey;
+use crate::item_change::ItemChange;
+
+/// The items in which two configurations differ, in the order in which a change applies them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ConfigDiff {
+    /// The items that differ.
+    pub changes: Vec<ItemChange>,
+}
+
+impl ConfigDiff {
+    /// What leads from `before` to `after`.
+    pub fn between(before: &Configuration, after: &Configuration) -> Self {
+        let mut old: BTreeMap<ItemKey, Item> = by_key(before);
+        let mut changes = Vec::new();
+        for item in after.items() {
+            let key = item.key();
+            let previous = old.remove(&key);
+            if previous.as_ref() != Some(&item) {
+                changes.push(ItemChange { key, before: previous, after: Some(item) });
+            }
+        }
+        let deleted = |(key, item)| ItemChange { key, before: Some(item), after: None };
+        changes.extend(old.into_iter().map(deleted));
+        Self { changes }
+    }
+
+    /// Whether the configurations are equal.
+    pub fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+
+    /// The operations that turn the first configuration into the second.
+    pub fn operations(&self) -> Vec<Operation> {
+        let operation = |change: &ItemChange| match &change.after {
+            Some(item) => Operation::Put(item.clone()),
+            None => Operation::Delete(change.key.clone()),
+        };
+        self.changes.iter().map(operation).collect()
+    }
+
+    /// The keys of the items that differ.
+    pub fn keys(&self) -> impl Iterator<Item = &ItemKey> {
+        self.changes.iter().map(|change| &change.key)
+    }
+}
+
+fn by_key(configuration: &Configuration) -> BTreeMap<ItemKey, Item> {
+    configuration.items().into_iter().map(|item| (item.key(), item)).collect()
+}
+
+impl fmt::Display for ConfigDiff {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for change in &self.changes {
+            let sign = match (&change.before, &change.after) {
+                (None, _) => '+',
+                (_, None) => '-',
+                _ => '~',
+            };
+            writeln!(f, "{sign} {}", change.key)?;
+            for field in change.fields() {
+                match (&field.before, &field.after) {
+                    (Some(before), Some(after)) => {
+                        writeln!(f, "    {}: {before} -> {after}", field.field)?;
+                    }
+                    (None, Some(after)) => writeln!(f, "  + {}: {after}", field.field)?,
+                    (Some(before), None) => writeln!(f, "  - {}: {before}", field.field)?,
+                    (None, None) => {}
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/hickorydoor/src/entry_config.rs
+++ b/crates/hickorydoor/src/entry_config.rs
@@ -1,7 +1,5 @@
 //! How an entry keeps its configuration and its links to agents.
 
-use crate::change::ChangeRecord;
-use crate::configuration::Configuration;
 use crate::entry::Entry;
 use crate::entry::KvPurpose;
 use crate::entry_effect::EntryEffect;
@@ -10,12 +8,9 @@
 use crate::id::HostId;
 use crate::id::KvCallId;
 use crate::id::Revision;
-use crate::item::Item;
 use crate::keys;
 use crate::kv_call::KvCall;
-use crate::kv_call::KvOperation;
 use crate::kv_call::KvOutcome;
-use crate::kv_call::KvPair;
 use crate::kv_call::KvReply;
 use crate::load_report::LoadReport;
 use crate::message::AgentHello;
@@ -23,8 +18,8 @@
 use crate::message::EntryHello;
 use crate::message::EntryMessage;
 use crate::observation::Observation;
-use crate::raw_configuration::RawChangeRecord;
-use crate::raw_configuration::RawItem;
+use crate::stored_configuration::StoredConfiguration;
+use crate::stored_configuration::decode_change;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
@@ -47,14 +42,7 @@
     }
 
     fn load_configuration(&mut self) {
-        let operation = KvCall::Transaction {
-            compares: Vec::new(),
-            then: vec![
-                KvOperation::Get { key: keys::HEAD.into() },
-                KvOperation::List { prefix: keys::CONFIG_PREFIX.into(), limit: 0 },
-            ],
-            otherwise: Vec::new(),
-        };
+        let operation = StoredConfiguration::read_call();
         self.call_kv(KvPurpose::LoadConfiguration, operation);
     }
 
@@ -79,8 +67,9 @@
             self.record(Observation::KvUnavailable);
             return;
         };
-        if let Some(configuration) = decode_configuration(&results) {
-            self.on_config_update(ConfigUpdate::Snapshot(Box::new(configuration)));
+        if let Ok(stored) = StoredConfiguration::decode(&results) {
+            let configuration = Box::new(stored.configuration);
+            self.on_config_update(ConfigUpdate::Snapshot(configuration));
         } else {
             self.record(Observation::ConfigurationRefused { revision: self.revision() });
         }
@@ -94,7 +83,7 @@
     fn on_changes(&mut self, outcome: KvOutcome, now: TimeMs) {
         match outcome {
             KvOutcome::Watched { written, .. } => {
-                let records = written.iter().filter_map(decode_change).collect();
+                let records = written.iter().filter_map(|pair| decode_change(pair).ok()).collect();
                 self.on_config_update(ConfigUpdate::Deltas(records));
             }
             KvOutcome::Reply(_) | KvOutcome::Fault(_) => {
@@ -273,28 +262,3 @@
         }
     }
 }
-
-fn decode_configuration(results: &[Vec<KvPair>]) -> Option<Configuration> {
-    let [head, items] = results else {
-        return None;
-    };
-    let revision = head.first().and_then(decode_head).unwrap_or_default();
-    let items: Option<Vec<Item>> = items
-        .iter()
-        .map(|pair| {
-            let raw: RawItem = serde_json::from_slice(&pair.value).ok()?;
-            Item::try_from(raw).ok()
-        })
-        .collect();
-    Configuration::from_items(revision, items?).ok()
-}
-
-fn decode_head(pair: &KvPair) -> Option<Revision> {
-    let head: crate::head::Head = serde_json::from_slice(&pair.value).ok()?;
-    Some(head.revision)
-}
-
-fn decode_change(pair: &KvPair) -> Option<ChangeRecord> {
-    let raw: RawChangeRecord = serde_json::from_slice(&pair.value).ok()?;
-    ChangeRecord::try_from(raw).ok()
-}
--- a/crates/hickorydoor/src/lib.rs
+++ b/crates/hickorydoor/src/lib.rs
@@ -30,6 +30,7 @@
 //! [`wire`]. Operators' configuration is written as [`RawConfiguration`] and checked into a
 //! [`Configuration`].
 
+pub mod action_error;
 pub mod agent;
 mod agent_attempt;
 mod agent_config;
@@ -40,7 +41,10 @@
 pub mod caller_request;
 pub mod cascade;
 pub mod change;
+pub mod change_attempt;
+pub mod change_outcome;
 pub mod class;
+pub mod config_diff;
 pub mod config_log;
 pub mod configuration;
 pub mod customer;
@@ -61,6 +65,7 @@
 pub mod host_record;
 pub mod id;
 pub mod item;
+pub mod item_change;
 pub mod key_digest;
 pub mod keys;
 pub mod kv_call;
@@ -70,12 +75,14 @@
 pub mod message;
 pub mod model;
 pub mod observation;
+pub mod operator_action;
 pub mod placement;
 pub mod quantity;
 pub mod raw_configuration;
 pub mod refusal;
 mod request_state;
 pub mod service;
+pub mod stored_configuration;
 pub mod time;
 pub mod usage;
 pub mod usage_store;
--- /dev/null
+++ b/crates/hickorydoor/tests/operator_changes.rs
@@ -0,0 +1,316 @@
+//! Operators that race each other over a key-value service with faults.
+
+mod memory_kv;
+
+use hickorydoor::Configuration;
+use hickorydoor::KeyDigest;
+use hickorydoor::TimeMs;
+use hickorydoor::change::ChangeRecord;
+use hickorydoor::change_attempt::ChangeAttempt;
+use hickorydoor::change_attempt::ChangeDraft;
+use hickorydoor::change_attempt::ChangeStep;
+use hickorydoor::change_outcome::ChangeOutcome;
+use hickorydoor::config_diff::ConfigDiff;
+use hickorydoor::id::ChangeId;
+use hickorydoor::keys;
+use hickorydoor::kv_call::KvCall;
+use hickorydoor::kv_call::KvFault;
+use hickorydoor::kv_call::KvOutcome;
+use hickorydoor::operator_action::OperatorAction;
+use hickorydoor::quantity::Share;
+use hickorydoor::stored_configuration::StoredConfiguration;
+use hickorydoor::stored_configuration::decode_change;
+use memory_kv::MemoryKv;
+use memory_kv::configuration;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const DEADLINE_MS: TimeMs = TimeMs::new(1_000);
+const AFTER_DEADLINE_MS: TimeMs = TimeMs::new(2_000);
+
+fn proptest_config() -> ProptestConfig {
+    let cases = std::env::var("HICKORY_PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
+    ProptestConfig {
+        cases: cases.unwrap_or(256),
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// What happens to the next call of an operator.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Answered,
+    NotSent,
+    Rejected,
+    AnswerLost,
+    /// The answer is lost, and the call takes effect only later.
+    Late,
+}
+
+/// One step of a race.
+#[derive(Clone, Debug)]
+enum Move {
+    Call { operator: usize, fate: Fate },
+    LandLateCall,
+}
+
+/// An operator with its attempt.
+struct Operator {
+    change: ChangeId,
+    attempt: ChangeAttempt,
+    next: Result<KvCall, ChangeOutcome>,
+}
+
+impl Operator {
+    fn new(index: usize, action: OperatorAction) -> Self {
+        let change: ChangeId = format!("change-{index}").parse().expect("the id is valid");
+        let draft = ChangeDraft {
+            change: change.clone(),
+            operator: format!("operator-{index}").parse().expect("the id is valid"),
+            reason: "a test".into(),
+            made_at_ms: TimeMs::new(0),
+            action,
+        };
+        let attempt = ChangeAttempt::new(draft, DEADLINE_MS);
+        let next = Ok(attempt.first_call());
+        Self { change, attempt, next }
+    }
+
+    fn step(&mut self, kv: &mut MemoryKv, late: &mut Vec<KvCall>, fate: Fate, now: TimeMs) {
+        let Ok(call) = &self.next else {
+            return;
+        };
+        let outcome = match fate {
+            Fate::Answered => kv.call(call),
+            Fate::NotSent => KvOutcome::Fault(KvFault::NotSent),
+            Fate::Rejected => KvOutcome::Fault(KvFault::Rejected),
+            Fate::AnswerLost => {
+                kv.call(call);
+                KvOutcome::Fault(KvFault::OutcomeUnknown)
+            }
+            Fate::Late => {
+                late.push(call.clone());
+                KvOutcome::Fault(KvFault::OutcomeUnknown)
+            }
+        };
+        self.next = match self.attempt.apply(outcome, now) {
+            ChangeStep::Call { call, .. } => Ok(call),
+            ChangeStep::Done(outcome) => Err(*outcome),
+        };
+    }
+
+    fn finish(mut self, kv: &mut MemoryKv, fate: Fate, now: TimeMs) -> (ChangeId, ChangeOutcome) {
+        // Every answered call either ends the attempt or follows another operator's change.
+        for _ in 0..100 {
+            self.step(kv, &mut Vec::new(), fate, now);
+        }
+        (self.change, self.next.expect_err("the attempt ends"))
+    }
+}
+
+fn records(kv: &MemoryKv) -> Vec<ChangeRecord> {
+    let pairs = kv.list(keys::CHANGES_PREFIX);
+    pairs.iter().map(|pair| decode_change(pair).expect("the record is valid")).collect()
+}
+
+fn stored(kv: &mut MemoryKv) -> Configuration {
+    let KvOutcome::Reply(reply) = kv.call(&StoredConfiguration::read_call()) else {
+        panic!("the read succeeds");
+    };
+    let hickorydoor::kv_call::KvReply::Transaction { results, .. } = reply else {
+        panic!("the read is a transaction");
+    };
+    StoredConfiguration::decode(&results).expect("the configuration is valid").configuration
+}
+
+/// A service that holds the first configuration as revision 1.
+fn seeded() -> MemoryKv {
+    let mut kv = MemoryKv::default();
+    let action = OperatorAction::Replace { configuration: Box::new(configuration()) };
+    let (_, outcome) = Operator::new(1_000, action).finish(&mut kv, Fate::Answered, TimeMs::new(0));
+    assert!(matches!(outcome, ChangeOutcome::Accepted { .. }), "{outcome:?}");
+    kv
+}
+
+/// Checks that the records lead to what is stored, and that every outcome is true.
+fn check(kv: &mut MemoryKv, outcomes: &[(ChangeId, ChangeOutcome)]) {
+    let records = records(kv);
+    let mut replayed = Configuration::default();
+    for record in &records {
+        replayed.apply(record).expect("revisions are consecutive and changes fit");
+    }
+    assert_eq!(replayed, stored(kv));
+    for (change, outcome) in outcomes {
+        let found: Vec<_> = records.iter().filter(|record| record.change == *change).collect();
+        match outcome {
+            ChangeOutcome::Accepted { record } => assert_eq!(found, [record]),
+            ChangeOutcome::Unknown { .. } => assert!(found.len() <= 1),
+            _ => assert!(found.is_empty(), "{change} was stored in spite of {outcome:?}"),
+        }
+    }
+}
+
+fn id<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("the id is valid")
+}
+
+fn actions() -> impl Strategy<Value = OperatorAction> {
+    let model = prop::sample::select(vec!["brine", "chat"]);
+    let data_centre = prop::sample::select(vec!["haro-1", "arnedo-1", "cervera-1"]);
+    let customer = prop::sample::select(vec!["almazara", "bodega"]);
+    let share = Share::from_percent(5);
+    prop_oneof![
+        (data_centre, any::<bool>()).prop_map(|(name, out)| OperatorAction::SetDataCentre {
+            data_centre: id(name),
+            out,
+            force: false,
+        }),
+        (customer, 0..3_u8).prop_map(|(name, key)| OperatorAction::AddKey {
+            customer: id(name),
+            digest: KeyDigest::of_key(&format!("{name}{key}")),
+        }),
+        (model.clone(), 2..4_u8).prop_map(move |(name, number)| OperatorAction::StartVersion {
+            model: id(name),
+            version: id(&format!("{name}-{number}")),
+            share,
+        }),
+        model.clone().prop_map(|name| OperatorAction::PromoteVersion {
+            model: id(name),
+            version: id(&format!("{name}-2")),
+        }),
+        model.prop_map(|name| OperatorAction::WithdrawVersion {
+            model: id(name),
+            version: id(&format!("{name}-1")),
+            force: false,
+        }),
+    ]
+}
+
+fn moves(operators: usize) -> impl Strategy<Value = Move> {
+    let fate = prop_oneof![
+        6 => Just(Fate::Answered),
+        1 => Just(Fate::NotSent),
+        1 => Just(Fate::Rejected),
+        2 => Just(Fate::AnswerLost),
+        2 => Just(Fate::Late),
+    ];
+    prop_oneof![
+        9 => (0..operators, fate).prop_map(|(operator, fate)| Move::Call { operator, fate }),
+        1 => Just(Move::LandLateCall),
+    ]
+}
+
+proptest! {
+    #![proptest_config(proptest_config())]
+
+    // Guards against changes that are accepted twice, lost after they were accepted, or stored
+    // after they were refused, under races, lost answers and writes that take effect late.
+    #[test]
+    fn outcomes_are_true(
+        actions in prop::collection::vec(actions(), 2..6),
+        moves in prop::collection::vec(moves(6), 0..60),
+        outage_at_end in any::<bool>(),
+    ) {
+        let mut kv = seeded();
+        let mut late = Vec::new();
+        let mut operators: Vec<Operator> = actions
+            .into_iter()
+            .enumerate()
+            .map(|(index, action)| Operator::new(index, action))
+            .collect();
+        for step in moves {
+            match step {
+                Move::Call { operator, fate } => {
+                    let index = operator % operators.len();
+                    operators[index].step(&mut kv, &mut late, fate, TimeMs::new(0));
+                }
+                Move::LandLateCall => {
+                    if let Some(call) = late.pop() {
+                        kv.call(&call);
+                    }
+                }
+            }
+        }
+        let fate = if outage_at_end { Fate::NotSent } else { Fate::Answered };
+        let outcomes: Vec<_> = operators
+            .into_iter()
+            .map(|operator| operator.finish(&mut kv, fate, AFTER_DEADLINE_MS))
+            .collect();
+        for call in late {
+            kv.call(&call);
+        }
+        check(&mut kv, &outcomes);
+        if !outage_at_end {
+            let unknown = |(_, outcome): &(_, _)| matches!(outcome, ChangeOutcome::Unknown { .. });
+            prop_assert!(!outcomes.iter().any(unknown));
+        }
+    }
+
+    // Guards against a difference that does not lead from one configuration to the other.
+    #[test]
+    fn differences_lead_to_the_other_configuration(
+        actions in prop::collection::vec(actions(), 0..8),
+    ) {
+        let before = configuration();
+        let mut after = before.clone();
+        for action in actions {
+            if let Ok(operations) = action.plan(&after) {
+                after.apply_operations(&operations).expect("planned operations fit");
+            }
+        }
+        let diff = ConfigDiff::between(&before, &after);
+        let mut reached = before.clone();
+        reached.apply_operations(&diff.operations()).expect("the operations fit");
+        prop_assert_eq!(&reached, &after);
+        prop_assert_eq!(diff.is_empty(), before == after);
+    }
+}
+
+fn take_out(data_centre: &str) -> OperatorAction {
+    OperatorAction::SetDataCentre { data_centre: id(data_centre), out: true, force: false }
+}
+
+// Guards against a race that turns away a change of other items.
+#[test]
+fn changes_of_other_items_are_both_accepted() {
+    let mut kv = seeded();
+    let mut slow = Operator::new(0, take_out("haro-1"));
+    slow.step(&mut kv, &mut Vec::new(), Fate::Answered, TimeMs::new(0));
+    let fast = Operator::new(1, take_out("arnedo-1"));
+    let fast = fast.finish(&mut kv, Fate::Answered, TimeMs::new(0));
+    let slow = slow.finish(&mut kv, Fate::Answered, TimeMs::new(0));
+    assert!(matches!(&slow.1, ChangeOutcome::Accepted { record } if record.revision.get() == 3));
+    check(&mut kv, &[fast, slow]);
+}
+
+// Guards against two operators who between them take out the last data centre.
+#[test]
+fn a_race_cannot_take_out_the_last_data_centre() {
+    let mut kv = seeded();
+    Operator::new(0, take_out("cervera-1")).finish(&mut kv, Fate::Answered, TimeMs::new(0));
+    let mut slow = Operator::new(1, take_out("haro-1"));
+    slow.step(&mut kv, &mut Vec::new(), Fate::Answered, TimeMs::new(0));
+    Operator::new(2, take_out("arnedo-1")).finish(&mut kv, Fate::Answered, TimeMs::new(0));
+    let (_, outcome) = slow.finish(&mut kv, Fate::Answered, TimeMs::new(0));
+    assert!(matches!(&outcome, ChangeOutcome::Conflict { other: Some(other) }
+        if other.operator.as_str() == "operator-2"));
+}
+
+// Guards against a file that silently reverts a change made after it was written.
+#[test]
+fn a_file_for_an_older_revision_is_refused() {
+    let mut kv = seeded();
+    let file = Box::new(stored(&mut kv));
+    Operator::new(0, take_out("haro-1")).finish(&mut kv, Fate::Answered, TimeMs::new(0));
+    let apply = Operator::new(1, OperatorAction::Replace { configuration: file });
+    let (_, outcome) = apply.finish(&mut kv, Fate::Answered, TimeMs::new(0));
+    assert_eq!(
+        outcome.to_string(),
+        "not accepted: the file was written for revision 1, but revision 2 is in force"
+    );
+}
