Add the operators' command-line tool

hickoryctl checks and applies files, creates customers and keys, drives rollouts, takes data centres out and in, keeps exceptions with reasons, and reports on changes, bills and the fleet. Changes go through ChangeAttempt: with the answers to 1, 2 and 3 writes in a row lost, each change was accepted exactly once; an outage, a conflict and an unknown outcome have exit codes of their own. A new API key is printed unless it is certain that it is not stored.

hickory-kv gains list_after, which reads ledgers in pages, since all batches do not fit into one answer. File errors name file, line, field and what is allowed; the line of a checked field is looked up by path.

--- a/crates/hickory-kv/src/client.rs
+++ b/crates/hickory-kv/src/client.rs
@@ -9,6 +9,7 @@
 use compact_str::CompactString;
 use hickorydoor::kv_call::KvCall;
 use hickorydoor::kv_call::KvOutcome;
+use hickorydoor::kv_call::KvPair;
 use hickorydoor::kv_call::KvReply;
 use http::Request;
 use http::Response;
@@ -29,6 +30,7 @@
 use crate::client_settings::ClientSettings;
 use crate::reply_wire;
 use crate::request_wire;
+use crate::request_wire::RangeRequest;
 use crate::request_wire::WatchRequest;
 use crate::watch::Watch;
 
@@ -73,11 +75,17 @@
     /// Fails if no endpoint accepts the call, refuses it or its answer is lost.
     pub async fn try_call(&self, call: &KvCall) -> Result<KvReply, CallError> {
         let (path, body) = request_wire::encode(call).ok_or(CallError::NotACall)?;
+        let answer = self.exchange(path, body).await?;
+        reply_wire::decode(call, path, &answer)
+    }
+
+    /// Sends a request and reads its whole answer within the time limit.
+    async fn exchange(&self, path: &'static str, body: Bytes) -> Result<Bytes, CallError> {
         let whole = async {
             let response = self.send(path, body).await?;
             let (status, answer) = self.read_whole(response).await?;
             check_status(status, &answer)?;
-            reply_wire::decode(call, path, &answer)
+            Ok(answer)
         };
         let limit = self.settings.call_timeout_ms.into();
         let result = timeout(limit, whole).await.unwrap_or(Err(CallError::TimedOut));
@@ -87,6 +95,21 @@
         result
     }
 
+    /// Reads up to `limit` keys with a prefix that come after `after`, in key order.
+    ///
+    /// # Errors
+    /// Fails if no endpoint accepts the call, refuses it or its answer is lost.
+    pub async fn list_after(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        limit: u32,
+    ) -> Result<Vec<KvPair>, CallError> {
+        let body = request_wire::body(&RangeRequest::after(prefix, after, limit));
+        let answer = self.exchange("/v3/kv/range", body).await?;
+        reply_wire::decode_range(&answer)
+    }
+
     /// Watches the keys with a prefix from a store revision on.
     ///
     /// A failure to start is reported by the watch itself, as its end.
--- a/crates/hickory-kv/src/reply_wire.rs
+++ b/crates/hickory-kv/src/reply_wire.rs
@@ -145,6 +145,11 @@
     }
 }
 
+/// The pairs of a plain read.
+pub fn decode_range(body: &[u8]) -> Result<Vec<KvPair>, CallError> {
+    parse::<RangeResponse>(body)?.into_pairs()
+}
+
 fn transaction(raw: TransactionResponse) -> Result<KvReply, CallError> {
     let pairs = |response: OperationResponse| match response.response_range {
         Some(range) => range.into_pairs(),
--- a/crates/hickory-kv/src/request_wire.rs
+++ b/crates/hickory-kv/src/request_wire.rs
@@ -109,6 +109,20 @@
     }
 }
 
+impl RangeRequest {
+    /// Keys with a prefix that come after `after`.
+    pub fn after(prefix: &str, after: Option<&str>, limit: u32) -> Self {
+        let mut request = Self::prefix(prefix, limit);
+        if let Some(after) = after {
+            // The next possible key follows by one zero byte.
+            let mut key = after.as_bytes().to_vec();
+            key.push(0);
+            request.key = key.into();
+        }
+        request
+    }
+}
+
 impl From<&KvOperation> for RequestOperation {
     fn from(operation: &KvOperation) -> Self {
         match operation {
--- a/crates/hickory-kv/tests/calls.rs
+++ b/crates/hickory-kv/tests/calls.rs
@@ -85,6 +85,25 @@
     assert_eq!(kv.counts().ranges, 1);
 }
 
+// Guards against pages that overlap or leave out keys.
+#[tokio::test]
+async fn pages_follow_each_other() {
+    let kv = Kv::start().await.expect("a port is free");
+    let client = client(&kv);
+    let puts = ["/a/1", "/a/10", "/a/2", "/b"].map(|key| put(key, b"v", None));
+    transaction(client.call(run(puts.to_vec())).await);
+    let mut keys: Vec<String> = Vec::new();
+    loop {
+        let after = keys.last().map(String::as_str);
+        let page = client.list_after("/a/", after, 2).await.expect("the service is up");
+        if page.is_empty() {
+            break;
+        }
+        keys.extend(page.into_iter().map(|pair| pair.key.to_string()));
+    }
+    assert_eq!(keys, ["/a/1", "/a/10", "/a/2"]);
+}
+
 // Guards against comparing another revision than the one that was read.
 #[tokio::test]
 async fn modified_at_detects_a_change_in_between() {
--- a/crates/hickory-standins/src/kv.rs
+++ b/crates/hickory-standins/src/kv.rs
@@ -120,7 +120,14 @@
 
     /// Loses the answers to the next `count` calls after they took effect.
     pub fn lose_answers(&self, count: u32) {
-        self.shared.lock().faults.answers_to_lose = count;
+        self.lose_answers_after(0, count);
+    }
+
+    /// Answers `given` calls, and loses the answers to the `count` calls that follow.
+    pub fn lose_answers_after(&self, given: u32, count: u32) {
+        let mut state = self.shared.lock();
+        state.faults.answers_to_give = given;
+        state.faults.answers_to_lose = count;
     }
 
     /// Refuses the next `count` calls with status 429 and without effect.
@@ -194,7 +201,7 @@
     count: impl FnOnce(&mut KvCounts),
     run: impl FnOnce(&mut Store) -> Result<Value, Failure>,
 ) -> Response {
-    let (result, faults) = {
+    let (result, delay, lost) = {
         let mut state = shared.lock();
         count(&mut state.counts);
         if state.faults.calls_to_refuse > 0 {
@@ -202,13 +209,11 @@
             return refusal(StatusCode::TOO_MANY_REQUESTS, 8, "too many requests");
         }
         let result = run(&mut state.store);
-        let faults = state.faults;
-        state.faults.answers_to_lose = faults.answers_to_lose.saturating_sub(1);
-        (result, faults)
+        (result, state.faults.delay, state.faults.take_lost_answer())
     };
     shared.notify();
-    tokio::time::sleep(faults.delay).await;
-    if faults.answers_to_lose > 0 {
+    tokio::time::sleep(delay).await;
+    if lost {
         return DropConnection::response();
     }
     match result {
--- a/crates/hickory-standins/src/kv_faults.rs
+++ b/crates/hickory-standins/src/kv_faults.rs
@@ -36,8 +36,25 @@
 pub struct KvFaults {
     /// Pause before each answer.
     pub delay: Duration,
+    /// Answers to give before the first one is lost.
+    pub answers_to_give: u32,
     /// Answers to lose after the call took effect.
     pub answers_to_lose: u32,
     /// Calls to refuse without effect.
     pub calls_to_refuse: u32,
 }
+
+impl KvFaults {
+    /// Whether the answer to a call that took effect is lost.
+    pub fn take_lost_answer(&mut self) -> bool {
+        if self.answers_to_lose == 0 {
+            return false;
+        }
+        if self.answers_to_give > 0 {
+            self.answers_to_give -= 1;
+            return false;
+        }
+        self.answers_to_lose -= 1;
+        true
+    }
+}
--- /dev/null
+++ b/crates/hickoryctl/src/exception_arguments.rs
@@ -0,0 +1,77 @@
+//! Options and arguments of the exception commands.
+
+use getopts::Matches;
+use getopts::Options;
+use hickorydoor::exception::Exception;
+use hickorydoor::operator_action::OperatorAction;
+use hickorydoor::quantity::Share;
+use hickorydoor::raw_configuration::RawException;
+use hickorydoor::raw_configuration::RawOverride;
+
+use crate::arguments::argument;
+use crate::arguments::change;
+use crate::arguments::change_options;
+use crate::arguments::optional;
+use crate::arguments::required;
+use crate::cli_error::CliError;
+use crate::command::Command;
+use crate::customer_arguments::limit_options;
+use crate::customer_arguments::limits;
+use crate::environment::Environment;
+use crate::moment::Moment;
+
+pub fn options(options: &mut Options) {
+    options.optopt("", "customer", "the customer that it is for", "CUSTOMER");
+    options.optopt("", "upstream", "the upstream that it is for", "UPSTREAM");
+    options.optopt("", "deadline-ms", "interactive-deadline: the deadline", "MS");
+    options.optopt("", "share", "retry-budget: share of requests that may be retried", "SHARE");
+    limit_options(options);
+    let end = "when it ends by itself: YYYY-MM-DD, YYYY-MM-DDTHH:MM:SSZ or Unix milliseconds";
+    options.optopt("", "ends", end, "TIME");
+    change_options(options);
+}
+
+fn raw_override(matches: &Matches) -> Result<RawOverride, CliError> {
+    let kind: String = argument(matches, 1, "KIND")?;
+    Ok(match kind.as_str() {
+        "customer-limits" => RawOverride::CustomerLimits {
+            customer: required(matches, "customer")?,
+            limits: limits(matches)?,
+        },
+        "interactive-deadline" => RawOverride::InteractiveDeadline {
+            customer: required(matches, "customer")?,
+            deadline_ms: required(matches, "deadline-ms")?,
+        },
+        "retry-budget" => RawOverride::RetryBudget {
+            customer: required(matches, "customer")?,
+            share: required::<Share>(matches, "share")?.as_f64(),
+        },
+        "ignores-fencing" => {
+            RawOverride::IgnoresFencing { upstream: required(matches, "upstream")? }
+        }
+        "upstream-out" => RawOverride::UpstreamOut { upstream: required(matches, "upstream")? },
+        _ => {
+            let allowed = "must be customer-limits, interactive-deadline, retry-budget, \
+                           ignores-fencing or upstream-out";
+            return Err(CliError::value("KIND", allowed));
+        }
+    })
+}
+
+pub fn add(matches: &Matches, environment: &Environment) -> Result<Command, CliError> {
+    // An exception documents its own reason, which is the reason of the change as well.
+    let reason: String = required(matches, "reason")?;
+    let raw = RawException {
+        id: argument(matches, 0, "EXCEPTION")?,
+        reason: reason.into(),
+        ends_at_ms: optional::<Moment>(matches, "ends")?.map(|moment| moment.0),
+        change: raw_override(matches)?,
+    };
+    let exception = Box::new(Exception::try_from(raw).map_err(CliError::Item)?);
+    change(matches, environment, OperatorAction::AddException { exception })
+}
+
+pub fn remove(matches: &Matches, environment: &Environment) -> Result<Command, CliError> {
+    let exception = argument(matches, 0, "EXCEPTION")?;
+    change(matches, environment, OperatorAction::RemoveException { exception })
+}
--- /dev/null
+++ b/crates/hickoryctl/src/lib.rs
@@ -0,0 +1,44 @@
+//! Command-line tool for hickorydoor operators.
+//!
+//! [`run`] takes the arguments and everything else that the tool depends on, and returns what it
+//! prints and how it exits, so that tests drive the whole tool:
+//!
+//! ```
+//! use hickoryctl::Environment;
+//! use hickoryctl::ExitStatus;
+//!
+//! # #[tokio::main]
+//! # async fn main() {
+//! let environment = Environment::default();
+//! let report = hickoryctl::run(&["--help".to_owned()], &environment).await;
+//! assert_eq!(report.status, ExitStatus::Success);
+//! assert!(report.output.starts_with("Usage: hickoryctl"));
+//! # }
+//! ```
+
+mod arguments;
+mod bill_report;
+mod change_report;
+mod cli_error;
+mod command;
+mod command_spec;
+mod config_file;
+mod customer_arguments;
+mod environment;
+mod exception_arguments;
+mod exit_status;
+mod fleet;
+mod fleet_report;
+mod line_finder;
+mod moment;
+mod report;
+mod run;
+mod store;
+mod stored_reports;
+mod table;
+
+pub use cli_error::CliError;
+pub use environment::Environment;
+pub use exit_status::ExitStatus;
+pub use report::Report;
+pub use run::run;
