--- a/crates/hickory-standins/tests/platform.rs
+++ b/crates/hickory-standins/tests/platform.rs
@@ -58,7 +58,7 @@
         host: name.to_owned(),
         role: HostRole::Agent,
         address: ([127, 0, 0, 1], 1).into(),
-        data_centre: "haro-1".to_owned(),
+        data_centre: "arauco-1".to_owned(),
         region: region.to_owned(),
         state: HostState::Live,
     };
--- a/crates/hickoryctl/tests/changes.rs
+++ b/crates/hickoryctl/tests/changes.rs
@@ -84,16 +84,16 @@
         .await;
     insta::assert_snapshot!("exceptions", tool.ok(&["exception", "list"]).await);
     tool.ok(&["exception", "remove", "crane", "-r", "done"]).await;
-    tool.ok(&["datacentre", "out", "haro-1", "-r", "power work"]).await;
-    let last = tool.run(&["datacentre", "out", "arnedo-1", "-r", "x"]).await;
+    tool.ok(&["datacentre", "out", "arauco-1", "-r", "power work"]).await;
+    let last = tool.run(&["datacentre", "out", "san-blas-1", "-r", "x"]).await;
     assert_eq!(last.status, ExitStatus::Input);
     insta::assert_snapshot!("last_data_centre", last.output);
-    let unchanged = tool.ok(&["datacentre", "out", "haro-1", "-r", "x"]).await;
+    let unchanged = tool.ok(&["datacentre", "out", "arauco-1", "-r", "x"]).await;
     assert_eq!(unchanged, "unchanged: revision 5 has this already\n");
     let file = support::TestFile::new("exceptions-diff", support::CONFIGURATION);
     insta::assert_snapshot!("diff", tool.ok(&["diff", file.path()]).await);
     insta::assert_snapshot!("diff_json", tool.ok(&["diff", file.path(), "-o", "json"]).await);
-    tool.ok(&["datacentre", "in", "haro-1", "-r", "power is back"]).await;
+    tool.ok(&["datacentre", "in", "arauco-1", "-r", "power is back"]).await;
 }
 
 // Guards against a file that reverts changes made after it was written.
@@ -101,7 +101,7 @@
 async fn a_stale_file_is_a_conflict() {
     let mut tool = Tool::configured("stale").await;
     let file = support::TestFile::new("stale-show", &tool.ok(&["show"]).await);
-    tool.ok(&["datacentre", "out", "haro-1", "-r", "power work"]).await;
+    tool.ok(&["datacentre", "out", "arauco-1", "-r", "power work"]).await;
     let report = tool.run(&["apply", file.path(), "-r", "x"]).await;
     assert_eq!(report.status, ExitStatus::Conflict);
     insta::assert_snapshot!("stale_file", report.output);
@@ -127,7 +127,7 @@
 async fn outages_have_their_own_exit_codes() {
     let mut tool = Tool::configured("outage").await;
     tool.kv.refuse_calls(1);
-    let change = ["datacentre", "out", "haro-1", "-r", "x", "--timeout", "0.1"];
+    let change = ["datacentre", "out", "arauco-1", "-r", "x", "--timeout", "0.1"];
     let refused = tool.run(&change).await;
     assert_eq!(refused.status, ExitStatus::Unavailable);
     tool.kv.set_down(true).await.expect("the port closes");
--- a/crates/hickoryctl/tests/support/mod.rs
+++ b/crates/hickoryctl/tests/support/mod.rs
@@ -21,8 +21,8 @@
   versions:
   - {id: brine-1, state: active}
 data_centres:
-- {id: haro-1, region: la-rioja}
-- {id: arnedo-1, region: la-rioja}
+- {id: arauco-1, region: la-rioja}
+- {id: san-blas-1, region: la-rioja}
 customers:
 - id: almazara
   key_digests: []
--- a/crates/hickorydoor/tests/memory_kv/mod.rs
+++ b/crates/hickorydoor/tests/memory_kv/mod.rs
@@ -82,9 +82,9 @@
   answer_cost_micros_per_1k_tokens: 30
   versions: [{id: chat-1, state: active}]
 data_centres:
-- {id: haro-1, region: la-rioja}
-- {id: arnedo-1, region: la-rioja}
-- {id: cervera-1, region: la-rioja}
+- {id: arauco-1, region: la-rioja}
+- {id: san-blas-1, region: la-rioja}
+- {id: famatina-1, region: la-rioja}
 customers:
 - {id: almazara, key_digests: [], models: [brine]}
 - {id: bodega, key_digests: [], models: [brine, chat]}
--- a/crates/hickorydoor/tests/operator_changes.rs
+++ b/crates/hickorydoor/tests/operator_changes.rs
@@ -161,7 +161,7 @@
 
 fn actions() -> impl Strategy<Value = OperatorAction> {
     let model = prop::sample::select(vec!["brine", "chat"]);
-    let data_centre = prop::sample::select(vec!["haro-1", "arnedo-1", "cervera-1"]);
+    let data_centre = prop::sample::select(vec!["arauco-1", "san-blas-1", "famatina-1"]);
     let customer = prop::sample::select(vec!["almazara", "bodega"]);
     let share = Share::from_percent(5);
     prop_oneof![
@@ -279,9 +279,9 @@
 #[test]
 fn changes_of_other_items_are_both_accepted() {
     let mut kv = seeded();
-    let mut slow = Operator::new(0, take_out("haro-1"));
+    let mut slow = Operator::new(0, take_out("arauco-1"));
     slow.step(&mut kv, &mut Vec::new(), Fate::Answered, TimeMs::new(0));
-    let fast = Operator::new(1, take_out("arnedo-1"));
+    let fast = Operator::new(1, take_out("san-blas-1"));
     let fast = fast.finish(&mut kv, Fate::Answered, TimeMs::new(0));
     let slow = slow.finish(&mut kv, Fate::Answered, TimeMs::new(0));
     assert!(matches!(&slow.1, ChangeOutcome::Accepted { record } if record.revision.get() == 3));
@@ -292,10 +292,10 @@
 #[test]
 fn a_race_cannot_take_out_the_last_data_centre() {
     let mut kv = seeded();
-    Operator::new(0, take_out("cervera-1")).finish(&mut kv, Fate::Answered, TimeMs::new(0));
-    let mut slow = Operator::new(1, take_out("haro-1"));
+    Operator::new(0, take_out("famatina-1")).finish(&mut kv, Fate::Answered, TimeMs::new(0));
+    let mut slow = Operator::new(1, take_out("arauco-1"));
     slow.step(&mut kv, &mut Vec::new(), Fate::Answered, TimeMs::new(0));
-    Operator::new(2, take_out("arnedo-1")).finish(&mut kv, Fate::Answered, TimeMs::new(0));
+    Operator::new(2, take_out("san-blas-1")).finish(&mut kv, Fate::Answered, TimeMs::new(0));
     let (_, outcome) = slow.finish(&mut kv, Fate::Answered, TimeMs::new(0));
     assert!(matches!(&outcome, ChangeOutcome::Conflict { other: Some(other) }
         if other.operator.as_str() == "operator-2"));
@@ -306,7 +306,7 @@
 fn a_file_for_an_older_revision_is_refused() {
     let mut kv = seeded();
     let file = Box::new(stored(&mut kv));
-    Operator::new(0, take_out("haro-1")).finish(&mut kv, Fate::Answered, TimeMs::new(0));
+    Operator::new(0, take_out("arauco-1")).finish(&mut kv, Fate::Answered, TimeMs::new(0));
     let apply = Operator::new(1, OperatorAction::Replace { configuration: file });
     let (_, outcome) = apply.finish(&mut kv, Fate::Answered, TimeMs::new(0));
     assert_eq!(
