Split raw_configuration by item kind

Each raw type and its conversions now stand in a file of their own; the public paths under raw_configuration stay. Behaviour is unchanged.

--- /dev/null
+++ b/crates/hickorydoor/src/raw_change_record.rs
@@ -0,0 +1,63 @@
+//! Change records as they are stored.
+
+use compact_str::CompactString;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::change::ChangeRecord;
+use crate::change::Operation;
+use crate::id::ChangeId;
+use crate::id::OperatorId;
+use crate::id::Revision;
+use crate::raw_configuration_error::RawConfigurationError;
+use crate::raw_operation::RawOperation;
+use crate::time::TimeMs;
+
+/// A change record as it is stored.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawChangeRecord {
+    /// The revision that the change produced.
+    pub revision: Revision,
+    /// The change's own id.
+    pub change: ChangeId,
+    /// Who made the change.
+    pub operator: OperatorId,
+    /// Why it was made.
+    pub reason: CompactString,
+    /// When it was made.
+    pub made_at_ms: TimeMs,
+    /// What it changes.
+    pub operations: Vec<RawOperation>,
+}
+
+impl From<&ChangeRecord> for RawChangeRecord {
+    fn from(record: &ChangeRecord) -> Self {
+        Self {
+            revision: record.revision,
+            change: record.change.clone(),
+            operator: record.operator.clone(),
+            reason: record.reason.clone(),
+            made_at_ms: record.made_at_ms,
+            operations: record.operations.iter().map(RawOperation::from).collect(),
+        }
+    }
+}
+
+impl TryFrom<RawChangeRecord> for ChangeRecord {
+    type Error = RawConfigurationError;
+
+    fn try_from(raw: RawChangeRecord) -> Result<Self, RawConfigurationError> {
+        let operations =
+            raw.operations.into_iter().map(Operation::try_from).collect::<Result<_, _>>()?;
+        Ok(Self {
+            revision: raw.revision,
+            change: raw.change,
+            operator: raw.operator,
+            reason: raw.reason,
+            made_at_ms: raw.made_at_ms,
+            operations,
+        })
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/raw_customer.rs
@@ -0,0 +1,86 @@
+//! Customers as operators write them.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::customer::Customer;
+use crate::id::CascadeId;
+use crate::id::CustomerId;
+use crate::id::ModelId;
+use crate::id::ServiceName;
+use crate::id::VersionId;
+use crate::key_digest::KeyDigest;
+use crate::raw_configuration_error::RawConfigurationError;
+use crate::raw_customer_limits::RawCustomerLimits;
+use crate::raw_customer_limits::checked_limits;
+
+const DEFAULT_WEIGHT: u32 = 10;
+
+fn default_weight() -> u32 {
+    DEFAULT_WEIGHT
+}
+
+/// A customer.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawCustomer {
+    /// The customer's id.
+    pub id: CustomerId,
+    /// SHA-256 digests of its API keys.
+    pub key_digests: Vec<KeyDigest>,
+    /// Models that it may use.
+    #[serde(default)]
+    pub models: Vec<ModelId>,
+    /// Versions that it may use; if empty, every version of its models.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub versions: Vec<VersionId>,
+    /// Cascades that it may use.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub cascades: Vec<CascadeId>,
+    /// Plain services that it may call.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub services: Vec<ServiceName>,
+    /// Its limits.
+    #[serde(default)]
+    pub limits: RawCustomerLimits,
+    /// Weight when capacity is short, 1 or more.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+}
+
+impl From<&Customer> for RawCustomer {
+    fn from(customer: &Customer) -> Self {
+        Self {
+            id: customer.id.clone(),
+            key_digests: customer.key_digests.clone(),
+            models: customer.models.clone(),
+            versions: customer.versions.clone(),
+            cascades: customer.cascades.clone(),
+            services: customer.services.clone(),
+            limits: RawCustomerLimits::from(&customer.limits),
+            weight: customer.weight,
+        }
+    }
+}
+
+impl TryFrom<RawCustomer> for Customer {
+    type Error = RawConfigurationError;
+
+    fn try_from(raw: RawCustomer) -> Result<Self, RawConfigurationError> {
+        let path = format!("customers.{}", raw.id);
+        if raw.weight == 0 {
+            return Err(RawConfigurationError::field(format!("{path}.weight"), "at least 1"));
+        }
+        Ok(Self {
+            limits: checked_limits(&format!("{path}.limits"), raw.limits)?,
+            id: raw.id,
+            key_digests: raw.key_digests,
+            models: raw.models,
+            versions: raw.versions,
+            cascades: raw.cascades,
+            services: raw.services,
+            weight: raw.weight,
+        })
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/raw_data_centre.rs
@@ -0,0 +1,38 @@
+//! Data centres as operators write them.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::data_centre::DataCentre;
+use crate::id::DataCentreId;
+use crate::id::RegionId;
+
+/// A data centre.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawDataCentre {
+    /// The data centre's id.
+    pub id: DataCentreId,
+    /// Its region.
+    pub region: RegionId,
+    /// Whether it is taken out.
+    #[serde(default)]
+    pub out: bool,
+}
+
+impl From<&DataCentre> for RawDataCentre {
+    fn from(data_centre: &DataCentre) -> Self {
+        Self {
+            id: data_centre.id.clone(),
+            region: data_centre.region.clone(),
+            out: data_centre.out,
+        }
+    }
+}
+
+impl From<RawDataCentre> for DataCentre {
+    fn from(raw: RawDataCentre) -> Self {
+        Self { id: raw.id, region: raw.region, out: raw.out }
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/raw_defaults.rs
@@ -0,0 +1,82 @@
+//! Fleet-wide defaults as operators write them.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::defaults::Defaults;
+use crate::quantity::ByteCount;
+use crate::raw_configuration_error::RawConfigurationError;
+use crate::raw_share::share;
+use crate::time::DurationMs;
+
+/// Fleet-wide defaults; every field may be left out.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RawDefaults {
+    /// Largest request body.
+    pub request_body_limit_bytes: u64,
+    /// Deadline of interactive requests.
+    pub interactive_deadline_ms: u64,
+    /// Deadline of batch requests.
+    pub batch_deadline_ms: u64,
+    /// Share of requests that may be retried, 0 to 1.
+    pub retry_budget: f64,
+    /// Target for the time to the first token.
+    pub first_token_target_ms: u64,
+    /// Answer tokens assumed for requests that name no maximum.
+    pub expected_answer_tokens: u64,
+}
+
+impl Default for RawDefaults {
+    fn default() -> Self {
+        Self::from(&Defaults::default())
+    }
+}
+
+impl From<&Defaults> for RawDefaults {
+    fn from(defaults: &Defaults) -> Self {
+        Self {
+            request_body_limit_bytes: defaults.request_body_limit_bytes.get(),
+            interactive_deadline_ms: defaults.interactive_deadline_ms.get(),
+            batch_deadline_ms: defaults.batch_deadline_ms.get(),
+            retry_budget: defaults.retry_budget.as_f64(),
+            first_token_target_ms: defaults.first_token_target_ms.get(),
+            expected_answer_tokens: defaults.expected_answer_tokens,
+        }
+    }
+}
+
+impl TryFrom<RawDefaults> for Defaults {
+    type Error = RawConfigurationError;
+
+    fn try_from(raw: RawDefaults) -> Result<Self, RawConfigurationError> {
+        let positive = |field: &'static str, value: u64| match value {
+            0 => Err(RawConfigurationError::field(field, "greater than 0")),
+            _ => Ok(value),
+        };
+        Ok(Self {
+            request_body_limit_bytes: ByteCount::new(positive(
+                "defaults.request_body_limit_bytes",
+                raw.request_body_limit_bytes,
+            )?),
+            interactive_deadline_ms: DurationMs::new(positive(
+                "defaults.interactive_deadline_ms",
+                raw.interactive_deadline_ms,
+            )?),
+            batch_deadline_ms: DurationMs::new(positive(
+                "defaults.batch_deadline_ms",
+                raw.batch_deadline_ms,
+            )?),
+            retry_budget: share("defaults.retry_budget", raw.retry_budget)?,
+            first_token_target_ms: DurationMs::new(positive(
+                "defaults.first_token_target_ms",
+                raw.first_token_target_ms,
+            )?),
+            expected_answer_tokens: positive(
+                "defaults.expected_answer_tokens",
+                raw.expected_answer_tokens,
+            )?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/raw_item.rs
@@ -0,0 +1,65 @@
+//! Items as they are stored.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::item::Item;
+use crate::raw_cascade::RawCascade;
+use crate::raw_configuration_error::RawConfigurationError;
+use crate::raw_customer::RawCustomer;
+use crate::raw_data_centre::RawDataCentre;
+use crate::raw_defaults::RawDefaults;
+use crate::raw_exception::RawException;
+use crate::raw_model::RawModel;
+use crate::raw_service::RawService;
+
+/// An item as it is stored under its key.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RawItem {
+    /// The defaults.
+    Defaults(RawDefaults),
+    /// A model.
+    Model(RawModel),
+    /// A cascade.
+    Cascade(RawCascade),
+    /// A plain service.
+    Service(RawService),
+    /// A data centre.
+    DataCentre(RawDataCentre),
+    /// A customer.
+    Customer(RawCustomer),
+    /// An exception.
+    Exception(RawException),
+}
+
+impl From<&Item> for RawItem {
+    fn from(item: &Item) -> Self {
+        match item {
+            Item::Defaults(defaults) => Self::Defaults(defaults.into()),
+            Item::Model(model) => Self::Model(model.into()),
+            Item::Cascade(cascade) => Self::Cascade(cascade.into()),
+            Item::Service(service) => Self::Service(service.into()),
+            Item::DataCentre(data_centre) => Self::DataCentre(data_centre.into()),
+            Item::Customer(customer) => Self::Customer(customer.into()),
+            Item::Exception(exception) => Self::Exception(exception.into()),
+        }
+    }
+}
+
+impl TryFrom<RawItem> for Item {
+    type Error = RawConfigurationError;
+
+    fn try_from(raw: RawItem) -> Result<Self, RawConfigurationError> {
+        Ok(match raw {
+            RawItem::Defaults(raw) => Self::Defaults(raw.try_into()?),
+            RawItem::Model(raw) => Self::Model(raw.try_into()?),
+            RawItem::Cascade(raw) => Self::Cascade(raw.try_into()?),
+            RawItem::Service(raw) => Self::Service(raw.into()),
+            RawItem::DataCentre(raw) => Self::DataCentre(raw.into()),
+            RawItem::Customer(raw) => Self::Customer(raw.try_into()?),
+            RawItem::Exception(raw) => Self::Exception(raw.try_into()?),
+        })
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/raw_model.rs
@@ -0,0 +1,80 @@
+//! Models as operators write them.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::ModelId;
+use crate::model::Model;
+use crate::model::Version;
+use crate::model::VersionState;
+use crate::quantity::CostMicros;
+use crate::quantity::Share;
+use crate::raw_configuration_error::RawConfigurationError;
+use crate::raw_share::share;
+use crate::raw_version::RawVersion;
+
+/// A model.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawModel {
+    /// The model's id.
+    pub id: ModelId,
+    /// Price of a thousand prompt tokens.
+    pub prompt_cost_micros_per_1k_tokens: u64,
+    /// Price of a thousand answer tokens.
+    pub answer_cost_micros_per_1k_tokens: u64,
+    /// The versions, oldest first.
+    pub versions: Vec<RawVersion>,
+}
+
+impl From<&Model> for RawModel {
+    fn from(model: &Model) -> Self {
+        let versions = model.versions.iter().map(|version| RawVersion {
+            id: version.id.clone(),
+            state: version.state,
+            canary_share: (version.state == VersionState::Canary)
+                .then(|| version.canary_share.as_f64()),
+        });
+        Self {
+            id: model.id.clone(),
+            prompt_cost_micros_per_1k_tokens: model.prompt_cost_micros_per_1k_tokens.get(),
+            answer_cost_micros_per_1k_tokens: model.answer_cost_micros_per_1k_tokens.get(),
+            versions: versions.collect(),
+        }
+    }
+}
+
+impl TryFrom<RawModel> for Model {
+    type Error = RawConfigurationError;
+
+    fn try_from(raw: RawModel) -> Result<Self, RawConfigurationError> {
+        let path = format!("models.{}", raw.id);
+        if raw.versions.is_empty() {
+            return Err(RawConfigurationError::field(
+                format!("{path}.versions"),
+                "a list of at least one version",
+            ));
+        }
+        let version = |raw: RawVersion| {
+            let field = format!("{path}.versions.{}.canary_share", raw.id);
+            let canary_share = match (raw.state, raw.canary_share) {
+                (VersionState::Canary, Some(value)) => share(&field, value)?,
+                (VersionState::Canary, None) => {
+                    return Err(RawConfigurationError::field(field, "given for a canary"));
+                }
+                (_, Some(_)) => {
+                    return Err(RawConfigurationError::field(field, "left out unless canary"));
+                }
+                (_, None) => Share::ZERO,
+            };
+            Ok(Version { id: raw.id, state: raw.state, canary_share })
+        };
+        Ok(Self {
+            id: raw.id,
+            prompt_cost_micros_per_1k_tokens: CostMicros::new(raw.prompt_cost_micros_per_1k_tokens),
+            answer_cost_micros_per_1k_tokens: CostMicros::new(raw.answer_cost_micros_per_1k_tokens),
+            versions: raw.versions.into_iter().map(version).collect::<Result<_, _>>()?,
+        })
+    }
+}
