Refuse duplicate items and exceptions for nobody

A second item with the same id in a file silently replaced the first, and an exception for a misspelt customer had no effect without notice. hickoryctl now refuses both with file, line and field. What is stored is not held to the second check, since operators may race.

--- a/crates/hickoryctl/src/config_file.rs
+++ b/crates/hickoryctl/src/config_file.rs
@@ -3,6 +3,10 @@
 use compact_str::CompactString;
 use hickorydoor::Configuration;
 use hickorydoor::RawConfiguration;
+use hickorydoor::configuration::ConfigurationError;
+use hickorydoor::item::Item;
+use hickorydoor::item::ItemKey;
+use hickorydoor::item::ItemKind;
 use hickorydoor::raw_configuration::RawConfigurationError;
 
 use crate::cli_error::CliError;
@@ -19,7 +23,25 @@
 }
 
 fn parse(text: &str) -> Result<Configuration, RawConfigurationError> {
-    Configuration::try_from(RawConfiguration::from_yaml(text)?)
+    let configuration = Configuration::try_from(RawConfiguration::from_yaml(text)?)?;
+    check_exceptions(&configuration)?;
+    Ok(configuration)
+}
+
+/// Exceptions for customers that do not exist are mistakes in a file. They are no error in what is
+/// stored, where one operator may remove a customer while another adds an exception for it.
+fn check_exceptions(configuration: &Configuration) -> Result<(), ConfigurationError> {
+    for exception in configuration.exceptions.values() {
+        let Some(customer) = exception.change.customer() else {
+            continue;
+        };
+        if !configuration.customers.contains_key(customer) {
+            let from = Item::Exception(exception.clone()).key();
+            let to = ItemKey { kind: ItemKind::Customer, id: customer.as_str().into() };
+            return Err(ConfigurationError::MissingReference { from, to });
+        }
+    }
+    Ok(())
 }
 
 fn refused(file: &str, text: &str, error: RawConfigurationError) -> CliError {
--- a/crates/hickoryctl/src/line_finder.rs
+++ b/crates/hickoryctl/src/line_finder.rs
@@ -76,6 +76,7 @@
     let section = match from.kind {
         ItemKind::Cascade => "cascades",
         ItemKind::Customer => "customers",
+        ItemKind::Exception => "exceptions",
         _ => return None,
     };
     line_of_field(text, &format!("{section}.{}.{to}", from.id))
--- a/crates/hickoryctl/tests/changes.rs
+++ b/crates/hickoryctl/tests/changes.rs
@@ -82,6 +82,10 @@
     .await;
     tool.ok(&["exception", "add", "crane", "upstream-out", "--upstream", "u7", "-r", "crane work"])
         .await;
+    let nobody = ["exception", "add", "e", "retry-budget", "--customer", "bodega", "--share", "0"];
+    let nobody: Vec<&str> = nobody.iter().copied().chain(["-r", "x"]).collect();
+    let missing = tool.run(&nobody).await;
+    assert_eq!(missing.output, "not accepted: customer bodega does not exist\n");
     insta::assert_snapshot!("exceptions", tool.ok(&["exception", "list"]).await);
     tool.ok(&["exception", "remove", "crane", "-r", "done"]).await;
     tool.ok(&["datacentre", "out", "arauco-1", "-r", "power work"]).await;
--- a/crates/hickoryctl/tests/files.rs
+++ b/crates/hickoryctl/tests/files.rs
@@ -34,6 +34,11 @@
         ("customers:", "defaults:\n  retry_budget: 2\ncustomers:"),
         ("customers:", "cascades:\n- {id: brine, steps: [brine], release_score: 0.5}\ncustomers:"),
         ("customers:", "cascades:\n- {id: two, steps: [brine], release_score: 5}\ncustomers:"),
+        (
+            "customers:",
+            "exceptions:\n- id: e1\n  reason: r\n  change: {kind: retry_budget, customer: bodega, share: 0}\ncustomers:",
+        ),
+        ("- {id: san-blas-1, region: la-rioja}", "- {id: arauco-1, region: la-rioja}"),
         ("models:", "models"),
     ]
     .into_iter()
--- a/crates/hickorydoor/src/exception.rs
+++ b/crates/hickorydoor/src/exception.rs
@@ -48,6 +48,18 @@
     },
 }
 
+impl Override {
+    /// The customer that it is for, if it is for one.
+    pub const fn customer(&self) -> Option<&CustomerId> {
+        match self {
+            Self::CustomerLimits { customer, .. }
+            | Self::InteractiveDeadline { customer, .. }
+            | Self::RetryBudget { customer, .. } => Some(customer),
+            Self::IgnoresFencing { .. } | Self::UpstreamOut { .. } => None,
+        }
+    }
+}
+
 /// An exception to the defaults.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Exception {
--- a/crates/hickorydoor/src/operator_action.rs
+++ b/crates/hickorydoor/src/operator_action.rs
@@ -309,6 +309,9 @@
     if current.exceptions.contains_key(&exception.id) {
         return Err(ActionError::ExceptionExists { exception: exception.id.clone() });
     }
+    if let Some(id) = exception.change.customer() {
+        customer(current, id)?;
+    }
     Ok(vec![Operation::Put(Item::Exception(exception.clone()))])
 }
 
--- a/crates/hickorydoor/src/raw_configuration.rs
+++ b/crates/hickorydoor/src/raw_configuration.rs
@@ -3,12 +3,15 @@
 //! The raw types mirror YAML and JSON text. Unknown fields are refused. `TryFrom` turns them into
 //! checked items, and `From` turns checked items back for storage and display.
 
+use std::collections::HashSet;
+
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::configuration::Configuration;
 use crate::id::Revision;
 use crate::item::Item;
+use crate::item::ItemKind;
 
 pub use crate::raw_cascade::RawCascade;
 pub use crate::raw_change_record::RawChangeRecord;
@@ -115,6 +118,33 @@
         let revision = raw.revision.unwrap_or_default();
         let items: Vec<Item> =
             raw.into_raw_items().into_iter().map(Item::try_from).collect::<Result<_, _>>()?;
+        check_unique(&items)?;
         Ok(Self::from_items(revision, items)?)
     }
 }
+
+/// A second item with the same id would silently replace the first.
+fn check_unique(items: &[Item]) -> Result<(), RawConfigurationError> {
+    let mut seen = HashSet::new();
+    for item in items {
+        let key = item.key();
+        if !seen.insert(key.clone()) {
+            let field = format!("{}.{}", section(key.kind), key.id);
+            return Err(RawConfigurationError::field(field, "declared once"));
+        }
+    }
+    Ok(())
+}
+
+/// The field that holds the items of a kind.
+const fn section(kind: ItemKind) -> &'static str {
+    match kind {
+        ItemKind::Defaults => "defaults",
+        ItemKind::Model => "models",
+        ItemKind::Customer => "customers",
+        ItemKind::Cascade => "cascades",
+        ItemKind::Service => "services",
+        ItemKind::DataCentre => "data_centres",
+        ItemKind::Exception => "exceptions",
+    }
+}
