Add entry and agent processes and the HTTP front

One task owns each reducer; links, upstream calls, the platform's services and the HTTP ports run in tasks of their own and report to it. Link queues are bounded in bytes, answers by the credit of the reducers.

--- /dev/null
+++ b/crates/hickoryd/src/agent_loop.rs
@@ -0,0 +1,229 @@
+//! The task that owns an agent's reducer and carries out its effects.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use hickorydoor::Agent;
+use hickorydoor::AgentEffect;
+use hickorydoor::AgentEvent;
+use hickorydoor::AgentMessage;
+use hickorydoor::DurationMs;
+use hickorydoor::id::AttemptId;
+use hickorydoor::id::HostId;
+use hickorydoor::message::Call;
+use hickorydoor::quantity::ByteCount;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+
+use crate::agent_input::AgentInput;
+use crate::clock::Clock;
+use crate::engine;
+use crate::http_client::HttpClient;
+use crate::journal::Journal;
+use crate::kv_port::KvPort;
+use crate::link_table::LinkTable;
+use crate::question::Question;
+use crate::read_allowance::ReadAllowance;
+use crate::status::Status;
+use crate::upstream_call::UpstreamCall;
+
+/// The reducers want a tick at least every 100 ms.
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// Inputs that are taken from the channel at once.
+const MAX_BATCH: usize = 64;
+/// Size of messages that carry no bytes of an answer, for the queue limit.
+const SMALL_MESSAGE_BYTES: usize = 256;
+
+/// A call to the upstream that runs.
+#[derive(Debug)]
+pub struct RunningCall {
+    allowance: Arc<ReadAllowance>,
+    task: AbortHandle,
+}
+
+/// The task that owns an agent's reducer.
+#[derive(Debug)]
+pub struct AgentLoop {
+    /// The reducer.
+    pub reducer: Agent,
+    /// The agent's host.
+    pub host: HostId,
+    /// The clock.
+    pub clock: Clock,
+    /// Root of the upstream.
+    pub base_uri: CompactString,
+    /// The client for the upstream.
+    pub client: HttpClient,
+    /// The key-value service.
+    pub kv: KvPort<AgentInput>,
+    /// Where observations go.
+    pub journal: Journal,
+    /// For tasks that report back.
+    pub inputs: mpsc::Sender<AgentInput>,
+    /// Open links.
+    pub links: LinkTable<AgentMessage>,
+    /// Calls to the upstream.
+    pub calls: HashMap<AttemptId, RunningCall>,
+    /// Events that effects led to.
+    pub followups: VecDeque<AgentEvent>,
+    /// Set once the reducer has stopped.
+    pub stopped: bool,
+}
+
+impl AgentLoop {
+    /// Runs until the reducer has stopped.
+    pub async fn run(mut self, mut inputs: mpsc::Receiver<AgentInput>) {
+        let mut ticks = interval(TICK_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut batch = Vec::with_capacity(MAX_BATCH);
+        while !self.stopped {
+            tokio::select! {
+                _ = ticks.tick() => self.apply(AgentEvent::Tick),
+                _ = inputs.recv_many(&mut batch, MAX_BATCH) => {
+                    for input in batch.drain(..) {
+                        self.take(input);
+                    }
+                }
+            }
+        }
+        for call in self.calls.values() {
+            call.task.abort();
+        }
+    }
+
+    fn take(&mut self, input: AgentInput) {
+        match input {
+            AgentInput::Event(event) => {
+                self.forget_ended_call(&event);
+                self.apply(*event);
+            }
+            AgentInput::LinkOpened { entry, queue, opened } => {
+                let generation = self.links.open(entry.clone(), queue);
+                // If the link's task is gone, its loss is noticed when the next message is sent.
+                let _ = opened.send(generation);
+                self.apply(AgentEvent::LinkUp { entry });
+            }
+            AgentInput::LinkMessage { entry, generation, message } => {
+                if self.links.is_current(&entry, generation) {
+                    self.apply(AgentEvent::Message { entry, message });
+                }
+            }
+            AgentInput::LinkLost { entry, generation } => {
+                if self.links.is_current(&entry, generation) {
+                    self.links.close(&entry);
+                    self.apply(AgentEvent::LinkDown { entry });
+                }
+            }
+            AgentInput::Question(question) => self.answer(question),
+        }
+    }
+
+    fn forget_ended_call(&mut self, event: &AgentEvent) {
+        if let AgentEvent::UpstreamEnded { attempt, .. }
+        | AgentEvent::UpstreamFailed { attempt, .. } = event
+        {
+            self.calls.remove(attempt);
+        }
+    }
+
+    fn apply(&mut self, event: AgentEvent) {
+        self.followups.push_back(event);
+        while let Some(event) = self.followups.pop_front() {
+            let now = self.clock.now();
+            for effect in self.reducer.apply(event, now) {
+                self.carry_out(effect);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: AgentEffect) {
+        match effect {
+            AgentEffect::Send { entry, message } => self.send(entry, message),
+            AgentEffect::Disconnect { entry } => self.links.close(&entry),
+            AgentEffect::CallUpstream { attempt, call, timeout_ms, read_bytes } => {
+                self.call(attempt, call, timeout_ms, read_bytes);
+            }
+            AgentEffect::AllowRead { attempt, bytes } => {
+                if let Some(call) = self.calls.get(&attempt) {
+                    call.allowance.raise(bytes);
+                }
+            }
+            AgentEffect::CancelUpstream { attempt } => {
+                if let Some(call) = self.calls.remove(&attempt) {
+                    call.task.abort();
+                }
+            }
+            AgentEffect::Order { fencing, order } => {
+                let client = self.client.clone();
+                let base_uri = self.base_uri.clone();
+                tokio::spawn(
+                    async move { engine::order(&client, &base_uri, fencing, &order).await },
+                );
+            }
+            AgentEffect::Kv { call, operation } => self.kv.call(call, operation),
+            AgentEffect::Record(observation) => {
+                self.journal.record(&observation, self.clock.now());
+            }
+            AgentEffect::Stopped => self.stopped = true,
+        }
+    }
+
+    fn send(&mut self, entry: HostId, message: AgentMessage) {
+        let size_bytes = SMALL_MESSAGE_BYTES
+            + match &message {
+                AgentMessage::Chunk { data, .. } => data.len(),
+                _ => 0,
+            };
+        if !self.links.send(&entry, message, size_bytes) {
+            self.followups.push_back(AgentEvent::LinkDown { entry });
+        }
+    }
+
+    fn call(
+        &mut self,
+        attempt: AttemptId,
+        call: Call,
+        timeout_ms: DurationMs,
+        read_bytes: ByteCount,
+    ) {
+        let allowance = Arc::new(ReadAllowance::new(read_bytes));
+        let upstream_call = UpstreamCall {
+            attempt: attempt.clone(),
+            call,
+            time_limit: timeout_ms.into(),
+            allowance: Arc::clone(&allowance),
+            base_uri: self.base_uri.clone(),
+            client: self.client.clone(),
+            events: self.inputs.clone(),
+        };
+        let task = tokio::spawn(upstream_call.run()).abort_handle();
+        self.calls.insert(attempt, RunningCall { allowance, task });
+    }
+
+    fn answer(&self, question: Question) {
+        // Whoever asked may have gone; then nobody needs the answer.
+        match question {
+            Question::Status(answer) => drop(answer.send(self.status())),
+            Question::Timings(answer) => drop(answer.send(self.journal.timings())),
+            Question::Request { request, answer } => {
+                drop(answer.send(self.journal.request(&request)));
+            }
+        }
+    }
+
+    fn status(&self) -> Status {
+        Status {
+            role: "agent",
+            host: self.host.clone(),
+            revision: self.reducer.revision(),
+            in_flight: self.reducer.running(),
+            ready: self.links.len() > 0,
+            members: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hickoryd/src/engine.rs
@@ -0,0 +1,125 @@
+//! Load reports of the upstream and orders to it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use hickorydoor::AgentEvent;
+use hickorydoor::agent_effect::EngineOrder;
+use hickorydoor::agent_event::UpstreamReport;
+use hickorydoor::id::FencingNumber;
+use hickorydoor::id::VersionId;
+use hickorydoor::quantity::Tokens;
+use http::Request;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use log::warn;
+use serde::Deserialize;
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio::time::timeout;
+
+use crate::agent_input::AgentInput;
+use crate::http_client::HttpClient;
+
+/// Time for the upstream on the same host to answer.
+const TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest load report.
+const MAX_REPORT_BYTES: usize = 64 << 10;
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct RawReport {
+    running: u32,
+    queued: u32,
+    #[serde(default)]
+    queued_prompt_tokens: u64,
+    #[serde(default)]
+    prefill_tokens_per_s: f64,
+    #[serde(default)]
+    token_interval_ms: f64,
+    #[serde(default)]
+    versions: Vec<VersionId>,
+}
+
+impl From<RawReport> for UpstreamReport {
+    fn from(raw: RawReport) -> Self {
+        Self {
+            running: raw.running,
+            queued: raw.queued,
+            queued_prompt_tokens: Tokens::new(raw.queued_prompt_tokens),
+            prefill_tokens_per_s: raw.prefill_tokens_per_s,
+            token_interval_ms: raw.token_interval_ms,
+            versions: raw.versions,
+        }
+    }
+}
+
+/// Asks the upstream for its load until the process ends.
+pub async fn poll_load(
+    client: HttpClient,
+    base_uri: CompactString,
+    every: Duration,
+    inputs: mpsc::Sender<AgentInput>,
+) {
+    let mut ticks = interval(every);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let report = timeout(TIMEOUT, report(&client, &base_uri)).await.ok().flatten();
+        let event = AgentEvent::UpstreamReport(report);
+        if inputs.send(AgentInput::Event(Box::new(event))).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn report(client: &HttpClient, base_uri: &str) -> Option<UpstreamReport> {
+    let request = Request::get(format!("{base_uri}/load")).body(Full::default()).ok()?;
+    let response = client.request(request).await.ok()?;
+    if response.status() == StatusCode::NOT_FOUND {
+        // Plain services have no load report; an answer of any kind says that they are up.
+        return Some(UpstreamReport::default());
+    }
+    if !response.status().is_success() {
+        return None;
+    }
+    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await.ok()?;
+    let raw: RawReport = serde_json::from_slice(&body.to_bytes()).ok()?;
+    Some(raw.into())
+}
+
+/// Gives an order to the engine.
+pub async fn order(
+    client: &HttpClient,
+    base_uri: &str,
+    fencing: FencingNumber,
+    order: &EngineOrder,
+) {
+    let (action, version) = match order {
+        EngineOrder::Load { version } => ("load", version),
+        EngineOrder::Unload { version } => ("unload", version),
+    };
+    let body = serde_json::json!({ "order": action, "version": version });
+    let request = Request::post(format!("{base_uri}/orders"))
+        .header(CONTENT_TYPE, "application/json")
+        .header("x-fencing-number", fencing.get())
+        .body(Full::new(Bytes::from(body.to_string())));
+    let Ok(request) = request else {
+        return;
+    };
+    let status = timeout(TIMEOUT, client.request(request)).await;
+    match status {
+        Ok(Ok(response)) if response.status().is_success() => {}
+        Ok(Ok(response)) => {
+            warn!(order = action, version:% = version, status = response.status().as_u16(); "the engine refused an order");
+        }
+        Ok(Err(_)) | Err(_) => {
+            warn!(order = action, version:% = version; "the engine did not answer an order");
+        }
+    }
+}
--- /dev/null
+++ b/crates/hickoryd/src/entry_input.rs
@@ -0,0 +1,79 @@
+//! What reaches the task that owns an entry's reducer.
+
+use hickorydoor::AgentMessage;
+use hickorydoor::CallerRequest;
+use hickorydoor::EntryEvent;
+use hickorydoor::EntryMessage;
+use hickorydoor::id::CallerId;
+use hickorydoor::id::HostId;
+use hickorydoor::quantity::ByteCount;
+use tokio::sync::oneshot;
+
+use crate::caller_answer::CallerAnswer;
+use crate::link::LinkQueue;
+use crate::link_table::Generation;
+use crate::question::Question;
+
+/// What reaches the task that owns an entry's reducer.
+#[derive(Debug)]
+pub enum EntryInput {
+    /// An event for the reducer.
+    Event(Box<EntryEvent>),
+    /// A caller sent a request.
+    Request {
+        /// The request.
+        request: Box<CallerRequest>,
+        /// Takes the head of the answer.
+        answer: oneshot::Sender<CallerAnswer>,
+    },
+    /// A connection to an agent is open.
+    LinkOpened {
+        /// The agent.
+        agent: HostId,
+        /// Where messages to the agent go.
+        queue: LinkQueue<EntryMessage>,
+        /// Takes the number of the connection.
+        opened: oneshot::Sender<Generation>,
+    },
+    /// An agent sent a message.
+    LinkMessage {
+        /// The agent.
+        agent: HostId,
+        /// The connection.
+        generation: Generation,
+        /// The message.
+        message: AgentMessage,
+    },
+    /// A connection ended.
+    LinkLost {
+        /// The agent.
+        agent: HostId,
+        /// The connection.
+        generation: Generation,
+    },
+    /// A connection could not be opened.
+    ConnectFailed {
+        /// The agent.
+        agent: HostId,
+    },
+    /// The operators' port asks something.
+    Question(Question),
+}
+
+/// What the HTTP server reports about a caller that it serves. These notes are sent where nothing
+/// may wait; credit and the limit on open requests bound their number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallerNote {
+    /// The server has taken bytes of the answer.
+    Read {
+        /// The caller.
+        caller: CallerId,
+        /// The bytes.
+        bytes: ByteCount,
+    },
+    /// The caller hung up.
+    Gone {
+        /// The caller.
+        caller: CallerId,
+    },
+}
--- /dev/null
+++ b/crates/hickoryd/src/entry_link.rs
@@ -0,0 +1,101 @@
+//! Links that an entry opens to agents.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hickorydoor::AgentMessage;
+use hickorydoor::EntryMessage;
+use hickorydoor::id::HostId;
+use hickorydoor::wire::AgentFrame;
+use hickorydoor::wire::EntryFrame;
+use log::debug;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadHalf;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use tokio_util::codec::FramedRead;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::entry_input::EntryInput;
+use crate::link::LinkFault;
+use crate::link::LinkQueue;
+use crate::link::frames;
+use crate::link::read_message;
+use crate::link::write_messages;
+use crate::link_table::Generation;
+
+/// Time to open a connection, across regions at the longest.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Opens a link and serves it until it ends.
+pub async fn run_link(agent: HostId, address: SocketAddr, inputs: mpsc::Sender<EntryInput>) {
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let Ok(Ok(stream)) = connected else {
+        // The channel only closes when the process ends.
+        drop(inputs.send(EntryInput::ConnectFailed { agent }).await);
+        return;
+    };
+    drop(stream.set_nodelay(true));
+    if let Err(fault) = serve_link(&agent, stream, inputs).await {
+        debug!(upstream:% = agent, reason:% = fault; "link ended");
+    }
+}
+
+/// Serves one link until it ends.
+pub async fn serve_link<S>(
+    agent: &HostId,
+    stream: S,
+    inputs: mpsc::Sender<EntryInput>,
+) -> Result<(), LinkFault>
+where
+    S: AsyncRead + AsyncWrite,
+{
+    let (reader, writer) = tokio::io::split(stream);
+    let mut reader = frames(reader);
+    let (queue, queue_reader) = LinkQueue::new();
+    let generation = open(agent, queue, &inputs).await?;
+    let result = tokio::select! {
+        result = read_loop(agent, generation, &mut reader, &inputs) => result,
+        result = write_messages::<EntryFrame, EntryMessage, _>(writer, queue_reader) => result,
+    };
+    let lost = EntryInput::LinkLost { agent: agent.clone(), generation };
+    inputs.send(lost).await.map_err(|_closed| LinkFault::Stopped)?;
+    result
+}
+
+async fn open(
+    agent: &HostId,
+    queue: LinkQueue<EntryMessage>,
+    inputs: &mpsc::Sender<EntryInput>,
+) -> Result<Generation, LinkFault> {
+    let (opened, generation) = oneshot::channel();
+    let input = EntryInput::LinkOpened { agent: agent.clone(), queue, opened };
+    inputs.send(input).await.map_err(|_closed| LinkFault::Stopped)?;
+    generation.await.map_err(|_closed| LinkFault::Stopped)
+}
+
+/// Forwards messages. The first must be the hello of the agent that the host list names, so that
+/// a stale address never leads to another agent.
+async fn read_loop<S: AsyncRead + AsyncWrite>(
+    agent: &HostId,
+    generation: Generation,
+    reader: &mut FramedRead<ReadHalf<S>, LengthDelimitedCodec>,
+    inputs: &mpsc::Sender<EntryInput>,
+) -> Result<(), LinkFault> {
+    let mut greeted = false;
+    while let Some(message) = read_message::<AgentFrame, AgentMessage, _>(reader).await? {
+        if !greeted {
+            let expected = matches!(&message, AgentMessage::Hello(hello) if hello.agent == *agent);
+            if !expected {
+                return Err(LinkFault::WrongHello);
+            }
+            greeted = true;
+        }
+        let input = EntryInput::LinkMessage { agent: agent.clone(), generation, message };
+        inputs.send(input).await.map_err(|_closed| LinkFault::Stopped)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/hickoryd/src/front.rs
@@ -0,0 +1,253 @@
+//! The HTTP front of an entry.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::Request;
+use axum::extract::State;
+use axum::response::Response;
+use axum::routing::any;
+use axum::routing::get;
+use axum::routing::post;
+use bytes::Bytes;
+use hickorydoor::CallerRequest;
+use hickorydoor::Configuration;
+use hickorydoor::KeyDigest;
+use hickorydoor::Refusal;
+use hickorydoor::caller_request::Ask;
+use hickorydoor::caller_request::ServiceRequest;
+use hickorydoor::customer::Customer;
+use hickorydoor::id::CallerId;
+use hickorydoor::id::Revision;
+use hickorydoor::id::ServiceName;
+use hickorydoor::id::SessionId;
+use hickorydoor::refusal::RefusalReason;
+use http::HeaderMap;
+use http::StatusCode;
+use http::header::CONTENT_LENGTH;
+use http::header::CONTENT_TYPE;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use serde_json::json;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::answer_response::StreamWish;
+use crate::answer_response::answer_response;
+use crate::caller_answer::CallerAnswer;
+use crate::caller_guard::CallerGuard;
+use crate::chat_body::ChatBody;
+use crate::entry_input::CallerNote;
+use crate::entry_input::EntryInput;
+use crate::front_error::FrontError;
+use crate::front_error::json_response;
+use crate::front_error::refusal_response;
+use crate::request_header;
+
+const SERVICES_PREFIX: &str = "/services/";
+
+/// The HTTP front of an entry.
+#[derive(Debug)]
+pub struct Front {
+    inputs: mpsc::Sender<EntryInput>,
+    notes: mpsc::UnboundedSender<CallerNote>,
+    configuration: watch::Receiver<Arc<Configuration>>,
+    places: Arc<Semaphore>,
+    body_timeout: Duration,
+    next_caller: AtomicU64,
+}
+
+/// A caller that may ask, with its place among the open requests.
+struct Admitted {
+    key: KeyDigest,
+    configuration: Arc<Configuration>,
+    place: OwnedSemaphorePermit,
+}
+
+impl Front {
+    /// A front that hands requests to the reducer's task.
+    pub fn new(
+        inputs: mpsc::Sender<EntryInput>,
+        notes: mpsc::UnboundedSender<CallerNote>,
+        configuration: watch::Receiver<Arc<Configuration>>,
+        max_open_requests: usize,
+        body_timeout: Duration,
+    ) -> Self {
+        Self {
+            inputs,
+            notes,
+            configuration,
+            places: Arc::new(Semaphore::new(max_open_requests)),
+            body_timeout,
+            next_caller: AtomicU64::new(0),
+        }
+    }
+
+    /// The routes of the front.
+    pub fn router(self: Arc<Self>) -> Router {
+        Router::new()
+            .route("/v1/chat/completions", post(chat))
+            .route("/v1/models", get(models))
+            .route("/services/{*path}", any(service))
+            .fallback(async || FrontError::UnknownPath)
+            .method_not_allowed_fallback(async || FrontError::WrongMethod)
+            .with_state(self)
+    }
+
+    /// Checks the key before the body is read, so that strangers cannot make the entry read one.
+    fn admit(&self, headers: &HeaderMap) -> Result<Admitted, FrontError> {
+        let configuration = Arc::clone(&self.configuration.borrow());
+        if configuration.revision == Revision::default() {
+            return Err(FrontError::NotConfigured);
+        }
+        let key = request_header::key_digest(headers);
+        let key = key.filter(|key| configuration.customer_by_key(key).is_some());
+        let key = key.ok_or(FrontError::UnknownKey)?;
+        let place = Arc::clone(&self.places).try_acquire_owned();
+        let place = place.map_err(|_full| FrontError::Busy)?;
+        Ok(Admitted { key, configuration, place })
+    }
+
+    async fn read_body(&self, headers: &HeaderMap, body: Body, limit_bytes: usize) -> ReadBody {
+        let announced = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+        let announced: Option<u64> = announced.and_then(|text| text.parse().ok());
+        if announced.is_some_and(|length| length > limit_bytes as u64) {
+            return Err(FrontError::BodyTooLong { limit_bytes });
+        }
+        let read = timeout(self.body_timeout, Limited::new(body, limit_bytes).collect()).await;
+        match read {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                Err(FrontError::BodyTooLong { limit_bytes })
+            }
+            Ok(Err(_)) | Err(_) => Err(FrontError::BodyIncomplete),
+        }
+    }
+
+    /// Hands a request to the reducer and waits for the head of its answer.
+    async fn ask(
+        &self,
+        request: CallerRequest,
+        place: OwnedSemaphorePermit,
+        wish: StreamWish,
+    ) -> Response {
+        let mut guard = CallerGuard::new(request.caller, self.notes.clone(), place);
+        let (answer, answered) = oneshot::channel();
+        let input = EntryInput::Request { request: Box::new(request), answer };
+        // A closed channel also closes `answered`.
+        drop(self.inputs.send(input).await);
+        match answered.await {
+            Ok(CallerAnswer::Head { head, body }) => answer_response(head, body, guard, wish).await,
+            Ok(CallerAnswer::Refused { request, refusal }) => {
+                guard.end();
+                refusal_response(request.as_ref(), &refusal)
+            }
+            Err(_closed) => refusal_response(None, &Refusal::not_run(RefusalReason::ShuttingDown)),
+        }
+    }
+
+    fn request(
+        &self,
+        key: KeyDigest,
+        headers: &HeaderMap,
+        user: Option<SessionId>,
+        ask: Ask,
+    ) -> Result<CallerRequest, FrontError> {
+        Ok(CallerRequest {
+            caller: CallerId::new(self.next_caller.fetch_add(1, Ordering::Relaxed)),
+            key,
+            session: request_header::session(headers)?.or(user),
+            class: request_header::class(headers)?,
+            deadline_ms: request_header::deadline_ms(headers)?,
+            ask,
+        })
+    }
+}
+
+type ReadBody = Result<Bytes, FrontError>;
+
+fn body_limit_bytes(configuration: &Configuration) -> usize {
+    configuration.defaults.request_body_limit_bytes.get() as usize
+}
+
+async fn chat(State(front): State<Arc<Front>>, request: Request) -> Result<Response, FrontError> {
+    let (parts, body) = request.into_parts();
+    let admitted = front.admit(&parts.headers)?;
+    let limit_bytes = body_limit_bytes(&admitted.configuration);
+    let body = front.read_body(&parts.headers, body, limit_bytes).await?;
+    let chat = ChatBody::try_from(body).map_err(FrontError::BadBody)?;
+    let wish =
+        StreamWish { stream: chat.request.stream, include_usage: chat.request.include_usage };
+    let ask = Ask::Chat(chat.request);
+    let request = front.request(admitted.key, &parts.headers, chat.session, ask)?;
+    Ok(front.ask(request, admitted.place, wish).await)
+}
+
+async fn service(
+    State(front): State<Arc<Front>>,
+    request: Request,
+) -> Result<Response, FrontError> {
+    let (parts, body) = request.into_parts();
+    let admitted = front.admit(&parts.headers)?;
+    let limit_bytes = body_limit_bytes(&admitted.configuration);
+    let (service, path) = split_path(&parts.uri).ok_or(FrontError::UnknownPath)?;
+    let content_type = parts.headers.get(CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok()).map(Into::into);
+    let ask = Ask::Service(ServiceRequest {
+        service,
+        method: parts.method.as_str().into(),
+        path: path.into(),
+        content_type,
+        idempotency_key: request_header::idempotency_key(&parts.headers)?,
+        body: front.read_body(&parts.headers, body, limit_bytes).await?,
+    });
+    let request = front.request(admitted.key, &parts.headers, None, ask)?;
+    Ok(front.ask(request, admitted.place, StreamWish::default()).await)
+}
+
+/// The service's name, and the path and query below its root.
+fn split_path(uri: &http::Uri) -> Option<(ServiceName, &str)> {
+    let rest = uri.path_and_query()?.as_str().strip_prefix(SERVICES_PREFIX)?;
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (name, path) = rest.split_at(end);
+    Some((name.parse().ok()?, path))
+}
+
+async fn models(
+    State(front): State<Arc<Front>>,
+    headers: HeaderMap,
+) -> Result<Response, FrontError> {
+    let admitted = front.admit(&headers)?;
+    let configuration = &admitted.configuration;
+    let customer = configuration.customer_by_key(&admitted.key);
+    let names = customer.map(|customer| names(customer, configuration)).unwrap_or_default();
+    let data: Vec<_> = names
+        .into_iter()
+        .map(|id| json!({ "id": id, "object": "model", "created": 0, "owned_by": "hickorydoor" }))
+        .collect();
+    Ok(json_response(StatusCode::OK, &json!({ "object": "list", "data": data })))
+}
+
+/// Models and cascades that the customer may ask for now.
+fn names<'a>(customer: &'a Customer, configuration: &Configuration) -> Vec<&'a str> {
+    let usable = |id: &&hickorydoor::id::ModelId| {
+        configuration.models.get(*id).is_some_and(|model| {
+            let mut versions = model.versions.iter();
+            versions.any(|version| {
+                version.state.serves_sessions() && customer.allows_version(model, version)
+            })
+        })
+    };
+    let models = customer.models.iter().filter(usable).map(hickorydoor::id::ModelId::as_str);
+    let cascades = customer.cascades.iter().map(hickorydoor::id::CascadeId::as_str);
+    models.chain(cascades).collect()
+}
--- /dev/null
+++ b/crates/hickoryd/src/front_error.rs
@@ -0,0 +1,152 @@
+//! Requests that the HTTP front refuses by itself.
+
+use std::fmt;
+
+use axum::body::Body;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use hickorydoor::Refusal;
+use hickorydoor::id::RequestId;
+use hickorydoor::refusal::RefusalReason;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http::header::RETRY_AFTER;
+use http::header::WWW_AUTHENTICATE;
+use serde_json::Value;
+
+use crate::chat_body::ChatBodyError;
+use crate::error_body::error_body;
+use crate::error_body::error_json;
+use crate::error_body::kind;
+use crate::response_header;
+
+/// Reasons why the front refuses a request. None of these requests was run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FrontError {
+    /// No key was sent, or it is not known.
+    UnknownKey,
+    /// The body is not a chat completion.
+    BadBody(ChatBodyError),
+    /// The body is longer than the limit.
+    BodyTooLong {
+        /// The limit.
+        limit_bytes: usize,
+    },
+    /// The body did not arrive in time or not at all.
+    BodyIncomplete,
+    /// A header has a value that is not allowed.
+    BadHeader {
+        /// The header.
+        name: &'static str,
+        /// What is allowed.
+        allowed: &'static str,
+    },
+    /// No resource has this path.
+    UnknownPath,
+    /// The path does not take this method.
+    WrongMethod,
+    /// Too many requests are open at this host.
+    Busy,
+    /// This host has no configuration yet.
+    NotConfigured,
+}
+
+impl FrontError {
+    const fn status(&self) -> StatusCode {
+        match self {
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::BadBody(_) | Self::BadHeader { .. } => StatusCode::BAD_REQUEST,
+            Self::BodyTooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
+            Self::UnknownPath => StatusCode::NOT_FOUND,
+            Self::WrongMethod => StatusCode::METHOD_NOT_ALLOWED,
+            Self::Busy | Self::NotConfigured => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    const fn code(&self) -> &'static str {
+        match self {
+            Self::UnknownKey => RefusalReason::UnknownKey.code(),
+            Self::BadBody(_) => "invalid_body",
+            Self::BodyTooLong { .. } => "body_too_long",
+            Self::BodyIncomplete => "body_incomplete",
+            Self::BadHeader { .. } => "invalid_header",
+            Self::UnknownPath => "unknown_path",
+            Self::WrongMethod => "method_not_allowed",
+            Self::Busy => "overloaded",
+            Self::NotConfigured => "not_configured",
+        }
+    }
+
+    const fn param(&self) -> Option<&'static str> {
+        match self {
+            Self::BadBody(error) => error.param(),
+            Self::BadHeader { name, .. } => Some(name),
+            _ => None,
+        }
+    }
+}
+
+impl fmt::Display for FrontError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::UnknownKey => RefusalReason::UnknownKey.fmt(f),
+            Self::BadBody(error) => error.fmt(f),
+            Self::BodyTooLong { limit_bytes } => {
+                write!(f, "the body is longer than {limit_bytes} bytes")
+            }
+            Self::BodyIncomplete => f.write_str("the body did not arrive completely"),
+            Self::BadHeader { name, allowed } => write!(f, "the header {name} must be {allowed}"),
+            Self::UnknownPath => f.write_str("there is no resource with this path"),
+            Self::WrongMethod => f.write_str("this path does not take this method"),
+            Self::Busy => f.write_str("too many requests are open at this host"),
+            Self::NotConfigured => f.write_str("this host has no configuration yet"),
+        }
+    }
+}
+
+impl std::error::Error for FrontError {}
+
+impl IntoResponse for FrontError {
+    fn into_response(self) -> Response {
+        let status = self.status();
+        let body = error_json(&self.to_string(), kind(status.as_u16()), self.param(), self.code());
+        let mut response = json_response(status, &body);
+        let headers = response.headers_mut();
+        headers.insert(response_header::RUN, HeaderValue::from_static("not-run"));
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            headers.insert(RETRY_AFTER, HeaderValue::from_static("1"));
+        }
+        if status == StatusCode::UNAUTHORIZED {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+        }
+        response
+    }
+}
+
+/// A response with a JSON body.
+pub fn json_response(status: StatusCode, body: &Value) -> Response {
+    let mut response = Response::new(Body::from(body.to_string()));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// The response to a refusal of the reducer.
+pub fn refusal_response(request: Option<&RequestId>, refusal: &Refusal) -> Response {
+    let status = StatusCode::from_u16(refusal.reason.status());
+    let status = status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    let mut response = json_response(status, &error_body(refusal));
+    let headers = response.headers_mut();
+    if let Ok(run) = HeaderValue::try_from(refusal.run.to_string()) {
+        headers.insert(response_header::RUN, run);
+    }
+    if let Some(Ok(request)) = request.map(|id| HeaderValue::try_from(id.to_string())) {
+        headers.insert(response_header::REQUEST_ID, request);
+    }
+    if let Some(wait_ms) = refusal.retry_after_ms {
+        headers.insert(RETRY_AFTER, HeaderValue::from(wait_ms.get().div_ceil(1000).max(1)));
+    }
+    response
+}
--- /dev/null
+++ b/crates/hickoryd/src/http_server.rs
@@ -0,0 +1,110 @@
+//! Serves HTTP/1.1 with limits on heads, connections and idle time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::service::TowerToHyperService;
+use log::debug;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// Pause after a failed accept, for example when no file descriptors are left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Limits of an HTTP port.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HttpLimits {
+    /// Longest request head; also the size of the write buffer of a connection.
+    pub max_head_bytes: usize,
+    /// Headers of a request at most.
+    pub max_headers: usize,
+    /// Time for a whole request head, and for the next request on an idle connection.
+    pub head_timeout: Duration,
+    /// Open connections at most.
+    pub max_connections: usize,
+}
+
+impl Default for HttpLimits {
+    fn default() -> Self {
+        Self {
+            max_head_bytes: 32 << 10,
+            max_headers: 64,
+            head_timeout: Duration::from_secs(20),
+            max_connections: 8192,
+        }
+    }
+}
+
+/// Serves until `stop` turns true; open connections then finish their current request.
+pub async fn serve(
+    listener: TcpListener,
+    router: Router,
+    limits: HttpLimits,
+    mut stop: watch::Receiver<bool>,
+) {
+    let places = Arc::new(Semaphore::new(limits.max_connections));
+    loop {
+        let Ok(place) = Arc::clone(&places).acquire_owned().await else {
+            return;
+        };
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _peer)) => {
+                    drop(stream.set_nodelay(true));
+                    let connection =
+                        serve_connection(stream, router.clone(), limits, stop.clone(), place);
+                    tokio::spawn(connection);
+                }
+                Err(error) => {
+                    debug!(reason:% = error; "accept failed");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            () = stopping(&mut stop) => break,
+        }
+    }
+    drop(listener);
+    // Every place is free again once all connections have ended.
+    drop(places.acquire_many(limits.max_connections as u32).await);
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    router: Router,
+    limits: HttpLimits,
+    mut stop: watch::Receiver<bool>,
+    _place: OwnedSemaphorePermit,
+) {
+    let service = TowerToHyperService::new(router);
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_timeout)
+        .max_buf_size(limits.max_head_bytes)
+        .max_headers(limits.max_headers)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = stopping(&mut stop) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        debug!(reason:% = error; "connection ended");
+    }
+}
+
+/// Waits until the process stops.
+async fn stopping(stop: &mut watch::Receiver<bool>) {
+    // A closed channel also means that the process stops.
+    drop(stop.wait_for(|stop| *stop).await);
+}
--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -1,1 +1,56 @@
-//! The hickorydoor daemon: entry and agent roles.
+//! The hickorydoor daemon.
+//!
+//! A process runs one of two roles. An [`EntryProcess`] accepts callers over HTTP and places their
+//! requests; an [`AgentProcess`] stands beside one upstream and gates it. In each, one task owns
+//! the reducer of `hickorydoor`; sockets, timers and HTTP calls run in tasks of their own, report
+//! to it as events and carry out its effects.
+
+mod agent_input;
+mod agent_link;
+mod agent_loop;
+mod agent_process;
+mod answer_response;
+mod caller_answer;
+mod caller_body;
+mod caller_guard;
+mod caller_table;
+mod chat_body;
+mod clock;
+mod engine;
+mod entry_input;
+mod entry_link;
+mod entry_loop;
+mod entry_process;
+mod error_body;
+mod event_stream;
+mod front;
+mod front_error;
+mod http_client;
+mod http_server;
+mod journal;
+mod kv_port;
+mod link;
+mod link_table;
+mod metrics;
+mod model_body;
+mod operators;
+mod platform;
+mod process;
+mod question;
+mod read_allowance;
+mod request_header;
+mod request_log;
+mod response_header;
+mod start_error;
+mod status;
+mod timings;
+mod upstream_call;
+mod whole_to_stream;
+
+pub use agent_process::AgentOptions;
+pub use agent_process::AgentProcess;
+pub use entry_process::EntryOptions;
+pub use entry_process::EntryProcess;
+pub use http_server::HttpLimits;
+pub use process::CommonOptions;
+pub use start_error::StartError;
--- /dev/null
+++ b/crates/hickoryd/src/request_header.rs
@@ -0,0 +1,68 @@
+//! Request headers as the HTTP front reads them.
+
+use std::str::FromStr;
+
+use hickorydoor::Class;
+use hickorydoor::DurationMs;
+use hickorydoor::KeyDigest;
+use hickorydoor::id::IdempotencyKey;
+use hickorydoor::id::SessionId;
+use http::HeaderMap;
+use http::header::AUTHORIZATION;
+
+use crate::front_error::FrontError;
+
+const DEADLINE: &str = "x-hickorydoor-deadline-ms";
+const CLASS: &str = "x-hickorydoor-class";
+const SESSION: &str = "x-hickorydoor-session";
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Longest deadline that a caller may ask for.
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+
+/// Digest of the bearer key; the key itself is not kept.
+pub fn key_digest(headers: &HeaderMap) -> Option<KeyDigest> {
+    let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| KeyDigest::of_key(key.trim()))
+}
+
+/// The time that the caller gives the request.
+pub fn deadline_ms(headers: &HeaderMap) -> Result<Option<DurationMs>, FrontError> {
+    let allowed = "a number of milliseconds from 1 to 3600000";
+    let deadline_ms: Option<u64> = parse(headers, DEADLINE, allowed)?;
+    match deadline_ms {
+        Some(ms) if ms == 0 || ms > MAX_DEADLINE_MS => {
+            Err(FrontError::BadHeader { name: DEADLINE, allowed })
+        }
+        other => Ok(other.map(DurationMs::new)),
+    }
+}
+
+/// The class that the caller asks for.
+pub fn class(headers: &HeaderMap) -> Result<Class, FrontError> {
+    let class: Option<Class> = parse(headers, CLASS, "interactive or batch")?;
+    Ok(class.unwrap_or_default())
+}
+
+/// The caller's session.
+pub fn session(headers: &HeaderMap) -> Result<Option<SessionId>, FrontError> {
+    parse(headers, SESSION, "1 to 256 bytes without control characters")
+}
+
+/// The caller's idempotency key.
+pub fn idempotency_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, FrontError> {
+    parse(headers, IDEMPOTENCY_KEY, "1 to 256 bytes without control characters")
+}
+
+fn parse<T: FromStr>(
+    headers: &HeaderMap,
+    name: &'static str,
+    allowed: &'static str,
+) -> Result<Option<T>, FrontError> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().ok();
+    let parsed = text.and_then(|text| text.trim().parse().ok());
+    parsed.map(Some).ok_or(FrontError::BadHeader { name, allowed })
+}
