Add the quickstart and credit streamed answers at their end

The caller's last reads reach the entry after the request has ended, so the agent kept a finished streamed answer until its link was gone for the resume window, and a graceful shutdown waited for it. The entry now credits the whole answer when it ends.

--- /dev/null
+++ b/crates/hickoryd/examples/quickstart.rs
@@ -0,0 +1,95 @@
+//! Two entries and three agents with their stand-ins in one process.
+//!
+//! `cargo run --release --example quickstart` serves until Ctrl-C; with `-- --once` it sends one
+//! whole and one streamed request, prints the answers and their bills, and exits.
+
+use std::process::ExitCode;
+use std::time::Duration;
+use std::time::Instant;
+
+use hickory_standins::EngineSettings;
+
+#[path = "../tests/fleet/mod.rs"]
+mod fleet;
+
+use fleet::AnyError;
+use fleet::CUSTOMER_KEY;
+use fleet::Fleet;
+use fleet::OPERATOR_KEY;
+
+/// Bills are stored within the billing interval of 200 ms plus one write.
+const BILL_TIMEOUT: Duration = Duration::from_secs(5);
+const POLL_PAUSE: Duration = Duration::from_millis(20);
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("quickstart: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<(), AnyError> {
+    let started = Instant::now();
+    let mut engine = EngineSettings::new(["brine-small-1", "brine-large-1"]);
+    engine.token_interval = Duration::from_millis(5);
+    let fleet = Fleet::start(2, engine).await?;
+    println!("base URL        {}/v1", fleet.url(0));
+    println!("second entry    {}/v1", fleet.url(1));
+    println!("customer key    {CUSTOMER_KEY}");
+    if let Some(address) = fleet.entries[0].operators_address() {
+        println!("operators' port http://{address} (key {OPERATOR_KEY})");
+    }
+    println!("models          brine-small, brine-large; cascade brine; service registry");
+    if std::env::args().any(|argument| argument == "--once") {
+        once(&fleet, started).await?;
+    } else {
+        tokio::signal::ctrl_c().await?;
+    }
+    stop(fleet).await;
+    Ok(())
+}
+
+async fn once(fleet: &Fleet, started: Instant) -> Result<(), AnyError> {
+    let whole = request("brine-small", "What pH does a Manzanilla brine need?", false);
+    let answer = fleet.chat(&whole).await?;
+    println!("\nfirst answer after {} ms", started.elapsed().as_millis());
+    println!("whole answer, status {}:\n{}", answer.status, answer.text());
+    let streamed = request("brine-large", "Summarise today's lots.", true);
+    let answer = fleet.chat(&streamed).await?;
+    println!("\nstreamed answer, status {}:\n{}", answer.status, answer.text());
+    let billed = tokio::time::timeout(BILL_TIMEOUT, async {
+        while !(mentions(fleet, "brine-small-1") && mentions(fleet, "brine-large-1")) {
+            tokio::time::sleep(POLL_PAUSE).await;
+        }
+    });
+    billed.await?;
+    println!("bills as stored:");
+    for bill in fleet.bills() {
+        println!("{bill}");
+    }
+    Ok(())
+}
+
+fn mentions(fleet: &Fleet, version: &str) -> bool {
+    fleet.bills().iter().any(|bill| bill.contains(version))
+}
+
+fn request(model: &str, prompt: &str, stream: bool) -> String {
+    let messages = serde_json::json!([{ "role": "user", "content": prompt }]);
+    serde_json::json!({ "model": model, "stream": stream, "messages": messages }).to_string()
+}
+
+async fn stop(fleet: Fleet) {
+    for entry in fleet.entries {
+        entry.shutdown().await;
+        entry.stopped().await;
+    }
+    for agent in fleet.agents {
+        agent.shutdown().await;
+        agent.stopped().await;
+    }
+}
--- a/crates/hickoryd/src/agent_process.rs
+++ b/crates/hickoryd/src/agent_process.rs
@@ -66,6 +66,7 @@
         let operators_address = operators.await?;
         let client = http_client::new();
         let host = options.settings.host.clone();
+        let offer = options.settings.offer.clone();
         let kv = KvPort::new(options.common.kv_client(), inputs.clone(), |call, outcome| {
             AgentInput::Event(Box::new(AgentEvent::Kv { call, outcome }))
         });
@@ -83,7 +84,8 @@
             followups: VecDeque::new(),
             stopped: false,
         };
-        let poll = poll_load(client, options.upstream_uri, options.load_interval, inputs.clone());
+        let poll =
+            poll_load(client, options.upstream_uri, offer, options.load_interval, inputs.clone());
         tasks.helper(poll);
         tasks.helper(accept_links(listener, inputs.clone()));
         let main = tokio::spawn(main.run(input_reader));
--- a/crates/hickoryd/src/engine.rs
+++ b/crates/hickoryd/src/engine.rs
@@ -9,15 +9,17 @@
 use hickorydoor::agent_event::UpstreamReport;
 use hickorydoor::id::FencingNumber;
 use hickorydoor::id::VersionId;
+use hickorydoor::message::Offer;
 use hickorydoor::quantity::Tokens;
 use http::Request;
-use http::StatusCode;
+use http::Uri;
 use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
 use log::warn;
 use serde::Deserialize;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
@@ -28,6 +30,7 @@
 
 /// Time for the upstream on the same host to answer.
 const TIMEOUT: Duration = Duration::from_secs(1);
+const DEFAULT_PORT: u16 = 80;
 /// Longest load report.
 const MAX_REPORT_BYTES: usize = 64 << 10;
 
@@ -59,10 +62,12 @@
     }
 }
 
-/// Asks the upstream for its load until the process ends.
+/// Asks the upstream for its load until the process ends. Plain services have no load report, so
+/// that one is up if it takes connections.
 pub async fn poll_load(
     client: HttpClient,
     base_uri: CompactString,
+    offer: Offer,
     every: Duration,
     inputs: mpsc::Sender<AgentInput>,
 ) {
@@ -70,7 +75,11 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let report = timeout(TIMEOUT, report(&client, &base_uri)).await.ok().flatten();
+        let report = match offer {
+            Offer::Engine { .. } => timeout(TIMEOUT, report(&client, &base_uri)).await,
+            Offer::Service { .. } => timeout(TIMEOUT, probe(&base_uri)).await,
+        };
+        let report = report.ok().flatten();
         let event = AgentEvent::UpstreamReport(report);
         if inputs.send(AgentInput::Event(Box::new(event))).await.is_err() {
             return;
@@ -81,10 +90,6 @@
 async fn report(client: &HttpClient, base_uri: &str) -> Option<UpstreamReport> {
     let request = Request::get(format!("{base_uri}/load")).body(Full::default()).ok()?;
     let response = client.request(request).await.ok()?;
-    if response.status() == StatusCode::NOT_FOUND {
-        // Plain services have no load report; an answer of any kind says that they are up.
-        return Some(UpstreamReport::default());
-    }
     if !response.status().is_success() {
         return None;
     }
@@ -93,6 +98,13 @@
     Some(raw.into())
 }
 
+async fn probe(base_uri: &str) -> Option<UpstreamReport> {
+    let uri: Uri = base_uri.parse().ok()?;
+    let port = uri.port_u16().unwrap_or(DEFAULT_PORT);
+    TcpStream::connect((uri.host()?, port)).await.ok()?;
+    Some(UpstreamReport::default())
+}
+
 /// Gives an order to the engine.
 pub async fn order(
     client: &HttpClient,
@@ -104,7 +116,7 @@
         EngineOrder::Load { version } => ("load", version),
         EngineOrder::Unload { version } => ("unload", version),
     };
-    let body = serde_json::json!({ "order": action, "version": version });
+    let body = serde_json::json!({ action: version });
     let request = Request::post(format!("{base_uri}/orders"))
         .header(CONTENT_TYPE, "application/json")
         .header("x-fencing-number", fencing.get())
--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -248,7 +248,9 @@
     /// Delivers the rest of a complete answer and ends the request.
     fn release_answer(&mut self, serial: Serial, now: TimeMs) {
         self.release_held(serial);
-        self.release_attempt(serial);
+        if let Some(attempt) = self.release_attempt(serial) {
+            self.credit_rest(serial, &attempt);
+        }
         if let Some(state) = self.requests.get(&serial) {
             let caller = state.caller;
             self.push(EntryEffect::End { caller });
@@ -256,6 +258,17 @@
         self.finish(serial, RequestOutcome::Served, now);
     }
 
+    /// Credits a whole streamed answer. The caller's last reads come after the request has ended
+    /// and would find no attempt, so the agent would keep the answer until its deadline.
+    fn credit_rest(&mut self, serial: Serial, attempt: &Attempt) {
+        let Some(state) = self.requests.get(&serial).filter(|state| state.streams()) else {
+            return;
+        };
+        let id = AttemptId { request: state.id.clone(), ordinal: attempt.ordinal };
+        let bytes = attempt.received;
+        self.send(&attempt.agent, EntryMessage::Credit { attempt: id, bytes });
+    }
+
     /// Has the answer of a cascade step judged; returns whether a rating is needed.
     fn ask_for_rating(&mut self, serial: Serial) -> bool {
         let Some(state) = self.requests.get(&serial) else {
