--- /dev/null
+++ b/crates/hickorydoor/tests/wire.rs
@@ -0,0 +1,256 @@
+//! Frames survive encoding, and no input from a peer can panic the decoder.
+
+use std::fmt::Debug;
+
+use bytes::Bytes;
+use hickorydoor::AgentMessage;
+use hickorydoor::Class;
+use hickorydoor::DurationMs;
+use hickorydoor::EntryMessage;
+use hickorydoor::TimeMs;
+use hickorydoor::id::AttemptId;
+use hickorydoor::id::Incarnation;
+use hickorydoor::id::RequestId;
+use hickorydoor::id::Revision;
+use hickorydoor::id::Serial;
+use hickorydoor::load_report::LoadReport;
+use hickorydoor::message::AgentRefusal;
+use hickorydoor::message::AttemptFault;
+use hickorydoor::message::Call;
+use hickorydoor::message::Dispatch;
+use hickorydoor::message::ModelCall;
+use hickorydoor::message::ServiceCall;
+use hickorydoor::quantity::ByteCount;
+use hickorydoor::quantity::Tokens;
+use hickorydoor::usage::Usage;
+use hickorydoor::wire::AgentFrame;
+use hickorydoor::wire::EntryFrame;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use prost::Message;
+
+const SEED: u64 = 0x7769_7265;
+
+fn config() -> Config {
+    let cases = std::env::var("HICKORY_PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
+    Config {
+        cases: cases.unwrap_or(128),
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn id_text() -> impl Strategy<Value = String> {
+    "[A-Za-z0-9._:@-]{1,32}"
+}
+
+fn attempt() -> impl Strategy<Value = AttemptId> {
+    (id_text(), any::<u64>(), any::<u64>(), any::<u32>()).prop_map(
+        |(entry, incarnation, serial, ordinal)| AttemptId {
+            request: RequestId {
+                entry: entry.parse().unwrap(),
+                incarnation: Incarnation::new(incarnation),
+                serial: Serial::new(serial),
+            },
+            ordinal,
+        },
+    )
+}
+
+fn payload() -> impl Strategy<Value = Bytes> {
+    prop::collection::vec(any::<u8>(), 0..256).prop_map(Bytes::from)
+}
+
+fn model_call() -> impl Strategy<Value = Call> {
+    (id_text(), any::<bool>(), any::<bool>(), any::<u64>(), any::<u64>(), payload()).prop_map(
+        |(version, stream, include_usage, prompt, prefix_hash, body)| {
+            Call::Model(ModelCall {
+                version: version.parse().unwrap(),
+                stream,
+                include_usage,
+                prompt_tokens: Tokens::new(prompt),
+                answer_tokens: Tokens::new(prompt / 2),
+                prefix_hash,
+                body,
+            })
+        },
+    )
+}
+
+fn service_call() -> impl Strategy<Value = Call> {
+    let key = prop::option::of("[a-zA-Z0-9 é]{1,32}");
+    (id_text(), "/[a-z/?=&]{0,32}", key, any::<bool>(), payload()).prop_map(
+        |(service, path, key, repeatable, body)| {
+            Call::Service(ServiceCall {
+                service: service.parse().unwrap(),
+                method: "POST".into(),
+                path: path.into(),
+                content_type: Some("application/json".into()),
+                idempotency_key: key.map(|key| key.parse().unwrap()),
+                repeatable,
+                body,
+            })
+        },
+    )
+}
+
+fn dispatch() -> impl Strategy<Value = EntryMessage> {
+    let class = prop_oneof![Just(Class::Interactive), Just(Class::Batch)];
+    let session = prop::option::of("[a-z ]{1,64}");
+    let call = prop_oneof![model_call(), service_call()];
+    (attempt(), id_text(), class, session, any::<u64>(), call).prop_map(
+        |(attempt, customer, class, session, time_left, call)| {
+            EntryMessage::Dispatch(Box::new(Dispatch {
+                attempt,
+                customer: customer.parse().unwrap(),
+                class,
+                session: session.map(|session| session.parse().unwrap()),
+                time_left_ms: DurationMs::new(time_left),
+                call,
+            }))
+        },
+    )
+}
+
+fn entry_message() -> impl Strategy<Value = EntryMessage> {
+    prop_oneof![
+        dispatch(),
+        attempt().prop_map(|attempt| EntryMessage::Cancel { attempt }),
+        (attempt(), any::<u64>()).prop_map(|(attempt, bytes)| EntryMessage::Credit {
+            attempt,
+            bytes: ByteCount::new(bytes)
+        }),
+        (attempt(), any::<u64>()).prop_map(|(attempt, offset)| EntryMessage::Resume {
+            attempt,
+            offset: ByteCount::new(offset)
+        }),
+        any::<u64>().prop_map(|raw| EntryMessage::Heartbeat { revision: Revision::new(raw) }),
+        any::<u64>().prop_map(|raw| EntryMessage::ConfigPull { have: Revision::new(raw) }),
+        Just(EntryMessage::LeaveNotice),
+    ]
+}
+
+fn load_report() -> impl Strategy<Value = AgentMessage> {
+    (any::<u64>(), any::<u32>(), any::<f32>(), prop::collection::vec(id_text(), 0..4)).prop_map(
+        |(observed, running, rate, versions)| {
+            let rate = if rate.is_finite() { f64::from(rate) } else { 0.0 };
+            AgentMessage::Load(Box::new(LoadReport {
+                observed_at_ms: TimeMs::new(observed),
+                running,
+                prefill_tokens_per_s: rate,
+                versions: versions.iter().map(|text| text.parse().unwrap()).collect(),
+                ..LoadReport::default()
+            }))
+        },
+    )
+}
+
+fn agent_message() -> impl Strategy<Value = AgentMessage> {
+    let usage =
+        Usage { prompt_tokens: Tokens::new(7), answer_tokens: Tokens::new(u64::from(u32::MAX)) };
+    let refusal = prop_oneof![Just(AgentRefusal::AtLimit), Just(AgentRefusal::UpstreamDown)];
+    let fault = prop_oneof![Just(AttemptFault::UpstreamError), Just(AttemptFault::KeyReused)];
+    prop_oneof![
+        (attempt(), refusal, any::<u64>()).prop_map(|(attempt, reason, wait)| {
+            AgentMessage::Refused { attempt, reason, retry_after_ms: DurationMs::new(wait) }
+        }),
+        (attempt(), any::<u16>()).prop_map(|(attempt, status)| AgentMessage::Started {
+            attempt,
+            status,
+            content_type: "text/event-stream".into()
+        }),
+        (attempt(), any::<u64>(), any::<u64>(), payload()).prop_map(
+            |(attempt, offset, tokens, data)| AgentMessage::Chunk {
+                attempt,
+                offset: ByteCount::new(offset),
+                tokens: Tokens::new(tokens),
+                data,
+            }
+        ),
+        (attempt(), any::<u64>()).prop_map(move |(attempt, length)| AgentMessage::Ended {
+            attempt,
+            length: ByteCount::new(length),
+            usage
+        }),
+        (attempt(), fault).prop_map(move |(attempt, fault)| AgentMessage::Failed {
+            attempt,
+            fault,
+            usage
+        }),
+        load_report(),
+        Just(AgentMessage::Draining),
+    ]
+}
+
+/// Encodes and decodes `message` as a frame of type `F`.
+fn round_trip<M, F>(message: M) -> M
+where
+    M: Clone,
+    F: Message + Default + From<M>,
+    M: TryFrom<F>,
+    <M as TryFrom<F>>::Error: Debug,
+{
+    let encoded = F::from(message).encode_to_vec();
+    M::try_from(F::decode(encoded.as_slice()).unwrap()).unwrap()
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against fields that are lost or swapped between a message and its frame.
+    #[test]
+    fn entry_messages_survive_encoding(message in entry_message()) {
+        prop_assert_eq!(round_trip::<EntryMessage, EntryFrame>(message.clone()), message);
+    }
+
+    /// Guards against fields that are lost or swapped between a message and its frame.
+    #[test]
+    fn agent_messages_survive_encoding(message in agent_message()) {
+        prop_assert_eq!(round_trip::<AgentMessage, AgentFrame>(message.clone()), message);
+    }
+
+    /// Guards against a peer that crashes a process with a malformed frame.
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..512)) {
+        if let Ok(frame) = EntryFrame::decode(bytes.as_slice()) {
+            let _checked = EntryMessage::try_from(frame);
+        }
+        if let Ok(frame) = AgentFrame::decode(bytes.as_slice()) {
+            let _checked = AgentMessage::try_from(frame);
+        }
+    }
+
+    /// Guards against a frame that was damaged in one byte being accepted with a panic.
+    #[test]
+    fn damaged_frames_never_panic(
+        message in entry_message(),
+        position in any::<prop::sample::Index>(),
+        value in any::<u8>(),
+    ) {
+        let mut encoded = EntryFrame::from(message).encode_to_vec();
+        if !encoded.is_empty() {
+            let index = position.index(encoded.len());
+            encoded[index] = value;
+        }
+        if let Ok(frame) = EntryFrame::decode(encoded.as_slice()) {
+            let _checked = EntryMessage::try_from(frame);
+        }
+    }
+}
+
+/// Guards against ids and codes that a peer must not be able to smuggle past the checks.
+#[test]
+fn unchecked_values_are_refused() {
+    let cancel = EntryMessage::Cancel {
+        attempt: "entry-1/1/2/3".parse().expect("the attempt id is well formed"),
+    };
+    let mut frame = EntryFrame::from(cancel);
+    if let Some(hickorydoor::wire::EntryBody::Cancel(attempt)) = &mut frame.body {
+        attempt.entry = "no spaces allowed".into();
+    }
+    assert!(EntryMessage::try_from(frame).is_err());
+    assert!(EntryMessage::try_from(EntryFrame::default()).is_err());
+    assert!(AgentMessage::try_from(AgentFrame::default()).is_err());
+}
