Add the daemon's binary, settings, logs, metrics and operators' port

Settings are raw serde types with unknown fields refused and TryFrom into the options of the processes; errors name file, line, field and what is allowed.

--- /dev/null
+++ b/crates/hickoryd/src/settings.rs
@@ -0,0 +1,241 @@
+//! Checked settings of a process.
+
+use std::path::Path;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use hickory_kv::ClientSettings;
+use hickorydoor::AgentSettings;
+use hickorydoor::DurationMs;
+use hickorydoor::EntrySettings;
+use hickorydoor::id::Incarnation;
+use hickorydoor::message::Offer;
+use http::Uri;
+use log::LevelFilter;
+use serde::de::DeserializeOwned;
+
+use crate::agent_process::AgentOptions;
+use crate::entry_process::EntryOptions;
+use crate::field_line::field_line;
+use crate::http_server::HttpLimits;
+use crate::process::CommonOptions;
+use crate::raw_settings::RawAgentSettings;
+use crate::raw_settings::RawEntrySettings;
+use crate::raw_settings::RawHttp;
+use crate::raw_settings::RawLog;
+use crate::raw_settings::RawLogLevel;
+use crate::raw_settings::RawMetrics;
+use crate::raw_settings::RawOffer;
+use crate::raw_settings::RawOperators;
+use crate::raw_settings::RawRole;
+use crate::raw_settings::RawRoleOnly;
+use crate::settings_error::FieldError;
+use crate::settings_error::SettingsError;
+
+const URI_ALLOWED: &str = "of the form http://HOST:PORT without a path";
+const POSITIVE: &str = "greater than 0";
+const DEFAULT_HOST_LIST_INTERVAL_MS: u64 = 1_000;
+const DEFAULT_LOAD_INTERVAL_MS: u64 = 250;
+const DEFAULT_BODY_TIMEOUT_MS: u64 = 30_000;
+const DEFAULT_OPEN_REQUESTS: usize = 2_048;
+/// hyper's smallest buffer.
+const MIN_HEAD_BYTES: usize = 8_192;
+
+/// What the process runs.
+#[derive(Clone, Debug)]
+pub enum Role {
+    /// Accepts callers.
+    Entry(Box<EntryOptions>),
+    /// Stands beside an upstream.
+    Agent(Box<AgentOptions>),
+}
+
+/// Checked settings of a process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// What the process runs.
+    pub role: Role,
+    /// Level of the log.
+    pub log_level: LevelFilter,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// Fails with the file, the line, the field and what is allowed.
+    pub fn read(file: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(file)
+            .map_err(|cause| SettingsError::Unreadable { file: file.to_owned(), cause })?;
+        Self::parse(file, &text)
+    }
+
+    /// Checks settings text; `file` is only used in errors.
+    ///
+    /// # Errors
+    /// Fails with the file, the line, the field and what is allowed.
+    pub fn parse(file: &Path, text: &str) -> Result<Self, SettingsError> {
+        let role: RawRoleOnly = parse(file, text)?;
+        let checked = match role.role {
+            RawRole::Entry => Self::try_from(parse::<RawEntrySettings>(file, text)?),
+            RawRole::Agent => Self::try_from(parse::<RawAgentSettings>(file, text)?),
+        };
+        checked.map_err(|error| SettingsError::Field {
+            file: file.to_owned(),
+            line: field_line(text, &error.field),
+            error,
+        })
+    }
+}
+
+fn parse<T: DeserializeOwned>(file: &Path, text: &str) -> Result<T, SettingsError> {
+    serde_yaml_ng::from_str(text).map_err(|error| SettingsError::Syntax {
+        file: file.to_owned(),
+        line: error.location().map(|location| location.line()),
+        detail: error.to_string().into(),
+    })
+}
+
+impl TryFrom<RawEntrySettings> for Settings {
+    type Error = FieldError;
+
+    fn try_from(raw: RawEntrySettings) -> Result<Self, FieldError> {
+        let mut settings =
+            EntrySettings::new(raw.host, Incarnation::default(), raw.data_centre, raw.region);
+        if let Some(max_links) = raw.max_links {
+            settings.max_links = positive("max_links", max_links)?;
+        }
+        if let Some(interval_ms) = raw.billing_interval_ms {
+            let interval_ms = positive("billing_interval_ms", interval_ms)?;
+            settings.billing_interval_ms = DurationMs::new(interval_ms);
+        }
+        let max_open_requests = raw.http.max_open_requests.unwrap_or(DEFAULT_OPEN_REQUESTS);
+        let body_timeout_ms = raw.http.body_timeout_ms.unwrap_or(DEFAULT_BODY_TIMEOUT_MS);
+        let list_interval_ms = raw.host_list_interval_ms.unwrap_or(DEFAULT_HOST_LIST_INTERVAL_MS);
+        let rating_uri = raw.rating_uri.map(|uri| root("rating_uri", &uri)).transpose()?;
+        let options = EntryOptions {
+            settings,
+            seed: 0,
+            http_listen: raw.http.listen,
+            http_limits: http_limits(&raw.http)?,
+            max_open_requests: positive("http.max_open_requests", max_open_requests)?,
+            body_timeout: millis("http.body_timeout_ms", body_timeout_ms)?,
+            host_list_uri: root("host_list_uri", &raw.host_list_uri)?,
+            host_list_interval: millis("host_list_interval_ms", list_interval_ms)?,
+            rating_uri,
+            common: common(&raw.kv_endpoints, raw.operators, raw.metrics.as_ref())?,
+        };
+        Ok(Self { role: Role::Entry(Box::new(options)), log_level: log_level(raw.log) })
+    }
+}
+
+impl TryFrom<RawAgentSettings> for Settings {
+    type Error = FieldError;
+
+    fn try_from(raw: RawAgentSettings) -> Result<Self, FieldError> {
+        let mut settings = AgentSettings::new(
+            raw.host,
+            raw.upstream,
+            Incarnation::default(),
+            raw.data_centre,
+            raw.region,
+            offer(raw.offer)?,
+        );
+        if let Some(limit) = raw.warm_limit {
+            settings.warm_limit = positive("warm_limit", limit)?;
+        }
+        if let Some(limit) = raw.cold_limit {
+            settings.cold_limit = positive("cold_limit", limit)?;
+        }
+        if settings.cold_limit > settings.warm_limit {
+            return Err(FieldError::new("cold_limit", "at most warm_limit"));
+        }
+        let load_interval_ms = raw.load_interval_ms.unwrap_or(DEFAULT_LOAD_INTERVAL_MS);
+        let options = AgentOptions {
+            settings,
+            link_listen: raw.link_listen,
+            upstream_uri: root("upstream_uri", &raw.upstream_uri)?,
+            load_interval: millis("load_interval_ms", load_interval_ms)?,
+            common: common(&raw.kv_endpoints, raw.operators, raw.metrics.as_ref())?,
+        };
+        Ok(Self { role: Role::Agent(Box::new(options)), log_level: log_level(raw.log) })
+    }
+}
+
+fn offer(raw: RawOffer) -> Result<Offer, FieldError> {
+    match (raw.engine_versions, raw.service) {
+        (Some(versions), None) => Ok(Offer::Engine { versions }),
+        (None, Some(service)) => Ok(Offer::Service { service }),
+        _ => Err(FieldError::new("offer", "either engine_versions or service")),
+    }
+}
+
+fn http_limits(raw: &RawHttp) -> Result<HttpLimits, FieldError> {
+    let mut limits = HttpLimits::default();
+    if let Some(max_head_bytes) = raw.max_head_bytes {
+        if max_head_bytes < MIN_HEAD_BYTES {
+            return Err(FieldError::new("http.max_head_bytes", "at least 8192"));
+        }
+        limits.max_head_bytes = max_head_bytes;
+    }
+    if let Some(max_headers) = raw.max_headers {
+        limits.max_headers = positive("http.max_headers", max_headers)?;
+    }
+    if let Some(head_timeout_ms) = raw.head_timeout_ms {
+        limits.head_timeout = millis("http.head_timeout_ms", head_timeout_ms)?;
+    }
+    if let Some(max_connections) = raw.max_connections {
+        limits.max_connections = positive("http.max_connections", max_connections)?;
+    }
+    Ok(limits)
+}
+
+fn common(
+    kv_endpoints: &[CompactString],
+    operators: Option<RawOperators>,
+    metrics: Option<&RawMetrics>,
+) -> Result<CommonOptions, FieldError> {
+    let kv = ClientSettings::new(kv_endpoints).map_err(|_error| {
+        FieldError::new("kv_endpoints", "one or more of the form http://HOST:PORT")
+    })?;
+    if operators.as_ref().is_some_and(|operators| operators.key_digests.is_empty()) {
+        return Err(FieldError::new("operators.key_digests", "one or more SHA-256 digests"));
+    }
+    Ok(CommonOptions {
+        kv,
+        operators_listen: operators.as_ref().map(|operators| operators.listen),
+        operator_keys: operators.map(|operators| operators.key_digests).unwrap_or_default(),
+        statsd: metrics.map(|metrics| metrics.statsd),
+    })
+}
+
+/// The root of an HTTP service without the slash at the end.
+fn root(field: &str, text: &str) -> Result<CompactString, FieldError> {
+    let bad = || FieldError::new(field, URI_ALLOWED);
+    let uri: Uri = text.parse().map_err(|_error| bad())?;
+    let plain = uri.path() == "/" && uri.query().is_none();
+    if uri.scheme_str() != Some("http") || uri.host().is_none() || !plain {
+        return Err(bad());
+    }
+    Ok(text.trim_end_matches('/').into())
+}
+
+fn positive<T: Default + PartialEq>(field: &str, value: T) -> Result<T, FieldError> {
+    if value == T::default() {
+        return Err(FieldError::new(field, POSITIVE));
+    }
+    Ok(value)
+}
+
+fn millis(field: &str, value_ms: u64) -> Result<Duration, FieldError> {
+    positive(field, value_ms).map(Duration::from_millis)
+}
+
+const fn log_level(raw: RawLog) -> LevelFilter {
+    match raw.level {
+        RawLogLevel::Error => LevelFilter::Error,
+        RawLogLevel::Warn => LevelFilter::Warn,
+        RawLogLevel::Info => LevelFilter::Info,
+        RawLogLevel::Debug => LevelFilter::Debug,
+    }
+}
--- a/crates/hickoryd/src/start_error.rs
+++ b/crates/hickoryd/src/start_error.rs
@@ -14,6 +14,11 @@
         /// The cause.
         cause: io::Error,
     },
+    /// Signals cannot be received.
+    Signals {
+        /// The cause.
+        cause: io::Error,
+    },
     /// The metrics' socket cannot be opened.
     Metrics {
         /// The cause.
@@ -25,6 +30,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Listen { address, cause } => write!(f, "cannot listen on {address}: {cause}"),
+            Self::Signals { cause } => write!(f, "cannot receive signals: {cause}"),
             Self::Metrics { cause } => write!(f, "cannot open the metrics socket: {cause}"),
         }
     }
