--- a/crates/hickorydoor/src/agent.rs
+++ b/crates/hickorydoor/src/agent.rs
@@ -20,9 +20,16 @@
 use crate::id::Revision;
 use crate::message::AgentMessage;
 use crate::observation::Observation;
+use crate::recent_map::RecentMap;
+use crate::session_pin::Pin;
+use crate::session_pin::PinKey;
 use crate::time::TimeMs;
 use crate::usage_store::UsageStore;
 
+/// Pins that an agent holds at least, under 20 MB with their versions' names. Two homes for each
+/// of 12,000 agents hold 780 million sessions.
+const HELD_PINS: usize = 1 << 17;
+
 /// What an agent knows about one entry.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EntryLink {
@@ -44,6 +51,7 @@
     pub(crate) links: HashMap<HostId, EntryLink>,
     pub(crate) attempts: HashMap<AttemptId, AttemptState>,
     pub(crate) fenced: HashMap<AttemptId, TimeMs>,
+    pub(crate) pins: RecentMap<PinKey, Pin>,
     pub(crate) usage: UsageStore,
     pub(crate) report: UpstreamReport,
     pub(crate) upstream_up: bool,
@@ -65,6 +73,7 @@
             links: HashMap::new(),
             attempts: HashMap::new(),
             fenced: HashMap::new(),
+            pins: RecentMap::new(HELD_PINS),
             usage: UsageStore::default(),
             report: UpstreamReport::default(),
             upstream_up: true,
--- a/crates/hickorydoor/src/agent_config.rs
+++ b/crates/hickorydoor/src/agent_config.rs
@@ -50,6 +50,7 @@
             EntryMessage::ConfigPull { have } => self.on_config_pull(entry, have),
             EntryMessage::ConfigUpdate(update) => self.on_config_update(update),
             EntryMessage::LeaveNotice => self.on_leave_notice(),
+            EntryMessage::Pin { key, pin, settled } => self.on_pin(entry, key, pin, settled),
         }
     }
 
--- a/crates/hickorydoor/src/entry.rs
+++ b/crates/hickorydoor/src/entry.rs
@@ -26,6 +26,7 @@
 use crate::message::EntryMessage;
 use crate::observation::Observation;
 use crate::request_state::RequestState;
+use crate::session_pin::SessionPins;
 use crate::time::TimeMs;
 
 /// Why a key-value call was made.
@@ -48,6 +49,7 @@
     pub(crate) members: MemberTable,
     pub(crate) requests: HashMap<Serial, RequestState>,
     pub(crate) callers: HashMap<CallerId, Serial>,
+    pub(crate) pins: SessionPins,
     pub(crate) ledger: Ledger,
     pub(crate) kv_calls: HashMap<KvCallId, KvPurpose>,
     pub(crate) pull: Option<(HostId, TimeMs)>,
@@ -73,6 +75,7 @@
             members: MemberTable::default(),
             requests: HashMap::new(),
             callers: HashMap::new(),
+            pins: SessionPins::default(),
             ledger: Ledger::new(settings.host.clone(), settings.incarnation),
             kv_calls: HashMap::new(),
             pull: None,
@@ -131,6 +134,7 @@
     }
 
     fn on_tick(&mut self, now: TimeMs) {
+        self.tick_pins(now);
         self.expire_requests(now);
         self.tick_configuration(now);
         self.tick_links(now);
--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -61,6 +61,9 @@
             AgentMessage::ConfigNotice { revision } => self.on_peer_revision(agent, revision, now),
             AgentMessage::ConfigPull { have } => self.on_config_pull(agent, have),
             AgentMessage::ConfigUpdate(update) => self.on_config_update(update),
+            AgentMessage::PinReply { key, pin, known } => {
+                self.on_pin_reply(agent, key, pin, known, now);
+            }
         }
     }
 
--- a/crates/hickorydoor/src/entry_config.rs
+++ b/crates/hickorydoor/src/entry_config.rs
@@ -105,8 +105,12 @@
 
     pub(crate) fn on_config_update(&mut self, update: ConfigUpdate) {
         self.pull = None;
+        let models = self.config.current().models.clone();
         let result = self.config.apply(update);
         let revision = self.revision();
+        if self.config.current().models != models {
+            self.on_models_changed();
+        }
         match result {
             Ok(false) => {}
             Ok(true) => {
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -134,6 +134,9 @@
 
     /// Sends the request to an agent, or refuses it if none can take it.
     pub(crate) fn dispatch(&mut self, serial: Serial, now: TimeMs) {
+        if self.await_pin(serial, now) {
+            return;
+        }
         let Some(state) = self.requests.get(&serial) else {
             return;
         };
@@ -168,18 +171,6 @@
         Some((agent, version))
     }
 
-    /// Chooses the version of a model for a request without regard to its session.
-    fn choose_version(&self, state: &RequestState, model: &ModelId) -> Option<VersionId> {
-        let configuration = self.config.current();
-        let model = configuration.models.get(model)?;
-        let customer = configuration.customers.get(&state.customer)?;
-        // The newest version that takes new sessions is the default.
-        let newest = model.versions.iter().rev().find(|version| {
-            version.state.takes_new_sessions() && customer.allows_version(model, version)
-        });
-        newest.map(|version| version.id.clone())
-    }
-
     fn send_attempt(
         &mut self,
         serial: Serial,
--- /dev/null
+++ b/crates/hickorydoor/src/entry_rollout.rs
@@ -0,0 +1,64 @@
+//! How an entry shares new sessions and requests among the versions of a model.
+
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::entry::Entry;
+use crate::id::CustomerId;
+use crate::id::ModelId;
+use crate::id::RequestId;
+use crate::id::VersionId;
+use crate::model::VersionState;
+use crate::request_state::RequestState;
+use crate::session_pin::share_hash;
+
+impl Entry {
+    /// The version on which a request runs: the pinned one of its session, else one by its share.
+    pub(crate) fn choose_version(
+        &self,
+        state: &RequestState,
+        model: &ModelId,
+    ) -> Option<VersionId> {
+        let version = match &state.request.session {
+            Some(session) => self.pinned_version(state, session, model)?,
+            None => self.derive_version(request_hash(&state.id), &state.customer, model)?,
+        };
+        self.may_run(&state.customer, &version).then_some(version)
+    }
+
+    /// The version for a new session or a request without one: the newest canary whose share holds
+    /// the hash, else the newest active version. Versions that no known agent serves come last.
+    pub(crate) fn derive_version(
+        &self,
+        hash: u128,
+        customer: &CustomerId,
+        model: &ModelId,
+    ) -> Option<VersionId> {
+        let configuration = self.config.current();
+        let model = configuration.models.get(model)?;
+        let customer = configuration.customers.get(customer)?;
+        let allowed = |state: VersionState| {
+            model.versions.iter().rev().filter(move |version| {
+                version.state == state && customer.allows_version(model, version)
+            })
+        };
+        let canary = allowed(VersionState::Canary).find(|version| {
+            let exposed = version.canary_share.contains_hash(share_hash(hash, &version.id));
+            exposed && self.has_agent(&version.id)
+        });
+        let served = allowed(VersionState::Active).find(|version| self.has_agent(&version.id));
+        let newest = allowed(VersionState::Active).next();
+        canary.or(served).or(newest).map(|version| version.id.clone())
+    }
+
+    fn has_agent(&self, version: &VersionId) -> bool {
+        let configuration = self.config.current();
+        self.members
+            .iter()
+            .any(|(_, member)| member.serves_version(version) && member.is_usable(configuration))
+    }
+}
+
+/// Uniform hash of a request. Retries of the request get the same version.
+fn request_hash(request: &RequestId) -> u128 {
+    xxh3_128(request.to_string().as_bytes())
+}
--- a/crates/hickorydoor/src/message.rs
+++ b/crates/hickorydoor/src/message.rs
@@ -27,6 +27,8 @@
 use crate::load_report::LoadReport;
 use crate::quantity::ByteCount;
 use crate::quantity::Tokens;
+use crate::session_pin::Pin;
+use crate::session_pin::PinKey;
 use crate::time::DurationMs;
 use crate::usage::Usage;
 
@@ -213,6 +215,15 @@
     ConfigUpdate(ConfigUpdate),
     /// Tells the agent that the platform lists its host as leaving.
     LeaveNotice,
+    /// Proposes the pin of a session to a home agent.
+    Pin {
+        /// The session.
+        key: PinKey,
+        /// The proposed pin; absent if the model takes no new sessions.
+        pin: Option<Pin>,
+        /// Set when the homes have replied and this pin was chosen; not replied to.
+        settled: bool,
+    },
 }
 
 /// Why an agent did not pass an attempt on.
@@ -332,4 +343,13 @@
     },
     /// Answers a pull.
     ConfigUpdate(ConfigUpdate),
+    /// Tells what a home agent holds for a session after a proposal.
+    PinReply {
+        /// The session.
+        key: PinKey,
+        /// The pin that is held now.
+        pin: Option<Pin>,
+        /// Whether the pin was held before the proposal.
+        known: bool,
+    },
 }
--- a/crates/hickorydoor/src/observation.rs
+++ b/crates/hickorydoor/src/observation.rs
@@ -118,6 +118,11 @@
     },
     /// The ledger of this incarnation was closed by an agent.
     LedgerClosed,
+    /// A session had to leave its version.
+    SessionMoved {
+        /// The request with which it moved.
+        request: RequestId,
+    },
     /// The key-value service did not answer a call.
     KvUnavailable,
 }
--- a/crates/hickorydoor/src/wire.rs
+++ b/crates/hickorydoor/src/wire.rs
@@ -43,6 +43,7 @@
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 use crate::usage::Usage;
+use crate::wire_pin::WirePin;
 
 /// Reasons why a frame is refused.
 #[derive(Clone, Debug, PartialEq)]
@@ -784,6 +785,9 @@
     /// [`EntryMessage::LeaveNotice`]
     #[prost(message, tag = "12")]
     LeaveNotice(WireEmpty),
+    /// [`EntryMessage::Pin`]
+    #[prost(message, tag = "20")]
+    Pin(WirePin),
 }
 
 /// A frame from an entry to an agent.
@@ -791,7 +795,7 @@
 #[derive(prost::Message)]
 pub struct EntryFrame {
     /// The message.
-    #[prost(oneof = "EntryBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "EntryBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 20")]
     pub body: Option<EntryBody>,
 }
 
@@ -829,6 +833,9 @@
             EntryMessage::ConfigPull { have } => EntryBody::ConfigPull(have.get()),
             EntryMessage::ConfigUpdate(update) => EntryBody::ConfigUpdate(update.into()),
             EntryMessage::LeaveNotice => EntryBody::LeaveNotice(WireEmpty {}),
+            EntryMessage::Pin { key, pin, settled } => {
+                EntryBody::Pin(WirePin::new(key, pin.as_ref(), settled))
+            }
         };
         Self { body: Some(body) }
     }
@@ -858,6 +865,10 @@
             EntryBody::ConfigPull(have) => Self::ConfigPull { have: Revision::new(have) },
             EntryBody::ConfigUpdate(update) => Self::ConfigUpdate(update.try_into()?),
             EntryBody::LeaveNotice(WireEmpty {}) => Self::LeaveNotice,
+            EntryBody::Pin(wire) => {
+                let (key, pin, settled) = wire.try_into()?;
+                Self::Pin { key, pin, settled }
+            }
         })
     }
 }
@@ -1019,6 +1030,9 @@
     /// [`AgentMessage::ConfigUpdate`]
     #[prost(message, tag = "13")]
     ConfigUpdate(WireConfigUpdate),
+    /// [`AgentMessage::PinReply`]
+    #[prost(message, tag = "20")]
+    PinReply(WirePin),
 }
 
 /// A frame from an agent to an entry.
@@ -1026,7 +1040,7 @@
 #[derive(prost::Message)]
 pub struct AgentFrame {
     /// The message.
-    #[prost(oneof = "AgentBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "AgentBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 20")]
     pub body: Option<AgentBody>,
 }
 
@@ -1106,6 +1120,9 @@
             AgentMessage::ConfigNotice { revision } => AgentBody::ConfigNotice(revision.get()),
             AgentMessage::ConfigPull { have } => AgentBody::ConfigPull(have.get()),
             AgentMessage::ConfigUpdate(update) => AgentBody::ConfigUpdate(update.into()),
+            AgentMessage::PinReply { key, pin, known } => {
+                AgentBody::PinReply(WirePin::new(key, pin.as_ref(), known))
+            }
         };
         Self { body: Some(body) }
     }
@@ -1162,6 +1179,10 @@
             }
             AgentBody::ConfigPull(have) => Self::ConfigPull { have: Revision::new(have) },
             AgentBody::ConfigUpdate(update) => Self::ConfigUpdate(update.try_into()?),
+            AgentBody::PinReply(wire) => {
+                let (key, pin, known) = wire.try_into()?;
+                Self::PinReply { key, pin, known }
+            }
         })
     }
 }
--- /dev/null
+++ b/crates/hickorydoor/tests/fleet/mod.rs
@@ -0,0 +1,411 @@
+//! A fleet of reducers in one thread: messages are delivered at once and in order, engines answer
+//! at once, and the key-value service is [`store::Store`].
+
+#![allow(dead_code, reason = "each test binary uses a part of the fleet")]
+
+pub mod store;
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use hickorydoor::Agent;
+use hickorydoor::AgentEffect;
+use hickorydoor::AgentEvent;
+use hickorydoor::AgentMessage;
+use hickorydoor::AgentSettings;
+use hickorydoor::CallerRequest;
+use hickorydoor::Class;
+use hickorydoor::Configuration;
+use hickorydoor::DurationMs;
+use hickorydoor::Entry;
+use hickorydoor::EntryEffect;
+use hickorydoor::EntryEvent;
+use hickorydoor::EntrySettings;
+use hickorydoor::KeyDigest;
+use hickorydoor::RawConfiguration;
+use hickorydoor::TimeMs;
+use hickorydoor::agent_event::UpstreamFault;
+use hickorydoor::caller_request::Ask;
+use hickorydoor::caller_request::ChatRequest;
+use hickorydoor::entry_effect::ResponseHead;
+use hickorydoor::entry_event::RatingFault;
+use hickorydoor::host_record::HostRecord;
+use hickorydoor::host_record::HostRole;
+use hickorydoor::host_record::HostState;
+use hickorydoor::id::AttemptId;
+use hickorydoor::id::CallerId;
+use hickorydoor::id::HostId;
+use hickorydoor::id::Incarnation;
+use hickorydoor::id::VersionId;
+use hickorydoor::message::Call;
+use hickorydoor::message::Offer;
+use hickorydoor::observation::Observation;
+use hickorydoor::quantity::Tokens;
+use hickorydoor::refusal::Refusal;
+use hickorydoor::usage::Usage;
+
+use self::store::Store;
+
+const KEY: &str = "key-1";
+const TICK_MS: u64 = 100;
+
+/// How engines and the rating service treat one version.
+#[derive(Clone, Copy, Debug)]
+pub struct Behaviour {
+    /// Every attempt fails.
+    pub fails: bool,
+    /// What the rating service says; `None` while it is unavailable.
+    pub rating: Option<f64>,
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    pub head: Option<ResponseHead>,
+    pub body: Vec<u8>,
+    pub ended: bool,
+    pub refusal: Option<Refusal>,
+}
+
+impl Answer {
+    pub fn version(&self) -> Option<String> {
+        self.head.as_ref()?.version.as_ref().map(ToString::to_string)
+    }
+}
+
+enum Parcel {
+    Entry(usize, EntryEvent),
+    Agent(usize, AgentEvent),
+}
+
+pub struct Fleet {
+    pub now: TimeMs,
+    pub entries: Vec<Entry>,
+    pub agents: Vec<Agent>,
+    pub store: Store,
+    pub behaviour: BTreeMap<String, Behaviour>,
+    pub observations: Vec<Observation>,
+    /// Versions on which engines ran attempts, in order.
+    pub runs: Vec<VersionId>,
+    /// Set while the rating service answers nothing at all.
+    pub ratings_stalled: bool,
+    /// Questions to the rating service.
+    pub rate_calls: u64,
+    /// Set while replies of home agents are lost.
+    pub mute_pin_replies: bool,
+    offers: Vec<Vec<String>>,
+    incarnations: u64,
+    next_caller: u64,
+    answers: BTreeMap<CallerId, Answer>,
+    queue: VecDeque<Parcel>,
+}
+
+pub fn entry_host(index: usize) -> HostId {
+    format!("entry-{index}").parse().expect("the id is valid")
+}
+
+pub fn agent_host(index: usize) -> HostId {
+    format!("agent-{index}").parse().expect("the id is valid")
+}
+
+fn index_of(host: &HostId) -> usize {
+    let number = host.as_str().rsplit('-').next().expect("the host has a number");
+    number.parse().expect("the host has a number")
+}
+
+impl Fleet {
+    /// A fleet with this configuration in force; each offer lists the versions of one engine.
+    pub fn new(entries: usize, offers: &[&[&str]], yaml: &str) -> Self {
+        let mut fleet = Self {
+            now: TimeMs::new(1_000_000),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            store: Store::default(),
+            behaviour: BTreeMap::new(),
+            observations: Vec::new(),
+            runs: Vec::new(),
+            ratings_stalled: false,
+            rate_calls: 0,
+            mute_pin_replies: false,
+            offers: offers.iter().map(|o| o.iter().map(ToString::to_string).collect()).collect(),
+            incarnations: 0,
+            next_caller: 0,
+            answers: BTreeMap::new(),
+            queue: VecDeque::new(),
+        };
+        fleet.store.put_configuration(&configuration(yaml));
+        for index in 0..offers.len() {
+            let agent = fleet.new_agent(index);
+            fleet.agents.push(agent);
+        }
+        for index in 0..entries {
+            let entry = fleet.new_entry(index);
+            fleet.entries.push(entry);
+            fleet.announce_hosts(index);
+        }
+        fleet.run_ms(300);
+        fleet
+    }
+
+    fn next_incarnation(&mut self) -> Incarnation {
+        self.incarnations += 1;
+        Incarnation::new(self.incarnations)
+    }
+
+    fn new_entry(&mut self, index: usize) -> Entry {
+        let incarnation = self.next_incarnation();
+        let centre = "dc-1".parse().expect("the id is valid");
+        let region = "region-1".parse().expect("the id is valid");
+        let settings = EntrySettings::new(entry_host(index), incarnation, centre, region);
+        Entry::new(settings, incarnation.get(), self.now)
+    }
+
+    fn new_agent(&mut self, index: usize) -> Agent {
+        let incarnation = self.next_incarnation();
+        let versions = self.offers[index].iter().map(|v| v.parse().expect("the id is valid"));
+        let mut settings = AgentSettings::new(
+            agent_host(index),
+            format!("engine-{index}").parse().expect("the id is valid"),
+            incarnation,
+            "dc-1".parse().expect("the id is valid"),
+            "region-1".parse().expect("the id is valid"),
+            Offer::Engine { versions: versions.collect() },
+        );
+        settings.cold_limit = settings.warm_limit;
+        Agent::new(settings, self.now)
+    }
+
+    fn announce_hosts(&mut self, index: usize) {
+        let record = |agent: usize| HostRecord {
+            host: agent_host(agent),
+            role: HostRole::Agent,
+            address: ([127, 0, 0, 1], 1).into(),
+            data_centre: "dc-1".parse().expect("the id is valid"),
+            region: "region-1".parse().expect("the id is valid"),
+            state: HostState::Live,
+        };
+        let records = (0..self.agents.len()).map(record).collect();
+        self.queue.push_back(Parcel::Entry(index, EntryEvent::HostList(records)));
+    }
+
+    /// Replaces an entry by a new process that knows nothing.
+    pub fn restart_entry(&mut self, index: usize) {
+        for agent in 0..self.agents.len() {
+            let entry = entry_host(index);
+            self.queue.push_back(Parcel::Agent(agent, AgentEvent::LinkDown { entry }));
+        }
+        self.store.forget_watches(index);
+        self.entries[index] = self.new_entry(index);
+        self.announce_hosts(index);
+        self.run_ms(300);
+    }
+
+    /// Replaces an agent by a new process that knows nothing.
+    pub fn restart_agent(&mut self, index: usize) {
+        self.agents[index] = self.new_agent(index);
+        for entry in 0..self.entries.len() {
+            let agent = agent_host(index);
+            self.queue.push_back(Parcel::Entry(entry, EntryEvent::LinkDown { agent }));
+        }
+        self.run_ms(500);
+    }
+
+    /// Changes the versions that an engine serves, by a restart.
+    pub fn reload_agent(&mut self, index: usize, versions: &[&str]) {
+        self.offers[index] = versions.iter().map(ToString::to_string).collect();
+        self.restart_agent(index);
+    }
+
+    /// Sets the state of a version, as an operator does.
+    pub fn set_version(&mut self, version: &str, state: &str, share: Option<f64>) {
+        let written = self.store.set_version(version, state, share);
+        self.notify(written);
+        self.run_ms(1_300);
+    }
+
+    fn notify(&mut self, written: Vec<(usize, EntryEvent)>) {
+        for (entry, event) in written {
+            self.queue.push_back(Parcel::Entry(entry, event));
+        }
+    }
+
+    /// Lets time pass in ticks.
+    pub fn run_ms(&mut self, duration_ms: u64) {
+        self.pump();
+        for _ in 0..duration_ms.div_ceil(TICK_MS) {
+            self.now = self.now + DurationMs::new(TICK_MS);
+            self.store.expire(self.now);
+            for entry in 0..self.entries.len() {
+                self.queue.push_back(Parcel::Entry(entry, EntryEvent::Tick));
+            }
+            for agent in 0..self.agents.len() {
+                self.queue.push_back(Parcel::Agent(agent, AgentEvent::Tick));
+            }
+            self.pump();
+        }
+    }
+
+    /// Delivers everything that is under way.
+    pub fn pump(&mut self) {
+        while let Some(parcel) = self.queue.pop_front() {
+            match parcel {
+                Parcel::Entry(index, event) => {
+                    let effects = self.entries[index].apply(event, self.now);
+                    for effect in effects {
+                        self.on_entry_effect(index, effect);
+                    }
+                }
+                Parcel::Agent(index, event) => {
+                    let effects = self.agents[index].apply(event, self.now);
+                    for effect in effects {
+                        self.on_agent_effect(index, effect);
+                    }
+                }
+            }
+        }
+    }
+
+    fn on_entry_effect(&mut self, index: usize, effect: EntryEffect) {
+        match effect {
+            EntryEffect::Respond { caller, head } => self.answer(caller).head = Some(head),
+            EntryEffect::Body { caller, data } => self.answer(caller).body.extend_from_slice(&data),
+            EntryEffect::End { caller } => self.answer(caller).ended = true,
+            EntryEffect::Refuse { caller, refusal, .. }
+            | EntryEffect::Abort { caller, refusal } => {
+                self.answer(caller).refusal = Some(refusal);
+            }
+            EntryEffect::Connect { agent, .. } => {
+                let entry = entry_host(index);
+                let event = AgentEvent::LinkUp { entry };
+                self.queue.push_back(Parcel::Agent(index_of(&agent), event));
+                self.queue.push_back(Parcel::Entry(index, EntryEvent::LinkUp { agent }));
+            }
+            EntryEffect::Send { agent, message } => {
+                let event = AgentEvent::Message { entry: entry_host(index), message };
+                self.queue.push_back(Parcel::Agent(index_of(&agent), event));
+            }
+            EntryEffect::Rate { request, ordinal, version, .. } => {
+                self.rate_calls += 1;
+                if !self.ratings_stalled {
+                    let rating = self.behaviour_of(&version).rating;
+                    let rating = rating.ok_or(RatingFault::Unavailable);
+                    let event = EntryEvent::Rated { request, ordinal, rating };
+                    self.queue.push_back(Parcel::Entry(index, event));
+                }
+            }
+            EntryEffect::Kv { call, operation } => {
+                let events = self.store.call(index, call, operation, self.now);
+                self.notify(events);
+            }
+            EntryEffect::Record(observation) => self.observations.push(observation),
+            _ => {}
+        }
+    }
+
+    fn answer(&mut self, caller: CallerId) -> &mut Answer {
+        self.answers.entry(caller).or_default()
+    }
+
+    fn behaviour_of(&self, version: &VersionId) -> Behaviour {
+        let known = self.behaviour.get(version.as_str()).copied();
+        known.unwrap_or(Behaviour { fails: false, rating: Some(0.9) })
+    }
+
+    fn on_agent_effect(&mut self, index: usize, effect: AgentEffect) {
+        match effect {
+            AgentEffect::Send { message: AgentMessage::PinReply { .. }, .. }
+                if self.mute_pin_replies => {}
+            AgentEffect::Send { entry, message } => {
+                let event = EntryEvent::Message { agent: agent_host(index), message };
+                self.queue.push_back(Parcel::Entry(index_of(&entry), event));
+            }
+            AgentEffect::CallUpstream { attempt, call, .. } => {
+                self.on_call(index, attempt, &call);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_call(&mut self, index: usize, attempt: AttemptId, call: &Call) {
+        let Call::Model(call) = call else {
+            return;
+        };
+        self.runs.push(call.version.clone());
+        let events = if self.behaviour_of(&call.version).fails {
+            vec![AgentEvent::UpstreamFailed { attempt, fault: UpstreamFault::ServerError }]
+        } else {
+            let usage = Usage { prompt_tokens: Tokens::new(10), answer_tokens: Tokens::new(20) };
+            let data = Bytes::from(call.version.to_string());
+            let content_type = "application/json".into();
+            vec![
+                AgentEvent::UpstreamStarted { attempt: attempt.clone(), status: 200, content_type },
+                AgentEvent::UpstreamChunk {
+                    attempt: attempt.clone(),
+                    tokens: Tokens::new(20),
+                    data,
+                },
+                AgentEvent::UpstreamEnded { attempt, usage: Some(usage) },
+            ]
+        };
+        for event in events {
+            self.queue.push_back(Parcel::Agent(index, event));
+        }
+    }
+
+    /// Sends a chat request and returns what the caller has got once everything is delivered.
+    pub fn ask(&mut self, entry: usize, model: &str, session: Option<&str>) -> Answer {
+        self.send(entry, model, session, false);
+        self.take_answer()
+    }
+
+    /// Sends a chat request without waiting for more than what is delivered at once.
+    pub fn send(&mut self, entry: usize, model: &str, session: Option<&str>, stream: bool) {
+        self.next_caller += 1;
+        let chat = ChatRequest {
+            model: model.into(),
+            stream,
+            include_usage: false,
+            prompt_tokens: Tokens::new(10),
+            max_tokens: None,
+            prefix_hash: 0,
+            body: Bytes::from_static(b"{}"),
+        };
+        let request = CallerRequest {
+            caller: CallerId::new(self.next_caller),
+            key: KeyDigest::of_key(KEY),
+            session: session.map(|text| text.parse().expect("the session is valid")),
+            class: Class::Interactive,
+            deadline_ms: None,
+            ask: Ask::Chat(chat),
+        };
+        self.queue.push_back(Parcel::Entry(entry, EntryEvent::Request(Box::new(request))));
+        self.pump();
+    }
+
+    /// What the newest caller has got so far.
+    pub fn take_answer(&mut self) -> Answer {
+        self.answers.remove(&CallerId::new(self.next_caller)).unwrap_or_default()
+    }
+
+    /// State of a version in the configuration of an entry.
+    pub fn version_state(&self, entry: usize, version: &str) -> String {
+        let version: VersionId = version.parse().expect("the id is valid");
+        let configuration = self.entries[entry].configuration();
+        let known = configuration.version(&version).expect("the version is declared");
+        known.1.state.to_string()
+    }
+}
+
+/// Checks a configuration text, in which `KEY_DIGEST` stands for the callers' key.
+pub fn configuration(yaml: &str) -> Configuration {
+    let yaml = yaml.replace("KEY_DIGEST", &KeyDigest::of_key(KEY).to_string());
+    let raw = RawConfiguration::from_yaml(&yaml).expect("the text is a configuration");
+    Configuration::try_from(raw).expect("the configuration is valid")
+}
+
+/// Cases of a property test; `HICKORY_PROPTEST_CASES` raises them.
+pub fn cases(default: u32) -> u32 {
+    let wanted = std::env::var("HICKORY_PROPTEST_CASES").ok();
+    wanted.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
