Stop versions that are worse than their baseline

Evidence existed as a type only and nobody stopped a bad canary. Agents count errors, slow first tokens and ratings per version; entries sum the counters, run an always-valid sequential test and halt the version in the configuration, each entry for itself at once on very strong evidence.

--- a/crates/hickorydoor/src/agent.rs
+++ b/crates/hickorydoor/src/agent.rs
@@ -5,6 +5,7 @@
 //! are grouped by concern: `agent_attempt` runs attempts, `agent_config` keeps configuration and
 //! links.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 
 use crate::agent_attempt::AttemptState;
@@ -14,10 +15,12 @@
 use crate::agent_settings::AgentSettings;
 use crate::config_log::ConfigLog;
 use crate::configuration::Configuration;
+use crate::evidence::Evidence;
 use crate::id::AttemptId;
 use crate::id::HostId;
 use crate::id::Incarnation;
 use crate::id::Revision;
+use crate::id::VersionId;
 use crate::message::AgentMessage;
 use crate::observation::Observation;
 use crate::recent_map::RecentMap;
@@ -52,6 +55,9 @@
     pub(crate) attempts: HashMap<AttemptId, AttemptState>,
     pub(crate) fenced: HashMap<AttemptId, TimeMs>,
     pub(crate) pins: RecentMap<PinKey, Pin>,
+    pub(crate) evidence: BTreeMap<VersionId, Evidence>,
+    pub(crate) evidence_from: Revision,
+    pub(crate) next_evidence_at_ms: TimeMs,
     pub(crate) usage: UsageStore,
     pub(crate) report: UpstreamReport,
     pub(crate) upstream_up: bool,
@@ -74,6 +80,9 @@
             attempts: HashMap::new(),
             fenced: HashMap::new(),
             pins: RecentMap::new(HELD_PINS),
+            evidence: BTreeMap::new(),
+            evidence_from: Revision::default(),
+            next_evidence_at_ms: now,
             usage: UsageStore::default(),
             report: UpstreamReport::default(),
             upstream_up: true,
@@ -137,6 +146,7 @@
     fn on_tick(&mut self, now: TimeMs) {
         self.expire_attempts(now);
         self.tick_reports(now);
+        self.tick_evidence(now);
     }
 
     fn on_shutdown(&mut self) {
--- a/crates/hickorydoor/src/agent_attempt.rs
+++ b/crates/hickorydoor/src/agent_attempt.rs
@@ -339,6 +339,13 @@
         state.ending = Some(ending);
         let entry = state.entry.clone();
         let length = state.sent;
+        let first_token_ms = state.first_token_at_ms.map(|at| at.since(state.admitted_at_ms));
+        let (version, class) = (state.version.clone(), state.class);
+        let fault = match ending {
+            Ending::Complete(_) => None,
+            Ending::Failed(fault, _) => Some(fault),
+        };
+        self.count_attempt(version.as_ref(), class, first_token_ms, fault);
         let (Ending::Complete(usage) | Ending::Failed(_, usage)) = ending;
         self.keep_usage(attempt, usage);
         self.send(&entry, ending_message(attempt, ending, length));
--- a/crates/hickorydoor/src/agent_config.rs
+++ b/crates/hickorydoor/src/agent_config.rs
@@ -43,7 +43,7 @@
                 self.on_resume(entry, &attempt, offset, now);
             }
             EntryMessage::Settled { requests } => self.usage.settle(&requests),
-            EntryMessage::Verdicts(_verdicts) => {}
+            EntryMessage::Verdicts(verdicts) => self.on_verdicts(&verdicts),
             EntryMessage::Heartbeat { revision } | EntryMessage::ConfigNotice { revision } => {
                 self.on_peer_revision(entry, revision, now);
             }
@@ -74,6 +74,7 @@
         };
         self.send(entry, AgentMessage::Hello(reply));
         self.send_report(entry, now);
+        self.send_evidence(entry);
         self.on_peer_revision(entry, hello.revision, now);
     }
 
@@ -149,8 +150,10 @@
 
     fn on_config_update(&mut self, update: ConfigUpdate) {
         self.pull = None;
+        let before = self.config.current().clone();
         let result = self.config.apply(update);
         let revision = self.revision();
+        self.restart_evidence(&before);
         match result {
             Ok(false) => {}
             Ok(true) => {
--- /dev/null
+++ b/crates/hickorydoor/src/agent_evidence.rs
@@ -0,0 +1,91 @@
+//! How an agent counts the behaviour of its engine's versions.
+
+use crate::agent::Agent;
+use crate::class::Class;
+use crate::configuration::Configuration;
+use crate::evidence::Evidence;
+use crate::id::HostId;
+use crate::id::VersionId;
+use crate::message::AgentMessage;
+use crate::message::AttemptFault;
+use crate::message::Verdict;
+use crate::time::DurationMs;
+use crate::time::TimeMs;
+use crate::version_judge::is_compared;
+
+/// Time between two digests on a link; 115 bytes for each version under rollout.
+const EVIDENCE_INTERVAL_MS: DurationMs = DurationMs::from_secs(10);
+
+impl Agent {
+    /// Counts an attempt that ended at the engine. A deadline that passed counts as slow, because
+    /// the entry chose it.
+    pub(crate) fn count_attempt(
+        &mut self,
+        version: Option<&VersionId>,
+        class: Class,
+        first_token_ms: Option<DurationMs>,
+        fault: Option<AttemptFault>,
+    ) {
+        let Some(version) = version else {
+            return;
+        };
+        let target_ms = self.config.current().defaults.first_token_target_ms;
+        let is_error =
+            matches!(fault, Some(AttemptFault::UpstreamError | AttemptFault::ConnectionLost));
+        let is_late = first_token_ms.is_some_and(|time| time > target_ms)
+            || fault == Some(AttemptFault::DeadlineExceeded);
+        let counters = self.counters(version);
+        counters.attempts += 1;
+        counters.errors += u64::from(is_error);
+        counters.slow += u64::from(is_late && class == Class::Interactive);
+    }
+
+    pub(crate) fn on_verdicts(&mut self, verdicts: &[Verdict]) {
+        for verdict in verdicts {
+            self.counters(&verdict.version).add_rating(verdict.score);
+        }
+    }
+
+    fn counters(&mut self, version: &VersionId) -> &mut Evidence {
+        let counted_from = self.evidence_from;
+        let empty = Evidence { counted_from, ..Evidence::default() };
+        self.evidence.entry(version.clone()).or_insert(empty)
+    }
+
+    /// Counts anew when the versions of a model have changed, so that a new lease holder compares
+    /// counters over the same time.
+    pub(crate) fn restart_evidence(&mut self, before: &Configuration) {
+        let current = self.config.current();
+        let changed = |version: &VersionId| {
+            let model = |configuration: &Configuration| {
+                configuration.version(version).map(|(model, _)| model.versions.clone())
+            };
+            model(before) != model(current)
+        };
+        self.evidence.retain(|version, _| !changed(version));
+        self.evidence_from = self.revision();
+    }
+
+    pub(crate) fn tick_evidence(&mut self, now: TimeMs) {
+        if now < self.next_evidence_at_ms {
+            return;
+        }
+        self.next_evidence_at_ms = now + EVIDENCE_INTERVAL_MS;
+        for entry in self.connected_entries() {
+            self.send_evidence(&entry);
+        }
+    }
+
+    /// Sends the counters of versions that have a baseline.
+    pub(crate) fn send_evidence(&mut self, entry: &HostId) {
+        let configuration = self.config.current();
+        let compared = |version: &VersionId| {
+            configuration.version(version).is_some_and(|(model, _)| is_compared(model))
+        };
+        let digests = self.evidence.iter().filter(|(version, _)| compared(version));
+        let digests: Vec<_> = digests.map(|(version, e)| (version.clone(), *e)).collect();
+        if !digests.is_empty() {
+            self.send(entry, AgentMessage::Evidence(digests));
+        }
+    }
+}
--- a/crates/hickorydoor/src/entry.rs
+++ b/crates/hickorydoor/src/entry.rs
@@ -14,6 +14,8 @@
 use crate::configuration::Configuration;
 use crate::entry_effect::EntryEffect;
 use crate::entry_event::EntryEvent;
+use crate::entry_halt::RolloutLease;
+use crate::entry_rating::Ratings;
 use crate::entry_settings::EntrySettings;
 use crate::id::CallerId;
 use crate::id::HostId;
@@ -26,6 +28,7 @@
 use crate::message::EntryMessage;
 use crate::observation::Observation;
 use crate::request_state::RequestState;
+use crate::rollout_guard::RolloutGuard;
 use crate::session_pin::SessionPins;
 use crate::time::TimeMs;
 
@@ -38,6 +41,18 @@
     WatchChanges,
     /// Stores the oldest sealed batch.
     StoreBatch,
+    /// Looks whether a rollout lease is free.
+    LookAtRolloutLease,
+    /// Creates the lease for rollouts.
+    GrantRolloutLease,
+    /// Claims a rollout lease.
+    ClaimRolloutLease,
+    /// Renews the lease for rollouts.
+    KeepRolloutLease,
+    /// Reads head and model before a halt.
+    ReadForHalt,
+    /// Writes a halt.
+    WriteHalt,
 }
 
 /// State of one entry.
@@ -50,6 +65,11 @@
     pub(crate) requests: HashMap<Serial, RequestState>,
     pub(crate) callers: HashMap<CallerId, Serial>,
     pub(crate) pins: SessionPins,
+    pub(crate) guard: RolloutGuard,
+    pub(crate) rollout: RolloutLease,
+    pub(crate) ratings: Ratings,
+    pub(crate) next_own_evaluation_at_ms: TimeMs,
+    pub(crate) next_fleet_evaluation_at_ms: TimeMs,
     pub(crate) ledger: Ledger,
     pub(crate) kv_calls: HashMap<KvCallId, KvPurpose>,
     pub(crate) pull: Option<(HostId, TimeMs)>,
@@ -76,6 +96,11 @@
             requests: HashMap::new(),
             callers: HashMap::new(),
             pins: SessionPins::default(),
+            guard: RolloutGuard::default(),
+            rollout: RolloutLease::default(),
+            ratings: Ratings::new(settings.ratings_per_s, now),
+            next_own_evaluation_at_ms: now,
+            next_fleet_evaluation_at_ms: now,
             ledger: Ledger::new(settings.host.clone(), settings.incarnation),
             kv_calls: HashMap::new(),
             pull: None,
@@ -135,6 +160,8 @@
 
     fn on_tick(&mut self, now: TimeMs) {
         self.tick_pins(now);
+        self.tick_guard(now);
+        self.tick_ratings(now);
         self.expire_requests(now);
         self.tick_configuration(now);
         self.tick_links(now);
--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -53,7 +53,7 @@
             }
             AgentMessage::Hello(hello) => self.on_hello(agent, hello, now),
             AgentMessage::Load(report) => self.on_load(agent, *report, now),
-            AgentMessage::Evidence(_digests) => {}
+            AgentMessage::Evidence(digests) => self.on_evidence(agent, &digests),
             AgentMessage::Draining => self.on_draining(agent),
             AgentMessage::IncarnationClosed { incarnation } => {
                 self.on_incarnation_closed(incarnation);
@@ -158,6 +158,7 @@
         if let Some(state) = self.requests.get_mut(&serial) {
             state.first_token_at_ms.get_or_insert(now);
         }
+        self.copy_to_sample(serial, &data);
         self.deliver(serial, attempt, data, length);
     }
 
@@ -242,6 +243,7 @@
         }
         current.complete = true;
         let version = current.version.clone();
+        self.count_own_attempt(serial, version.as_ref(), None);
         self.add_usage(serial, version, usage);
         if !self.ask_for_rating(serial) {
             self.release_answer(serial, now);
@@ -251,11 +253,12 @@
     /// Delivers the rest of a complete answer and ends the request.
     fn release_answer(&mut self, serial: Serial, now: TimeMs) {
         self.release_held(serial);
-        self.release_attempt(serial);
         if let Some(state) = self.requests.get(&serial) {
             let caller = state.caller;
             self.push(EntryEffect::End { caller });
         }
+        self.rate_sample(serial, now);
+        self.release_attempt(serial);
         self.finish(serial, RequestOutcome::Served, now);
     }
 
@@ -290,6 +293,9 @@
         rating: Result<f64, RatingFault>,
         now: TimeMs,
     ) {
+        if self.on_sample_rated(request, ordinal, rating) {
+            return;
+        }
         let serial = request.serial;
         let Some(state) = self.requests.get_mut(&serial).filter(|state| state.id == *request)
         else {
@@ -330,6 +336,7 @@
             fault,
         });
         let version = self.release_attempt(serial).and_then(|attempt| attempt.version);
+        self.count_own_attempt(serial, version.as_ref(), Some(fault));
         self.add_usage(serial, version, usage);
         self.after_failure(serial, agent, fault, now);
     }
--- a/crates/hickorydoor/src/entry_config.rs
+++ b/crates/hickorydoor/src/entry_config.rs
@@ -70,6 +70,12 @@
             KvPurpose::LoadConfiguration => self.on_configuration_loaded(outcome, now),
             KvPurpose::WatchChanges => self.on_changes(outcome, now),
             KvPurpose::StoreBatch => self.on_batch_stored(outcome, now),
+            KvPurpose::LookAtRolloutLease => self.on_lease_looked_at(&outcome),
+            KvPurpose::GrantRolloutLease => self.on_lease_granted(&outcome, now),
+            KvPurpose::ClaimRolloutLease => self.on_lease_claimed(&outcome),
+            KvPurpose::KeepRolloutLease => self.on_lease_kept(&outcome),
+            KvPurpose::ReadForHalt => self.on_read_for_halt(outcome, now),
+            KvPurpose::WriteHalt => self.on_halt_written(&outcome),
         }
     }
 
--- /dev/null
+++ b/crates/hickorydoor/src/entry_guard.rs
@@ -0,0 +1,162 @@
+//! How an entry stops versions that turn out to be worse.
+
+use compact_str::format_compact;
+
+use crate::class::Class;
+use crate::entry::Entry;
+use crate::evidence::Evidence;
+use crate::id::HostId;
+use crate::id::ModelId;
+use crate::id::Serial;
+use crate::id::VersionId;
+use crate::message::AttemptFault;
+use crate::model::Model;
+use crate::model::VersionState;
+use crate::observation::Observation;
+use crate::time::DurationMs;
+use crate::time::TimeMs;
+use crate::version_judge::Finding;
+use crate::version_judge::is_compared;
+
+/// Time between two evaluations of what this entry has seen itself.
+const OWN_INTERVAL_MS: DurationMs = DurationMs::from_secs(1);
+/// Time between two evaluations of the agents' counters.
+const FLEET_INTERVAL_MS: DurationMs = DurationMs::from_secs(10);
+/// A version that no agent serves for this long is halted, so that its sessions can move. Longer
+/// than a restart of a few engines.
+const DRY_MS: DurationMs = DurationMs::from_secs(60);
+
+impl Entry {
+    pub(crate) fn tick_guard(&mut self, now: TimeMs) {
+        if now >= self.next_own_evaluation_at_ms {
+            self.next_own_evaluation_at_ms = now + OWN_INTERVAL_MS;
+            let stopped = self.guard.evaluate_own(self.config.current());
+            self.record_stops(&stopped, now);
+            self.stop_dry_versions(now);
+        }
+        if now >= self.next_fleet_evaluation_at_ms {
+            self.next_fleet_evaluation_at_ms = now + FLEET_INTERVAL_MS;
+            let (findings, stopped) = self.guard.evaluate_fleet(self.config.current());
+            self.record_findings(findings);
+            self.record_stops(&stopped, now);
+        }
+        self.tick_rollout_lease(now);
+        self.tick_halts(now);
+    }
+
+    fn record_stops(&mut self, findings: &[Finding], now: TimeMs) {
+        for finding in findings {
+            self.delay_halt(&finding.version, now);
+            self.record(Observation::VersionStopped {
+                version: finding.version.clone(),
+                log_evidence: finding.log_evidence,
+            });
+        }
+        if !findings.is_empty() {
+            // Sessions on the version move at their next request.
+            self.on_models_changed();
+        }
+    }
+
+    /// The lease holder reports exposure and evidence of each version under rollout.
+    fn record_findings(&mut self, findings: Vec<Finding>) {
+        for Finding { version, log_evidence, total } in findings {
+            let configuration = self.config.current();
+            let model = configuration.version(&version).map(|(model, _)| &model.id);
+            if model.is_some_and(|model| self.guard.held.contains(model)) {
+                let total = Box::new(total);
+                self.record(Observation::VersionEvidence { version, log_evidence, total });
+            }
+        }
+    }
+
+    pub(crate) fn on_evidence(&mut self, agent: &HostId, digests: &[(VersionId, Evidence)]) {
+        let Some(hello) = self.members.get(agent).and_then(|member| member.hello.as_ref()) else {
+            return;
+        };
+        let incarnation = hello.incarnation;
+        for (version, digest) in digests {
+            self.guard.add_digest(agent, incarnation, version, *digest);
+        }
+    }
+
+    /// Counts an attempt that ended for this entry's own test.
+    pub(crate) fn count_own_attempt(
+        &mut self,
+        serial: Serial,
+        version: Option<&VersionId>,
+        fault: Option<AttemptFault>,
+    ) {
+        let (Some(version), Some(state)) = (version, self.requests.get(&serial)) else {
+            return;
+        };
+        let target_ms = self.config.current().defaults.first_token_target_ms;
+        let first_token_ms = state
+            .first_token_at_ms
+            .zip(state.first_dispatch_at_ms)
+            .map(|(token, dispatch)| token.since(dispatch));
+        // A later attempt would be blamed for the time of the earlier ones.
+        let first_attempt = state.attempts == 1;
+        let is_late = first_attempt && first_token_ms.is_some_and(|time| time > target_ms);
+        let is_interactive = state.class == Class::Interactive;
+        let is_error =
+            matches!(fault, Some(AttemptFault::UpstreamError | AttemptFault::ConnectionLost));
+        let counters = self.guard.own.fresh(version);
+        counters.attempts += 1;
+        counters.errors += u64::from(is_error);
+        counters.slow += u64::from(is_late && is_interactive);
+    }
+
+    /// Whether this entry sends nothing to the version, although the configuration allows it.
+    pub(crate) fn is_stopped(&self, version: &VersionId) -> bool {
+        self.guard.stops.contains_key(version) && self.fallback(version).is_some()
+    }
+
+    /// The version that takes over when `version` is stopped: the newest other active one with an
+    /// upstream, else the newest draining one. Without one, a bad version is better than none.
+    pub(crate) fn fallback(&self, version: &VersionId) -> Option<VersionId> {
+        let (model, _) = self.config.current().version(version)?;
+        let find = |state: VersionState| {
+            model.versions.iter().rev().find(|known| {
+                let other = known.id != *version && !self.guard.stops.contains_key(&known.id);
+                other && known.state == state && self.has_agent(&known.id)
+            })
+        };
+        let found = find(VersionState::Active).or_else(|| find(VersionState::Draining));
+        found.map(|known| known.id.clone())
+    }
+
+    /// Stops versions without upstreams. Only an entry that is linked to every listed agent can
+    /// tell that there are none.
+    fn stop_dry_versions(&mut self, now: TimeMs) {
+        let all_linked = self.members.iter().all(|(_, member)| member.connected);
+        let compared = self.config.current().models.values().filter(|model| is_compared(model));
+        let serving = compared.flat_map(|model| &model.versions);
+        let serving = serving.filter(|version| version.state.serves_sessions());
+        let dry: Vec<VersionId> = serving
+            .filter(|version| all_linked && !self.has_agent(&version.id))
+            .filter(|version| self.fallback(&version.id).is_some())
+            .map(|version| version.id.clone())
+            .collect();
+        self.guard.dry_since_ms.retain(|version, _| dry.contains(version));
+        for version in dry {
+            let since = *self.guard.dry_since_ms.entry(version.clone()).or_insert(now);
+            if now >= since + DRY_MS {
+                let reason = format_compact!("no upstream has served it for {DRY_MS}");
+                if self.guard.stop(self.config.current(), &version, reason) {
+                    self.record(Observation::VersionStopped { version, log_evidence: 0.0 });
+                    self.on_models_changed();
+                }
+            }
+        }
+    }
+
+    /// Models with versions to compare whose agents are linked to this entry.
+    pub(crate) fn compared_models(&self) -> Vec<ModelId> {
+        let is_served =
+            |model: &&Model| model.versions.iter().any(|version| self.has_agent(&version.id));
+        let models = self.config.current().models.values();
+        let compared = models.filter(|model| is_compared(model)).filter(is_served);
+        compared.map(|model| model.id.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/entry_halt.rs
@@ -0,0 +1,301 @@
+//! How an entry holds rollout leases and writes halts into the configuration.
+//!
+//! The lease only keeps entries from doing the same work. A holder that was paused and halts a
+//! version late does no harm: the halt compares the head and the model with what it has read, and
+//! a version that operators have changed in the meantime is read again and left alone.
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use rand::RngExt;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::change::ChangeRecord;
+use crate::change::Operation;
+use crate::entry::Entry;
+use crate::entry::KvPurpose;
+use crate::head::Head;
+use crate::id::ChangeId;
+use crate::id::ModelId;
+use crate::id::OperatorId;
+use crate::id::VersionId;
+use crate::item::Item;
+use crate::item::ItemKey;
+use crate::item::ItemKind;
+use crate::keys;
+use crate::kv_call::KvCall;
+use crate::kv_call::KvCompare;
+use crate::kv_call::KvOperation;
+use crate::kv_call::KvOutcome;
+use crate::kv_call::KvPair;
+use crate::kv_call::KvReply;
+use crate::model::Model;
+use crate::model::VersionState;
+use crate::observation::Observation;
+use crate::raw_configuration::RawChangeRecord;
+use crate::raw_configuration::RawItem;
+use crate::time::DurationMs;
+use crate::time::TimeMs;
+
+/// Name under which halts are recorded.
+const OPERATOR: &str = "rollout-guard";
+const LEASE_TTL_MS: DurationMs = DurationMs::from_secs(15);
+const KEEP_ALIVE_MS: DurationMs = DurationMs::from_secs(5);
+/// Time between two looks at a lease that another entry holds, with a random part of the same
+/// length: 560 entries make 12 reads/s for each rollout.
+const CLAIM_PAUSE_MS: u64 = 30_000;
+/// First look after a rollout has begun, at most.
+const FIRST_CLAIM_MS: u64 = 2_000;
+/// Pause before a halt is tried again.
+const HALT_PAUSE_MS: DurationMs = DurationMs::from_secs(1);
+/// Longest time that entries without the lease leave to its holder.
+const HALT_DELAY_MS: u64 = 5_000;
+
+/// Lease of an entry and its next steps.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RolloutLease {
+    lease: Option<u64>,
+    next_claim_at_ms: Option<TimeMs>,
+    next_keep_alive_at_ms: TimeMs,
+    next_halt_at_ms: TimeMs,
+    /// The model whose lease is asked for.
+    claiming: Option<ModelId>,
+    /// The version whose halt is under way.
+    halting: Option<VersionId>,
+    halts: u64,
+}
+
+impl Entry {
+    pub(crate) fn tick_rollout_lease(&mut self, now: TimeMs) {
+        let models = self.compared_models();
+        self.guard.held.retain(|model| models.contains(model));
+        if self.draining || models.is_empty() {
+            self.rollout.next_claim_at_ms = None;
+            return;
+        }
+        if let Some(lease) = self.rollout.lease.filter(|_| !self.guard.held.is_empty())
+            && now >= self.rollout.next_keep_alive_at_ms
+        {
+            self.rollout.next_keep_alive_at_ms = now + KEEP_ALIVE_MS;
+            self.call_kv(KvPurpose::KeepRolloutLease, KvCall::KeepAlive { lease });
+        }
+        let first = now + DurationMs::new(self.rng.random_range(0..FIRST_CLAIM_MS));
+        let claim_at = *self.rollout.next_claim_at_ms.get_or_insert(first);
+        if now < claim_at || self.rollout.claiming.is_some() {
+            return;
+        }
+        let pause_ms = CLAIM_PAUSE_MS + self.rng.random_range(0..CLAIM_PAUSE_MS);
+        self.rollout.next_claim_at_ms = Some(now + DurationMs::new(pause_ms));
+        let wanted = models.into_iter().find(|model| !self.guard.held.contains(model));
+        if let Some(model) = wanted {
+            self.look_at_lease(model);
+        }
+    }
+
+    fn look_at_lease(&mut self, model: ModelId) {
+        let compares = vec![KvCompare::Absent { key: keys::rollout_lease(&model) }];
+        self.rollout.claiming = Some(model);
+        let look = KvCall::Transaction { compares, then: Vec::new(), otherwise: Vec::new() };
+        self.call_kv(KvPurpose::LookAtRolloutLease, look);
+    }
+
+    pub(crate) fn on_lease_looked_at(&mut self, outcome: &KvOutcome) {
+        let free =
+            matches!(outcome, KvOutcome::Reply(KvReply::Transaction { succeeded: true, .. }));
+        match (free, self.rollout.lease) {
+            (false, _) => self.rollout.claiming = None,
+            (true, Some(_)) => self.claim_lease(),
+            (true, None) => {
+                let grant = KvCall::Grant { ttl_ms: LEASE_TTL_MS };
+                self.call_kv(KvPurpose::GrantRolloutLease, grant);
+            }
+        }
+    }
+
+    pub(crate) fn on_lease_granted(&mut self, outcome: &KvOutcome, now: TimeMs) {
+        match outcome {
+            KvOutcome::Reply(KvReply::Lease { lease, .. }) => {
+                self.rollout.lease = Some(*lease);
+                self.rollout.next_keep_alive_at_ms = now + KEEP_ALIVE_MS;
+                self.claim_lease();
+            }
+            _ => self.rollout.claiming = None,
+        }
+    }
+
+    fn claim_lease(&mut self) {
+        let Some(model) = &self.rollout.claiming else {
+            return;
+        };
+        let key = keys::rollout_lease(model);
+        let value = self.settings.host.as_str().as_bytes().to_vec().into();
+        let put = KvOperation::Put { key: key.clone(), value, lease: self.rollout.lease };
+        let claim = KvCall::Transaction {
+            compares: vec![KvCompare::Absent { key }],
+            then: vec![put],
+            otherwise: Vec::new(),
+        };
+        self.call_kv(KvPurpose::ClaimRolloutLease, claim);
+    }
+
+    /// A claim whose reply was lost is not counted as held; its key lapses with the lease.
+    pub(crate) fn on_lease_claimed(&mut self, outcome: &KvOutcome) {
+        let model = self.rollout.claiming.take();
+        let claimed =
+            matches!(outcome, KvOutcome::Reply(KvReply::Transaction { succeeded: true, .. }));
+        match model {
+            Some(model) if claimed => {
+                self.guard.held.insert(model);
+            }
+            _ if self.guard.held.is_empty() => self.rollout.lease = None,
+            _ => {}
+        }
+    }
+
+    /// While the service is not reachable no other entry can take the lease over, so it counts as
+    /// held until the service says otherwise.
+    pub(crate) fn on_lease_kept(&mut self, outcome: &KvOutcome) {
+        if let KvOutcome::Reply(KvReply::Lease { ttl_ms, .. }) = outcome
+            && *ttl_ms == DurationMs::default()
+        {
+            self.rollout.lease = None;
+            self.guard.held.clear();
+        }
+    }
+
+    /// Leaves the halt of a version to the lease holder for a while.
+    pub(crate) fn delay_halt(&mut self, version: &VersionId, now: TimeMs) {
+        let model = self.config.current().version(version).map(|(model, _)| &model.id);
+        if model.is_none_or(|model| !self.guard.held.contains(model)) {
+            let delay_ms = self.rng.random_range(0..HALT_DELAY_MS);
+            self.rollout.next_halt_at_ms = now + DurationMs::new(delay_ms);
+        }
+    }
+
+    /// Starts to write the halt of the next version that this entry has stopped.
+    pub(crate) fn tick_halts(&mut self, now: TimeMs) {
+        if self.rollout.halting.is_some() || now < self.rollout.next_halt_at_ms {
+            return;
+        }
+        let mut stopped = self.guard.stops.keys();
+        let Some(version) = stopped.find(|version| self.fallback(version).is_some()).cloned()
+        else {
+            return;
+        };
+        let Some((model, _)) = self.config.current().version(&version) else {
+            return;
+        };
+        let item = keys::item(&ItemKey { kind: ItemKind::Model, id: model.id.as_str().into() });
+        let read = KvCall::Transaction {
+            compares: Vec::new(),
+            then: vec![KvOperation::Get { key: keys::HEAD.into() }, KvOperation::Get { key: item }],
+            otherwise: Vec::new(),
+        };
+        self.rollout.halting = Some(version);
+        self.call_kv(KvPurpose::ReadForHalt, read);
+    }
+
+    pub(crate) fn on_read_for_halt(&mut self, outcome: KvOutcome, now: TimeMs) {
+        self.rollout.next_halt_at_ms = now + HALT_PAUSE_MS;
+        let Some(version) = self.rollout.halting.take() else {
+            return;
+        };
+        let KvOutcome::Reply(KvReply::Transaction { results, .. }) = outcome else {
+            self.record(Observation::KvUnavailable);
+            return;
+        };
+        if let Some(write) = self.halt_transaction(&version, &results, now) {
+            self.rollout.halting = Some(version);
+            self.call_kv(KvPurpose::WriteHalt, write);
+        }
+    }
+
+    /// The transaction that halts the version, unless the stored state is no longer the one in
+    /// which it was stopped.
+    fn halt_transaction(
+        &mut self,
+        version: &VersionId,
+        results: &[Vec<KvPair>],
+        now: TimeMs,
+    ) -> Option<KvCall> {
+        let [head, item] = results else {
+            return None;
+        };
+        let (head, item) = (head.first()?, item.first()?);
+        let revision = serde_json::from_slice::<Head>(&head.value).ok()?.revision.next();
+        let raw: RawItem = serde_json::from_slice(&item.value).ok()?;
+        let Item::Model(mut model) = Item::try_from(raw).ok()? else {
+            return None;
+        };
+        let stop = self.guard.stops.get(version)?.clone();
+        if model.version(version)?.state != stop.state {
+            return None;
+        }
+        let fallback = self.fallback(version)?;
+        halt(&mut model, version, &fallback);
+        let record = ChangeRecord {
+            revision,
+            change: self.next_change_id(version)?,
+            operator: OperatorId::try_from(OPERATOR).ok()?,
+            reason: format_compact!("{version} halted by {}: {}", self.settings.host, stop.reason),
+            made_at_ms: now,
+            operations: vec![Operation::Put(Item::Model(model.clone()))],
+        };
+        let new_head = Head { revision, change: record.change.clone() };
+        let put = |key: CompactString, value: Vec<u8>| KvOperation::Put {
+            key,
+            value: value.into(),
+            lease: None,
+        };
+        let raw = RawItem::from(&Item::Model(model));
+        Some(KvCall::Transaction {
+            compares: vec![unchanged(head), unchanged(item)],
+            then: vec![
+                put(item.key.clone(), serde_json::to_vec(&raw).ok()?),
+                put(head.key.clone(), serde_json::to_vec(&new_head).ok()?),
+                put(
+                    keys::change(revision),
+                    serde_json::to_vec(&RawChangeRecord::from(&record)).ok()?,
+                ),
+            ],
+            otherwise: Vec::new(),
+        })
+    }
+
+    fn next_change_id(&mut self, version: &VersionId) -> Option<ChangeId> {
+        self.rollout.halts += 1;
+        let settings = &self.settings;
+        let unique = format_compact!(
+            "{version}/{}/{}/{}",
+            settings.host,
+            settings.incarnation,
+            self.rollout.halts
+        );
+        ChangeId::try_from(format_compact!("halt-{:016x}", xxh3_64(unique.as_bytes()))).ok()
+    }
+
+    /// A lost reply needs no care: the next read shows whether the halt took effect.
+    pub(crate) fn on_halt_written(&mut self, outcome: &KvOutcome) {
+        let version = self.rollout.halting.take();
+        let written =
+            matches!(outcome, KvOutcome::Reply(KvReply::Transaction { succeeded: true, .. }));
+        if let Some(version) = version.filter(|_| written) {
+            self.record(Observation::VersionHalted { version });
+        }
+    }
+}
+
+fn unchanged(pair: &KvPair) -> KvCompare {
+    KvCompare::ModifiedAt { key: pair.key.clone(), store_revision: pair.modify_revision }
+}
+
+/// Halts a version; a draining fallback takes new sessions again.
+fn halt(model: &mut Model, version: &VersionId, fallback: &VersionId) {
+    for known in &mut model.versions {
+        if known.id == *version {
+            known.state = VersionState::Halted;
+            known.canary_share = crate::quantity::Share::ZERO;
+        } else if known.id == *fallback {
+            known.state = VersionState::Active;
+        }
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/entry_rating.rs
@@ -0,0 +1,157 @@
+//! How an entry has a sample of its answers rated, and reports ratings to the agents.
+//!
+//! Whether an answer is sampled is decided before the attempt is sent, so that the sample does not
+//! depend on the outcome. The caller has its whole answer before the rating service is asked.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use bytes::Bytes;
+
+use crate::caller_request::Ask;
+use crate::entry::Entry;
+use crate::entry_effect::EntryEffect;
+use crate::entry_event::RatingFault;
+use crate::id::HostId;
+use crate::id::RequestId;
+use crate::id::Serial;
+use crate::id::VersionId;
+use crate::message::EntryMessage;
+use crate::message::Verdict;
+use crate::quantity::ByteCount;
+use crate::rating_sampler::RatingSampler;
+use crate::request_state::RequestState;
+use crate::time::DurationMs;
+use crate::time::TimeMs;
+use crate::version_judge::is_compared;
+
+/// Longer answers are not sampled; bounds the memory of copies.
+const MAX_SAMPLE_BYTES: ByteCount = ByteCount::new(256 << 10);
+/// Ratings that take longer are not waited for.
+const SAMPLE_TIMEOUT_MS: DurationMs = DurationMs::from_secs(30);
+/// Time between two reports of ratings to the agents.
+const VERDICT_INTERVAL_MS: DurationMs = DurationMs::from_secs(1);
+
+/// A sampled answer that waits for its rating.
+#[derive(Clone, Debug)]
+struct Sample {
+    agent: HostId,
+    version: VersionId,
+    until_ms: TimeMs,
+}
+
+/// Samples and verdicts of an entry.
+#[derive(Clone, Debug)]
+pub(crate) struct Ratings {
+    sampler: RatingSampler,
+    samples: HashMap<(Serial, u32), Sample>,
+    verdicts: BTreeMap<HostId, Vec<Verdict>>,
+    next_report_at_ms: TimeMs,
+}
+
+impl Ratings {
+    pub(crate) fn new(rate_per_s: f64, now: TimeMs) -> Self {
+        Self {
+            sampler: RatingSampler::new(rate_per_s, now),
+            samples: HashMap::new(),
+            verdicts: BTreeMap::new(),
+            next_report_at_ms: now,
+        }
+    }
+}
+
+impl Entry {
+    /// Decides whether the answer of the next attempt is rated after its delivery.
+    pub(crate) fn draws_sample(
+        &mut self,
+        serial: Serial,
+        version: &VersionId,
+        now: TimeMs,
+    ) -> bool {
+        let judged = self.requests.get(&serial).and_then(RequestState::rating_needed);
+        if judged.is_some() {
+            return false;
+        }
+        let model = self.config.current().version(version).map(|(model, _)| model);
+        let compared = model.is_some_and(is_compared);
+        self.ratings.sampler.take(compared, now)
+    }
+
+    /// Keeps a piece of a sampled answer.
+    pub(crate) fn copy_to_sample(&mut self, serial: Serial, data: &Bytes) {
+        let Some(attempt) = self.requests.get_mut(&serial).and_then(|s| s.attempt.as_mut()) else {
+            return;
+        };
+        if attempt.received > MAX_SAMPLE_BYTES {
+            attempt.sample = None;
+        } else if let Some(pieces) = &mut attempt.sample {
+            pieces.push(data.clone());
+        }
+    }
+
+    /// Asks for the rating of a sampled answer that the caller has got.
+    pub(crate) fn rate_sample(&mut self, serial: Serial, now: TimeMs) {
+        let Some(state) = self.requests.get_mut(&serial) else {
+            return;
+        };
+        let Some(attempt) = &mut state.attempt else {
+            return;
+        };
+        let (Some(version), Some(pieces)) = (attempt.version.clone(), attempt.sample.take()) else {
+            return;
+        };
+        let Ask::Chat(chat) = &state.request.ask else {
+            return;
+        };
+        let sample = Sample {
+            agent: attempt.agent.clone(),
+            version: version.clone(),
+            until_ms: now + SAMPLE_TIMEOUT_MS,
+        };
+        let effect = EntryEffect::Rate {
+            request: state.id.clone(),
+            ordinal: attempt.ordinal,
+            version,
+            prompt: chat.body.clone(),
+            answer: pieces.concat().into(),
+        };
+        self.ratings.samples.insert((serial, attempt.ordinal), sample);
+        self.push(effect);
+    }
+
+    /// Takes the rating of a sample; returns whether it was one.
+    pub(crate) fn on_sample_rated(
+        &mut self,
+        request: &RequestId,
+        ordinal: u32,
+        rating: Result<f64, RatingFault>,
+    ) -> bool {
+        let own = request.incarnation == self.settings.incarnation;
+        let key = (request.serial, ordinal);
+        let Some(sample) = self.ratings.samples.remove(&key).filter(|_| own) else {
+            return false;
+        };
+        if let Ok(score) = rating {
+            self.report_rating(&sample.agent, &sample.version, score);
+        }
+        true
+    }
+
+    /// Counts a rating for this entry's own test and for the agent that answered.
+    pub(crate) fn report_rating(&mut self, agent: &HostId, version: &VersionId, score: f64) {
+        self.guard.own.fresh(version).add_rating(score);
+        let verdict = Verdict { version: version.clone(), score };
+        self.ratings.verdicts.entry(agent.clone()).or_default().push(verdict);
+    }
+
+    pub(crate) fn tick_ratings(&mut self, now: TimeMs) {
+        if now < self.ratings.next_report_at_ms {
+            return;
+        }
+        self.ratings.next_report_at_ms = now + VERDICT_INTERVAL_MS;
+        self.ratings.samples.retain(|_, sample| now < sample.until_ms);
+        for (agent, verdicts) in std::mem::take(&mut self.ratings.verdicts) {
+            self.send(&agent, EntryMessage::Verdicts(verdicts));
+        }
+    }
+}
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -178,6 +178,8 @@
         version: Option<VersionId>,
         now: TimeMs,
     ) {
+        let sampled =
+            version.as_ref().is_some_and(|version| self.draws_sample(serial, version, now));
         let Some(member) = self.members.get_mut(agent) else {
             return;
         };
@@ -221,6 +223,7 @@
             tokens: Tokens::default(),
             link_lost_at_ms: None,
             complete: false,
+            sample: sampled.then(Vec::new),
         });
         state.attempts += 1;
         state.first_dispatch_at_ms.get_or_insert(now);
--- a/crates/hickorydoor/src/entry_rollout.rs
+++ b/crates/hickorydoor/src/entry_rollout.rs
@@ -7,7 +7,9 @@
 use crate::id::ModelId;
 use crate::id::RequestId;
 use crate::id::VersionId;
+use crate::model::Version;
 use crate::model::VersionState;
+use crate::refusal::RunState;
 use crate::request_state::RequestState;
 use crate::session_pin::share_hash;
 
@@ -20,16 +22,21 @@
     ) -> Option<VersionId> {
         let version = match &state.request.session {
             Some(session) => self.pinned_version(state, session, model)?,
-            None => self.derive_version(request_hash(&state.id), &state.customer, model)?,
+            // A request that failed on a canary is not exposed to it again.
+            None if state.run != RunState::NotRun => {
+                self.derive_version(None, &state.customer, model)?
+            }
+            None => self.derive_version(Some(request_hash(&state.id)), &state.customer, model)?,
         };
-        self.may_run(&state.customer, &version).then_some(version)
+        let runs = self.may_run(&state.customer, &version) && !self.is_stopped(&version);
+        runs.then_some(version)
     }
 
     /// The version for a new session or a request without one: the newest canary whose share holds
-    /// the hash, else the newest active version. Versions that no known agent serves come last.
+    /// the hash, if there is one, else the newest active version. Versions that no known agent serves come last.
     pub(crate) fn derive_version(
         &self,
-        hash: u128,
+        hash: Option<u128>,
         customer: &CustomerId,
         model: &ModelId,
     ) -> Option<VersionId> {
@@ -41,16 +48,23 @@
                 version.state == state && customer.allows_version(model, version)
             })
         };
-        let canary = allowed(VersionState::Canary).find(|version| {
-            let exposed = version.canary_share.contains_hash(share_hash(hash, &version.id));
-            exposed && self.has_agent(&version.id)
-        });
-        let served = allowed(VersionState::Active).find(|version| self.has_agent(&version.id));
-        let newest = allowed(VersionState::Active).next();
-        canary.or(served).or(newest).map(|version| version.id.clone())
+        let served =
+            |version: &&Version| self.has_agent(&version.id) && !self.is_stopped(&version.id);
+        let exposed = |version: &Version| {
+            let hash = hash.map(|hash| share_hash(hash, &version.id));
+            hash.is_some_and(|hash| version.canary_share.contains_hash(hash))
+        };
+        let canary = allowed(VersionState::Canary).filter(served).find(|v| exposed(v));
+        // Draining versions take over from an active one that this entry has stopped.
+        let stopped = allowed(VersionState::Active).any(|version| self.is_stopped(&version.id));
+        let draining = || allowed(VersionState::Draining).filter(served).find(|_| stopped);
+        let active = allowed(VersionState::Active).find(served);
+        let newest = allowed(VersionState::Active).find(|version| !self.is_stopped(&version.id));
+        let version = canary.or(active).or_else(draining).or(newest)?;
+        Some(version.id.clone())
     }
 
-    fn has_agent(&self, version: &VersionId) -> bool {
+    pub(crate) fn has_agent(&self, version: &VersionId) -> bool {
         let configuration = self.config.current();
         self.members
             .iter()
--- a/crates/hickorydoor/src/entry_session.rs
+++ b/crates/hickorydoor/src/entry_session.rs
@@ -110,7 +110,7 @@
         generation: u32,
         now: TimeMs,
     ) -> Option<Pin> {
-        let version = self.derive_version(key.get(), customer, model)?;
+        let version = self.derive_version(Some(key.get()), customer, model)?;
         Some(Pin { generation, since_ms: now, revision: self.revision(), version })
     }
 
@@ -131,7 +131,8 @@
 
     fn standing(&self, customer: &CustomerId, pin: &Pin) -> Standing {
         if self.may_run(customer, &pin.version) {
-            Standing::Serves
+            let stopped = self.is_stopped(&pin.version);
+            if stopped { Standing::Gone } else { Standing::Serves }
         } else if self.revision() < pin.revision {
             Standing::NotKnown
         } else {
@@ -280,8 +281,9 @@
 
     /// Cached pins are confirmed again after a change of models: other entries may have moved the
     /// session while a version was halted.
-    pub(crate) const fn on_models_changed(&mut self) {
+    pub(crate) fn on_models_changed(&mut self) {
         self.pins.epoch += 1;
+        self.guard.on_configuration(self.config.current());
     }
 }
 
--- a/crates/hickorydoor/src/entry_settings.rs
+++ b/crates/hickorydoor/src/entry_settings.rs
@@ -27,6 +27,8 @@
     pub resume_window_ms: DurationMs,
     /// Attempts of one request at most, refusals included.
     pub max_attempts: u32,
+    /// Answers outside cascades that are rated, a second.
+    pub ratings_per_s: f64,
 }
 
 impl EntrySettings {
@@ -47,6 +49,7 @@
             heartbeat_interval_ms: DurationMs::from_secs(1),
             resume_window_ms: DurationMs::from_secs(10),
             max_attempts: 4,
+            ratings_per_s: 5.0,
         }
     }
 }
--- a/crates/hickorydoor/src/evidence.rs
+++ b/crates/hickorydoor/src/evidence.rs
@@ -1,11 +1,20 @@
 //! Counters about the behaviour of a version.
 //!
-//! Counters only grow within one agent incarnation, so a digest that arrives twice or out of order
+//! Counters start again when the versions of the model change, so that all versions are counted
+//! over the same time. Otherwise they only grow within one agent incarnation, so a digest that arrives twice or out of order
 //! is merged by taking the newer one per agent.
 
-/// What one agent has seen of one version since it started.
+use crate::id::Revision;
+
+/// Tilts at which losses are summed for the sequential test. The best tilt for a drop of the mean
+/// rating is about the drop over the variance: 1 to 8 for a drop of 5% at deviations of 0.2 to 0.08.
+pub const TILTS: [f64; 4] = [0.7, 1.6, 3.5, 8.0];
+
+/// What one agent has seen of one version since the model's versions changed last.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Evidence {
+    /// The configuration change from which on the agent counted.
+    pub counted_from: Revision,
     /// Attempts that ended, well or badly.
     pub attempts: u64,
     /// Attempts that failed with an error of the version.
@@ -18,6 +27,8 @@
     pub rating_sum: f64,
     /// Sum of the squared ratings.
     pub rating_square_sum: f64,
+    /// Sums of `exp(tilt * (1 - rating))`, one for each of [`TILTS`].
+    pub tilted_loss_sums: [f64; TILTS.len()],
 }
 
 impl Evidence {
@@ -29,12 +40,63 @@
         self.ratings += other.ratings;
         self.rating_sum += other.rating_sum;
         self.rating_square_sum += other.rating_square_sum;
+        for (sum, other) in self.tilted_loss_sums.iter_mut().zip(other.tilted_loss_sums) {
+            *sum += other;
+        }
     }
 
-    /// Counts one rating between 0 and 1.
+    /// Counts one rating, limited to 0 to 1.
     pub fn add_rating(&mut self, score: f64) {
+        let score = score.clamp(0.0, 1.0);
         self.ratings += 1;
         self.rating_sum += score;
         self.rating_square_sum += score * score;
+        for (sum, tilt) in self.tilted_loss_sums.iter_mut().zip(TILTS) {
+            *sum += (tilt * (1.0 - score)).exp();
+        }
+    }
+
+    /// The attempts and errors alone.
+    #[must_use]
+    pub const fn errors_only(&self) -> Self {
+        Self {
+            counted_from: self.counted_from,
+            attempts: self.attempts,
+            errors: self.errors,
+            slow: 0,
+            ratings: 0,
+            rating_sum: 0.0,
+            rating_square_sum: 0.0,
+            tilted_loss_sums: [0.0; TILTS.len()],
+        }
+    }
+
+    /// Mean of the ratings, if there are any.
+    pub fn mean_rating(&self) -> Option<f64> {
+        (self.ratings > 0).then(|| self.rating_sum / self.ratings as f64)
+    }
+
+    /// What was counted since an earlier digest of the same agent; everything if the agent
+    /// restarted in between.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        let shrank = self.attempts < earlier.attempts || self.ratings < earlier.ratings;
+        if shrank || self.counted_from != earlier.counted_from {
+            return *self;
+        }
+        let mut tilted_loss_sums = self.tilted_loss_sums;
+        for (sum, earlier) in tilted_loss_sums.iter_mut().zip(earlier.tilted_loss_sums) {
+            *sum -= earlier;
+        }
+        Self {
+            counted_from: self.counted_from,
+            attempts: self.attempts - earlier.attempts,
+            errors: self.errors.saturating_sub(earlier.errors),
+            slow: self.slow.saturating_sub(earlier.slow),
+            ratings: self.ratings - earlier.ratings,
+            rating_sum: self.rating_sum - earlier.rating_sum,
+            rating_square_sum: self.rating_square_sum - earlier.rating_square_sum,
+            tilted_loss_sums,
+        }
     }
 }
--- a/crates/hickorydoor/src/keys.rs
+++ b/crates/hickorydoor/src/keys.rs
@@ -5,6 +5,7 @@
 
 use crate::id::HostId;
 use crate::id::Incarnation;
+use crate::id::ModelId;
 use crate::id::Revision;
 use crate::id::Sequence;
 use crate::item::ItemKey;
@@ -17,6 +18,8 @@
 pub const CHANGES_PREFIX: &str = "/hickorydoor/changes/";
 /// Prefix of all billing ledgers.
 pub const BILLS_PREFIX: &str = "/hickorydoor/bills/";
+/// Prefix of all rollout leases.
+pub const ROLLOUTS_PREFIX: &str = "/hickorydoor/rollouts/";
 
 // Twenty digits hold every u64, so that keys sort in numeric order.
 const NUMBER_WIDTH: usize = 20;
@@ -42,6 +45,11 @@
     format_compact!("{ledger}batch/{:0width$}", sequence.get(), width = NUMBER_WIDTH)
 }
 
+/// Key of the lease on a model's rollout.
+pub fn rollout_lease(model: &ModelId) -> CompactString {
+    format_compact!("{ROLLOUTS_PREFIX}{model}")
+}
+
 /// Key whose presence closes a ledger.
 pub fn ledger_closed(entry: &HostId, incarnation: Incarnation) -> CompactString {
     let ledger = ledger(entry, incarnation);
--- a/crates/hickorydoor/src/observation.rs
+++ b/crates/hickorydoor/src/observation.rs
@@ -3,6 +3,7 @@
 //! Observations hold ids and figures only, never prompts, answers or keys.
 
 use crate::class::Class;
+use crate::evidence::Evidence;
 use crate::id::AttemptId;
 use crate::id::CustomerId;
 use crate::id::HostId;
@@ -123,6 +124,27 @@
         /// The request with which it moved.
         request: RequestId,
     },
+    /// This entry stopped sending to a version.
+    VersionStopped {
+        /// The version.
+        version: VersionId,
+        /// Natural logarithm of the evidence against it; 0 if it has no upstream.
+        log_evidence: f64,
+    },
+    /// The halt of a version is stored.
+    VersionHalted {
+        /// The version.
+        version: VersionId,
+    },
+    /// Exposure and evidence of a version under rollout, from the holder of its lease.
+    VersionEvidence {
+        /// The version.
+        version: VersionId,
+        /// Natural logarithm of the evidence that it is worse than its baseline.
+        log_evidence: f64,
+        /// Everything counted about it; `attempts` is its exposure.
+        total: Box<Evidence>,
+    },
     /// The key-value service did not answer a call.
     KvUnavailable,
 }
--- a/crates/hickorydoor/src/request_state.rs
+++ b/crates/hickorydoor/src/request_state.rs
@@ -40,6 +40,8 @@
     pub link_lost_at_ms: Option<TimeMs>,
     /// Set when the whole answer has arrived and waits for its rating.
     pub complete: bool,
+    /// Copies of the answer's pieces, if it is rated after its delivery.
+    pub sample: Option<Vec<Bytes>>,
 }
 
 /// What a request wants to run.
--- a/crates/hickorydoor/src/wire.rs
+++ b/crates/hickorydoor/src/wire.rs
@@ -610,6 +610,12 @@
     /// Sum of the squared ratings.
     #[prost(double, tag = "7")]
     pub rating_square_sum: f64,
+    /// Sums of tilted losses.
+    #[prost(double, repeated, tag = "8")]
+    pub tilted_loss_sums: Vec<f64>,
+    /// Revision from which on the agent counted.
+    #[prost(uint64, tag = "9")]
+    pub counted_from: u64,
 }
 
 impl From<(VersionId, Evidence)> for WireEvidence {
@@ -622,6 +628,8 @@
             ratings: evidence.ratings,
             rating_sum: evidence.rating_sum,
             rating_square_sum: evidence.rating_square_sum,
+            tilted_loss_sums: evidence.tilted_loss_sums.to_vec(),
+            counted_from: evidence.counted_from.get(),
         }
     }
 }
@@ -630,13 +638,18 @@
     type Error = WireError;
 
     fn try_from(wire: WireEvidence) -> Result<Self, WireError> {
+        let part = "tilted loss sums";
+        let tilted_loss_sums =
+            wire.tilted_loss_sums.try_into().map_err(|_sums| WireError::Missing { part })?;
         let evidence = Evidence {
+            counted_from: Revision::new(wire.counted_from),
             attempts: wire.attempts,
             errors: wire.errors,
             slow: wire.slow,
             ratings: wire.ratings,
             rating_sum: wire.rating_sum,
             rating_square_sum: wire.rating_square_sum,
+            tilted_loss_sums,
         };
         Ok((wire.version.parse()?, evidence))
     }
--- a/crates/hickorydoor/tests/fleet/mod.rs
+++ b/crates/hickorydoor/tests/fleet/mod.rs
@@ -217,6 +217,14 @@
         self.restart_agent(index);
     }
 
+    /// Makes every call to the store fail, or ends the outage.
+    pub fn set_store_down(&mut self, down: bool) {
+        self.store.down = down;
+        let cut = self.store.cut_watches();
+        self.notify(cut);
+        self.pump();
+    }
+
     /// Sets the state of a version, as an operator does.
     pub fn set_version(&mut self, version: &str, state: &str, share: Option<f64>) {
         let written = self.store.set_version(version, state, share);
