--- a/crates/hickorydoor/src/agent.rs
+++ b/crates/hickorydoor/src/agent.rs
@@ -3,26 +3,61 @@
 //! The agent is the gate of its upstream: every call passes through it, whichever entry sent it.
 //! [`Agent::apply`] takes one event and the time and returns the effects to carry out. Handlers
 //! are grouped by concern: `agent_attempt` runs attempts, `agent_config` keeps configuration and
-//! links.
+//! links, `agent_billing` writes what lost entries left behind, `agent_claims` runs keyed calls
+//! at most once.
 
 use std::collections::HashMap;
+use std::hash::Hasher;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::agent_attempt::AttemptState;
 use crate::agent_effect::AgentEffect;
 use crate::agent_event::AgentEvent;
 use crate::agent_event::UpstreamReport;
 use crate::agent_settings::AgentSettings;
+use crate::backoff::Backoff;
+use crate::claim_table::ClaimTable;
 use crate::config_log::ConfigLog;
 use crate::configuration::Configuration;
+use crate::dispatch_fence::DispatchFence;
 use crate::id::AttemptId;
 use crate::id::HostId;
 use crate::id::Incarnation;
+use crate::id::KvCallId;
 use crate::id::Revision;
+use crate::kv_call::KvCall;
+use crate::kv_call::KvOutcome;
 use crate::message::AgentMessage;
 use crate::observation::Observation;
+use crate::time::DurationMs;
 use crate::time::TimeMs;
+use crate::usage_store::LifeKey;
 use crate::usage_store::UsageStore;
 
+/// Longer gaps between events mean that the process was paused; ticks come every 100 ms.
+const PAUSE_MS: DurationMs = DurationMs::from_secs(2);
+
+/// Why a key-value call was made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum AgentKvPurpose {
+    /// Closes the ledger of an entry incarnation.
+    CloseLedger(LifeKey),
+    /// Stores a batch in place of a lost entry.
+    StoreRecovered(LifeKey),
+    /// Works on claims.
+    Claims,
+}
+
+impl AgentKvPurpose {
+    /// Whether the call belongs to the recovery of bills.
+    pub(crate) const fn is_recovery(&self) -> bool {
+        matches!(self, Self::CloseLedger(_) | Self::StoreRecovered(_))
+    }
+}
+
 /// What an agent knows about one entry.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EntryLink {
@@ -32,8 +67,8 @@
     pub incarnation: Incarnation,
     /// Attempts received from that life.
     pub received: u64,
-    /// When the connection was lost.
-    pub lost_at_ms: Option<TimeMs>,
+    /// When the entry was heard last.
+    pub last_heard_at_ms: TimeMs,
 }
 
 /// State of one agent.
@@ -43,15 +78,24 @@
     pub(crate) config: ConfigLog,
     pub(crate) links: HashMap<HostId, EntryLink>,
     pub(crate) attempts: HashMap<AttemptId, AttemptState>,
-    pub(crate) fenced: HashMap<AttemptId, TimeMs>,
+    pub(crate) fence: DispatchFence,
+    pub(crate) claims: ClaimTable,
     pub(crate) usage: UsageStore,
     pub(crate) report: UpstreamReport,
     pub(crate) upstream_up: bool,
     pub(crate) first_token_ms: f64,
     pub(crate) pull: Option<(HostId, TimeMs)>,
     pub(crate) next_report_at_ms: TimeMs,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) kv_calls: HashMap<KvCallId, AgentKvPurpose>,
+    pub(crate) recovery_backoff: Backoff,
+    pub(crate) next_recovery_at_ms: TimeMs,
     pub(crate) draining: bool,
+    /// Since when a leaving agent has run nothing.
+    pub(crate) idle_since_ms: Option<TimeMs>,
     pub(crate) stopped: bool,
+    next_kv_call: KvCallId,
+    last_event_at_ms: TimeMs,
     effects: Vec<AgentEffect>,
 }
 
@@ -64,15 +108,23 @@
             config: ConfigLog::default(),
             links: HashMap::new(),
             attempts: HashMap::new(),
-            fenced: HashMap::new(),
+            fence: DispatchFence::default(),
+            claims: ClaimTable::default(),
             usage: UsageStore::default(),
             report: UpstreamReport::default(),
             upstream_up: true,
             first_token_ms: 0.0,
             pull: None,
             next_report_at_ms: now + settings.report_interval_ms,
+            rng: Pcg64Mcg::seed_from_u64(seed_of(&settings)),
+            kv_calls: HashMap::new(),
+            recovery_backoff: Backoff::default(),
+            next_recovery_at_ms: now,
             draining: false,
+            idle_since_ms: None,
             stopped: false,
+            next_kv_call: KvCallId::default(),
+            last_event_at_ms: now,
             effects: Vec::new(),
             settings,
         }
@@ -80,8 +132,9 @@
 
     /// Applies one event and returns the effects to carry out, in order.
     pub fn apply(&mut self, event: AgentEvent, now: TimeMs) -> Vec<AgentEffect> {
+        self.absorb_pause(now);
         match event {
-            AgentEvent::LinkUp { entry } => self.on_link_up(&entry),
+            AgentEvent::LinkUp { entry } => self.on_link_up(&entry, now),
             AgentEvent::LinkDown { entry } => self.on_link_down(&entry, now),
             AgentEvent::Message { entry, message } => self.on_message(&entry, message, now),
             AgentEvent::UpstreamStarted { attempt, status, content_type } => {
@@ -97,11 +150,11 @@
                 self.on_upstream_failed(&attempt, fault, now);
             }
             AgentEvent::UpstreamReport(report) => self.on_upstream_report(report),
-            AgentEvent::Kv { .. } => {}
+            AgentEvent::Kv { call, outcome } => self.on_kv(call, outcome, now),
             AgentEvent::Tick => self.on_tick(now),
             AgentEvent::Shutdown => self.on_shutdown(),
         }
-        self.finish_shutdown();
+        self.finish_shutdown(now);
         std::mem::take(&mut self.effects)
     }
 
@@ -128,6 +181,34 @@
     fn on_tick(&mut self, now: TimeMs) {
         self.expire_attempts(now);
         self.tick_reports(now);
+        self.tick_claims(now);
+        self.tick_billing(now);
+    }
+
+    /// While this process was paused it could hear nobody, so the gap does not count as silence.
+    fn absorb_pause(&mut self, now: TimeMs) {
+        let gap_ms = now.since(self.last_event_at_ms);
+        self.last_event_at_ms = now;
+        if gap_ms <= PAUSE_MS {
+            return;
+        }
+        for link in self.links.values_mut() {
+            link.last_heard_at_ms = link.last_heard_at_ms + gap_ms;
+        }
+        for attempt in self.attempts.values_mut() {
+            attempt.absorb_pause(gap_ms);
+        }
+    }
+
+    fn on_kv(&mut self, call: KvCallId, outcome: KvOutcome, now: TimeMs) {
+        let Some(purpose) = self.kv_calls.remove(&call) else {
+            return;
+        };
+        match purpose {
+            AgentKvPurpose::CloseLedger(life) => self.on_ledger_closed(&life, outcome, now),
+            AgentKvPurpose::Claims => self.on_claims_outcome(outcome, now),
+            AgentKvPurpose::StoreRecovered(life) => self.on_recovered_stored(&life, &outcome, now),
+        }
     }
 
     fn on_shutdown(&mut self) {
@@ -137,8 +218,12 @@
         }
     }
 
-    fn finish_shutdown(&mut self) {
-        if self.draining && self.attempts.is_empty() && !self.stopped {
+    fn finish_shutdown(&mut self, now: TimeMs) {
+        if !self.draining || self.stopped || !self.attempts.is_empty() {
+            return;
+        }
+        self.idle_since_ms.get_or_insert(now);
+        if self.is_settled(now) {
             self.stopped = true;
             self.push(AgentEffect::Stopped);
         }
@@ -155,6 +240,14 @@
         entries
     }
 
+    pub(crate) fn call_kv(&mut self, purpose: AgentKvPurpose, operation: KvCall) -> KvCallId {
+        let call = self.next_kv_call;
+        self.next_kv_call = call.next();
+        self.kv_calls.insert(call, purpose);
+        self.push(AgentEffect::Kv { call, operation });
+        call
+    }
+
     pub(crate) fn push(&mut self, effect: AgentEffect) {
         self.effects.push(effect);
     }
@@ -167,3 +260,11 @@
         self.push(AgentEffect::Record(observation));
     }
 }
+
+/// A seed of its own for each life of each agent, so that their random pauses differ.
+fn seed_of(settings: &AgentSettings) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.write(settings.host.as_str().as_bytes());
+    hasher.write_u64(settings.incarnation.get());
+    hasher.finish()
+}
--- a/crates/hickorydoor/src/agent_attempt.rs
+++ b/crates/hickorydoor/src/agent_attempt.rs
@@ -11,7 +11,10 @@
 use crate::agent::Agent;
 use crate::agent_effect::AgentEffect;
 use crate::agent_event::UpstreamFault;
+use crate::claim::MAX_RESPONSE_BYTES;
+use crate::claim::StoredResponse;
 use crate::class::Class;
+use crate::dispatch_fence::Seen;
 use crate::id::AttemptId;
 use crate::id::CustomerId;
 use crate::id::HostId;
@@ -30,52 +33,84 @@
 
 /// When an entry may try again after a refusal at the limit.
 const RETRY_AFTER_MS: DurationMs = DurationMs::new(200);
-/// How long a fenced attempt is remembered; longer than any frame can stay in a connection.
-const FENCE_MS: DurationMs = DurationMs::from_secs(120);
 /// Weight of the newest sample in the moving average of the first-token time.
 const FIRST_TOKEN_WEIGHT: f64 = 0.2;
 
 /// A piece of an answer that the entry has not credited.
 #[derive(Clone, Debug)]
-struct Piece {
-    offset: ByteCount,
-    tokens: Tokens,
-    data: Bytes,
+pub(crate) struct Piece {
+    /// Position of the first byte.
+    pub offset: ByteCount,
+    /// Tokens in it.
+    pub tokens: Tokens,
+    /// The bytes.
+    pub data: Bytes,
 }
 
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Ending {
+pub(crate) enum Ending {
+    /// The answer is complete.
     Complete(Usage),
+    /// The attempt failed.
     Failed(AttemptFault, Usage),
 }
 
+impl Ending {
+    /// The message that tells the entry.
+    pub(crate) fn message(self, attempt: &AttemptId, length: ByteCount) -> AgentMessage {
+        let attempt = attempt.clone();
+        match self {
+            Self::Complete(usage) => AgentMessage::Ended { attempt, length, usage },
+            Self::Failed(fault, usage) => AgentMessage::Failed { attempt, fault, usage },
+        }
+    }
+}
+
 /// An attempt at an agent.
 #[derive(Clone, Debug)]
 pub(crate) struct AttemptState {
-    entry: HostId,
+    /// The entry that sent it.
+    pub entry: HostId,
     customer: CustomerId,
     class: Class,
     version: Option<VersionId>,
     prompt_tokens: Tokens,
     admitted_at_ms: TimeMs,
     deadline_ms: TimeMs,
-    started: Option<(u16, CompactString)>,
+    /// Status and content type, once the upstream began to answer.
+    pub started: Option<(u16, CompactString)>,
     first_token_at_ms: Option<TimeMs>,
-    pieces: VecDeque<Piece>,
-    sent: ByteCount,
-    credited: ByteCount,
+    /// Pieces that the entry has not credited.
+    pub pieces: VecDeque<Piece>,
+    /// Bytes sent to the entry.
+    pub sent: ByteCount,
+    /// Bytes that the caller has read.
+    pub credited: ByteCount,
     tokens: Tokens,
-    ending: Option<Ending>,
+    /// How it ended.
+    pub ending: Option<Ending>,
+    /// The call, until it is passed on.
+    call: Option<Call>,
+    /// Body of the answer to a claimed call, as far as a claim can hold it.
+    claimed_body: Vec<u8>,
+    /// When the link was lost, until the entry resumes the attempt.
+    pub lost_at_ms: Option<TimeMs>,
 }
 
 impl AttemptState {
+    /// Shifts the resume window by a pause of this process.
+    pub(crate) fn absorb_pause(&mut self, gap_ms: DurationMs) {
+        self.lost_at_ms = self.lost_at_ms.map(|at| at + gap_ms);
+    }
+
     /// Whether the upstream is done with the attempt.
     pub(crate) const fn is_over(&self) -> bool {
         self.ending.is_some()
     }
 
-    const fn usage_so_far(&self) -> Usage {
+    /// Tokens of the answer so far, with those of the prompt once it began.
+    pub(crate) const fn usage_so_far(&self) -> Usage {
         let prompt_tokens = match self.tokens.get() {
             0 => Tokens::new(0),
             _ => self.prompt_tokens,
@@ -90,14 +125,26 @@
         self.settings.warm_limit
     }
 
-    pub(crate) fn on_dispatch(&mut self, entry: &HostId, dispatch: Dispatch, now: TimeMs) {
+    pub(crate) fn on_dispatch(&mut self, entry: &HostId, dispatch: &Dispatch, now: TimeMs) {
         if let Some(link) = self.links.get_mut(entry) {
             link.received += 1;
         }
         if self.attempts.contains_key(&dispatch.attempt) {
             return;
         }
-        if let Err(reason) = self.check_dispatch(&dispatch) {
+        match self.fence.seen(&dispatch.attempt) {
+            Some(Seen::PassedOn) => return,
+            Some(Seen::NotRun) => {
+                self.refuse(entry, &dispatch.attempt, AgentRefusal::Fenced);
+                return;
+            }
+            Some(Seen::Closed) => {
+                self.refuse(entry, &dispatch.attempt, AgentRefusal::IncarnationClosed);
+                return;
+            }
+            None => {}
+        }
+        if let Err(reason) = self.check_dispatch(dispatch) {
             self.refuse(entry, &dispatch.attempt, reason);
             return;
         }
@@ -105,9 +152,6 @@
     }
 
     fn check_dispatch(&self, dispatch: &Dispatch) -> Result<(), AgentRefusal> {
-        if self.fenced.contains_key(&dispatch.attempt) {
-            return Err(AgentRefusal::Fenced);
-        }
         if self.draining {
             return Err(AgentRefusal::Draining);
         }
@@ -146,23 +190,32 @@
         allowed && known.state.serves_sessions() && self.versions().contains(version)
     }
 
-    fn refuse(&mut self, entry: &HostId, attempt: &AttemptId, reason: AgentRefusal) {
-        let message = AgentMessage::Refused {
-            attempt: attempt.clone(),
-            reason,
-            retry_after_ms: RETRY_AFTER_MS,
-        };
-        self.send(entry, message);
+    /// Refuses an attempt, which from then on is never passed on.
+    pub(crate) fn refuse(&mut self, entry: &HostId, attempt: &AttemptId, reason: AgentRefusal) {
+        self.refuse_until(entry, attempt, reason, RETRY_AFTER_MS);
+    }
+
+    /// Refuses an attempt and names the time after which a new one may succeed.
+    pub(crate) fn refuse_until(
+        &mut self,
+        entry: &HostId,
+        attempt: &AttemptId,
+        reason: AgentRefusal,
+        retry_after_ms: DurationMs,
+    ) {
+        self.fence.note(attempt, Seen::NotRun);
+        let attempt = attempt.clone();
+        self.send(entry, AgentMessage::Refused { attempt, reason, retry_after_ms });
     }
 
-    fn admit(&mut self, entry: &HostId, dispatch: Dispatch, now: TimeMs) {
+    fn admit(&mut self, entry: &HostId, dispatch: &Dispatch, now: TimeMs) {
         let (version, prompt_tokens) = match &dispatch.call {
             Call::Model(call) => (Some(call.version.clone()), call.prompt_tokens),
             Call::Service(_) => (None, Tokens::default()),
         };
         let state = AttemptState {
             entry: entry.clone(),
-            customer: dispatch.customer,
+            customer: dispatch.customer.clone(),
             class: dispatch.class,
             version,
             prompt_tokens,
@@ -175,81 +228,69 @@
             credited: ByteCount::default(),
             tokens: Tokens::default(),
             ending: None,
+            call: Some(dispatch.call.clone()),
+            claimed_body: Vec::new(),
+            lost_at_ms: None,
         };
         self.attempts.insert(dispatch.attempt.clone(), state);
+        if !self.claim(dispatch, now) {
+            self.pass_on(&dispatch.attempt, now);
+        }
+    }
+
+    /// Passes an attempt on to the upstream, unless it is gone.
+    pub(crate) fn pass_on(&mut self, attempt: &AttemptId, now: TimeMs) -> bool {
+        let Some(state) = self.attempts.get_mut(attempt) else {
+            return false;
+        };
+        let Some(call) = state.call.take() else {
+            return false;
+        };
+        let timeout_ms = state.deadline_ms.since(now);
+        self.fence.note(attempt, Seen::PassedOn);
         self.push(AgentEffect::CallUpstream {
-            attempt: dispatch.attempt,
-            call: dispatch.call,
-            timeout_ms: dispatch.time_left_ms,
+            attempt: attempt.clone(),
+            call,
+            timeout_ms,
             read_bytes: self.settings.window_bytes,
         });
+        true
     }
 
-    pub(crate) fn on_cancel(&mut self, attempt: &AttemptId) {
-        let Some(state) = self.attempts.get(attempt) else {
-            return;
-        };
-        if !state.is_over() {
-            let usage = state.usage_so_far();
-            self.keep_usage(attempt, usage);
-            self.push(AgentEffect::CancelUpstream { attempt: attempt.clone() });
-        }
-        self.attempts.remove(attempt);
+    /// The entry that sent an attempt.
+    pub(crate) fn entry_of(&self, attempt: &AttemptId) -> Option<HostId> {
+        self.attempts.get(attempt).map(|state| state.entry.clone())
     }
 
-    pub(crate) fn on_credit(&mut self, attempt: &AttemptId, bytes: ByteCount) {
-        let Some(state) = self.attempts.get_mut(attempt) else {
+    /// Ends an attempt that could not be passed on.
+    pub(crate) fn fail_attempt(&mut self, attempt: &AttemptId, fault: AttemptFault) {
+        self.end_attempt(attempt, Ending::Failed(fault, Usage::default()));
+    }
+
+    pub(crate) fn on_cancel(&mut self, attempt: &AttemptId, now: TimeMs) {
+        if self.claims.is_waiting(attempt) {
+            self.claims.release(attempt, now);
+            self.fence.note(attempt, Seen::NotRun);
+            self.attempts.remove(attempt);
             return;
-        };
-        state.credited += bytes;
-        let credited = state.credited;
-        let end = |piece: &Piece| piece.offset + ByteCount::new(piece.data.len() as u64);
-        while state.pieces.front().is_some_and(|piece| end(piece) <= credited) {
-            state.pieces.pop_front();
         }
-        if !state.is_over() {
-            self.push(AgentEffect::AllowRead { attempt: attempt.clone(), bytes });
+        if self.claims.is_running(attempt) {
+            // A claimed call runs on, so that a retry can receive its response.
+            return;
         }
-        self.forget_if_done(attempt);
-    }
-
-    pub(crate) fn on_resume(
-        &mut self,
-        entry: &HostId,
-        attempt: &AttemptId,
-        offset: ByteCount,
-        now: TimeMs,
-    ) {
         let Some(state) = self.attempts.get(attempt) else {
-            // A dispatch that is still under way must not run after this answer.
-            self.fenced.insert(attempt.clone(), now + FENCE_MS);
-            if offset == ByteCount::default() && !self.usage.contains(attempt) {
-                self.refuse(entry, attempt, AgentRefusal::Fenced);
-            } else {
-                let fault = AttemptFault::NotResumable;
-                let usage = Usage::default();
-                self.send(entry, AgentMessage::Failed { attempt: attempt.clone(), fault, usage });
+            if self.fence.seen(attempt).is_none() {
+                // The cancel overtook its dispatch on a newer connection.
+                self.fence.note(attempt, Seen::NotRun);
             }
             return;
         };
-        let mut messages = Vec::new();
-        if let Some((status, content_type)) = state.started.clone() {
-            messages.push(AgentMessage::Started { attempt: attempt.clone(), status, content_type });
-        }
-        for piece in &state.pieces {
-            messages.push(AgentMessage::Chunk {
-                attempt: attempt.clone(),
-                offset: piece.offset,
-                tokens: piece.tokens,
-                data: piece.data.clone(),
-            });
-        }
-        if let Some(ending) = state.ending {
-            messages.push(ending_message(attempt, ending, state.sent));
-        }
-        for message in messages {
-            self.send(entry, message);
+        if !state.is_over() {
+            let usage = state.usage_so_far();
+            self.keep_usage(attempt, usage);
+            self.push(AgentEffect::CancelUpstream { attempt: attempt.clone() });
         }
+        self.attempts.remove(attempt);
     }
 
     pub(crate) fn on_upstream_started(
@@ -284,6 +325,9 @@
         let offset = state.sent;
         state.sent += ByteCount::new(data.len() as u64);
         state.tokens += tokens;
+        if self.claims.is_running(attempt) && state.claimed_body.len() <= MAX_RESPONSE_BYTES {
+            state.claimed_body.extend_from_slice(&data);
+        }
         state.pieces.push_back(Piece { offset, tokens, data: data.clone() });
         let entry = state.entry.clone();
         let attempt = attempt.clone();
@@ -298,12 +342,17 @@
         &mut self,
         attempt: &AttemptId,
         usage: Option<Usage>,
-        _now: TimeMs,
+        now: TimeMs,
     ) {
-        let Some(state) = self.attempts.get(attempt) else {
+        let Some(state) = self.attempts.get(attempt).filter(|state| !state.is_over()) else {
             return;
         };
         let usage = usage.unwrap_or_else(|| state.usage_so_far());
+        if self.claims.is_running(attempt) {
+            let (status, content_type) = state.started.clone().unwrap_or_default();
+            let response = StoredResponse::new(status, content_type, &state.claimed_body);
+            self.claims.finish(attempt, response, now);
+        }
         self.end_attempt(attempt, Ending::Complete(usage));
     }
 
@@ -311,22 +360,25 @@
         &mut self,
         attempt: &AttemptId,
         fault: UpstreamFault,
-        _now: TimeMs,
+        now: TimeMs,
     ) {
-        let Some(state) = self.attempts.get(attempt) else {
+        let Some(state) = self.attempts.get(attempt).filter(|state| !state.is_over()) else {
             return;
         };
         let usage = state.usage_so_far();
         match fault {
             UpstreamFault::NotSent => {
                 let entry = state.entry.clone();
+                self.claims.release(attempt, now);
                 self.attempts.remove(attempt);
                 self.refuse(&entry, attempt, AgentRefusal::UpstreamDown);
             }
             UpstreamFault::ServerError => {
+                self.claims.finish(attempt, None, now);
                 self.end_attempt(attempt, Ending::Failed(AttemptFault::UpstreamError, usage));
             }
             UpstreamFault::ConnectionLost => {
+                self.claims.finish(attempt, None, now);
                 self.end_attempt(attempt, Ending::Failed(AttemptFault::ConnectionLost, usage));
             }
         }
@@ -341,8 +393,7 @@
         let length = state.sent;
         let (Ending::Complete(usage) | Ending::Failed(_, usage)) = ending;
         self.keep_usage(attempt, usage);
-        self.send(&entry, ending_message(attempt, ending, length));
-        self.forget_if_done(attempt);
+        self.send(&entry, ending.message(attempt, length));
     }
 
     fn keep_usage(&mut self, attempt: &AttemptId, usage: Usage) {
@@ -355,29 +406,22 @@
             version: state.version.clone(),
             usage,
         };
-        self.usage.keep(attempt.clone(), copy);
-    }
-
-    /// Forgets an attempt once it is over and the entry has credited every byte.
-    fn forget_if_done(&mut self, attempt: &AttemptId) {
-        let done = self
-            .attempts
-            .get(attempt)
-            .is_some_and(|state| state.is_over() && state.credited >= state.sent);
-        if done {
-            self.attempts.remove(attempt);
-        }
+        self.usage.keep(attempt, copy);
     }
 
     /// Ends attempts whose deadline passed or whose entry stayed away for the resume window.
     pub(crate) fn expire_attempts(&mut self, now: TimeMs) {
-        self.fenced.retain(|_, until| now < *until);
         let window_ms = self.settings.resume_window_ms;
         let mut late = Vec::new();
         let mut orphaned = Vec::new();
         for (attempt, state) in &self.attempts {
-            let lost_at_ms = self.links.get(&state.entry).and_then(|link| link.lost_at_ms);
-            if lost_at_ms.is_some_and(|at| now >= at + window_ms) {
+            let silent = self
+                .links
+                .get(&state.entry)
+                .is_none_or(|link| now >= link.last_heard_at_ms + window_ms);
+            // A claimed call runs on without its entry, so that a retry can receive its response.
+            let runs_on = self.claims.is_running(attempt);
+            if !runs_on && (silent || state.lost_at_ms.is_some_and(|at| now >= at + window_ms)) {
                 orphaned.push(attempt.clone());
             } else if now >= state.deadline_ms {
                 late.push(attempt.clone());
@@ -386,14 +430,14 @@
         orphaned.sort_unstable();
         late.sort_unstable();
         for attempt in orphaned {
-            self.on_cancel(&attempt);
+            self.on_orphaned(&attempt, now);
         }
         for attempt in late {
-            self.on_deadline(&attempt);
+            self.on_deadline(&attempt, now);
         }
     }
 
-    fn on_deadline(&mut self, attempt: &AttemptId) {
+    fn on_deadline(&mut self, attempt: &AttemptId, now: TimeMs) {
         let Some(state) = self.attempts.get(attempt) else {
             return;
         };
@@ -401,17 +445,17 @@
             self.attempts.remove(attempt);
             return;
         }
+        if self.claims.is_waiting(attempt) {
+            let entry = state.entry.clone();
+            self.claims.release(attempt, now);
+            self.attempts.remove(attempt);
+            self.refuse(&entry, attempt, AgentRefusal::DeadlineExceeded);
+            return;
+        }
+        self.claims.finish(attempt, None, now);
         let usage = state.usage_so_far();
         self.push(AgentEffect::CancelUpstream { attempt: attempt.clone() });
         self.end_attempt(attempt, Ending::Failed(AttemptFault::DeadlineExceeded, usage));
         self.attempts.remove(attempt);
     }
 }
-
-fn ending_message(attempt: &AttemptId, ending: Ending, length: ByteCount) -> AgentMessage {
-    let attempt = attempt.clone();
-    match ending {
-        Ending::Complete(usage) => AgentMessage::Ended { attempt, length, usage },
-        Ending::Failed(fault, usage) => AgentMessage::Failed { attempt, fault, usage },
-    }
-}
--- a/crates/hickorydoor/src/agent_config.rs
+++ b/crates/hickorydoor/src/agent_config.rs
@@ -20,29 +20,34 @@
 const PULL_TIMEOUT_MS: DurationMs = DurationMs::from_secs(1);
 
 impl Agent {
-    pub(crate) fn on_link_up(&mut self, entry: &HostId) {
+    pub(crate) fn on_link_up(&mut self, entry: &HostId, now: TimeMs) {
         let link = self.links.entry(entry.clone()).or_default();
         link.connected = true;
-        link.lost_at_ms = None;
+        link.last_heard_at_ms = now;
     }
 
     pub(crate) fn on_link_down(&mut self, entry: &HostId, now: TimeMs) {
         if let Some(link) = self.links.get_mut(entry) {
             link.connected = false;
-            link.lost_at_ms = Some(now);
         }
+        self.lose_attempts_of(entry, now);
     }
 
     pub(crate) fn on_message(&mut self, entry: &HostId, message: EntryMessage, now: TimeMs) {
+        if let Some(link) = self.links.get_mut(entry) {
+            link.last_heard_at_ms = now;
+        }
         match message {
             EntryMessage::Hello(hello) => self.on_hello(entry, &hello, now),
-            EntryMessage::Dispatch(dispatch) => self.on_dispatch(entry, *dispatch, now),
-            EntryMessage::Cancel { attempt } => self.on_cancel(&attempt),
-            EntryMessage::Credit { attempt, bytes } => self.on_credit(&attempt, bytes),
+            EntryMessage::Dispatch(dispatch) => self.on_dispatch(entry, &dispatch, now),
+            EntryMessage::Cancel { attempt } => self.on_cancel(&attempt, now),
+            EntryMessage::Credit { attempt, read_bytes } => {
+                self.on_credit(&attempt, read_bytes);
+            }
             EntryMessage::Resume { attempt, offset } => {
-                self.on_resume(entry, &attempt, offset, now);
+                self.on_resume(entry, &attempt, offset);
             }
-            EntryMessage::Settled { requests } => self.usage.settle(&requests),
+            EntryMessage::Settled(settlement) => self.on_settled(&settlement),
             EntryMessage::Verdicts(_verdicts) => {}
             EntryMessage::Heartbeat { revision } | EntryMessage::ConfigNotice { revision } => {
                 self.on_peer_revision(entry, revision, now);
@@ -55,11 +60,16 @@
 
     fn on_hello(&mut self, entry: &HostId, hello: &EntryHello, now: TimeMs) {
         let link = self.links.entry(entry.clone()).or_default();
+        if hello.incarnation < link.incarnation {
+            // A late hello of an earlier life.
+            return;
+        }
         link.connected = true;
-        link.lost_at_ms = None;
+        link.last_heard_at_ms = now;
         if link.incarnation != hello.incarnation {
             link.incarnation = hello.incarnation;
             link.received = 0;
+            self.fence.start(entry, hello.incarnation);
         }
         let reply = AgentHello {
             agent: self.settings.host.clone(),
@@ -73,6 +83,7 @@
         };
         self.send(entry, AgentMessage::Hello(reply));
         self.send_report(entry, now);
+        self.check_incarnation(&(entry.clone(), hello.incarnation));
         self.on_peer_revision(entry, hello.revision, now);
     }
 
--- /dev/null
+++ b/crates/hickorydoor/src/dispatch_fence.rs
@@ -0,0 +1,99 @@
+//! What an agent remembers of attempts so that none runs twice.
+//!
+//! A dispatch may arrive late or twice, and a cancel or resume may overtake it on a newer
+//! connection. The fence remembers each attempt until the entry says that its request is settled,
+//! so the memory needs no time limit and is exact even if a process is paused for minutes.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use crate::id::AttemptId;
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::id::Serial;
+
+/// What is known about an attempt that is not running.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// It was not passed on and must not be.
+    NotRun,
+    /// It was passed on, or its request is over.
+    PassedOn,
+    /// It belongs to an incarnation that is over.
+    Closed,
+}
+
+/// Attempts of one entry incarnation.
+#[derive(Clone, Debug, Default)]
+struct FenceLife {
+    below: Serial,
+    seen: BTreeMap<(Serial, u32), Seen>,
+    closed: bool,
+}
+
+/// Attempts seen, by entry incarnation.
+#[derive(Clone, Debug, Default)]
+pub struct DispatchFence {
+    lives: HashMap<HostId, BTreeMap<Incarnation, FenceLife>>,
+    newest: HashMap<HostId, Incarnation>,
+}
+
+impl DispatchFence {
+    /// What is known about an attempt; `None` if it was never seen.
+    pub fn seen(&self, attempt: &AttemptId) -> Option<Seen> {
+        let request = &attempt.request;
+        let life = self.lives.get(&request.entry).and_then(|lives| lives.get(&request.incarnation));
+        let known = life.and_then(|life| {
+            let seen = life.seen.get(&(request.serial, attempt.ordinal)).copied();
+            seen.or((request.serial < life.below).then_some(Seen::PassedOn))
+        });
+        let newest = self.newest.get(&request.entry).copied().unwrap_or_default();
+        let over = request.incarnation < newest || life.is_some_and(|life| life.closed);
+        known.or(over.then_some(Seen::Closed))
+    }
+
+    /// Remembers an attempt.
+    pub fn note(&mut self, attempt: &AttemptId, seen: Seen) {
+        let request = &attempt.request;
+        let life = self.life_mut(&request.entry, request.incarnation);
+        life.seen.insert((request.serial, attempt.ordinal), seen);
+    }
+
+    /// Forgets the requests below `below`, which are over.
+    pub fn settle_below(&mut self, entry: &HostId, incarnation: Incarnation, below: Serial) {
+        let life = self.life_mut(entry, incarnation);
+        if below > life.below {
+            life.below = below;
+            life.seen = life.seen.split_off(&(below, 0));
+        }
+    }
+
+    /// Refuses new attempts of an incarnation from now on.
+    pub fn close(&mut self, entry: &HostId, incarnation: Incarnation) {
+        self.life_mut(entry, incarnation).closed = true;
+    }
+
+    /// Notes the newest incarnation of an entry; older ones are over.
+    pub fn start(&mut self, entry: &HostId, incarnation: Incarnation) {
+        let newest = self.newest.entry(entry.clone()).or_default();
+        *newest = incarnation.max(*newest);
+        let newest = *newest;
+        if let Some(lives) = self.lives.get_mut(entry) {
+            lives.retain(|life, _| *life >= newest);
+        }
+    }
+
+    /// Attempts remembered.
+    pub fn len(&self) -> usize {
+        self.lives.values().flat_map(BTreeMap::values).map(|life| life.seen.len()).sum()
+    }
+
+    /// Whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn life_mut(&mut self, entry: &HostId, incarnation: Incarnation) -> &mut FenceLife {
+        self.lives.entry(entry.clone()).or_default().entry(incarnation).or_default()
+    }
+}
--- a/crates/hickorydoor/src/entry.rs
+++ b/crates/hickorydoor/src/entry.rs
@@ -3,13 +3,15 @@
 //! [`Entry::apply`] takes one event and the time and returns the effects to carry out. The entry
 //! joins the concerns that have modules of their own; the handlers are grouped by concern:
 //! `entry_request` places requests, `entry_answer` handles what agents send, `entry_config` keeps
-//! configuration and members, `entry_billing` stores bills.
+//! configuration and members, `entry_billing` stores bills, `entry_resume` keeps attempts
+//! through lost links.
 
 use std::collections::HashMap;
 
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::backoff::Backoff;
 use crate::config_log::ConfigLog;
 use crate::configuration::Configuration;
 use crate::entry_effect::EntryEffect;
@@ -17,6 +19,7 @@
 use crate::entry_settings::EntrySettings;
 use crate::id::CallerId;
 use crate::id::HostId;
+use crate::id::Incarnation;
 use crate::id::KvCallId;
 use crate::id::Revision;
 use crate::id::Serial;
@@ -26,6 +29,7 @@
 use crate::message::EntryMessage;
 use crate::observation::Observation;
 use crate::request_state::RequestState;
+use crate::time::DurationMs;
 use crate::time::TimeMs;
 
 /// Why a key-value call was made.
@@ -35,10 +39,19 @@
     LoadConfiguration,
     /// Watches the change records.
     WatchChanges,
-    /// Stores the oldest sealed batch.
-    StoreBatch,
+    /// Stores the oldest sealed batch of this incarnation's ledger.
+    StoreBatch {
+        /// The incarnation.
+        incarnation: Incarnation,
+    },
 }
 
+/// Time for which a stopping entry without requests tries to store its last bills. Afterwards the
+/// agents write them from their copies.
+const STORE_LIMIT_MS: DurationMs = DurationMs::from_secs(60);
+/// Longer gaps between events mean that the process was paused; ticks come every 100 ms.
+const PAUSE_MS: DurationMs = DurationMs::from_secs(2);
+
 /// State of one entry.
 #[derive(Clone, Debug)]
 pub struct Entry {
@@ -55,10 +68,14 @@
     pub(crate) next_heartbeat_at_ms: TimeMs,
     pub(crate) next_seal_at_ms: TimeMs,
     pub(crate) next_store_at_ms: TimeMs,
+    pub(crate) store_backoff: Backoff,
     pub(crate) draining: bool,
+    /// Since when a stopping entry has no requests.
+    pub(crate) idle_since_ms: Option<TimeMs>,
     pub(crate) stopped: bool,
     next_serial: Serial,
     next_kv_call: KvCallId,
+    last_event_at_ms: TimeMs,
     effects: Vec<EntryEffect>,
 }
 
@@ -73,17 +90,20 @@
             members: MemberTable::default(),
             requests: HashMap::new(),
             callers: HashMap::new(),
-            ledger: Ledger::new(settings.host.clone(), settings.incarnation),
+            ledger: Ledger::new(settings.host.clone(), settings.incarnation, Serial::default()),
             kv_calls: HashMap::new(),
             pull: None,
             next_load_at_ms: now,
             next_heartbeat_at_ms: now + settings.heartbeat_interval_ms,
             next_seal_at_ms: now + settings.billing_interval_ms,
             next_store_at_ms: now,
+            store_backoff: Backoff::default(),
             draining: false,
+            idle_since_ms: None,
             stopped: false,
             next_serial: Serial::default(),
             next_kv_call: KvCallId::default(),
+            last_event_at_ms: now,
             effects: Vec::new(),
             settings,
         }
@@ -91,6 +111,7 @@
 
     /// Applies one event and returns the effects to carry out, in order.
     pub fn apply(&mut self, event: EntryEvent, now: TimeMs) -> Vec<EntryEffect> {
+        self.absorb_pause(now);
         match event {
             EntryEvent::Request(request) => self.on_request(*request, now),
             EntryEvent::CallerRead { caller, bytes } => self.on_caller_read(caller, bytes),
@@ -106,7 +127,7 @@
             EntryEvent::Tick => self.on_tick(now),
             EntryEvent::Shutdown => self.on_shutdown(now),
         }
-        self.finish_shutdown();
+        self.finish_shutdown(now);
         std::mem::take(&mut self.effects)
     }
 
@@ -137,15 +158,31 @@
         self.tick_billing(now);
     }
 
+    /// While this process was paused it could hear nobody, so the gap does not count against the
+    /// resume windows.
+    fn absorb_pause(&mut self, now: TimeMs) {
+        let gap_ms = now.since(self.last_event_at_ms);
+        self.last_event_at_ms = now;
+        if gap_ms <= PAUSE_MS {
+            return;
+        }
+        for attempt in self.requests.values_mut().filter_map(|state| state.attempt.as_mut()) {
+            attempt.link_lost_at_ms = attempt.link_lost_at_ms.map(|at| at + gap_ms);
+        }
+    }
+
     fn on_shutdown(&mut self, now: TimeMs) {
         self.draining = true;
         self.ledger.seal(now);
         self.store_next_batch(now);
     }
 
-    fn finish_shutdown(&mut self) {
-        let idle = self.requests.is_empty() && self.ledger.is_drained();
-        if self.draining && idle && !self.stopped {
+    fn finish_shutdown(&mut self, now: TimeMs) {
+        if !self.draining || self.stopped || !self.requests.is_empty() {
+            return;
+        }
+        let idle_since_ms = *self.idle_since_ms.get_or_insert(now);
+        if self.ledger.is_drained() || now >= idle_since_ms + STORE_LIMIT_MS {
             self.stopped = true;
             self.push(EntryEffect::Stopped);
         }
@@ -171,6 +208,11 @@
         call
     }
 
+    /// The number of the next request.
+    pub(crate) const fn next_serial(&self) -> Serial {
+        self.next_serial
+    }
+
     pub(crate) fn take_serial(&mut self) -> Serial {
         let serial = self.next_serial;
         self.next_serial = serial.next();
--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -8,6 +8,7 @@
 use crate::entry_effect::EntryEffect;
 use crate::entry_effect::ResponseHead;
 use crate::entry_event::RatingFault;
+use crate::entry_resume::after_unknown;
 use crate::id::AttemptId;
 use crate::id::CallerId;
 use crate::id::HostId;
@@ -56,7 +57,7 @@
             AgentMessage::Evidence(_digests) => {}
             AgentMessage::Draining => self.on_draining(agent),
             AgentMessage::IncarnationClosed { incarnation } => {
-                self.on_incarnation_closed(incarnation);
+                self.on_incarnation_closed(incarnation, now);
             }
             AgentMessage::ConfigNotice { revision } => self.on_peer_revision(agent, revision, now),
             AgentMessage::ConfigPull { have } => self.on_config_pull(agent, have),
@@ -67,9 +68,8 @@
     /// The request whose current attempt this is; late messages of other attempts find none.
     fn current(&mut self, agent: &HostId, attempt: &AttemptId) -> Option<Serial> {
         let request = &attempt.request;
-        let own =
-            request.entry == self.settings.host && request.incarnation == self.settings.incarnation;
-        let state = self.requests.get(&request.serial).filter(|_| own)?;
+        // Requests keep the incarnation under which they arrived.
+        let state = self.requests.get(&request.serial).filter(|state| state.id == *request)?;
         let current = state.attempt.as_ref()?;
         let same = current.ordinal == attempt.ordinal && current.agent == *agent;
         let matches = same && !current.complete;
@@ -85,7 +85,7 @@
         agent: &HostId,
         attempt: &AttemptId,
         reason: AgentRefusal,
-        _retry_after_ms: DurationMs,
+        retry_after_ms: DurationMs,
         now: TimeMs,
     ) {
         let Some(serial) = self.current(agent, attempt) else {
@@ -100,6 +100,12 @@
             agent: agent.clone(),
             reason,
         });
+        if reason == AgentRefusal::StoreUnavailable {
+            // Other agents need the same key-value service.
+            let reason = RefusalReason::StoreUnavailable;
+            self.refuse(serial, reason, Some(retry_after_ms), now);
+            return;
+        }
         self.dispatch(serial, now);
     }
 
@@ -173,10 +179,13 @@
         if state.held_bytes > MAX_HELD_BYTES {
             self.release_held(serial);
         }
-        let agent = self.attempt_mut(serial).map(|current| current.agent.clone());
-        if let Some(agent) = agent {
-            self.send(&agent, EntryMessage::Credit { attempt: attempt.clone(), bytes: length });
-        }
+        let Some(current) = self.attempt_mut(serial) else {
+            return;
+        };
+        current.credited += length;
+        let read_bytes = current.credited;
+        let agent = current.agent.clone();
+        self.send(&agent, EntryMessage::Credit { attempt: attempt.clone(), read_bytes });
     }
 
     fn send_head(&mut self, serial: Serial) {
@@ -238,6 +247,10 @@
             return;
         }
         current.complete = true;
+        self.acknowledge(agent, attempt, length);
+        let Some(current) = self.attempt_mut(serial) else {
+            return;
+        };
         let version = current.version.clone();
         self.add_usage(serial, version, usage);
         if !self.ask_for_rating(serial) {
@@ -326,6 +339,8 @@
             agent: agent.clone(),
             fault,
         });
+        // The cancel acknowledges the failure, so that the agent may forget the attempt.
+        self.send(agent, EntryMessage::Cancel { attempt: attempt.clone() });
         let version = self.release_attempt(serial).and_then(|attempt| attempt.version);
         self.add_usage(serial, version, usage);
         self.after_failure(serial, agent, fault, now);
@@ -347,9 +362,14 @@
             return;
         };
         state.excluded.push(agent.clone());
-        state.run = RunState::Unknown;
-        let retry = !state.head_sent && state.is_repeatable();
-        if retry && matches!(fault, AttemptFault::UpstreamError | AttemptFault::ConnectionLost) {
+        if fault != AttemptFault::KeyReused {
+            state.run = after_unknown(state.run);
+        }
+        let passing = matches!(
+            fault,
+            AttemptFault::UpstreamError | AttemptFault::ConnectionLost | AttemptFault::NotResumable
+        );
+        if passing && !state.head_sent && state.is_repeatable() {
             state.held.clear();
             state.held_bytes = ByteCount::default();
             self.dispatch(serial, now);
@@ -372,16 +392,19 @@
         else {
             return;
         };
-        let Some(attempt) = &state.attempt else {
-            return;
-        };
         if !state.streams() {
             // Held answers were credited when they arrived.
             return;
         }
+        let request = state.id.clone();
+        let Some(attempt) = self.attempt_mut(request.serial) else {
+            return;
+        };
+        attempt.credited += bytes;
+        let read_bytes = attempt.credited;
         let agent = attempt.agent.clone();
-        let attempt = AttemptId { request: state.id.clone(), ordinal: attempt.ordinal };
-        self.send(&agent, EntryMessage::Credit { attempt, bytes });
+        let attempt = AttemptId { request, ordinal: attempt.ordinal };
+        self.send(&agent, EntryMessage::Credit { attempt, read_bytes });
     }
 
     pub(crate) fn on_caller_gone(&mut self, caller: CallerId, now: TimeMs) {
--- a/crates/hickorydoor/src/entry_billing.rs
+++ b/crates/hickorydoor/src/entry_billing.rs
@@ -1,34 +1,37 @@
 //! How an entry stores its bills.
+//!
+//! If an agent has closed the ledger, the entry goes on under a new incarnation. Requests in
+//! flight keep their ids and run on; their usage is left to the agents, which hold copies of it.
 
 use crate::bill::Bill;
 use crate::entry::Entry;
 use crate::entry::KvPurpose;
 use crate::id::HostId;
 use crate::id::Incarnation;
-use crate::id::RequestId;
+use crate::id::Serial;
 use crate::kv_call::KvOutcome;
 use crate::kv_call::KvPair;
 use crate::kv_call::KvReply;
+use crate::ledger::Ledger;
 use crate::message::EntryMessage;
+use crate::message::Settlement;
 use crate::observation::Observation;
 use crate::request_state::RequestState;
-use crate::time::DurationMs;
 use crate::time::TimeMs;
 
-/// Pause before a batch is written again after a failed write.
-const STORE_PAUSE_MS: DurationMs = DurationMs::from_secs(1);
-
 impl Entry {
-    pub(crate) fn bill(&mut self, state: RequestState) {
-        if state.lines.is_empty() {
+    pub(crate) fn bill(&mut self, state: RequestState, now: TimeMs) {
+        if state.id.incarnation != self.ledger.incarnation() {
+            // The ledger of this request is closed; the agents bill it.
             return;
         }
-        self.ledger.add(&Bill {
+        let bill = Bill {
             serial: state.id.serial,
             customer: state.customer,
             class: state.class,
             lines: state.lines,
-        });
+        };
+        self.ledger.add(&bill, &state.agents, now);
     }
 
     pub(crate) fn tick_billing(&mut self, now: TimeMs) {
@@ -42,60 +45,81 @@
     }
 
     pub(crate) fn store_next_batch(&mut self, now: TimeMs) {
-        let busy = self.kv_calls.values().any(|purpose| *purpose == KvPurpose::StoreBatch);
-        if busy || now < self.next_store_at_ms {
+        let storing = |purpose: &KvPurpose| matches!(purpose, KvPurpose::StoreBatch { .. });
+        if self.kv_calls.values().any(storing) || now < self.next_store_at_ms {
             return;
         }
         if let Some(operation) = self.ledger.next_write() {
-            self.call_kv(KvPurpose::StoreBatch, operation);
+            let incarnation = self.ledger.incarnation();
+            self.call_kv(KvPurpose::StoreBatch { incarnation }, operation);
         }
     }
 
-    pub(crate) fn on_batch_stored(&mut self, outcome: KvOutcome, now: TimeMs) {
+    pub(crate) fn on_batch_stored(
+        &mut self,
+        incarnation: Incarnation,
+        outcome: KvOutcome,
+        now: TimeMs,
+    ) {
+        if incarnation != self.ledger.incarnation() {
+            // Agents read the closed ledger, so they know whether this batch is in it.
+            return;
+        }
         let KvOutcome::Reply(KvReply::Transaction { succeeded, results, .. }) = outcome else {
-            self.next_store_at_ms = now + STORE_PAUSE_MS;
+            let pause_ms = self.store_backoff.fail(&mut self.rng);
+            self.next_store_at_ms = now + pause_ms;
             self.record(Observation::KvUnavailable);
             return;
         };
+        self.store_backoff.succeed();
         // The failure branch returns the batch first and the closing key second.
         let own_write_exists = results.first().is_some_and(|pairs: &Vec<KvPair>| !pairs.is_empty());
         if succeeded || own_write_exists {
             self.settle_stored_batch();
         } else {
-            self.ledger.close();
-            self.record(Observation::LedgerClosed);
+            self.start_incarnation(now);
         }
         self.store_next_batch(now);
     }
 
     fn settle_stored_batch(&mut self) {
-        let Some((sequence, serials)) = self.ledger.stored() else {
+        let Some((sequence, requests, by_agent)) = self.ledger.stored() else {
             return;
         };
-        self.record(Observation::BatchStored { sequence, requests: serials.len() as u64 });
-        let requests: Vec<RequestId> = serials
-            .into_iter()
-            .map(|serial| RequestId {
-                entry: self.settings.host.clone(),
-                incarnation: self.settings.incarnation,
-                serial,
-            })
-            .collect();
-        let agents: Vec<HostId> = self
-            .members
-            .iter()
-            .filter(|(_, member)| member.connected && member.sent > 0)
-            .map(|(agent, _)| agent.clone())
-            .collect();
-        for agent in agents {
-            self.send(&agent, EntryMessage::Settled { requests: requests.clone() });
+        self.record(Observation::BatchStored { sequence, requests });
+        for (agent, serials) in by_agent {
+            self.send_settlement(&agent, serials);
+        }
+    }
+
+    /// Tells an agent which copies it may drop.
+    pub(crate) fn send_settlement(&mut self, agent: &HostId, serials: Vec<Serial>) {
+        let settlement = Settlement {
+            entry: self.settings.host.clone(),
+            incarnation: self.ledger.incarnation(),
+            below: self.ledger.settled_below(),
+            serials,
+        };
+        self.send(agent, EntryMessage::Settled(settlement));
+    }
+
+    pub(crate) fn on_incarnation_closed(&mut self, incarnation: Incarnation, now: TimeMs) {
+        if incarnation == self.ledger.incarnation() {
+            self.start_incarnation(now);
         }
     }
 
-    pub(crate) fn on_incarnation_closed(&mut self, incarnation: Incarnation) {
-        if incarnation == self.settings.incarnation {
-            self.ledger.close();
-            self.record(Observation::LedgerClosed);
+    /// Goes on under a new incarnation after an agent has closed the ledger.
+    fn start_incarnation(&mut self, now: TimeMs) {
+        self.record(Observation::LedgerClosed);
+        let next = self.settings.incarnation.next().get().max(now.get());
+        self.settings.incarnation = Incarnation::new(next);
+        let first_serial = self.next_serial();
+        let host = self.settings.host.clone();
+        self.ledger = Ledger::new(host, self.settings.incarnation, first_serial);
+        self.next_store_at_ms = now;
+        for agent in self.linked_agents() {
+            self.send_hello(&agent);
         }
     }
 }
--- a/crates/hickorydoor/src/entry_config.rs
+++ b/crates/hickorydoor/src/entry_config.rs
@@ -6,7 +6,6 @@
 use crate::entry::KvPurpose;
 use crate::entry_effect::EntryEffect;
 use crate::host_record::HostRecord;
-use crate::id::AttemptId;
 use crate::id::HostId;
 use crate::id::KvCallId;
 use crate::id::Revision;
@@ -69,7 +68,9 @@
         match purpose {
             KvPurpose::LoadConfiguration => self.on_configuration_loaded(outcome, now),
             KvPurpose::WatchChanges => self.on_changes(outcome, now),
-            KvPurpose::StoreBatch => self.on_batch_stored(outcome, now),
+            KvPurpose::StoreBatch { incarnation } => {
+                self.on_batch_stored(incarnation, outcome, now);
+            }
         }
     }
 
@@ -178,13 +179,7 @@
 
     fn send_heartbeats(&mut self) {
         let revision = self.revision();
-        let connected: Vec<HostId> = self
-            .members
-            .iter()
-            .filter(|(_, member)| member.connected)
-            .map(|(agent, _)| agent.clone())
-            .collect();
-        for agent in connected {
+        for agent in self.linked_agents() {
             self.send(&agent, EntryMessage::Heartbeat { revision });
         }
     }
@@ -197,6 +192,10 @@
         member.connected = true;
         member.connecting = false;
         member.failed_connects = 0;
+        self.send_hello(agent);
+    }
+
+    pub(crate) fn send_hello(&mut self, agent: &HostId) {
         let hello = EntryHello {
             entry: self.settings.host.clone(),
             incarnation: self.settings.incarnation,
@@ -206,10 +205,18 @@
         self.send(agent, EntryMessage::Hello(hello));
     }
 
+    /// Agents with an open link.
+    pub(crate) fn linked_agents(&self) -> Vec<HostId> {
+        let linked = self.members.iter().filter(|(_, member)| member.connected);
+        linked.map(|(agent, _)| agent.clone()).collect()
+    }
+
     pub(crate) fn on_link_down(&mut self, agent: &HostId, now: TimeMs) {
         if let Some(member) = self.members.get_mut(agent) {
             let was_connected = member.connected;
             member.connected = false;
+            // The next life of the agent must say hello before it gets work.
+            member.hello = None;
             member.connecting = false;
             member.failed_connects += u32::from(!was_connected);
             let pause_ms = CONNECT_PAUSE_MS << member.failed_connects.min(6);
@@ -218,43 +225,22 @@
                 self.record(Observation::AgentUsable { agent: agent.clone(), usable: false });
             }
         }
-        for state in self.requests.values_mut() {
-            if let Some(attempt) = state.running_on(agent) {
-                attempt.link_lost_at_ms.get_or_insert(now);
-            }
-        }
+        self.lose_attempts_on(agent, now);
     }
 
     pub(crate) fn on_hello(&mut self, agent: &HostId, hello: AgentHello, now: TimeMs) {
         let incarnation = hello.incarnation;
+        if self.members.get(agent).is_some_and(|member| incarnation < member.incarnation) {
+            // A late hello of an earlier life.
+            return;
+        }
         let revision = hello.revision;
         let usable = !hello.draining;
         self.members.apply_hello(agent, hello, now);
         self.record(Observation::AgentUsable { agent: agent.clone(), usable });
         self.on_peer_revision(agent, revision, now);
-        let mut resumes = Vec::new();
-        let mut lost = Vec::new();
-        for (serial, state) in &mut self.requests {
-            let request = state.id.clone();
-            let Some(attempt) = state.running_on(agent) else {
-                continue;
-            };
-            if attempt.agent_incarnation == incarnation {
-                attempt.link_lost_at_ms = None;
-                let id = AttemptId { request, ordinal: attempt.ordinal };
-                resumes.push((id, attempt.received));
-            } else {
-                lost.push(*serial);
-            }
-        }
-        resumes.sort_unstable();
-        lost.sort_unstable();
-        for (attempt, offset) in resumes {
-            self.send(agent, EntryMessage::Resume { attempt, offset });
-        }
-        for serial in lost {
-            self.on_attempt_lost(serial, now);
-        }
+        self.resume_attempts(agent, incarnation, now);
+        self.send_settlement(agent, Vec::new());
     }
 
     pub(crate) fn on_load(&mut self, agent: &HostId, report: LoadReport, now: TimeMs) {
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -11,6 +11,7 @@
 use crate::customer::Customer;
 use crate::entry::Entry;
 use crate::entry_effect::EntryEffect;
+use crate::entry_resume::after_unknown;
 use crate::id::HostId;
 use crate::id::ModelId;
 use crate::id::RequestId;
@@ -88,6 +89,7 @@
             attempts: 0,
             attempt: None,
             excluded: SmallVec::new(),
+            agents: SmallVec::new(),
             run: RunState::NotRun,
             lines: Vec::new(),
             head_sent: false,
@@ -149,7 +151,7 @@
     }
 
     /// Chooses an agent, and for model calls the version that it runs.
-    fn place(&mut self, serial: Serial) -> Option<(HostId, Option<VersionId>)> {
+    pub(crate) fn place(&mut self, serial: Serial) -> Option<(HostId, Option<VersionId>)> {
         let state = self.requests.get(&serial)?;
         let version = match &state.plan {
             Plan::Models { steps, step, .. } => Some(self.choose_version(state, &steps[*step])?),
@@ -227,11 +229,15 @@
             version: version.clone(),
             started: None,
             received: ByteCount::default(),
+            credited: ByteCount::default(),
             tokens: Tokens::default(),
             link_lost_at_ms: None,
             complete: false,
         });
         state.attempts += 1;
+        if !state.agents.contains(agent) {
+            state.agents.push(agent.clone());
+        }
         state.first_dispatch_at_ms.get_or_insert(now);
         self.send(agent, EntryMessage::Dispatch(Box::new(dispatch)));
         self.record(Observation::Dispatched {
@@ -281,16 +287,17 @@
         let Some(attempt) = self.release_attempt(serial) else {
             return;
         };
-        let Some(state) = self.requests.get(&serial) else {
+        let Some(state) = self.requests.get_mut(&serial) else {
             return;
         };
+        state.run = after_unknown(state.run);
         let id = crate::id::AttemptId { request: state.id.clone(), ordinal: attempt.ordinal };
         let prompt_tokens = match &state.request.ask {
             Ask::Chat(chat) if attempt.tokens > Tokens::default() => chat.prompt_tokens,
             _ => Tokens::default(),
         };
         let usage = Usage { prompt_tokens, answer_tokens: attempt.tokens };
-        self.send(&attempt.agent, EntryMessage::Cancel { attempt: id });
+        self.send_cancel(&attempt.agent, attempt.agent_incarnation, id);
         self.add_usage(serial, attempt.version, usage);
     }
 
@@ -333,7 +340,7 @@
             cost_micros: state.lines.iter().map(|line| line.cost_micros).sum(),
             outcome,
         };
-        self.bill(state);
+        self.bill(state, now);
         self.record(Observation::Request(Box::new(record)));
     }
 
--- /dev/null
+++ b/crates/hickorydoor/src/entry_resume.rs
@@ -0,0 +1,147 @@
+//! How an entry keeps attempts through lost links.
+//!
+//! An attempt that has delivered nothing and may be repeated moves to another agent at once. Any
+//! other attempt waits for its agent during the resume window and then continues from the byte
+//! that the entry lacks, or ends with an explicit error.
+
+use crate::entry::Entry;
+use crate::id::AttemptId;
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::id::Serial;
+use crate::message::AttemptFault;
+use crate::message::EntryMessage;
+use crate::observation::Observation;
+use crate::quantity::ByteCount;
+use crate::refusal::RunState;
+use crate::request_state::RequestState;
+use crate::time::TimeMs;
+
+impl Entry {
+    /// Starts the resume window of an agent's attempts and moves those that can move.
+    pub(crate) fn lose_attempts_on(&mut self, agent: &HostId, now: TimeMs) {
+        let mut movable = Vec::new();
+        for (serial, state) in &mut self.requests {
+            if let Some(attempt) = state.running_on(agent) {
+                attempt.link_lost_at_ms.get_or_insert(now);
+                if can_move(state) {
+                    movable.push(*serial);
+                }
+            }
+        }
+        movable.sort_unstable();
+        for serial in movable {
+            self.move_attempt(serial, agent, now);
+        }
+    }
+
+    /// Moves an attempt to another agent, if there is one; otherwise it waits for its agent.
+    fn move_attempt(&mut self, serial: Serial, agent: &HostId, now: TimeMs) {
+        let Some(state) = self.requests.get_mut(&serial) else {
+            return;
+        };
+        if state.attempts >= self.settings.max_attempts {
+            return;
+        }
+        let attempts_before = state.excluded.len();
+        state.excluded.push(agent.clone());
+        if self.place(serial).is_none() {
+            if let Some(state) = self.requests.get_mut(&serial) {
+                state.excluded.truncate(attempts_before);
+            }
+            return;
+        }
+        self.record_lost(serial, agent);
+        self.cancel_attempt(serial);
+        self.dispatch(serial, now);
+    }
+
+    fn record_lost(&mut self, serial: Serial, agent: &HostId) {
+        let Some(state) = self.requests.get(&serial) else {
+            return;
+        };
+        let Some(attempt) = &state.attempt else {
+            return;
+        };
+        let id = AttemptId { request: state.id.clone(), ordinal: attempt.ordinal };
+        let fault = AttemptFault::ConnectionLost;
+        self.record(Observation::AttemptFailed { attempt: id, agent: agent.clone(), fault });
+    }
+
+    /// Resumes the attempts that run on an agent after its hello.
+    pub(crate) fn resume_attempts(
+        &mut self,
+        agent: &HostId,
+        incarnation: Incarnation,
+        now: TimeMs,
+    ) {
+        self.send_owed_cancels(agent, incarnation);
+        let mut resumes = Vec::new();
+        let mut lost = Vec::new();
+        for (serial, state) in &mut self.requests {
+            let request = state.id.clone();
+            let Some(attempt) = state.running_on(agent) else {
+                continue;
+            };
+            if attempt.agent_incarnation == incarnation {
+                attempt.link_lost_at_ms = None;
+                let id = AttemptId { request, ordinal: attempt.ordinal };
+                resumes.push((id, attempt.received, attempt.credited));
+            } else {
+                lost.push(*serial);
+            }
+        }
+        resumes.sort_unstable();
+        lost.sort_unstable();
+        for (attempt, offset, read_bytes) in resumes {
+            let resume = EntryMessage::Resume { attempt: attempt.clone(), offset };
+            self.send(agent, resume);
+            self.send(agent, EntryMessage::Credit { attempt, read_bytes });
+        }
+        for serial in lost {
+            self.on_attempt_lost(serial, now);
+        }
+    }
+
+    /// Cancels that could not be sent while the link was down.
+    fn send_owed_cancels(&mut self, agent: &HostId, incarnation: Incarnation) {
+        let Some(member) = self.members.get_mut(agent) else {
+            return;
+        };
+        let owed = std::mem::take(&mut member.owed_cancels);
+        for (life, attempt) in owed {
+            if life == incarnation {
+                self.send(agent, EntryMessage::Cancel { attempt });
+            }
+        }
+    }
+
+    /// Sends a cancel, or keeps it until the link is up again.
+    pub(crate) fn send_cancel(&mut self, agent: &HostId, life: Incarnation, attempt: AttemptId) {
+        match self.members.get_mut(agent) {
+            Some(member) if !member.connected => member.owed_cancels.push((life, attempt)),
+            _ => self.send(agent, EntryMessage::Cancel { attempt }),
+        }
+    }
+
+    /// Acknowledges that the whole answer has arrived, so that the agent may forget it.
+    pub(crate) fn acknowledge(&mut self, agent: &HostId, attempt: &AttemptId, length: ByteCount) {
+        let attempt = attempt.clone();
+        self.send(agent, EntryMessage::Credit { attempt, read_bytes: length });
+    }
+}
+
+/// Whether an attempt may run elsewhere without the caller noticing.
+fn can_move(state: &RequestState) -> bool {
+    let delivered = state.head_sent || state.held_bytes > ByteCount::default();
+    let received = state.attempt.as_ref().is_some_and(|a| a.received > ByteCount::default());
+    state.is_repeatable() && !delivered && !received
+}
+
+/// The run state after an attempt whose outcome the entry does not learn.
+pub(crate) const fn after_unknown(run: RunState) -> RunState {
+    match run {
+        RunState::Run => RunState::Run,
+        RunState::NotRun | RunState::Unknown => RunState::Unknown,
+    }
+}
--- a/crates/hickorydoor/src/keys.rs
+++ b/crates/hickorydoor/src/keys.rs
@@ -7,6 +7,7 @@
 use crate::id::Incarnation;
 use crate::id::Revision;
 use crate::id::Sequence;
+use crate::id::ServiceName;
 use crate::item::ItemKey;
 
 /// Prefix of all configuration items.
@@ -18,6 +19,9 @@
 /// Prefix of all billing ledgers.
 pub const BILLS_PREFIX: &str = "/hickorydoor/bills/";
 
+/// Prefix of all claims of idempotency keys.
+pub const CLAIMS_PREFIX: &str = "/hickorydoor/claims/";
+
 // Twenty digits hold every u64, so that keys sort in numeric order.
 const NUMBER_WIDTH: usize = 20;
 
@@ -47,3 +51,28 @@
     let ledger = ledger(entry, incarnation);
     format_compact!("{ledger}closed")
 }
+
+/// Key of the numbers of all requests that a ledger's batches hold or that have no bill.
+pub fn ledger_settled(entry: &HostId, incarnation: Incarnation) -> CompactString {
+    let ledger = ledger(entry, incarnation);
+    format_compact!("{ledger}settled")
+}
+
+/// Key of a batch that an agent wrote in place of a lost entry.
+///
+/// The agent's incarnation is part of the key: an agent that restarts counts from 0 again.
+pub fn recovered(
+    ledger_of: (&HostId, Incarnation),
+    agent: (&HostId, Incarnation),
+    sequence: Sequence,
+) -> CompactString {
+    let ledger = ledger(ledger_of.0, ledger_of.1);
+    let (host, incarnation) = agent;
+    let number = sequence.get();
+    format_compact!("{ledger}recovered/{host}/{incarnation}/{number:0width$}", width = NUMBER_WIDTH)
+}
+
+/// Key of the claim of an idempotency key.
+pub fn claim(service: &ServiceName, key_digest: &str) -> CompactString {
+    format_compact!("{CLAIMS_PREFIX}{service}/{key_digest}")
+}
--- a/crates/hickorydoor/src/ledger.rs
+++ b/crates/hickorydoor/src/ledger.rs
@@ -3,8 +3,10 @@
 //! Bills are summed into a batch. A sealed batch keeps its sequence number and content until it is
 //! known to be stored, so writing it again after a lost answer changes nothing. A batch is created
 //! only while the ledger is not closed; an agent closes the ledger before it bills what a dead
-//! entry left behind.
+//! entry left behind. Each batch also writes the numbers of all settled requests, so that agents
+//! read one small key instead of every batch.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
 use bytes::Bytes;
@@ -21,16 +23,25 @@
 use crate::kv_call::KvCall;
 use crate::kv_call::KvCompare;
 use crate::kv_call::KvOperation;
+use crate::quantity::CostMicros;
+use crate::quantity::Tokens;
+use crate::serial_set::SerialSet;
 use crate::time::TimeMs;
 
+/// Sums in a batch at most. A sum is stored in at most 600 bytes (three ids of 128 bytes and the
+/// figures), so a batch stays under the 1 MB that a value may have.
+pub const MAX_SUMS: usize = 1_000;
+/// Ranges of request numbers in a batch at most; a range is stored in at most 42 bytes.
+pub const MAX_RANGES: usize = 8_000;
+
 /// A batch of bills as it is stored.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Batch {
     /// When the batch was sealed.
     pub sealed_at_ms: TimeMs,
-    /// Numbers of the requests in it, ascending.
-    pub serials: Vec<Serial>,
+    /// Numbers of the requests in it.
+    pub serials: SerialSet,
     /// Sums of the bills.
     pub sums: Vec<BillSum>,
 }
@@ -38,7 +49,7 @@
 impl Batch {
     /// Adds the lines of one bill.
     pub fn add(&mut self, bill: &Bill) {
-        self.serials.push(bill.serial);
+        self.serials.insert(bill.serial);
         for (index, line) in bill.lines.iter().enumerate() {
             let sum = self.sum_mut(bill, index);
             sum.requests += u64::from(index == 0);
@@ -59,15 +70,20 @@
                 version: version.clone(),
                 class: bill.class,
                 requests: 0,
-                prompt_tokens: crate::quantity::Tokens::default(),
-                answer_tokens: crate::quantity::Tokens::default(),
-                cost_micros: crate::quantity::CostMicros::default(),
+                prompt_tokens: Tokens::default(),
+                answer_tokens: Tokens::default(),
+                cost_micros: CostMicros::default(),
             });
             self.sums.len() - 1
         });
         &mut self.sums[index]
     }
 
+    /// Whether the batch should take no further bill.
+    pub fn is_full(&self) -> bool {
+        self.sums.len() >= MAX_SUMS || self.serials.range_count() >= MAX_RANGES
+    }
+
     /// The stored form.
     pub fn encode(&self) -> Bytes {
         // Serialising plain structs with string keys cannot fail.
@@ -75,11 +91,15 @@
     }
 }
 
+/// Requests of a stored batch by the agents that hold copies of their usage.
+pub type SettledByAgent = BTreeMap<HostId, Vec<Serial>>;
+
 /// A sealed batch that is not known to be stored.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct SealedBatch {
     sequence: Sequence,
     batch: Batch,
+    by_agent: SettledByAgent,
 }
 
 /// The billing ledger of one entry incarnation.
@@ -87,39 +107,68 @@
 pub struct Ledger {
     entry: HostId,
     incarnation: Incarnation,
+    first_serial: Serial,
     open: Batch,
+    open_by_agent: SettledByAgent,
     sealed: VecDeque<SealedBatch>,
+    settled: SerialSet,
     next_sequence: Sequence,
-    closed: bool,
 }
 
 impl Ledger {
-    /// An empty ledger.
-    pub fn new(entry: HostId, incarnation: Incarnation) -> Self {
+    /// An empty ledger of an incarnation whose first request gets `first_serial`.
+    pub fn new(entry: HostId, incarnation: Incarnation, first_serial: Serial) -> Self {
         Self {
             entry,
             incarnation,
+            first_serial,
             open: Batch::default(),
+            open_by_agent: SettledByAgent::new(),
             sealed: VecDeque::new(),
+            settled: SerialSet::default(),
             next_sequence: Sequence::default(),
-            closed: false,
         }
     }
 
-    /// Adds a bill to the open batch.
-    pub fn add(&mut self, bill: &Bill) {
+    /// The incarnation that the ledger belongs to.
+    pub const fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Adds a bill to the open batch. `agents` hold copies of its usage.
+    pub fn add(&mut self, bill: &Bill, agents: &[HostId], now: TimeMs) {
+        if bill.lines.is_empty() {
+            // Nothing is to be stored, so the request is settled at once.
+            self.settled.insert(bill.serial);
+            return;
+        }
         self.open.add(bill);
+        for agent in agents {
+            self.open_by_agent.entry(agent.clone()).or_default().push(bill.serial);
+        }
+        if self.open.is_full() {
+            self.seal_open(now);
+        }
     }
 
-    /// Seals the open batch, if it holds any bill.
+    /// Seals the open batch, if it holds any bill and no other batch waits.
+    ///
+    /// While a batch waits for the key-value service, further bills are summed into one open
+    /// batch, so a long outage costs little memory and few writes afterwards.
     pub fn seal(&mut self, now: TimeMs) {
-        if self.open.serials.is_empty() {
+        if self.sealed.is_empty() {
+            self.seal_open(now);
+        }
+    }
+
+    fn seal_open(&mut self, now: TimeMs) {
+        if self.open.sums.is_empty() {
             return;
         }
         let mut batch = std::mem::take(&mut self.open);
         batch.sealed_at_ms = now;
-        batch.serials.sort_unstable();
-        self.sealed.push_back(SealedBatch { sequence: self.next_sequence, batch });
+        let by_agent = std::mem::take(&mut self.open_by_agent);
+        self.sealed.push_back(SealedBatch { sequence: self.next_sequence, batch, by_agent });
         self.next_sequence = self.next_sequence.next();
     }
 
@@ -129,40 +178,41 @@
     /// caller can tell an earlier write of its own from a closed ledger.
     pub fn next_write(&self) -> Option<KvCall> {
         let sealed = self.sealed.front()?;
-        if self.closed {
-            return None;
-        }
         let key = keys::batch(&self.entry, self.incarnation, sealed.sequence);
         let closed = keys::ledger_closed(&self.entry, self.incarnation);
+        let mut settled = self.settled.clone();
+        settled.extend(&sealed.batch.serials);
+        let put = |key, value| KvOperation::Put { key, value, lease: None };
         Some(KvCall::Transaction {
             compares: vec![
                 KvCompare::Absent { key: key.clone() },
                 KvCompare::Absent { key: closed.clone() },
             ],
-            then: vec![KvOperation::Put {
-                key: key.clone(),
-                value: sealed.batch.encode(),
-                lease: None,
-            }],
+            then: vec![
+                put(key.clone(), sealed.batch.encode()),
+                put(
+                    keys::ledger_settled(&self.entry, self.incarnation),
+                    settled.to_string().into_bytes().into(),
+                ),
+            ],
             otherwise: vec![KvOperation::Get { key }, KvOperation::Get { key: closed }],
         })
     }
 
     /// Notes that the oldest sealed batch is stored; returns its number and requests.
-    pub fn stored(&mut self) -> Option<(Sequence, Vec<Serial>)> {
+    pub fn stored(&mut self) -> Option<(Sequence, u64, SettledByAgent)> {
         let sealed = self.sealed.pop_front()?;
-        Some((sealed.sequence, sealed.batch.serials))
+        self.settled.extend(&sealed.batch.serials);
+        Some((sealed.sequence, sealed.batch.serials.len(), sealed.by_agent))
     }
 
-    /// Notes that an agent has closed this ledger; its unstored batches are left to the agents.
-    pub fn close(&mut self) {
-        self.closed = true;
-        self.sealed.clear();
-        self.open = Batch::default();
+    /// Every request below this number is settled.
+    pub fn settled_below(&self) -> Serial {
+        self.settled.first_missing(self.first_serial)
     }
 
     /// Whether every bill is stored.
     pub fn is_drained(&self) -> bool {
-        self.closed || (self.open.serials.is_empty() && self.sealed.is_empty())
+        self.open.sums.is_empty() && self.sealed.is_empty()
     }
 }
--- a/crates/hickorydoor/src/member_table.rs
+++ b/crates/hickorydoor/src/member_table.rs
@@ -9,7 +9,9 @@
 use crate::host_record::HostRecord;
 use crate::host_record::HostRole;
 use crate::host_record::HostState;
+use crate::id::AttemptId;
 use crate::id::HostId;
+use crate::id::Incarnation;
 use crate::id::ServiceName;
 use crate::id::VersionId;
 use crate::load_report::LoadReport;
@@ -42,6 +44,10 @@
     pub sent: u64,
     /// Attempts of this entry that run there.
     pub in_flight: u32,
+    /// Newest life of the agent that said hello.
+    pub incarnation: Incarnation,
+    /// Cancels that wait for the link, with the agent's life that they are for.
+    pub owed_cancels: Vec<(Incarnation, AttemptId)>,
 }
 
 impl Member {
@@ -58,6 +64,8 @@
             load_received_at_ms: TimeMs::default(),
             sent: 0,
             in_flight: 0,
+            incarnation: Incarnation::default(),
+            owed_cancels: Vec::new(),
         }
     }
 
@@ -137,9 +145,8 @@
     /// Takes over the hello of an agent.
     pub fn apply_hello(&mut self, agent: &HostId, hello: AgentHello, now: TimeMs) {
         let member = self.members.entry(agent.clone()).or_insert_with(Member::new);
-        let restarted =
-            member.hello.as_ref().is_none_or(|old| old.incarnation != hello.incarnation);
-        if restarted {
+        if member.incarnation != hello.incarnation {
+            member.incarnation = hello.incarnation;
             member.sent = 0;
             member.load = LoadReport::default();
         }
--- a/crates/hickorydoor/src/message.rs
+++ b/crates/hickorydoor/src/message.rs
@@ -18,8 +18,8 @@
 use crate::id::IdempotencyKey;
 use crate::id::Incarnation;
 use crate::id::RegionId;
-use crate::id::RequestId;
 use crate::id::Revision;
+use crate::id::Serial;
 use crate::id::ServiceName;
 use crate::id::SessionId;
 use crate::id::UpstreamId;
@@ -161,6 +161,19 @@
     Snapshot(Box<Configuration>),
 }
 
+/// Requests of one entry incarnation that are settled: their bills are stored, or there is none.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settlement {
+    /// The entry.
+    pub entry: HostId,
+    /// The life of the entry.
+    pub incarnation: Incarnation,
+    /// Every request below this number is settled; makes up for messages that were lost.
+    pub below: Serial,
+    /// Other settled requests that the agent took part in.
+    pub serials: Vec<Serial>,
+}
+
 /// Messages from an entry to an agent.
 #[derive(Clone, Debug, PartialEq)]
 pub enum EntryMessage {
@@ -177,8 +190,9 @@
     Credit {
         /// The attempt.
         attempt: AttemptId,
-        /// Bytes that the caller has read.
-        bytes: ByteCount,
+        /// Bytes that the caller has read since the start of the answer. A total is not changed
+        /// by a credit that is lost or arrives twice.
+        read_bytes: ByteCount,
     },
     /// Asks the agent to send an answer again from an offset after a link was lost.
     Resume {
@@ -187,11 +201,8 @@
         /// The first byte that the entry lacks.
         offset: ByteCount,
     },
-    /// Tells that the bills of these requests are stored, so usage copies may be dropped.
-    Settled {
-        /// The requests whose bills are stored.
-        requests: Vec<RequestId>,
-    },
+    /// Tells that bills are stored, so usage copies may be dropped.
+    Settled(Settlement),
     /// Reports ratings of the agent's answers.
     Verdicts(Vec<Verdict>),
     /// Keeps the link alive and carries the revision in force.
--- a/crates/hickorydoor/src/observation.rs
+++ b/crates/hickorydoor/src/observation.rs
@@ -118,6 +118,11 @@
     },
     /// The ledger of this incarnation was closed by an agent.
     LedgerClosed,
+    /// The settled requests of a closed ledger cannot be read, so its copies are kept.
+    LedgerUnreadable {
+        /// The entry whose ledger it is.
+        entry: HostId,
+    },
     /// The key-value service did not answer a call.
     KvUnavailable,
 }
--- a/crates/hickorydoor/src/request_state.rs
+++ b/crates/hickorydoor/src/request_state.rs
@@ -34,6 +34,8 @@
     pub started: Option<(u16, CompactString)>,
     /// Bytes of the answer that have arrived.
     pub received: ByteCount,
+    /// Bytes of the answer that the caller has read.
+    pub credited: ByteCount,
     /// Tokens of the answer that have arrived.
     pub tokens: Tokens,
     /// When the link was lost, if it is.
@@ -86,6 +88,8 @@
     pub attempt: Option<Attempt>,
     /// Agents that refused or failed this request.
     pub excluded: SmallVec<[HostId; 4]>,
+    /// Agents that were sent an attempt; they may hold copies of its usage.
+    pub agents: SmallVec<[HostId; 2]>,
     /// What is known about whether it was run.
     pub run: RunState,
     /// Usage of finished attempts.
--- a/crates/hickorydoor/src/wire.rs
+++ b/crates/hickorydoor/src/wire.rs
@@ -34,6 +34,7 @@
 use crate::message::ModelCall;
 use crate::message::Offer;
 use crate::message::ServiceCall;
+use crate::message::Settlement;
 use crate::message::Verdict;
 use crate::quantity::ByteCount;
 use crate::quantity::Tokens;
@@ -725,6 +726,9 @@
     /// Numbers of the requests.
     #[prost(uint64, repeated, tag = "3")]
     pub serials: Vec<u64>,
+    /// Every request below this number is settled.
+    #[prost(uint64, tag = "4")]
+    pub below: u64,
 }
 
 /// Ratings of answers.
@@ -799,13 +803,14 @@
     WirePosition { attempt: Some(attempt.into()), bytes: bytes.get() }
 }
 
-fn settled(requests: &[RequestId]) -> WireSettled {
-    // All settled requests of one message come from the sender's current incarnation.
-    let first = requests.first();
-    WireSettled {
-        entry: first.map(|request| request.entry.to_string()).unwrap_or_default(),
-        incarnation: first.map_or(0, |request| request.incarnation.get()),
-        serials: requests.iter().map(|request| request.serial.get()).collect(),
+impl From<Settlement> for WireSettled {
+    fn from(settlement: Settlement) -> Self {
+        Self {
+            entry: settlement.entry.to_string(),
+            incarnation: settlement.incarnation.get(),
+            serials: settlement.serials.iter().map(|serial| serial.get()).collect(),
+            below: settlement.below.get(),
+        }
     }
 }
 
@@ -815,11 +820,13 @@
             EntryMessage::Hello(hello) => EntryBody::Hello(hello.into()),
             EntryMessage::Dispatch(dispatch) => EntryBody::Dispatch(Box::new((*dispatch).into())),
             EntryMessage::Cancel { attempt } => EntryBody::Cancel((&attempt).into()),
-            EntryMessage::Credit { attempt, bytes } => EntryBody::Credit(position(&attempt, bytes)),
+            EntryMessage::Credit { attempt, read_bytes } => {
+                EntryBody::Credit(position(&attempt, read_bytes))
+            }
             EntryMessage::Resume { attempt, offset } => {
                 EntryBody::Resume(position(&attempt, offset))
             }
-            EntryMessage::Settled { requests } => EntryBody::Settled(settled(&requests)),
+            EntryMessage::Settled(settlement) => EntryBody::Settled(settlement.into()),
             EntryMessage::Verdicts(verdicts) => EntryBody::Verdicts(WireVerdicts {
                 versions: verdicts.iter().map(|verdict| verdict.version.to_string()).collect(),
                 scores: verdicts.iter().map(|verdict| verdict.score).collect(),
@@ -843,13 +850,14 @@
             EntryBody::Hello(hello) => Self::Hello(hello.try_into()?),
             EntryBody::Dispatch(dispatch) => Self::Dispatch(Box::new((*dispatch).try_into()?)),
             EntryBody::Cancel(wire) => Self::Cancel { attempt: wire.try_into()? },
-            EntryBody::Credit(wire) => {
-                Self::Credit { attempt: attempt(wire.attempt)?, bytes: ByteCount::new(wire.bytes) }
-            }
+            EntryBody::Credit(wire) => Self::Credit {
+                attempt: attempt(wire.attempt)?,
+                read_bytes: ByteCount::new(wire.bytes),
+            },
             EntryBody::Resume(wire) => {
                 Self::Resume { attempt: attempt(wire.attempt)?, offset: ByteCount::new(wire.bytes) }
             }
-            EntryBody::Settled(wire) => Self::Settled { requests: wire.try_into()? },
+            EntryBody::Settled(wire) => Self::Settled(wire.try_into()?),
             EntryBody::Verdicts(wire) => Self::Verdicts(wire.try_into()?),
             EntryBody::Heartbeat(revision) => Self::Heartbeat { revision: Revision::new(revision) },
             EntryBody::ConfigNotice(revision) => {
@@ -862,20 +870,16 @@
     }
 }
 
-impl TryFrom<WireSettled> for Vec<RequestId> {
+impl TryFrom<WireSettled> for Settlement {
     type Error = WireError;
 
     fn try_from(wire: WireSettled) -> Result<Self, WireError> {
-        if wire.serials.is_empty() {
-            return Ok(Self::new());
-        }
-        let entry: crate::id::HostId = wire.entry.parse()?;
-        let request = |serial| RequestId {
-            entry: entry.clone(),
+        Ok(Self {
+            entry: wire.entry.parse()?,
             incarnation: Incarnation::new(wire.incarnation),
-            serial: Serial::new(serial),
-        };
-        Ok(wire.serials.iter().copied().map(request).collect())
+            below: Serial::new(wire.below),
+            serials: wire.serials.into_iter().map(Serial::new).collect(),
+        })
     }
 }
 
--- /dev/null
+++ b/crates/hickorydoor/tests/billing.rs
@@ -0,0 +1,108 @@
+//! Size of the ledger in a long outage of the key-value service.
+
+use hickorydoor::Class;
+use hickorydoor::TimeMs;
+use hickorydoor::bill::Bill;
+use hickorydoor::bill::BillLine;
+use hickorydoor::id::Incarnation;
+use hickorydoor::id::Serial;
+use hickorydoor::kv_call::KvCall;
+use hickorydoor::kv_call::KvOperation;
+use hickorydoor::ledger::Ledger;
+use hickorydoor::quantity::CostMicros;
+use hickorydoor::quantity::Tokens;
+use hickorydoor::serial_set::SerialSet;
+use hickorydoor::usage::Usage;
+use proptest::prelude::proptest;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+
+/// Requests of one entry in an hour at full scale (41 a second).
+const REQUESTS_PER_HOUR: u64 = 147_600;
+const VALUE_LIMIT_BYTES: usize = 1_000_000;
+
+fn bill(serial: u64, customers: u64, versions: u64) -> Bill {
+    let tokens = Tokens::new(100);
+    Bill {
+        serial: Serial::new(serial),
+        customer: format!("customer-{}", serial % customers).parse().expect("id"),
+        class: Class::Interactive,
+        lines: vec![BillLine {
+            version: Some(format!("version-{}", serial % versions).parse().expect("id")),
+            usage: Usage { prompt_tokens: tokens, answer_tokens: tokens },
+            cost_micros: CostMicros::new(3),
+        }],
+    }
+}
+
+fn sizes(ledger: &mut Ledger, now: TimeMs) -> Vec<usize> {
+    let mut sizes = Vec::new();
+    ledger.seal(now);
+    while let Some(KvCall::Transaction { then, .. }) = ledger.next_write() {
+        for operation in &then {
+            if let KvOperation::Put { value, .. } = operation {
+                sizes.push(value.len());
+            }
+        }
+        ledger.stored();
+        ledger.seal(now);
+    }
+    sizes
+}
+
+/// Guards against a batch for every 5 s of an outage.
+#[test]
+fn an_hour_without_the_service_takes_few_small_batches() {
+    let entry = "entry-1".parse().expect("id");
+    let mut ledger = Ledger::new(entry, Incarnation::new(1), Serial::default());
+    for serial in 0..REQUESTS_PER_HOUR {
+        // Each tenth request is still in flight or was refused.
+        if serial % 10 != 0 {
+            ledger.add(&bill(serial, 10, 20), &[], TimeMs::new(serial * 24));
+        }
+        if serial % 205 == 0 {
+            ledger.seal(TimeMs::new(serial * 24));
+        }
+    }
+    let sizes = sizes(&mut ledger, TimeMs::new(3_600_000));
+    let batches: Vec<usize> = sizes.iter().copied().step_by(2).collect();
+    println!("bytes of the batches after an hour: {batches:?}");
+    assert!(batches.len() <= 4, "{batches:?}");
+    assert!(batches.iter().sum::<usize>() < VALUE_LIMIT_BYTES);
+}
+
+/// Guards against values above the limit of the service.
+#[test]
+fn batches_of_many_customers_stay_under_the_value_limit() {
+    let entry = "entry-1".parse().expect("id");
+    let mut ledger = Ledger::new(entry, Incarnation::new(1), Serial::default());
+    for serial in 0..20_000 {
+        ledger.add(&bill(serial * 2, 5_000, 5_000), &[], TimeMs::new(0));
+    }
+    let largest = sizes(&mut ledger, TimeMs::new(0)).into_iter().max();
+    assert!(largest.is_some_and(|bytes| bytes < VALUE_LIMIT_BYTES), "{largest:?}");
+}
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Guards against numbers that are lost or invented when ranges merge.
+    #[test]
+    fn serial_sets_hold_what_was_inserted(serials in proptest::collection::vec(0..60_u64, 0..80)) {
+        let mut set = SerialSet::default();
+        for serial in &serials {
+            set.insert(Serial::new(*serial));
+        }
+        let text = set.to_string();
+        let set: SerialSet = text.parse().expect("own text");
+        for serial in 0..60 {
+            assert_eq!(set.contains(Serial::new(serial)), serials.contains(&serial), "{text}");
+        }
+        let missing = (0..=60).find(|serial| !serials.contains(serial)).map(Serial::new);
+        assert_eq!(Some(set.first_missing(Serial::new(0))), missing);
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/tests/support/kv.rs
@@ -0,0 +1,164 @@
+//! In-memory key-value service with revisions, leases and watches.
+
+use std::collections::BTreeMap;
+
+use compact_str::CompactString;
+use hickorydoor::DurationMs;
+use hickorydoor::TimeMs;
+use hickorydoor::kv_call::KvCall;
+use hickorydoor::kv_call::KvCompare;
+use hickorydoor::kv_call::KvOperation;
+use hickorydoor::kv_call::KvPair;
+use hickorydoor::kv_call::KvReply;
+
+/// A lease with its time to live and its end.
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    ttl_ms: DurationMs,
+    ends_at_ms: TimeMs,
+}
+
+/// The key-value service.
+#[derive(Debug, Default)]
+pub struct FakeKv {
+    pub pairs: BTreeMap<CompactString, KvPair>,
+    pub revision: u64,
+    pub writes: u64,
+    pub reads: u64,
+    leases: BTreeMap<u64, Lease>,
+    lease_of: BTreeMap<CompactString, u64>,
+    log: Vec<(u64, KvPair)>,
+}
+
+impl FakeKv {
+    /// Runs a call; `None` for calls that only the connection can answer, such as watches.
+    pub fn run(&mut self, call: &KvCall, now: TimeMs) -> Option<KvReply> {
+        self.expire(now);
+        match call {
+            KvCall::Transaction { compares, then, otherwise } => {
+                let succeeded = compares.iter().all(|compare| self.holds(compare));
+                let operations = if succeeded { then } else { otherwise };
+                Some(self.transact(succeeded, operations))
+            }
+            KvCall::Grant { ttl_ms } => {
+                self.writes += 1;
+                self.revision += 1;
+                let lease = self.revision;
+                self.leases.insert(lease, Lease { ttl_ms: *ttl_ms, ends_at_ms: now + *ttl_ms });
+                Some(KvReply::Lease { lease, ttl_ms: *ttl_ms })
+            }
+            KvCall::KeepAlive { lease } => {
+                self.writes += 1;
+                let ttl_ms = self.leases.get_mut(lease).map_or(DurationMs::new(0), |known| {
+                    known.ends_at_ms = now + known.ttl_ms;
+                    known.ttl_ms
+                });
+                Some(KvReply::Lease { lease: *lease, ttl_ms })
+            }
+            KvCall::Revoke { lease } => {
+                self.writes += 1;
+                self.end_lease(*lease);
+                Some(KvReply::Done)
+            }
+            KvCall::Watch { .. } | KvCall::Unwatch => None,
+        }
+    }
+
+    /// Keys under a prefix that were written at or after a store revision.
+    pub fn written_since(&self, prefix: &str, revision: u64) -> Vec<KvPair> {
+        let newer = self.log.iter().filter(|(at, _)| *at >= revision);
+        newer.filter(|(_, pair)| pair.key.starts_with(prefix)).map(|(_, p)| p.clone()).collect()
+    }
+
+    /// Pairs under a prefix.
+    pub fn list(&self, prefix: &str) -> Vec<KvPair> {
+        let matching = self.pairs.iter().filter(|(key, _)| key.starts_with(prefix));
+        matching.map(|(_, pair)| pair.clone()).collect()
+    }
+
+    /// Ends leases whose time to live has passed.
+    pub fn expire(&mut self, now: TimeMs) {
+        let ended: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| now >= lease.ends_at_ms)
+            .map(|(lease, _)| *lease)
+            .collect();
+        for lease in ended {
+            self.end_lease(lease);
+        }
+    }
+
+    fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let keys: Vec<CompactString> = self
+            .lease_of
+            .iter()
+            .filter(|(_, owner)| **owner == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.revision += 1;
+            self.lease_of.remove(&key);
+            self.pairs.remove(&key);
+        }
+    }
+
+    fn holds(&self, compare: &KvCompare) -> bool {
+        match compare {
+            KvCompare::Absent { key } => !self.pairs.contains_key(key),
+            KvCompare::Present { key } => self.pairs.contains_key(key),
+            KvCompare::ModifiedAt { key, store_revision } => {
+                self.pairs.get(key).is_some_and(|pair| pair.modify_revision == *store_revision)
+            }
+        }
+    }
+
+    fn transact(&mut self, succeeded: bool, operations: &[KvOperation]) -> KvReply {
+        let is_write = |operation: &KvOperation| {
+            matches!(operation, KvOperation::Put { .. } | KvOperation::Delete { .. })
+        };
+        let writes = operations.iter().any(is_write);
+        self.revision += u64::from(writes);
+        self.writes += u64::from(writes);
+        self.reads += u64::from(!writes);
+        let results = operations.iter().map(|operation| self.operate(operation)).collect();
+        KvReply::Transaction { succeeded, store_revision: self.revision, results }
+    }
+
+    fn operate(&mut self, operation: &KvOperation) -> Vec<KvPair> {
+        match operation {
+            KvOperation::Put { key, value, lease } => {
+                assert!(value.len() <= 1_000_000, "value of {key} is larger than 1 MB");
+                let create_revision =
+                    self.pairs.get(key).map_or(self.revision, |pair| pair.create_revision);
+                let pair = KvPair {
+                    key: key.clone(),
+                    value: value.clone(),
+                    create_revision,
+                    modify_revision: self.revision,
+                };
+                self.log.push((self.revision, pair.clone()));
+                self.pairs.insert(key.clone(), pair);
+                self.lease_of.remove(key);
+                if let Some(lease) = lease {
+                    self.lease_of.insert(key.clone(), *lease);
+                }
+                Vec::new()
+            }
+            KvOperation::Delete { key } => {
+                self.pairs.remove(key);
+                self.lease_of.remove(key);
+                Vec::new()
+            }
+            KvOperation::Get { key } => self.pairs.get(key).cloned().into_iter().collect(),
+            KvOperation::List { prefix, limit } => {
+                let mut found = self.list(prefix);
+                if *limit > 0 {
+                    found.truncate(*limit as usize);
+                }
+                found
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/tests/support/store.rs
@@ -0,0 +1,86 @@
+//! Calls of the fleet to the key-value service.
+
+use hickorydoor::AgentEvent;
+use hickorydoor::EntryEvent;
+use hickorydoor::id::KvCallId;
+use hickorydoor::kv_call::KvCall;
+use hickorydoor::kv_call::KvFault;
+use hickorydoor::kv_call::KvOutcome;
+use rand::RngExt;
+
+use super::fleet::Fleet;
+use super::fleet::Happening;
+use super::fleet::Node;
+use super::fleet::Watch;
+
+impl Fleet {
+    pub fn kv_call(&mut self, node: Node, life: u64, call: KvCallId, operation: KvCall) {
+        let answer_ms = self.rng.random_range(1..5);
+        if self.now_ms < self.kv_down_until {
+            let sent = self.rng.random_bool(0.5);
+            let fault = if sent { KvFault::OutcomeUnknown } else { KvFault::NotSent };
+            self.answer(answer_ms + 500, node, life, call, KvOutcome::Fault(fault));
+            return;
+        }
+        if let KvCall::Watch { prefix, from_store_revision } = operation {
+            let prefix = prefix.to_string();
+            let watch = Watch { node, life, call, prefix, next_revision: from_store_revision };
+            self.watches.push(watch);
+            self.notify_watches();
+            return;
+        }
+        let now = self.now();
+        let Some(reply) = self.kv.run(&operation, now) else {
+            return;
+        };
+        let lost = self.now_ms < self.kv_loses_until && self.rng.random_bool(0.5);
+        let outcome =
+            if lost { KvOutcome::Fault(KvFault::OutcomeUnknown) } else { KvOutcome::Reply(reply) };
+        self.answer(answer_ms + if lost { 500 } else { 0 }, node, life, call, outcome);
+        self.notify_watches();
+    }
+
+    pub fn answer(&mut self, ms: u64, node: Node, life: u64, call: KvCallId, outcome: KvOutcome) {
+        let happening = match node {
+            Node::Entry(index) => {
+                Happening::Entry(index, life, Box::new(EntryEvent::Kv { call, outcome }))
+            }
+            Node::Agent(index) => {
+                Happening::Agent(index, life, Box::new(AgentEvent::Kv { call, outcome }))
+            }
+        };
+        self.push(ms, happening);
+    }
+
+    pub fn notify_watches(&mut self) {
+        let store_revision = self.kv.revision;
+        let mut news = Vec::new();
+        for watch in &mut self.watches {
+            let written = self.kv.written_since(&watch.prefix, watch.next_revision);
+            watch.next_revision = store_revision + 1;
+            if !written.is_empty() {
+                let outcome = KvOutcome::Watched { store_revision, written, deleted: Vec::new() };
+                news.push((watch.node, watch.life, watch.call, outcome));
+            }
+        }
+        for (node, life, call, outcome) in news {
+            self.answer(5, node, life, call, outcome);
+        }
+    }
+
+    pub fn cut_watches(&mut self) {
+        for watch in std::mem::take(&mut self.watches) {
+            let outcome = KvOutcome::Fault(KvFault::WatchLost);
+            self.answer(1, watch.node, watch.life, watch.call, outcome);
+        }
+    }
+
+    /// Watches that are pending for live processes.
+    pub fn watch_count(&self) -> usize {
+        let live = |watch: &&Watch| match watch.node {
+            Node::Entry(index) => self.entries[index].life == watch.life,
+            Node::Agent(index) => self.agents[index].life == watch.life,
+        };
+        self.watches.iter().filter(live).count()
+    }
+}
