--- a/crates/hickorydoor/src/lib.rs
+++ b/crates/hickorydoor/src/lib.rs
@@ -30,6 +30,7 @@
 //! [`wire`]. Operators' configuration is written as [`RawConfiguration`] and checked into a
 //! [`Configuration`].
 
+pub mod action_error;
 pub mod agent;
 mod agent_attempt;
 mod agent_billing;
@@ -44,10 +45,13 @@
 pub mod caller_request;
 pub mod cascade;
 pub mod change;
+pub mod change_attempt;
+pub mod change_outcome;
 pub mod claim;
 pub mod claim_table;
 pub mod claim_verdict;
 pub mod class;
+pub mod config_diff;
 pub mod config_log;
 pub mod configuration;
 pub mod customer;
@@ -70,6 +74,7 @@
 pub mod host_record;
 pub mod id;
 pub mod item;
+pub mod item_change;
 pub mod key_digest;
 pub mod keys;
 pub mod kv_call;
@@ -79,6 +84,7 @@
 pub mod message;
 pub mod model;
 pub mod observation;
+pub mod operator_action;
 pub mod placement;
 pub mod quantity;
 pub mod raw_configuration;
@@ -86,6 +92,7 @@
 mod request_state;
 pub mod serial_set;
 pub mod service;
+pub mod stored_configuration;
 pub mod time;
 pub mod usage;
 pub mod usage_store;
--- /dev/null
+++ b/crates/hickorydoor/tests/at_most_once.rs
@@ -0,0 +1,152 @@
+//! Keyed writes through other entries and agents, restarts and outages.
+//!
+//! Guards against a second run under the same key, a lost first response and a false "not run".
+
+mod support;
+
+use hickorydoor::Refusal;
+use hickorydoor::keys;
+use hickorydoor::refusal::RefusalReason;
+use hickorydoor::refusal::RunState;
+use proptest::prelude::any;
+use proptest::prelude::proptest;
+
+use crate::support::callers::Kind;
+use crate::support::callers::Outcome;
+use crate::support::fleet::Fleet;
+use crate::support::fleet::Setup;
+use crate::support::schedule;
+use crate::support::schedule::Fault;
+
+const KEY: Kind = Kind::KeyedWrite(1);
+
+fn calm() -> Fleet {
+    let setup = Setup { upstream_fault_chance: 0.0, double_chance: 0.0, ..Setup::default() };
+    let mut fleet = Fleet::new(setup, 1);
+    fleet.run_for(3_000);
+    fleet
+}
+
+fn outcome(fleet: &Fleet, caller: u64) -> Outcome {
+    fleet.callers.exchanges[&caller].outcome.clone().expect("the exchange has ended")
+}
+
+fn refusal(fleet: &Fleet, caller: u64) -> Refusal {
+    match outcome(fleet, caller) {
+        Outcome::Refused(refusal) => refusal,
+        other => panic!("the call was not refused: {other:?}"),
+    }
+}
+
+#[test]
+fn retries_through_other_entries_and_agents_get_the_first_response() {
+    let mut fleet = calm();
+    let first = fleet.request(0, KEY);
+    fleet.run_for(5_000);
+    assert_eq!(outcome(&fleet, first), Outcome::Whole);
+    for round in 0..20 {
+        let retry = fleet.request(round % 3, KEY);
+        fleet.run_for(200);
+        assert_eq!(outcome(&fleet, retry), Outcome::Whole);
+    }
+    fleet.callers.check();
+}
+
+#[test]
+fn another_body_under_the_same_key_is_refused() {
+    let mut fleet = calm();
+    fleet.request(0, KEY);
+    fleet.run_for(5_000);
+    for entry in 0..3 {
+        let other = fleet.request(entry, Kind::OtherKeyedWrite(1));
+        fleet.run_for(200);
+        let refusal = refusal(&fleet, other);
+        assert_eq!(refusal.reason, RefusalReason::KeyReused);
+        assert_eq!(refusal.run, RunState::NotRun);
+    }
+    fleet.callers.check();
+}
+
+#[test]
+fn keyed_writes_are_refused_as_not_run_while_the_store_is_down() {
+    let mut fleet = calm();
+    fleet.apply(Fault::KvOutage { ms: 60_000 });
+    let callers: Vec<u64> = (0..20).map(|key| fleet.request(0, Kind::KeyedWrite(key))).collect();
+    fleet.run_for(10_000);
+    for caller in callers {
+        let refusal = refusal(&fleet, caller);
+        assert_eq!(refusal.reason, RefusalReason::StoreUnavailable);
+        assert_eq!(refusal.run, RunState::NotRun);
+        assert!(refusal.retry_after_ms.is_some());
+    }
+    fleet.run_for(120_000);
+    // Claims that may have been written are released, so every key is usable again.
+    let retries: Vec<u64> = (0..20).map(|key| fleet.request(1, Kind::KeyedWrite(key))).collect();
+    fleet.run_for(10_000);
+    for caller in retries {
+        assert_eq!(outcome(&fleet, caller), Outcome::Whole);
+    }
+    fleet.callers.check();
+}
+
+#[test]
+fn a_claim_of_a_crashed_agent_is_not_run_again() {
+    let mut fleet = calm();
+    let first = fleet.request(0, KEY);
+    // The claim takes at most 20 ms of calls; the answer takes longer.
+    fleet.run_for(30);
+    assert_eq!(fleet.kv.list(keys::CLAIMS_PREFIX).len(), 1);
+    let agent = fleet.callers.runs.values().next().expect("it runs")[0];
+    fleet.apply(Fault::CrashAgent { agent, down_ms: 500 });
+    fleet.run_for(20_000);
+    assert_eq!(refusal(&fleet, first).run, RunState::Unknown);
+    for entry in 0..3 {
+        let retry = fleet.request(entry, KEY);
+        fleet.run_for(1_000);
+        assert_eq!(refusal(&fleet, retry).reason, RefusalReason::OutcomeUnknown);
+    }
+    fleet.callers.check();
+}
+
+#[test]
+fn a_caller_that_hung_up_finds_the_response() {
+    let mut fleet = calm();
+    fleet.request(0, KEY);
+    fleet.run_for(30);
+    fleet.apply(Fault::CrashEntry { entry: 0, down_ms: 500 });
+    fleet.run_for(5_000);
+    let retry = fleet.request(1, KEY);
+    fleet.run_for(1_000);
+    assert_eq!(outcome(&fleet, retry), Outcome::Whole);
+    fleet.callers.check();
+}
+
+proptest! {
+    #![proptest_config(schedule::config(8))]
+
+    #[test]
+    fn keyed_writes_run_at_most_once(
+        seed in any::<u64>(),
+        faults in schedule::faults(30_000, 12),
+    ) {
+        let setup = Setup { engines: 1, services: 3, ..Setup::default() };
+        let mut fleet = Fleet::new(setup, seed);
+        fleet.run_for(3_000);
+        let mut faults = faults.into_iter().collect::<Vec<_>>();
+        faults.sort_by_key(|(at_ms, _)| *at_ms);
+        let mut faults = faults.into_iter().peekable();
+        for step in 0..300 {
+            while let Some((_, fault)) = faults.next_if(|(at_ms, _)| *at_ms <= step * 100) {
+                fleet.apply(fault);
+            }
+            fleet.start_stopped();
+            let key = step % 30;
+            let entry = (step * 7 % 3) as usize;
+            let kind = if step % 9 == 0 { Kind::OtherKeyedWrite(key) } else { Kind::KeyedWrite(key) };
+            fleet.request(entry, kind);
+            fleet.run_for(100);
+        }
+        fleet.run_for(330_000);
+        fleet.callers.check();
+    }
+}
--- a/crates/hickorydoor/tests/support/callers.rs
+++ b/crates/hickorydoor/tests/support/callers.rs
@@ -13,6 +13,9 @@
 /// Tokens of each piece of an answer.
 pub const PIECE_TOKENS: u64 = 3;
 
+/// Numbers from here on belong to keyed calls; the rest of the division is the key.
+pub const FIRST_KEYED: u64 = 1_000_000;
+
 /// What a caller asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -22,6 +25,8 @@
     Write,
     /// A write with an idempotency key of this number.
     KeyedWrite(u64),
+    /// Another write with the idempotency key of this number.
+    OtherKeyedWrite(u64),
 }
 
 /// How an exchange ended for its caller.
@@ -129,7 +134,10 @@
         for (caller, exchange) in &self.exchanges {
             let outcome = exchange.outcome.as_ref();
             let outcome = outcome.unwrap_or_else(|| panic!("{caller} got no end: {exchange:?}"));
-            let repeatable = !matches!(exchange.kind, Kind::Write | Kind::KeyedWrite(_));
+            let repeatable = !matches!(
+                exchange.kind,
+                Kind::Write | Kind::KeyedWrite(_) | Kind::OtherKeyedWrite(_)
+            );
             run_twice_allowed.insert(exchange.number, repeatable);
             if let Outcome::Aborted(refusal) = outcome {
                 assert_ne!(refusal.run, RunState::NotRun, "an answer began: {exchange:?}");
@@ -141,6 +149,11 @@
                 "{request} ran although its caller heard \"not run\""
             );
         }
+        let mut by_key = BTreeMap::new();
+        for (number, agents) in self.runs.iter().filter(|(number, _)| **number >= FIRST_KEYED) {
+            *by_key.entry(number % FIRST_KEYED).or_insert(0) += agents.len();
+        }
+        assert!(by_key.values().all(|runs| *runs <= 1), "two calls ran under one key: {by_key:?}");
         for (number, agents) in &self.runs {
             let repeatable = run_twice_allowed.get(number).copied().unwrap_or(true);
             assert!(repeatable || agents.len() <= 1, "write {number} ran at {agents:?}");
--- a/crates/hickorydoor/tests/support/requests.rs
+++ b/crates/hickorydoor/tests/support/requests.rs
@@ -26,7 +26,8 @@
         self.next_caller += 1;
         let caller = self.next_caller;
         let number = match kind {
-            Kind::KeyedWrite(key) => 1_000_000 + key,
+            Kind::KeyedWrite(key) => callers::FIRST_KEYED + key,
+            Kind::OtherKeyedWrite(key) => 2 * callers::FIRST_KEYED + key,
             _ => caller,
         };
         let exchange = Exchange {
@@ -108,16 +109,20 @@
             prefix_hash: number,
             body,
         }),
-        Kind::Read | Kind::Write | Kind::KeyedWrite(_) => Ask::Service(ServiceRequest {
-            service: "registry".parse().expect("name"),
-            method: if kind == Kind::Read { "GET" } else { "POST" }.into(),
-            path: "/lots".into(),
-            content_type: None,
-            idempotency_key: match kind {
-                Kind::KeyedWrite(key) => Some(format!("key-{key}").parse().expect("key")),
-                _ => None,
-            },
-            body,
-        }),
+        Kind::Read | Kind::Write | Kind::KeyedWrite(_) | Kind::OtherKeyedWrite(_) => {
+            Ask::Service(ServiceRequest {
+                service: "registry".parse().expect("name"),
+                method: if kind == Kind::Read { "GET" } else { "POST" }.into(),
+                path: "/lots".into(),
+                content_type: None,
+                idempotency_key: match kind {
+                    Kind::KeyedWrite(key) | Kind::OtherKeyedWrite(key) => {
+                        Some(format!("key-{key}").parse().expect("key"))
+                    }
+                    _ => None,
+                },
+                body,
+            })
+        }
     }
 }
