--- a/crates/hickoryctl/tests/fleet.rs
+++ b/crates/hickoryctl/tests/fleet.rs
@@ -19,6 +19,7 @@
 use hickorydoor::ledger::Batch;
 use hickorydoor::quantity::CostMicros;
 use hickorydoor::quantity::Tokens;
+use hickorydoor::serial_set::SerialSet;
 use support::NOW_MS;
 use support::Tool;
 use support::environment;
@@ -134,11 +135,9 @@
         answer_tokens: Tokens::new(5 * requests),
         cost_micros: CostMicros::new(700_000 * requests),
     };
-    let batch = Batch {
-        sealed_at_ms: TimeMs::new(sealed_at),
-        serials: vec![Serial::new(sequence)],
-        sums: vec![sum],
-    };
+    let mut serials = SerialSet::default();
+    serials.insert(Serial::new(sequence));
+    let batch = Batch { sealed_at_ms: TimeMs::new(sealed_at), serials, sums: vec![sum] };
     let entry = "entry-1".parse().expect("the id is valid");
     let key = keys::batch(&entry, Incarnation::new(1), Sequence::new(sequence));
     let put = KvOperation::Put { key, value: batch.encode(), lease: None };
--- /dev/null
+++ b/crates/hickorydoor/examples/apply_cost.rs
@@ -0,0 +1,58 @@
+//! Prints the time to apply one change for growing configurations.
+//!
+//! `cargo run --release -p hickorydoor --example apply_cost`
+
+use std::time::Instant;
+
+use hickorydoor::Configuration;
+use hickorydoor::KeyDigest;
+use hickorydoor::TimeMs;
+use hickorydoor::change::ChangeRecord;
+use hickorydoor::change::Operation;
+use hickorydoor::customer::Customer;
+use hickorydoor::customer::CustomerLimits;
+use hickorydoor::id::IdError;
+use hickorydoor::id::Revision;
+use hickorydoor::item::Item;
+
+const CHANGES: u64 = 200;
+
+fn customer(number: u64) -> Result<Customer, IdError> {
+    Ok(Customer {
+        id: format!("customer-{number}").parse()?,
+        key_digests: vec![KeyDigest::of_key(&format!("key-{number}"))],
+        models: Vec::new(),
+        versions: Vec::new(),
+        cascades: Vec::new(),
+        services: Vec::new(),
+        limits: CustomerLimits::default(),
+        weight: 1,
+    })
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    for customers in [10, 100, 1_000, 10_000] {
+        let items: Result<Vec<Item>, IdError> =
+            (0..customers).map(|number| customer(number).map(Item::Customer)).collect();
+        let mut configuration = Configuration::from_items(Revision::new(0), items?)?;
+        let mut records = Vec::new();
+        for number in 0..CHANGES {
+            let changed = Customer { weight: 2, ..customer(number % customers)? };
+            records.push(ChangeRecord {
+                revision: Revision::new(number + 1),
+                change: format!("change-{number}").parse()?,
+                operator: "operator".parse()?,
+                reason: "measurement".into(),
+                made_at_ms: TimeMs::new(0),
+                operations: vec![Operation::Put(Item::Customer(changed))],
+            });
+        }
+        let begin = Instant::now();
+        for record in &records {
+            configuration.apply(record)?;
+        }
+        let per_change_us = begin.elapsed().as_secs_f64() * 1e6 / CHANGES as f64;
+        println!("{customers:>6} customers: {per_change_us:>9.2} us per change");
+    }
+    Ok(())
+}
