--- /dev/null
+++ b/crates/hickorydoor/benches/reducer.rs
@@ -0,0 +1,245 @@
+//! Time and allocations of the entry's reducer for one request with 256 known upstreams.
+//!
+//! One request is placed, answered in one chunk, ended and billed: five events.
+
+#![allow(unsafe_code, reason = "a counting allocator has to implement GlobalAlloc")]
+
+use std::alloc::GlobalAlloc;
+use std::alloc::Layout;
+use std::alloc::System;
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+use hickorydoor::AgentMessage;
+use hickorydoor::CallerRequest;
+use hickorydoor::Class;
+use hickorydoor::Configuration;
+use hickorydoor::Entry;
+use hickorydoor::EntryEffect;
+use hickorydoor::EntryEvent;
+use hickorydoor::EntryMessage;
+use hickorydoor::EntrySettings;
+use hickorydoor::KeyDigest;
+use hickorydoor::RawConfiguration;
+use hickorydoor::TimeMs;
+use hickorydoor::caller_request::Ask;
+use hickorydoor::caller_request::ChatRequest;
+use hickorydoor::host_record::HostRecord;
+use hickorydoor::host_record::HostRole;
+use hickorydoor::host_record::HostState;
+use hickorydoor::id::AttemptId;
+use hickorydoor::id::CallerId;
+use hickorydoor::id::HostId;
+use hickorydoor::id::Incarnation;
+use hickorydoor::id::Revision;
+use hickorydoor::load_report::LoadReport;
+use hickorydoor::message::AgentHello;
+use hickorydoor::message::ConfigUpdate;
+use hickorydoor::message::Offer;
+use hickorydoor::quantity::ByteCount;
+use hickorydoor::quantity::Tokens;
+use hickorydoor::usage::Usage;
+
+const UPSTREAMS: usize = 256;
+const KEY: &str = "sk-bench";
+const BODY: &[u8] = br#"{"model":"brine","messages":[{"role":"user","content":"hello"}]}"#;
+const ANSWER: &[u8] = br#"{"choices":[{"message":{"content":"answer"}}]}"#;
+/// Requests over which allocations are averaged.
+const COUNTED_REQUESTS: u64 = 10_000;
+
+struct CountingAllocator;
+
+static ALLOCATIONS: AtomicU64 = AtomicU64::new(0);
+
+// SAFETY: every call is passed on to the system allocator unchanged.
+unsafe impl GlobalAlloc for CountingAllocator {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATIONS.fetch_add(1, Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        // SAFETY: the caller keeps the contract of `dealloc`.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
+/// An entry with its agents and a clock.
+struct Bench {
+    entry: Entry,
+    now: TimeMs,
+    next_caller: u64,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let settings =
+            EntrySettings::new(id("entry-1"), Incarnation::new(1), id("arauco-1"), id("la-rioja"));
+        let now = TimeMs::new(1_000);
+        let mut bench = Self { entry: Entry::new(settings, 42, now), now, next_caller: 0 };
+        let records = (0..UPSTREAMS).map(|index| record(&agent(index))).collect();
+        bench.apply(EntryEvent::HostList(records));
+        for index in 0..UPSTREAMS {
+            bench.connect(&agent(index));
+        }
+        let update = ConfigUpdate::Snapshot(Box::new(configuration()));
+        bench.message(&agent(0), AgentMessage::ConfigUpdate(update));
+        bench
+    }
+
+    fn apply(&mut self, event: EntryEvent) -> Vec<EntryEffect> {
+        self.entry.apply(event, self.now)
+    }
+
+    fn message(&mut self, agent: &HostId, message: AgentMessage) -> Vec<EntryEffect> {
+        self.apply(EntryEvent::Message { agent: agent.clone(), message })
+    }
+
+    fn connect(&mut self, agent: &HostId) {
+        self.apply(EntryEvent::LinkUp { agent: agent.clone() });
+        let hello = AgentHello {
+            agent: agent.clone(),
+            upstream: id(agent.as_str()),
+            incarnation: Incarnation::new(1),
+            data_centre: id("arauco-1"),
+            region: id("la-rioja"),
+            offer: Offer::Engine { versions: vec![id("brine-1")] },
+            revision: Revision::new(1),
+            draining: false,
+        };
+        self.message(agent, AgentMessage::Hello(hello));
+        self.message(agent, AgentMessage::Load(Box::new(report(0))));
+    }
+
+    /// Runs one request from its arrival to its bill.
+    fn request(&mut self) {
+        self.next_caller += 1;
+        let caller = CallerId::new(self.next_caller);
+        let effects = self.apply(EntryEvent::Request(Box::new(request(caller))));
+        let (agent, attempt) = dispatched(&effects);
+        let started = AgentMessage::Started {
+            attempt: attempt.clone(),
+            status: 200,
+            content_type: "application/json".into(),
+        };
+        self.message(&agent, started);
+        let chunk = AgentMessage::Chunk {
+            attempt: attempt.clone(),
+            offset: ByteCount::default(),
+            tokens: Tokens::new(8),
+            data: Bytes::from_static(ANSWER),
+        };
+        self.message(&agent, chunk);
+        let ended = AgentMessage::Ended {
+            attempt,
+            length: ByteCount::new(ANSWER.len() as u64),
+            usage: Usage { prompt_tokens: Tokens::new(8), answer_tokens: Tokens::new(8) },
+        };
+        black_box(self.message(&agent, ended));
+        // The agent's next report covers the attempt, so that load does not pile up.
+        let received = self.entry.members().get(&agent).map_or(0, |member| member.sent);
+        self.message(&agent, AgentMessage::Load(Box::new(report(received))));
+    }
+}
+
+fn id<T: std::str::FromStr>(text: &str) -> T {
+    text.parse().unwrap_or_else(|_error| panic!("{text} is no id"))
+}
+
+fn agent(index: usize) -> HostId {
+    id(&format!("agent-{index}"))
+}
+
+fn record(host: &HostId) -> HostRecord {
+    HostRecord {
+        host: host.clone(),
+        role: HostRole::Agent,
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: id("arauco-1"),
+        region: id("la-rioja"),
+        state: HostState::Live,
+    }
+}
+
+fn report(received_from_entry: u64) -> LoadReport {
+    LoadReport {
+        revision: Revision::new(1),
+        admission_limit: 64,
+        warm_limit: 64,
+        prefill_tokens_per_s: 10_000.0,
+        token_interval_ms: 20.0,
+        versions: vec![id("brine-1")],
+        received_from_entry,
+        ..LoadReport::default()
+    }
+}
+
+fn configuration() -> Configuration {
+    let digest = KeyDigest::of_key(KEY);
+    let yaml = format!(
+        "revision: 1\n\
+         models: [{{id: brine, prompt_cost_micros_per_1k_tokens: 1, \
+         answer_cost_micros_per_1k_tokens: 2, versions: [{{id: brine-1, state: active}}]}}]\n\
+         customers: [{{id: c, key_digests: [{digest}], models: [brine], limits: {{}}, weight: 1}}]\n"
+    );
+    let raw = RawConfiguration::from_yaml(&yaml).unwrap_or_else(|error| panic!("{error}"));
+    let mut configuration = Configuration::try_from(raw).unwrap_or_else(|error| panic!("{error}"));
+    configuration.revision = Revision::new(1);
+    configuration
+}
+
+fn request(caller: CallerId) -> CallerRequest {
+    CallerRequest {
+        caller,
+        key: KeyDigest::of_key(KEY),
+        session: None,
+        class: Class::Interactive,
+        deadline_ms: None,
+        ask: Ask::Chat(ChatRequest {
+            model: "brine".into(),
+            stream: false,
+            include_usage: false,
+            prompt_tokens: Tokens::new(8),
+            max_tokens: None,
+            prefix_hash: 7,
+            body: Bytes::from_static(BODY),
+        }),
+    }
+}
+
+fn dispatched(effects: &[EntryEffect]) -> (HostId, AttemptId) {
+    let dispatch = effects.iter().find_map(|effect| match effect {
+        EntryEffect::Send { agent, message: EntryMessage::Dispatch(dispatch) } => {
+            Some((agent.clone(), dispatch.attempt.clone()))
+        }
+        _ => None,
+    });
+    dispatch.unwrap_or_else(|| panic!("the request was not placed: {effects:?}"))
+}
+
+fn reducer(criterion: &mut Criterion) {
+    let mut bench = Bench::new();
+    bench.request();
+    let before = ALLOCATIONS.load(Ordering::Relaxed);
+    for _ in 0..COUNTED_REQUESTS {
+        bench.request();
+    }
+    let allocations = ALLOCATIONS.load(Ordering::Relaxed) - before;
+    println!("allocations per request: {:.1}", allocations as f64 / COUNTED_REQUESTS as f64);
+    criterion.bench_function("entry: one request, 256 upstreams", |bencher| {
+        bencher.iter(|| bench.request());
+    });
+}
+
+criterion_group!(benches, reducer);
+criterion_main!(benches);
