Measure the request path with a runtime for each process

The bench now gives each entry and agent a runtime of one thread, as in the daemon, paces requests from a thread of its own, because tokio's timers round to milliseconds and sent bursts, and prints CPU time for each request.

--- a/crates/hickoryd/benches/path.rs
+++ b/crates/hickoryd/benches/path.rs
@@ -2,8 +2,10 @@
 //!
 //! `cargo bench -p hickoryd --bench path` sends the same requests to the stand-in engine directly
 //! and through entry and agent, in one run on loopback. The load generator, the router's processes
-//! and the stand-ins have runtimes of their own. The run lasts about 20 s.
+//! and the stand-ins have runtimes of their own. The run lasts about 40 s. CPU time for each
+//! request is printed as well, since it tells more than latency on a busy machine.
 
+use std::collections::BTreeMap;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,7 +23,7 @@
 use mimalloc::MiMalloc;
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
-use tokio::time::MissedTickBehavior;
+use tokio::sync::Semaphore;
 
 #[path = "../tests/fleet/mod.rs"]
 mod fleet;
@@ -39,7 +41,7 @@
 /// Connections of the load generator.
 const WORKERS: usize = 64;
 const GENERATOR_THREADS: usize = 2;
-const FLEET_THREADS: usize = 6;
+const STAND_IN_THREADS: usize = 2;
 /// Latencies up to 10 s with three digits, in microseconds.
 const MAX_US: u64 = 10_000_000;
 
@@ -57,6 +59,7 @@
     latency_us: Histogram<u64>,
     requests_per_s: f64,
     errors: u64,
+    cpu: BTreeMap<String, f64>,
 }
 
 fn main() -> ExitCode {
@@ -70,41 +73,56 @@
 }
 
 fn bench() -> Result<(), AnyError> {
-    let fleet_runtime = runtime(FLEET_THREADS)?;
-    let generator = runtime(GENERATOR_THREADS)?;
+    let stand_ins = runtime("stand-ins", STAND_IN_THREADS)?;
+    let generator = runtime("generator", GENERATOR_THREADS)?;
     let mut engine = EngineSettings::new([VERSION, "brine-large-1"]);
     engine.first_token_time = Duration::ZERO;
     engine.slots = 4 * WORKERS;
-    let fleet = fleet_runtime.block_on(Fleet::start(1, engine))?;
+    let fleet = stand_ins.block_on(Fleet::start_apart(1, engine))?;
     for stream in [false, true] {
         compare(&generator, &fleet, stream);
     }
     Ok(())
 }
 
-fn runtime(threads: usize) -> Result<Runtime, AnyError> {
-    Ok(Builder::new_multi_thread().worker_threads(threads).enable_all().build()?)
+fn runtime(name: &str, threads: usize) -> Result<Runtime, AnyError> {
+    let mut builder = Builder::new_multi_thread();
+    Ok(builder.worker_threads(threads).thread_name(name).enable_all().build()?)
 }
 
 fn compare(generator: &Runtime, fleet: &Fleet, stream: bool) {
     let direct = target("direct", &fleet.engines[0].url(), VERSION, stream);
     let router = target("router", &fleet.url(0), "brine-small", stream);
     println!("\n{} answers of 8 tokens", if stream { "streamed" } else { "whole" });
-    generator.block_on(load(&router, None, WARM_UP));
-    let full = generator.block_on(load(&router, None, PHASE));
+    generator.block_on(load(&router, WORKERS, None, WARM_UP));
+    let full = generator.block_on(load(&router, WORKERS, None, PHASE));
     print("router, full load", &full);
-    let direct_full = generator.block_on(load(&direct, None, PHASE));
+    let direct_full = generator.block_on(load(&direct, WORKERS, None, PHASE));
     print("direct, full load", &direct_full);
     let half = full.requests_per_s / 2.0;
-    let direct_half = generator.block_on(load(&direct, Some(half), PHASE));
+    let direct_half = generator.block_on(load(&direct, WORKERS, Some(half), PHASE));
     print("direct, half load", &direct_half);
-    let router_half = generator.block_on(load(&router, Some(half), PHASE));
+    let router_half = generator.block_on(load(&router, WORKERS, Some(half), PHASE));
     print("router, half load", &router_half);
-    let added = |quantile: f64| {
-        let through = router_half.latency_us.value_at_quantile(quantile) as f64;
-        (through - direct_half.latency_us.value_at_quantile(quantile) as f64) / 1000.0
+    let direct_one = generator.block_on(load(&direct, 1, None, PHASE));
+    print("direct, one by one", &direct_one);
+    let router_one = generator.block_on(load(&router, 1, None, PHASE));
+    print("router, one by one", &router_one);
+    print_added("half load", &direct_half, &router_half);
+    print_added("one by one", &direct_one, &router_one);
+}
+
+fn print_added(phase: &str, direct: &Measured, router: &Measured) {
+    let added_ms = |quantile: f64| {
+        let through = router.latency_us.value_at_quantile(quantile) as f64;
+        (through - direct.latency_us.value_at_quantile(quantile) as f64) / 1000.0
     };
-    println!("added at half load: p50 {:.3} ms, p99 {:.3} ms", added(0.5), added(0.99));
+    println!(
+        "added, {phase}: p10 {:.3} ms, p50 {:.3} ms, p99 {:.3} ms",
+        added_ms(0.1),
+        added_ms(0.5),
+        added_ms(0.99),
+    );
 }
 
 fn target(name: &'static str, url: &str, model: &str, stream: bool) -> Target {
@@ -115,34 +133,55 @@
 
 fn print(phase: &str, measured: &Measured) {
     println!(
-        "{phase:18} {:8.0} requests/s  p50 {:6} us  p99 {:6} us  errors {}",
+        "{phase:18} {:8.0} requests/s  p10 {:6} us  p50 {:6} us  p99 {:6} us  errors {}",
         measured.requests_per_s,
+        measured.latency_us.value_at_quantile(0.1),
         measured.latency_us.value_at_quantile(0.5),
         measured.latency_us.value_at_quantile(0.99),
         measured.errors,
     );
+    let cpu: Vec<String> =
+        measured.cpu.iter().map(|(name, used_us)| format!("{name} {used_us:.0}")).collect();
+    println!("{:18} CPU us per request: {}", "", cpu.join(", "));
+}
+
+/// CPU time of each group of threads so far, in microseconds.
+fn cpu_us() -> BTreeMap<String, f64> {
+    let mut used = BTreeMap::new();
+    let Ok(threads) = std::fs::read_dir("/proc/self/task") else {
+        return used;
+    };
+    for thread in threads.flatten() {
+        let Ok(stat) = std::fs::read_to_string(thread.path().join("stat")) else {
+            continue;
+        };
+        let Some((head, rest)) = stat.rsplit_once(')') else {
+            continue;
+        };
+        let name = head.split_once('(').map_or("", |(_, name)| name).to_owned();
+        // User and system time are the 12th and 13th field after the name, in ticks of 10 ms.
+        let ticks: f64 = rest.split_whitespace().skip(11).take(2).flat_map(str::parse::<f64>).sum();
+        *used.entry(name).or_insert(0.0) += ticks * 10_000.0;
+    }
+    used
 }
 
 /// Sends requests at this rate, or as fast as they are answered.
-async fn load(target: &Target, requests_per_s: Option<f64>, length: Duration) -> Measured {
+async fn load(
+    target: &Target,
+    worker_count: usize,
+    requests_per_s: Option<f64>,
+    length: Duration,
+) -> Measured {
     let client: HttpClient =
         Client::builder(TokioExecutor::new()).pool_max_idle_per_host(WORKERS).build_http();
     let target =
         Arc::new(Target { name: target.name, url: target.url.clone(), body: target.body.clone() });
+    let before = cpu_us();
     let started = Instant::now();
-    let period = requests_per_s.map(|rate| Duration::from_secs_f64(WORKERS as f64 / rate));
-    let workers: Vec<_> = (0..WORKERS)
-        .map(|index| {
-            let offset = period.unwrap_or_default().mul_f64(index as f64 / WORKERS as f64);
-            tokio::spawn(work(
-                client.clone(),
-                Arc::clone(&target),
-                period,
-                offset,
-                started + length,
-            ))
-        })
-        .collect();
+    let pace = requests_per_s.map(|rate| pace(rate, started + length));
+    let worker = || work(client.clone(), Arc::clone(&target), pace.clone(), started + length);
+    let workers: Vec<_> = (0..worker_count).map(|_index| tokio::spawn(worker())).collect();
     let mut latency_us = histogram();
     let mut errors = 0;
     for worker in workers {
@@ -151,7 +190,31 @@
         errors += failed;
     }
     let requests_per_s = latency_us.len() as f64 / started.elapsed().as_secs_f64();
-    Measured { latency_us, requests_per_s, errors }
+    let requests = latency_us.len().max(1) as f64;
+    let cpu = cpu_us()
+        .into_iter()
+        .map(|(name, used)| (name.clone(), (used - before.get(&name).unwrap_or(&0.0)) / requests))
+        .filter(|(_, used)| *used >= 0.5)
+        .collect();
+    Measured { latency_us, requests_per_s, errors, cpu }
+}
+
+/// Gives one permit for each request. A thread of its own keeps the pace, because tokio's timers
+/// round to milliseconds and would send requests in bursts.
+fn pace(requests_per_s: f64, until: Instant) -> Arc<Semaphore> {
+    let permits = Arc::new(Semaphore::new(0));
+    let period = Duration::from_secs_f64(1.0 / requests_per_s);
+    let giver = Arc::clone(&permits);
+    std::thread::spawn(move || {
+        let mut next = Instant::now();
+        while next < until {
+            std::thread::sleep(next.saturating_duration_since(Instant::now()));
+            giver.add_permits(1);
+            next += period;
+        }
+        giver.close();
+    });
+    permits
 }
 
 fn histogram() -> Histogram<u64> {
@@ -161,20 +224,17 @@
 async fn work(
     client: HttpClient,
     target: Arc<Target>,
-    period: Option<Duration>,
-    offset: Duration,
+    pace: Option<Arc<Semaphore>>,
     until: Instant,
 ) -> (Histogram<u64>, u64) {
-    tokio::time::sleep(offset).await;
-    let mut ticks = period.map(tokio::time::interval);
-    if let Some(ticks) = &mut ticks {
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    }
     let mut latency_us = histogram();
     let mut errors = 0;
     while Instant::now() < until {
-        if let Some(ticks) = &mut ticks {
-            ticks.tick().await;
+        if let Some(pace) = &pace {
+            let Ok(permit) = pace.acquire().await else {
+                break;
+            };
+            permit.forget();
         }
         let sent = Instant::now();
         if ask(&client, &target).await {
--- a/crates/hickoryd/tests/fleet/mod.rs
+++ b/crates/hickoryd/tests/fleet/mod.rs
@@ -47,6 +47,9 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use tokio::runtime::Builder;
+use tokio::runtime::Handle;
+use tokio::runtime::Runtime;
 
 /// Key of the customer in the fleet's configuration.
 pub const CUSTOMER_KEY: &str = "sk-cooperativa-4f1d";
@@ -71,6 +74,8 @@
     pub service: Service,
     pub entries: Vec<EntryProcess>,
     pub agents: Vec<AgentProcess>,
+    runtimes: Vec<Runtime>,
+    own_runtimes: bool,
 }
 
 /// A whole HTTP answer.
@@ -101,6 +106,19 @@
 impl Fleet {
     /// Starts `entry_count` entries, two model engines and one plain service.
     pub async fn start(entry_count: usize, engine: EngineSettings) -> Result<Self, AnyError> {
+        Self::start_with(entry_count, engine, false).await
+    }
+
+    /// Starts the fleet with a runtime of one thread for each entry and agent, as in the daemon.
+    pub async fn start_apart(entry_count: usize, engine: EngineSettings) -> Result<Self, AnyError> {
+        Self::start_with(entry_count, engine, true).await
+    }
+
+    async fn start_with(
+        entry_count: usize,
+        engine: EngineSettings,
+        own_runtimes: bool,
+    ) -> Result<Self, AnyError> {
         let kv = Kv::start().await?;
         store_configuration(&kv, CONFIGURATION).await?;
         let hosts = HostList::start().await?;
@@ -114,6 +132,8 @@
             service,
             entries: Vec::new(),
             agents: Vec::new(),
+            runtimes: Vec::new(),
+            own_runtimes,
         };
         fleet.start_engine("agent-1", engine.clone()).await?;
         fleet.start_engine("agent-2", engine).await?;
@@ -143,28 +163,29 @@
             "la-rioja".parse()?,
             offer,
         );
-        let agent = AgentProcess::start(AgentOptions {
+        let options = AgentOptions {
             settings,
             link_listen: loopback(),
             upstream_uri: url.into(),
             load_interval: Duration::from_millis(200),
             common: self.common()?,
-        });
-        let agent = agent.await?;
+        };
+        let agent = self.place(host)?.spawn(AgentProcess::start(options)).await??;
         self.hosts.update(|hosts| hosts.push(listed(host, agent.link_address())));
         self.agents.push(agent);
         Ok(())
     }
 
     async fn start_entry(&mut self, number: u64) -> Result<(), AnyError> {
+        let host = format!("entry-{number}");
         let mut settings = EntrySettings::new(
-            format!("entry-{number}").parse()?,
+            host.parse()?,
             Incarnation::new(1),
             "arauco-1".parse()?,
             "la-rioja".parse()?,
         );
         settings.billing_interval_ms = DurationMs::new(200);
-        let entry = EntryProcess::start(EntryOptions {
+        let options = EntryOptions {
             settings,
             seed: number,
             http_listen: loopback(),
@@ -175,11 +196,24 @@
             host_list_interval: Duration::from_millis(100),
             rating_uri: Some(self.rating.url().into()),
             common: self.common()?,
-        });
-        self.entries.push(entry.await?);
+        };
+        let entry = self.place(&host)?.spawn(EntryProcess::start(options)).await??;
+        self.entries.push(entry);
         Ok(())
     }
 
+    /// Where the next process runs.
+    fn place(&mut self, host: &str) -> Result<Handle, AnyError> {
+        if !self.own_runtimes {
+            return Ok(Handle::current());
+        }
+        let runtime =
+            Builder::new_multi_thread().worker_threads(1).thread_name(host).enable_all().build()?;
+        let handle = runtime.handle().clone();
+        self.runtimes.push(runtime);
+        Ok(handle)
+    }
+
     fn common(&self) -> Result<CommonOptions, AnyError> {
         Ok(CommonOptions {
             kv: ClientSettings::new([self.kv.url()])?,
