Add an experiment with real processes that are stopped, killed and cut off

Entries and agents run as processes of their own under a bounded load while they are restarted, paused and killed and the key-value service is down. The rolling restart of agents does not become ready within 20 s: an entry keeps an agent as draining after it was listed as leaving once, and does not connect to it again.

--- /dev/null
+++ b/crates/hickoryd/examples/failover/bills.rs
@@ -0,0 +1,55 @@
+//! Bills as they are stored.
+
+use std::fmt;
+
+use hickory_standins::Kv;
+use hickorydoor::keys;
+use serde_json::Value;
+
+use crate::tally::Tally;
+
+/// Sums of all stored bills of model requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BillTotal {
+    /// Requests billed.
+    pub requests: u64,
+    /// Tokens billed.
+    pub tokens: u64,
+}
+
+impl BillTotal {
+    /// Reads all stored batches.
+    pub fn read(kv: &Kv) -> Self {
+        let mut total = Self::default();
+        for key in kv.keys().iter().filter(|key| key.starts_with(keys::BILLS_PREFIX)) {
+            let Some(value) = kv.get(key) else {
+                continue;
+            };
+            let batch: Value = serde_json::from_slice(&value).unwrap_or_default();
+            for sum in batch["sums"].as_array().into_iter().flatten() {
+                total.add(sum);
+            }
+        }
+        total
+    }
+
+    fn add(&mut self, sum: &Value) {
+        if sum["version"].is_null() {
+            return;
+        }
+        let count = |field: &str| sum[field].as_u64().unwrap_or_default();
+        self.requests += count("requests");
+        self.tokens += count("prompt_tokens") + count("answer_tokens");
+    }
+
+    /// Tokens billed beyond those of the answers that were delivered whole.
+    pub fn extra_tokens(&self, tally: &Tally) -> u64 {
+        self.tokens.saturating_sub(tally.delivered_tokens)
+    }
+}
+
+impl fmt::Display for BillTotal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} model requests, {} tokens", self.requests, self.tokens)
+    }
+}
--- /dev/null
+++ b/crates/hickoryd/examples/failover/clients.rs
@@ -0,0 +1,201 @@
+//! Callers that send a bounded load and note what they see.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use tokio::task::JoinHandle;
+
+use crate::fleet::Answer;
+use crate::fleet::CUSTOMER_KEY;
+use crate::fleet::send;
+use crate::fleet::whole;
+use crate::tally::Tally;
+
+const CLIENT_COUNT: u64 = 24;
+/// Tries of one keyed call before its caller gives up.
+const MAX_TRIES: u64 = 200;
+const THINK_TIME: Duration = Duration::from_millis(5);
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// How one try of a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    Served { tokens: Option<u64> },
+    NotRun,
+    Unknown,
+    Failed,
+    Cut,
+    Unreachable,
+}
+
+#[derive(Debug)]
+struct Shared {
+    entries: Vec<String>,
+    tally: Mutex<Tally>,
+    stopping: AtomicBool,
+}
+
+/// Running callers.
+#[derive(Debug)]
+pub struct Clients {
+    shared: Arc<Shared>,
+    tasks: Mutex<Vec<JoinHandle<()>>>,
+}
+
+impl Clients {
+    /// Starts the callers, which spread over the entries as a balancer would.
+    pub fn start(entries: Vec<String>) -> Self {
+        let tally = Mutex::new(Tally::default());
+        let shared = Arc::new(Shared { entries, tally, stopping: AtomicBool::new(false) });
+        let spawn = |number| tokio::spawn(run_client(Arc::clone(&shared), number));
+        let tasks = (0..CLIENT_COUNT).map(spawn).collect();
+        Self { shared, tasks: Mutex::new(tasks) }
+    }
+
+    /// What the callers saw since the last call.
+    pub fn take_tally(&self) -> Tally {
+        std::mem::take(&mut self.shared.lock())
+    }
+
+    /// Lets every caller finish its request.
+    pub async fn stop(&self) {
+        self.shared.stopping.store(true, Ordering::Relaxed);
+        let tasks = std::mem::take(&mut *self.tasks.lock().unwrap_or_else(PoisonError::into_inner));
+        for task in tasks {
+            // A panicked caller has printed its reason already.
+            drop(task.await);
+        }
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Tally> {
+        self.tally.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn count(&self, outcome: Outcome, elapsed: Duration) {
+        let mut tally = self.lock();
+        match outcome {
+            Outcome::Served { tokens } => {
+                tally.served += 1;
+                tally.delivered_tokens += tokens.unwrap_or_default();
+                tally.model_requests += u64::from(tokens.is_some());
+                let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+                tally.longest_ms = tally.longest_ms.max(elapsed_ms);
+            }
+            Outcome::NotRun => tally.not_run += 1,
+            Outcome::Unknown => tally.unknown += 1,
+            Outcome::Failed => tally.failed += 1,
+            Outcome::Cut => tally.cut += 1,
+            Outcome::Unreachable => tally.unreachable += 1,
+        }
+    }
+}
+
+async fn run_client(shared: Arc<Shared>, number: u64) {
+    let mut round = 0;
+    while !shared.stopping.load(Ordering::Relaxed) {
+        match (number + round) % 3 {
+            0 => chat(&shared, number, round, false).await,
+            1 => chat(&shared, number, round, true).await,
+            _ => release_lot(&shared, number, round).await,
+        }
+        round += 1;
+        tokio::time::sleep(THINK_TIME).await;
+    }
+}
+
+async fn chat(shared: &Shared, number: u64, round: u64, stream: bool) {
+    let mut body = json!({
+        "model": "brine-small",
+        "stream": stream,
+        "user": format!("session-{number}"),
+        "messages": [{ "role": "user", "content": format!("report {number} {round}") }],
+    });
+    if stream {
+        body["stream_options"] = json!({ "include_usage": true });
+    }
+    let started = Instant::now();
+    let url = format!("{}/v1/chat/completions", shared.entry(number + round));
+    let outcome = match attempt(&url, &[], &body.to_string()).await {
+        Ok(answer) if answer.status == 200 => chat_outcome(&answer, stream),
+        Ok(answer) => refusal(&answer),
+        Err(outcome) => outcome,
+    };
+    shared.count(outcome, started.elapsed());
+}
+
+/// A keyed call that may run only once; it is sent again until it is answered.
+async fn release_lot(shared: &Shared, number: u64, round: u64) {
+    let key = format!("lot-{number}-{round}");
+    let body = json!({ "lot": key }).to_string();
+    let started = Instant::now();
+    for attempt_number in 0..MAX_TRIES {
+        let entry = shared.entry(number + round + attempt_number);
+        let url = format!("{entry}/services/registry/lots");
+        let outcome = match attempt(&url, &[("idempotency-key", &key)], &body).await {
+            Ok(answer) if answer.status == 200 => Outcome::Served { tokens: None },
+            Ok(answer) => refusal(&answer),
+            Err(outcome) => outcome,
+        };
+        shared.count(outcome, started.elapsed());
+        if matches!(outcome, Outcome::Served { .. } | Outcome::Unknown) {
+            return;
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+impl Shared {
+    fn entry(&self, number: u64) -> &str {
+        let index = number % self.entries.len() as u64;
+        &self.entries[usize::try_from(index).unwrap_or_default()]
+    }
+}
+
+async fn attempt(url: &str, headers: &[(&str, &str)], body: &str) -> Result<Answer, Outcome> {
+    let response = send("POST", url, CUSTOMER_KEY, headers, body).await.map_err(|error| {
+        // A refused connection reached no process; the balancer would have tried another entry.
+        let text = format!("{error:?}");
+        if text.contains("ConnectionRefused") { Outcome::Unreachable } else { Outcome::Cut }
+    })?;
+    whole(response).await.map_err(|_error| Outcome::Cut)
+}
+
+fn refusal(answer: &Answer) -> Outcome {
+    match answer.header("x-hickorydoor-run") {
+        "not-run" => Outcome::NotRun,
+        "unknown" => Outcome::Unknown,
+        _ => Outcome::Failed,
+    }
+}
+
+fn chat_outcome(answer: &Answer, stream: bool) -> Outcome {
+    if !stream {
+        return tokens_of(&answer.json()["usage"]);
+    }
+    let text = answer.text();
+    let events: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+    if events.last() != Some(&"[DONE]") {
+        return if text.contains("\"error\"") { Outcome::Failed } else { Outcome::Cut };
+    }
+    let usage = events.iter().rev().find_map(|event| {
+        let event: Value = serde_json::from_str(event).ok()?;
+        event["usage"].is_object().then(|| event["usage"].clone())
+    });
+    tokens_of(&usage.unwrap_or_default())
+}
+
+fn tokens_of(usage: &Value) -> Outcome {
+    match usage["total_tokens"].as_u64() {
+        Some(tokens) => Outcome::Served { tokens: Some(tokens) },
+        None => Outcome::Cut,
+    }
+}
