Let two entries of each data centre watch; apply changes in place

Every entry watched the change records and cloned the whole configuration for each change. Two entries of each data centre, chosen by rendezvous hashing, watch now; the others pull from peers, one at a time, and move on after 1 s. Notices are coalesced over 200 ms and go only to peers that lag.

A property test compares changes in place with configurations that are built anew.

Faults found by the property tests: an agent that was restarted gracefully was never linked again, because the draining mark of its earlier life stayed (regression_draining_forever), and an agent that was paused ran dispatches under its old configuration (guarded by the test of withdrawn versions).

--- a/crates/hickorydoor/src/agent.rs
+++ b/crates/hickorydoor/src/agent.rs
@@ -21,6 +21,7 @@
 use crate::backoff::Backoff;
 use crate::claim_table::ClaimTable;
 use crate::config_log::ConfigLog;
+use crate::config_pull::ConfigPull;
 use crate::configuration::Configuration;
 use crate::dispatch_fence::DispatchFence;
 use crate::id::AttemptId;
@@ -84,12 +85,14 @@
     pub(crate) report: UpstreamReport,
     pub(crate) upstream_up: bool,
     pub(crate) first_token_ms: f64,
-    pub(crate) pull: Option<(HostId, TimeMs)>,
+    pub(crate) pull: ConfigPull,
     pub(crate) next_report_at_ms: TimeMs,
     pub(crate) rng: Pcg64Mcg,
     pub(crate) kv_calls: HashMap<KvCallId, AgentKvPurpose>,
     pub(crate) recovery_backoff: Backoff,
     pub(crate) next_recovery_at_ms: TimeMs,
+    /// Until when no new work is admitted, because changes may have been missed in a pause.
+    pub(crate) stale_until_ms: TimeMs,
     pub(crate) draining: bool,
     /// Since when a leaving agent has run nothing.
     pub(crate) idle_since_ms: Option<TimeMs>,
@@ -114,12 +117,13 @@
             report: UpstreamReport::default(),
             upstream_up: true,
             first_token_ms: 0.0,
-            pull: None,
+            pull: ConfigPull::default(),
             next_report_at_ms: now + settings.report_interval_ms,
             rng: Pcg64Mcg::seed_from_u64(seed_of(&settings)),
             kv_calls: HashMap::new(),
             recovery_backoff: Backoff::default(),
             next_recovery_at_ms: now,
+            stale_until_ms: now,
             draining: false,
             idle_since_ms: None,
             stopped: false,
@@ -180,6 +184,7 @@
 
     fn on_tick(&mut self, now: TimeMs) {
         self.expire_attempts(now);
+        self.tick_configuration(now);
         self.tick_reports(now);
         self.tick_claims(now);
         self.tick_billing(now);
@@ -198,6 +203,7 @@
         for attempt in self.attempts.values_mut() {
             attempt.absorb_pause(gap_ms);
         }
+        self.catch_up(now);
     }
 
     fn on_kv(&mut self, call: KvCallId, outcome: KvOutcome, now: TimeMs) {
--- a/crates/hickorydoor/src/agent_attempt.rs
+++ b/crates/hickorydoor/src/agent_attempt.rs
@@ -144,17 +144,20 @@
             }
             None => {}
         }
-        if let Err(reason) = self.check_dispatch(dispatch) {
+        if let Err(reason) = self.check_dispatch(dispatch, now) {
             self.refuse(entry, &dispatch.attempt, reason);
             return;
         }
         self.admit(entry, dispatch, now);
     }
 
-    fn check_dispatch(&self, dispatch: &Dispatch) -> Result<(), AgentRefusal> {
+    fn check_dispatch(&self, dispatch: &Dispatch, now: TimeMs) -> Result<(), AgentRefusal> {
         if self.draining {
             return Err(AgentRefusal::Draining);
         }
+        if now < self.stale_until_ms {
+            return Err(AgentRefusal::AtLimit);
+        }
         let configuration = self.config.current();
         if configuration.is_out(&self.settings.data_centre) {
             return Err(AgentRefusal::DataCentreOut);
--- a/crates/hickorydoor/src/agent_config.rs
+++ b/crates/hickorydoor/src/agent_config.rs
@@ -16,8 +16,10 @@
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
-/// Time that a peer has to answer a pull.
-const PULL_TIMEOUT_MS: DurationMs = DurationMs::from_secs(1);
+/// Time after a pause in which an agent admits no work; a pull takes a few milliseconds.
+const CATCH_UP_MS: DurationMs = DurationMs::from_secs(1);
+/// Peers that are asked after a pause; some of them may lag or have been paused too.
+const CATCH_UP_PEERS: usize = 3;
 
 impl Agent {
     pub(crate) fn on_link_up(&mut self, entry: &HostId, now: TimeMs) {
@@ -30,6 +32,7 @@
         if let Some(link) = self.links.get_mut(entry) {
             link.connected = false;
         }
+        self.pull.forget(entry);
         self.lose_attempts_of(entry, now);
     }
 
@@ -50,10 +53,10 @@
             EntryMessage::Settled(settlement) => self.on_settled(&settlement),
             EntryMessage::Verdicts(_verdicts) => {}
             EntryMessage::Heartbeat { revision } | EntryMessage::ConfigNotice { revision } => {
-                self.on_peer_revision(entry, revision, now);
+                self.pull.note(entry, revision);
             }
             EntryMessage::ConfigPull { have } => self.on_config_pull(entry, have),
-            EntryMessage::ConfigUpdate(update) => self.on_config_update(update),
+            EntryMessage::ConfigUpdate(update) => self.on_config_update(update, now),
             EntryMessage::LeaveNotice => self.on_leave_notice(),
         }
     }
@@ -84,7 +87,7 @@
         self.send(entry, AgentMessage::Hello(reply));
         self.send_report(entry, now);
         self.check_incarnation(&(entry.clone(), hello.incarnation));
-        self.on_peer_revision(entry, hello.revision, now);
+        self.pull.note(entry, hello.revision);
     }
 
     fn offer(&self) -> Offer {
@@ -139,16 +142,25 @@
         self.send(entry, AgentMessage::Load(Box::new(report)));
     }
 
-    fn on_peer_revision(&mut self, entry: &HostId, revision: Revision, now: TimeMs) {
-        if revision <= self.revision() {
-            return;
-        }
-        if self.pull.as_ref().is_some_and(|(_, until)| now < *until) {
-            return;
+    /// Asks for changes that were missed while this process was paused. Until they can have
+    /// arrived, dispatches from before the pause must not run under the old configuration.
+    pub(crate) fn catch_up(&mut self, now: TimeMs) {
+        self.stale_until_ms = now + CATCH_UP_MS;
+        let have = self.revision();
+        for entry in self.connected_entries().into_iter().take(CATCH_UP_PEERS) {
+            self.send(&entry, AgentMessage::ConfigPull { have });
         }
-        self.pull = Some((entry.clone(), now + PULL_TIMEOUT_MS));
+    }
+
+    /// Pulls newer configuration and announces what has come into force.
+    pub(crate) fn tick_configuration(&mut self, now: TimeMs) {
         let have = self.revision();
-        self.send(entry, AgentMessage::ConfigPull { have });
+        if let Some(entry) = self.pull.next(have, now, &mut self.rng) {
+            self.send(&entry, AgentMessage::ConfigPull { have });
+        }
+        for entry in self.pull.due_notices(have, now) {
+            self.send(&entry, AgentMessage::ConfigNotice { revision: have });
+        }
     }
 
     fn on_config_pull(&mut self, entry: &HostId, have: Revision) {
@@ -157,19 +169,17 @@
         }
     }
 
-    fn on_config_update(&mut self, update: ConfigUpdate) {
-        self.pull = None;
+    fn on_config_update(&mut self, update: ConfigUpdate, now: TimeMs) {
+        self.pull.answered();
+        let before = self.revision();
         let result = self.config.apply(update);
         let revision = self.revision();
-        match result {
-            Ok(false) => {}
-            Ok(true) => {
-                self.record(Observation::RevisionInForce { revision });
-                for entry in self.connected_entries() {
-                    self.send(&entry, AgentMessage::ConfigNotice { revision });
-                }
-            }
-            Err(_error) => self.record(Observation::ConfigurationRefused { revision }),
+        if revision > before {
+            self.record(Observation::RevisionInForce { revision });
+            self.pull.plan_notice(now);
+        }
+        if result.is_err() {
+            self.record(Observation::ConfigurationRefused { revision });
         }
     }
 
--- a/crates/hickorydoor/src/configuration.rs
+++ b/crates/hickorydoor/src/configuration.rs
@@ -9,7 +9,6 @@
 
 use crate::cascade::Cascade;
 use crate::change::ChangeRecord;
-use crate::change::Operation;
 use crate::customer::Customer;
 use crate::data_centre::DataCentre;
 use crate::defaults::Defaults;
@@ -178,23 +177,6 @@
         Ok(next)
     }
 
-    /// Applies operations without changing the revision.
-    ///
-    /// # Errors
-    /// Fails if the result would contradict itself; `self` stays as it was.
-    pub fn apply_operations(&mut self, operations: &[Operation]) -> Result<(), ConfigurationError> {
-        let mut next = self.clone();
-        for operation in operations {
-            match operation {
-                Operation::Put(item) => next.put(item.clone()),
-                Operation::Delete(key) => next.delete(key),
-            }
-        }
-        next.check()?;
-        *self = next;
-        Ok(())
-    }
-
     /// Applies the change that follows the revision in force.
     ///
     /// # Errors
@@ -208,6 +190,30 @@
         Ok(())
     }
 
+    /// The item with this key.
+    pub fn item(&self, key: &ItemKey) -> Option<Item> {
+        let id = &key.id;
+        match key.kind {
+            ItemKind::Defaults => Some(Item::Defaults(self.defaults.clone())),
+            ItemKind::Model => find(&self.models, id).map(Item::Model),
+            ItemKind::Customer => find(&self.customers, id).map(Item::Customer),
+            ItemKind::Cascade => find(&self.cascades, id).map(Item::Cascade),
+            ItemKind::Service => find(&self.services, id).map(Item::Service),
+            ItemKind::DataCentre => find(&self.data_centres, id).map(Item::DataCentre),
+            ItemKind::Exception => find(&self.exceptions, id).map(Item::Exception),
+        }
+    }
+
+    /// Replaces or removes an item without checks and returns the previous one.
+    pub(crate) fn replace(&mut self, key: &ItemKey, item: Option<Item>) -> Option<Item> {
+        let previous = self.item(key);
+        match item {
+            Some(item) => self.put(item),
+            None => self.delete(key),
+        }
+        previous
+    }
+
     fn put(&mut self, item: Item) {
         match item {
             Item::Defaults(defaults) => self.defaults = defaults,
@@ -233,84 +239,122 @@
     }
 
     fn delete(&mut self, key: &ItemKey) {
-        let id = key.id.as_str();
         match key.kind {
             ItemKind::Defaults => self.defaults = Defaults::default(),
-            ItemKind::Model => self.models.retain(|known, _| known.as_str() != id),
-            ItemKind::Customer => self.customers.retain(|known, _| known.as_str() != id),
-            ItemKind::Cascade => self.cascades.retain(|known, _| known.as_str() != id),
-            ItemKind::Service => self.services.retain(|known, _| known.as_str() != id),
-            ItemKind::DataCentre => self.data_centres.retain(|known, _| known.as_str() != id),
-            ItemKind::Exception => self.exceptions.retain(|known, _| known.as_str() != id),
+            ItemKind::Model => remove(&mut self.models, &key.id),
+            ItemKind::Customer => remove(&mut self.customers, &key.id),
+            ItemKind::Cascade => remove(&mut self.cascades, &key.id),
+            ItemKind::Service => remove(&mut self.services, &key.id),
+            ItemKind::DataCentre => remove(&mut self.data_centres, &key.id),
+            ItemKind::Exception => remove(&mut self.exceptions, &key.id),
         }
     }
 
     fn check(&mut self) -> Result<(), ConfigurationError> {
-        self.index_versions()?;
-        self.index_keys()?;
-        self.check_cascades()?;
-        self.check_customers()
+        self.version_index.clear();
+        self.key_index.clear();
+        for item in self.items() {
+            self.add_index(&item)?;
+        }
+        self.check_references()
     }
 
-    fn index_versions(&mut self) -> Result<(), ConfigurationError> {
-        self.version_index.clear();
-        for model in self.models.values() {
-            for version in &model.versions {
-                let previous = self.version_index.insert(version.id.clone(), model.id.clone());
-                if previous.is_some() {
-                    return Err(ConfigurationError::DuplicateVersion {
-                        version: version.id.clone(),
-                    });
-                }
+    /// Checks every reference between items.
+    pub(crate) fn check_references(&self) -> Result<(), ConfigurationError> {
+        self.cascades.values().try_for_each(|cascade| self.check_cascade(cascade))?;
+        self.customers.values().try_for_each(|customer| self.check_customer(customer))
+    }
+
+    /// Checks what an item refers to.
+    pub(crate) fn check_item(&self, item: &Item) -> Result<(), ConfigurationError> {
+        match item {
+            Item::Cascade(cascade) => self.check_cascade(cascade),
+            Item::Customer(customer) => self.check_customer(customer),
+            Item::Model(model) => match find(&self.cascades, model.id.as_str()) {
+                Some(cascade) => Err(ConfigurationError::AmbiguousName { name: cascade.id }),
+                None => Ok(()),
+            },
+            Item::Defaults(_) | Item::Service(_) | Item::DataCentre(_) | Item::Exception(_) => {
+                Ok(())
             }
         }
-        Ok(())
     }
 
-    fn index_keys(&mut self) -> Result<(), ConfigurationError> {
-        self.key_index.clear();
-        for customer in self.customers.values() {
-            for digest in &customer.key_digests {
-                if self.key_index.insert(*digest, customer.id.clone()).is_some() {
-                    return Err(ConfigurationError::DuplicateKey { customer: customer.id.clone() });
+    /// Adds an item to the indexes.
+    pub(crate) fn add_index(&mut self, item: &Item) -> Result<(), ConfigurationError> {
+        match item {
+            Item::Model(model) => {
+                for version in &model.versions {
+                    let id = version.id.clone();
+                    if self.version_index.contains_key(&id) {
+                        return Err(ConfigurationError::DuplicateVersion { version: id });
+                    }
+                    self.version_index.insert(id, model.id.clone());
                 }
             }
+            Item::Customer(customer) => {
+                for digest in &customer.key_digests {
+                    let customer = customer.id.clone();
+                    if self.key_index.contains_key(digest) {
+                        return Err(ConfigurationError::DuplicateKey { customer });
+                    }
+                    self.key_index.insert(*digest, customer);
+                }
+            }
+            _ => {}
         }
         Ok(())
     }
 
-    fn check_cascades(&self) -> Result<(), ConfigurationError> {
-        for cascade in self.cascades.values() {
-            if self.models.keys().any(|model| model.as_str() == cascade.id.as_str()) {
-                return Err(ConfigurationError::AmbiguousName { name: cascade.id.clone() });
+    /// Removes an item from the indexes; entries of other items stay.
+    pub(crate) fn remove_index(&mut self, item: &Item) {
+        match item {
+            Item::Model(model) => {
+                for version in &model.versions {
+                    if self.version_index.get(&version.id) == Some(&model.id) {
+                        self.version_index.remove(&version.id);
+                    }
+                }
             }
-            let from = Item::Cascade(cascade.clone()).key();
-            for model in &cascade.steps {
-                self.check_reference(&from, ItemKind::Model, model.as_str())?;
+            Item::Customer(customer) => {
+                for digest in &customer.key_digests {
+                    if self.key_index.get(digest) == Some(&customer.id) {
+                        self.key_index.remove(digest);
+                    }
+                }
             }
+            _ => {}
+        }
+    }
+
+    fn check_cascade(&self, cascade: &Cascade) -> Result<(), ConfigurationError> {
+        if find(&self.models, cascade.id.as_str()).is_some() {
+            return Err(ConfigurationError::AmbiguousName { name: cascade.id.clone() });
+        }
+        let from = ItemKey { kind: ItemKind::Cascade, id: cascade.id.as_str().into() };
+        for model in &cascade.steps {
+            self.check_reference(&from, ItemKind::Model, model.as_str())?;
         }
         Ok(())
     }
 
-    fn check_customers(&self) -> Result<(), ConfigurationError> {
-        for customer in self.customers.values() {
-            let from = ItemKey { kind: ItemKind::Customer, id: customer.id.as_str().into() };
-            for model in &customer.models {
-                self.check_reference(&from, ItemKind::Model, model.as_str())?;
-            }
-            for cascade in &customer.cascades {
-                self.check_reference(&from, ItemKind::Cascade, cascade.as_str())?;
-            }
-            for service in &customer.services {
-                self.check_reference(&from, ItemKind::Service, service.as_str())?;
-            }
-            for version in &customer.versions {
-                if !self.version_index.contains_key(version) {
-                    return Err(ConfigurationError::UnknownVersion {
-                        customer: customer.id.clone(),
-                        version: version.clone(),
-                    });
-                }
+    fn check_customer(&self, customer: &Customer) -> Result<(), ConfigurationError> {
+        let from = ItemKey { kind: ItemKind::Customer, id: customer.id.as_str().into() };
+        for model in &customer.models {
+            self.check_reference(&from, ItemKind::Model, model.as_str())?;
+        }
+        for cascade in &customer.cascades {
+            self.check_reference(&from, ItemKind::Cascade, cascade.as_str())?;
+        }
+        for service in &customer.services {
+            self.check_reference(&from, ItemKind::Service, service.as_str())?;
+        }
+        for version in &customer.versions {
+            if !self.version_index.contains_key(version) {
+                return Err(ConfigurationError::UnknownVersion {
+                    customer: customer.id.clone(),
+                    version: version.clone(),
+                });
             }
         }
         Ok(())
@@ -323,9 +367,9 @@
         id: &str,
     ) -> Result<(), ConfigurationError> {
         let exists = match kind {
-            ItemKind::Model => self.models.keys().any(|known| known.as_str() == id),
-            ItemKind::Cascade => self.cascades.keys().any(|known| known.as_str() == id),
-            ItemKind::Service => self.services.keys().any(|known| known.as_str() == id),
+            ItemKind::Model => find(&self.models, id).is_some(),
+            ItemKind::Cascade => find(&self.cascades, id).is_some(),
+            ItemKind::Service => find(&self.services, id).is_some(),
             _ => true,
         };
         if exists {
@@ -335,3 +379,22 @@
         Err(ConfigurationError::MissingReference { from: from.clone(), to })
     }
 }
+
+/// The value under an id that is given as text.
+fn find<K, V>(items: &BTreeMap<K, V>, id: &str) -> Option<V>
+where
+    K: Ord + for<'a> TryFrom<&'a str>,
+    V: Clone,
+{
+    let key = K::try_from(id).ok()?;
+    items.get(&key).cloned()
+}
+
+fn remove<K, V>(items: &mut BTreeMap<K, V>, id: &str)
+where
+    K: Ord + for<'a> TryFrom<&'a str>,
+{
+    if let Ok(key) = K::try_from(id) {
+        items.remove(&key);
+    }
+}
--- a/crates/hickorydoor/src/entry.rs
+++ b/crates/hickorydoor/src/entry.rs
@@ -4,7 +4,7 @@
 //! joins the concerns that have modules of their own; the handlers are grouped by concern:
 //! `entry_request` places requests, `entry_answer` handles what agents send, `entry_config` keeps
 //! configuration and members, `entry_billing` stores bills, `entry_resume` keeps attempts
-//! through lost links.
+//! through lost links, `entry_watch` reads the configuration.
 
 use std::collections::HashMap;
 
@@ -13,6 +13,8 @@
 
 use crate::backoff::Backoff;
 use crate::config_log::ConfigLog;
+use crate::config_pull::ConfigPull;
+use crate::config_watch::ConfigWatch;
 use crate::configuration::Configuration;
 use crate::entry_effect::EntryEffect;
 use crate::entry_event::EntryEvent;
@@ -39,6 +41,8 @@
     LoadConfiguration,
     /// Watches the change records.
     WatchChanges,
+    /// Reads the newest revision.
+    PollHead,
     /// Stores the oldest sealed batch of this incarnation's ledger.
     StoreBatch {
         /// The incarnation.
@@ -63,8 +67,8 @@
     pub(crate) callers: HashMap<CallerId, Serial>,
     pub(crate) ledger: Ledger,
     pub(crate) kv_calls: HashMap<KvCallId, KvPurpose>,
-    pub(crate) pull: Option<(HostId, TimeMs)>,
-    pub(crate) next_load_at_ms: TimeMs,
+    pub(crate) pull: ConfigPull,
+    pub(crate) watch: ConfigWatch,
     pub(crate) next_heartbeat_at_ms: TimeMs,
     pub(crate) next_seal_at_ms: TimeMs,
     pub(crate) next_store_at_ms: TimeMs,
@@ -92,8 +96,8 @@
             callers: HashMap::new(),
             ledger: Ledger::new(settings.host.clone(), settings.incarnation, Serial::default()),
             kv_calls: HashMap::new(),
-            pull: None,
-            next_load_at_ms: now,
+            pull: ConfigPull::default(),
+            watch: ConfigWatch::new(now),
             next_heartbeat_at_ms: now + settings.heartbeat_interval_ms,
             next_seal_at_ms: now + settings.billing_interval_ms,
             next_store_at_ms: now,
--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -59,9 +59,9 @@
             AgentMessage::IncarnationClosed { incarnation } => {
                 self.on_incarnation_closed(incarnation, now);
             }
-            AgentMessage::ConfigNotice { revision } => self.on_peer_revision(agent, revision, now),
+            AgentMessage::ConfigNotice { revision } => self.on_peer_revision(agent, revision),
             AgentMessage::ConfigPull { have } => self.on_config_pull(agent, have),
-            AgentMessage::ConfigUpdate(update) => self.on_config_update(update),
+            AgentMessage::ConfigUpdate(update) => self.on_config_update(update, now),
         }
     }
 
--- a/crates/hickorydoor/src/entry_config.rs
+++ b/crates/hickorydoor/src/entry_config.rs
@@ -7,44 +7,20 @@
 use crate::id::HostId;
 use crate::id::KvCallId;
 use crate::id::Revision;
-use crate::keys;
-use crate::kv_call::KvCall;
 use crate::kv_call::KvOutcome;
-use crate::kv_call::KvReply;
 use crate::load_report::LoadReport;
 use crate::message::AgentHello;
-use crate::message::ConfigUpdate;
 use crate::message::EntryHello;
 use crate::message::EntryMessage;
 use crate::observation::Observation;
-use crate::stored_configuration::StoredConfiguration;
-use crate::stored_configuration::decode_change;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
-/// Pause before the configuration is read again after a failed read or a cut watch.
-const RELOAD_PAUSE_MS: DurationMs = DurationMs::from_secs(1);
-/// Time that a peer has to answer a pull.
-const PULL_TIMEOUT_MS: DurationMs = DurationMs::from_secs(1);
 /// First pause before a lost link is opened again; it doubles up to [`MAX_CONNECT_PAUSE_MS`].
 const CONNECT_PAUSE_MS: u64 = 100;
 const MAX_CONNECT_PAUSE_MS: u64 = 5_000;
 
 impl Entry {
-    pub(crate) fn tick_configuration(&mut self, now: TimeMs) {
-        let busy = self.kv_calls.values().any(|purpose| {
-            matches!(purpose, KvPurpose::LoadConfiguration | KvPurpose::WatchChanges)
-        });
-        if !busy && now >= self.next_load_at_ms && !self.draining {
-            self.load_configuration();
-        }
-    }
-
-    fn load_configuration(&mut self) {
-        let operation = StoredConfiguration::read_call();
-        self.call_kv(KvPurpose::LoadConfiguration, operation);
-    }
-
     pub(crate) fn on_kv(&mut self, call: KvCallId, outcome: KvOutcome, now: TimeMs) {
         let Some(purpose) = self.kv_calls.get(&call).copied() else {
             return;
@@ -56,79 +32,15 @@
         match purpose {
             KvPurpose::LoadConfiguration => self.on_configuration_loaded(outcome, now),
             KvPurpose::WatchChanges => self.on_changes(outcome, now),
+            KvPurpose::PollHead => self.on_head_read(&outcome),
             KvPurpose::StoreBatch { incarnation } => {
                 self.on_batch_stored(incarnation, outcome, now);
             }
         }
     }
 
-    fn on_configuration_loaded(&mut self, outcome: KvOutcome, now: TimeMs) {
-        let KvOutcome::Reply(KvReply::Transaction { store_revision, results, .. }) = outcome else {
-            self.next_load_at_ms = now + RELOAD_PAUSE_MS;
-            self.record(Observation::KvUnavailable);
-            return;
-        };
-        if let Ok(stored) = StoredConfiguration::decode(&results) {
-            let configuration = Box::new(stored.configuration);
-            self.on_config_update(ConfigUpdate::Snapshot(configuration));
-        } else {
-            self.record(Observation::ConfigurationRefused { revision: self.revision() });
-        }
-        let operation = KvCall::Watch {
-            prefix: keys::CHANGES_PREFIX.into(),
-            from_store_revision: store_revision + 1,
-        };
-        self.call_kv(KvPurpose::WatchChanges, operation);
-    }
-
-    fn on_changes(&mut self, outcome: KvOutcome, now: TimeMs) {
-        match outcome {
-            KvOutcome::Watched { written, .. } => {
-                let records = written.iter().filter_map(|pair| decode_change(pair).ok()).collect();
-                self.on_config_update(ConfigUpdate::Deltas(records));
-            }
-            KvOutcome::Reply(_) | KvOutcome::Fault(_) => {
-                self.next_load_at_ms = now + RELOAD_PAUSE_MS;
-            }
-        }
-    }
-
-    pub(crate) fn on_config_update(&mut self, update: ConfigUpdate) {
-        self.pull = None;
-        let result = self.config.apply(update);
-        let revision = self.revision();
-        match result {
-            Ok(false) => {}
-            Ok(true) => {
-                self.record(Observation::RevisionInForce { revision });
-                self.announce(revision);
-            }
-            Err(_error) => self.record(Observation::ConfigurationRefused { revision }),
-        }
-    }
-
-    fn announce(&mut self, revision: Revision) {
-        let connected: Vec<HostId> = self
-            .members
-            .iter()
-            .filter(|(_, member)| member.hello.is_some())
-            .map(|(agent, _)| agent.clone())
-            .collect();
-        for agent in connected {
-            self.send(&agent, EntryMessage::ConfigNotice { revision });
-        }
-    }
-
-    pub(crate) fn on_peer_revision(&mut self, agent: &HostId, revision: Revision, now: TimeMs) {
-        if revision <= self.revision() {
-            return;
-        }
-        if self.pull.as_ref().is_some_and(|(_, until)| now < *until) {
-            return;
-        }
-        self.pull = Some((agent.clone(), now + PULL_TIMEOUT_MS));
-        let have = self.revision();
-        self.send(agent, EntryMessage::ConfigPull { have });
+    pub(crate) fn on_peer_revision(&mut self, agent: &HostId, revision: Revision) {
+        self.pull.note(agent, revision);
     }
 
     pub(crate) fn on_config_pull(&mut self, agent: &HostId, have: Revision) {
@@ -138,6 +50,8 @@
     }
 
     pub(crate) fn on_host_list(&mut self, records: Vec<HostRecord>, now: TimeMs) {
+        let own = &self.settings;
+        self.watch.elect(&own.host, &own.data_centre, &records);
         self.members.apply_list(records);
         self.tick_links(now);
     }
@@ -206,6 +120,7 @@
             member.connected = false;
             // The next life of the agent must say hello before it gets work.
             member.hello = None;
+            member.draining = false;
             member.connecting = false;
             member.failed_connects += u32::from(!was_connected);
             let pause_ms = CONNECT_PAUSE_MS << member.failed_connects.min(6);
@@ -214,6 +129,7 @@
                 self.record(Observation::AgentUsable { agent: agent.clone(), usable: false });
             }
         }
+        self.pull.forget(agent);
         self.lose_attempts_on(agent, now);
     }
 
@@ -227,7 +143,7 @@
         let usable = !hello.draining;
         self.members.apply_hello(agent, hello, now);
         self.record(Observation::AgentUsable { agent: agent.clone(), usable });
-        self.on_peer_revision(agent, revision, now);
+        self.on_peer_revision(agent, revision);
         self.resume_attempts(agent, incarnation, now);
         self.send_settlement(agent, Vec::new());
     }
@@ -238,7 +154,7 @@
             member.load = report;
             member.load_received_at_ms = now;
         }
-        self.on_peer_revision(agent, revision, now);
+        self.on_peer_revision(agent, revision);
     }
 
     pub(crate) fn on_draining(&mut self, agent: &HostId) {
--- /dev/null
+++ b/crates/hickorydoor/src/entry_watch.rs
@@ -0,0 +1,136 @@
+//! How an entry reads and watches the configuration in the key-value service.
+
+use crate::configuration::ConfigurationError;
+use crate::entry::Entry;
+use crate::entry::KvPurpose;
+use crate::entry_effect::EntryEffect;
+use crate::id::KvCallId;
+use crate::keys;
+use crate::kv_call::KvCall;
+use crate::kv_call::KvOperation;
+use crate::kv_call::KvOutcome;
+use crate::kv_call::KvReply;
+use crate::message::ConfigUpdate;
+use crate::message::EntryMessage;
+use crate::observation::Observation;
+use crate::stored_configuration::StoredConfiguration;
+use crate::stored_configuration::decode_change;
+use crate::stored_configuration::decode_head;
+use crate::time::TimeMs;
+
+impl Entry {
+    pub(crate) fn tick_configuration(&mut self, now: TimeMs) {
+        self.pull_configuration(now);
+        self.send_notices(now);
+        if self.draining {
+            return;
+        }
+        if !self.watch.chosen {
+            self.end_watch();
+        }
+        let loading = self.kv_calls.values().any(|known| *known == KvPurpose::LoadConfiguration);
+        if !loading && self.watch.is_load_due(now) {
+            self.end_watch();
+            self.call_kv(KvPurpose::LoadConfiguration, StoredConfiguration::read_call());
+        } else if self.watch.take_poll(now, &mut self.rng) {
+            self.poll_head();
+        }
+    }
+
+    fn poll_head(&mut self) {
+        let operation = KvCall::Transaction {
+            compares: Vec::new(),
+            then: vec![KvOperation::Get { key: keys::HEAD.into() }],
+            otherwise: Vec::new(),
+        };
+        self.call_kv(KvPurpose::PollHead, operation);
+    }
+
+    fn watch_call(&self) -> Option<KvCallId> {
+        let watch = self.kv_calls.iter().find(|(_, known)| **known == KvPurpose::WatchChanges);
+        watch.map(|(call, _)| *call)
+    }
+
+    /// Ends the watch; the service answers an `Unwatch` under the id of the watch.
+    fn end_watch(&mut self) {
+        if let Some(call) = self.watch_call() {
+            self.kv_calls.remove(&call);
+            self.push(EntryEffect::Kv { call, operation: KvCall::Unwatch });
+        }
+    }
+
+    pub(crate) fn on_configuration_loaded(&mut self, outcome: KvOutcome, now: TimeMs) {
+        let KvOutcome::Reply(KvReply::Transaction { store_revision, results, .. }) = outcome else {
+            self.watch.failed(now, &mut self.rng);
+            self.record(Observation::KvUnavailable);
+            return;
+        };
+        self.watch.loaded();
+        if let Ok(stored) = StoredConfiguration::decode(&results) {
+            let configuration = Box::new(stored.configuration);
+            self.on_config_update(ConfigUpdate::Snapshot(configuration), now);
+        } else {
+            self.record(Observation::ConfigurationRefused { revision: self.revision() });
+        }
+        if self.watch.chosen && self.watch_call().is_none() {
+            let operation = KvCall::Watch {
+                prefix: keys::CHANGES_PREFIX.into(),
+                from_store_revision: store_revision + 1,
+            };
+            self.call_kv(KvPurpose::WatchChanges, operation);
+        }
+    }
+
+    pub(crate) fn on_changes(&mut self, outcome: KvOutcome, now: TimeMs) {
+        let KvOutcome::Watched { written, .. } = outcome else {
+            self.watch.wants_load = true;
+            self.watch.failed(now, &mut self.rng);
+            return;
+        };
+        let records = written.iter().filter_map(|pair| decode_change(pair).ok()).collect();
+        self.on_config_update(ConfigUpdate::Deltas(records), now);
+    }
+
+    pub(crate) fn on_head_read(&mut self, outcome: &KvOutcome) {
+        let KvOutcome::Reply(KvReply::Transaction { results, .. }) = outcome else {
+            self.record(Observation::KvUnavailable);
+            return;
+        };
+        let head = results.first().and_then(|pairs| pairs.first());
+        let head = head.and_then(|pair| decode_head(pair).ok());
+        if head.is_some_and(|head| head.revision > self.revision()) {
+            self.watch.wants_load = true;
+        }
+    }
+
+    pub(crate) fn on_config_update(&mut self, update: ConfigUpdate, now: TimeMs) {
+        self.pull.answered();
+        let before = self.revision();
+        let result = self.config.apply(update);
+        let revision = self.revision();
+        if revision > before {
+            self.record(Observation::RevisionInForce { revision });
+            self.pull.plan_notice(now);
+        }
+        match result {
+            Ok(_) => {}
+            // A change in between is missing, so the whole configuration is read.
+            Err(ConfigurationError::NotNext { .. }) => self.watch.wants_load = true,
+            Err(_) => self.record(Observation::ConfigurationRefused { revision }),
+        }
+    }
+
+    fn pull_configuration(&mut self, now: TimeMs) {
+        let have = self.revision();
+        if let Some(agent) = self.pull.next(have, now, &mut self.rng) {
+            self.send(&agent, EntryMessage::ConfigPull { have });
+        }
+    }
+
+    fn send_notices(&mut self, now: TimeMs) {
+        let revision = self.revision();
+        for agent in self.pull.due_notices(revision, now) {
+            self.send(&agent, EntryMessage::ConfigNotice { revision });
+        }
+    }
+}
--- a/crates/hickorydoor/src/member_table.rs
+++ b/crates/hickorydoor/src/member_table.rs
@@ -34,7 +34,7 @@
     pub next_connect_at_ms: TimeMs,
     /// Connection attempts that failed in a row.
     pub failed_connects: u32,
-    /// Whether the agent or the platform said that it is leaving.
+    /// Whether the agent said on the current link that it is leaving.
     pub draining: bool,
     /// The newest load report.
     pub load: LoadReport,
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Whether the platform lists the agent's host as leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.record.as_ref().is_some_and(|record| record.state == HostState::Leaving)
+    }
+
     /// Attempts sent since the newest load report was made.
     pub const fn sent_since_report(&self) -> u64 {
         self.sent.saturating_sub(self.load.received_from_entry)
@@ -79,7 +84,8 @@
         let Some(hello) = &self.hello else {
             return false;
         };
-        self.connected && !self.draining && !configuration.is_out(&hello.data_centre)
+        let leaving = self.draining || self.is_leaving();
+        self.connected && !leaving && !configuration.is_out(&hello.data_centre)
     }
 
     /// Whether the agent's engine serves this version.
@@ -136,7 +142,6 @@
                 continue;
             }
             let member = self.members.entry(record.host.clone()).or_insert_with(Member::new);
-            member.draining |= record.state == HostState::Leaving;
             member.record = Some(record);
         }
         self.members.retain(|_, member| member.record.is_some() || member.connected);
@@ -153,9 +158,7 @@
         if let Offer::Engine { versions } = &hello.offer {
             member.load.versions.clone_from(versions);
         }
-        let leaving =
-            member.record.as_ref().is_some_and(|record| record.state == HostState::Leaving);
-        member.draining = hello.draining || leaving;
+        member.draining = hello.draining;
         member.load_received_at_ms = now;
         member.hello = Some(hello);
     }
--- /dev/null
+++ b/crates/hickorydoor/tests/configuration.rs
@@ -0,0 +1,162 @@
+//! Propagation of the configuration.
+//!
+//! Guards against a revision that falls, a change that does not reach a live process, and work
+//! for withdrawn versions or data centres that are out.
+
+mod support;
+
+use hickorydoor::data_centre::DataCentre;
+use hickorydoor::item::Item;
+use hickorydoor::model::VersionState;
+use proptest::prelude::any;
+use proptest::prelude::proptest;
+
+use crate::support::fleet::Fleet;
+use crate::support::fleet::Setup;
+use crate::support::schedule;
+use crate::support::schedule::Fault;
+
+fn calm() -> Fleet {
+    let setup =
+        Setup { entries: 6, upstream_fault_chance: 0.0, double_chance: 0.0, ..Setup::default() };
+    let mut fleet = Fleet::new(setup, 1);
+    fleet.run_for(10_000);
+    fleet
+}
+
+fn take_out(fleet: &mut Fleet, out: bool) {
+    fleet.put_item(Item::DataCentre(DataCentre {
+        id: "arauco".parse().expect("id"),
+        region: "norte".parse().expect("id"),
+        out,
+    }));
+}
+
+/// Processes that run a lower revision than the newest one.
+fn lagging(fleet: &Fleet) -> Vec<String> {
+    let entries = fleet.entries.iter().filter(|entry| entry.life != 0 && !entry.stopped);
+    let entries = entries.map(|entry| (entry.host.to_string(), entry.state.revision()));
+    let agents = fleet.agents.iter().filter(|agent| agent.life != 0 && !agent.stopped);
+    let agents = agents.map(|agent| (agent.host.to_string(), agent.state.revision()));
+    let behind = entries.chain(agents).filter(|(_, revision)| revision.get() < fleet.revision);
+    behind.map(|(host, _)| host).collect()
+}
+
+#[test]
+fn two_entries_of_each_data_centre_watch() {
+    let mut fleet = calm();
+    assert_eq!(fleet.watch_count(), 4);
+    // A watcher that is listed as leaving is replaced.
+    let watchers = fleet.watchers();
+    fleet.entries[watchers[0]].leaving = true;
+    fleet.run_for(5_000);
+    assert_eq!(fleet.watch_count(), 4);
+    assert_ne!(fleet.watchers(), watchers);
+}
+
+#[test]
+fn a_change_reaches_every_process_within_three_seconds() {
+    let mut fleet = calm();
+    for round in 0..10 {
+        take_out(&mut fleet, round % 2 == 0);
+        fleet.run_for(3_000);
+        assert_eq!(lagging(&fleet), Vec::<String>::new());
+    }
+}
+
+#[test]
+fn a_change_arrives_although_both_watchers_of_a_data_centre_are_paused() {
+    let mut fleet = calm();
+    for entry in fleet.watchers() {
+        fleet.apply(Fault::PauseEntry { entry, ms: 120_000 });
+    }
+    take_out(&mut fleet, true);
+    fleet.run_for(60_000);
+    let paused = 4;
+    assert!(lagging(&fleet).len() <= paused, "{:?}", lagging(&fleet));
+}
+
+#[test]
+fn a_process_that_starts_without_the_store_pulls_from_peers() {
+    let mut fleet = calm();
+    fleet.apply(Fault::KvOutage { ms: 60_000 });
+    fleet.apply(Fault::CrashEntry { entry: 0, down_ms: 500 });
+    fleet.apply(Fault::CrashAgent { agent: 0, down_ms: 500 });
+    fleet.run_for(8_000);
+    assert_eq!(lagging(&fleet), Vec::<String>::new());
+}
+
+#[test]
+fn a_peer_that_lags_far_behind_gets_a_snapshot() {
+    let mut fleet = calm();
+    for agent in 0..fleet.agents.len() {
+        fleet.apply(Fault::PauseAgent { agent, ms: 20_000 });
+    }
+    for round in 0..400 {
+        take_out(&mut fleet, round % 2 == 0);
+        fleet.run_for(20);
+    }
+    fleet.run_for(20_000);
+    assert_eq!(lagging(&fleet), Vec::<String>::new());
+}
+
+proptest! {
+    #![proptest_config(schedule::config(8))]
+
+    #[test]
+    fn withdrawn_versions_and_data_centres_get_no_work(
+        seed in any::<u64>(),
+        faults in schedule::faults(20_000, 10),
+    ) {
+        // A change cannot spread from a service that does not answer.
+        let known = |fault: &Fault| {
+            !matches!(fault, Fault::KvOutage { .. } | Fault::KvLosesAnswers { .. })
+        };
+        let faults: Vec<_> = faults.into_iter().filter(|(_, fault)| known(fault)).collect();
+        let setup = Setup { double_chance: 0.0, ..Setup::default() };
+        let mut fleet = Fleet::new(setup, seed);
+        fleet.run_for(5_000);
+        fleet.load(20_000, 60, &faults);
+        fleet.run_for(5_000);
+        take_out(&mut fleet, true);
+        let mut withdrawn = fleet.model("small");
+        withdrawn.versions[0].state = VersionState::Withdrawn;
+        let version = withdrawn.versions[0].id.clone();
+        fleet.put_item(Item::Model(withdrawn));
+        let changed_at_ms = fleet.now_ms;
+        fleet.load(10_000, 30, &[]);
+        fleet.run_for(330_000);
+        assert_eq!(lagging(&fleet), Vec::<String>::new());
+        for (at_ms, agent, used) in &fleet.calls {
+            let late = *at_ms > changed_at_ms + 3_000;
+            assert!(!late || used.as_ref() != Some(&version), "withdrawn version at {at_ms}");
+            assert!(!late || agent % 2 == 1, "agent {agent} is in a data centre that is out");
+        }
+        fleet.callers.check();
+    }
+
+    #[test]
+    fn every_live_process_reaches_the_newest_revision(
+        seed in any::<u64>(),
+        faults in schedule::faults(40_000, 14),
+    ) {
+        let mut fleet = Fleet::new(Setup::default(), seed);
+        fleet.run_for(3_000);
+        let mut faults = faults;
+        faults.sort_by_key(|(at_ms, _)| *at_ms);
+        let mut faults = faults.into_iter().peekable();
+        for round in 0..80 {
+            while let Some((_, fault)) = faults.next_if(|(at_ms, _)| *at_ms <= round * 500) {
+                fleet.apply(fault);
+            }
+            fleet.start_stopped();
+            take_out(&mut fleet, round % 2 == 0);
+            fleet.run_for(500);
+        }
+        // Pauses and outages last up to 285 s, back-off up to 30 s.
+        fleet.run_for(330_000);
+        fleet.start_stopped();
+        fleet.run_for(10_000);
+        assert_eq!(lagging(&fleet), Vec::<String>::new());
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/tests/configuration_edit.rs
@@ -0,0 +1,142 @@
+//! Changes in place against a configuration that is built anew.
+//!
+//! Guards against stale indexes, missed checks and changes that are refused but half applied.
+
+use std::collections::BTreeMap;
+
+use hickorydoor::Configuration;
+use hickorydoor::KeyDigest;
+use hickorydoor::cascade::Cascade;
+use hickorydoor::change::Operation;
+use hickorydoor::customer::Customer;
+use hickorydoor::customer::CustomerLimits;
+use hickorydoor::id::Revision;
+use hickorydoor::item::Item;
+use hickorydoor::item::ItemKey;
+use hickorydoor::item::ItemKind;
+use hickorydoor::model::Model;
+use hickorydoor::model::Version;
+use hickorydoor::model::VersionState;
+use hickorydoor::quantity::CostMicros;
+use hickorydoor::quantity::Share;
+use hickorydoor::service::Service;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::prop_assert_eq;
+use proptest::prelude::prop_oneof;
+use proptest::prelude::proptest;
+use proptest::sample::subsequence;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+
+const MODELS: [&str; 3] = ["a", "b", "c"];
+const VERSIONS: [&str; 4] = ["v1", "v2", "v3", "v4"];
+const CASCADES: [&str; 2] = ["c", "d"];
+const SERVICES: [&str; 2] = ["s", "t"];
+const CUSTOMERS: [&str; 3] = ["x", "y", "z"];
+const KEYS: [&str; 3] = ["k1", "k2", "k3"];
+
+fn some(texts: &'static [&'static str]) -> impl Strategy<Value = Vec<&'static str>> {
+    subsequence(texts, 0..=texts.len())
+}
+
+fn one(texts: &'static [&'static str]) -> impl Strategy<Value = &'static str> {
+    proptest::sample::select(texts)
+}
+
+fn ids<T: for<'a> TryFrom<&'a str>>(texts: &[&str]) -> Vec<T> {
+    texts.iter().filter_map(|text| T::try_from(text).ok()).collect()
+}
+
+fn model() -> impl Strategy<Value = Item> {
+    (one(&MODELS), some(&VERSIONS)).prop_map(|(id, versions)| {
+        let version = |id: &&str| Version {
+            id: id.parse().expect("id"),
+            state: VersionState::Active,
+            canary_share: Share::from_percent(0),
+        };
+        Item::Model(Model {
+            id: id.parse().expect("id"),
+            prompt_cost_micros_per_1k_tokens: CostMicros::new(1),
+            answer_cost_micros_per_1k_tokens: CostMicros::new(1),
+            versions: versions.iter().map(version).collect(),
+        })
+    })
+}
+
+fn customer() -> impl Strategy<Value = Item> {
+    (one(&CUSTOMERS), some(&KEYS), some(&MODELS), some(&VERSIONS), some(&CASCADES), some(&SERVICES))
+        .prop_map(|(id, keys, models, versions, cascades, services)| {
+            Item::Customer(Customer {
+                id: id.parse().expect("id"),
+                key_digests: keys.iter().map(|key| KeyDigest::of_key(key)).collect(),
+                models: ids(&models),
+                versions: ids(&versions),
+                cascades: ids(&cascades),
+                services: ids(&services),
+                limits: CustomerLimits::default(),
+                weight: 1,
+            })
+        })
+}
+
+fn item() -> impl Strategy<Value = Item> {
+    let cascade = (one(&CASCADES), some(&MODELS)).prop_map(|(id, steps)| {
+        let id = id.parse().expect("id");
+        Item::Cascade(Cascade { id, steps: ids(&steps), release_score: 0.5 })
+    });
+    let service = one(&SERVICES).prop_map(|name| {
+        let name = name.parse().expect("name");
+        Item::Service(Service { name, repeatable_methods: Vec::new() })
+    });
+    prop_oneof![3 => model(), 3 => customer(), 1 => cascade, 1 => service]
+}
+
+fn operation() -> impl Strategy<Value = Operation> {
+    let kind = prop_oneof![
+        Just(ItemKind::Model),
+        Just(ItemKind::Customer),
+        Just(ItemKind::Cascade),
+        Just(ItemKind::Service)
+    ];
+    let id = one(&["a", "b", "c", "d", "s", "t", "x", "y", "z"]);
+    let delete =
+        (kind, id).prop_map(|(kind, id)| Operation::Delete(ItemKey { kind, id: id.into() }));
+    prop_oneof![3 => item().prop_map(Operation::Put), 1 => delete]
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn changes_in_place_equal_a_new_configuration(
+        changes in proptest::collection::vec(proptest::collection::vec(operation(), 1..4), 1..30),
+    ) {
+        let mut configuration = Configuration::default();
+        let mut items: BTreeMap<ItemKey, Item> = BTreeMap::new();
+        for change in changes {
+            let mut next = items.clone();
+            for operation in &change {
+                match operation {
+                    Operation::Put(item) => next.insert(item.key(), item.clone()),
+                    Operation::Delete(key) => next.remove(key),
+                };
+            }
+            let built = Configuration::from_items(Revision::new(0), next.values().cloned());
+            let applied = configuration.apply_operations(&change);
+            prop_assert_eq!(applied.is_ok(), built.is_ok(), "{:?} {:?}", applied, built);
+            if let Ok(built) = built {
+                prop_assert_eq!(&configuration, &built);
+                items = next;
+            } else {
+                let before = Configuration::from_items(Revision::new(0), items.values().cloned());
+                prop_assert_eq!(Ok(&configuration), before.as_ref());
+            }
+        }
+    }
+}
--- a/crates/hickorydoor/tests/support/fleet.rs
+++ b/crates/hickorydoor/tests/support/fleet.rs
@@ -32,10 +32,12 @@
 use hickorydoor::keys;
 use hickorydoor::kv_call::KvCall;
 use hickorydoor::kv_call::KvOperation;
+use hickorydoor::model::Model;
 use hickorydoor::observation::Observation;
 use hickorydoor::raw_configuration::RawChangeRecord;
 use hickorydoor::raw_configuration::RawItem;
 use hickorydoor::refusal::RunState;
+use hickorydoor::stored_configuration::decode_item;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -155,8 +157,8 @@
     pub without_output: BTreeSet<AttemptId>,
     /// Lives of processes that ended by a crash.
     pub crashed: BTreeSet<(Node, u64)>,
-    /// Dispatches with time, agent and version, for checks after a change.
-    pub dispatches: Vec<(u64, usize, Option<VersionId>)>,
+    /// Calls at upstreams with time, agent and version, for checks after a change.
+    pub calls: Vec<(u64, usize, Option<VersionId>)>,
     /// Orders to engines with their fencing numbers: time, agent, number.
     pub orders: Vec<(u64, usize, u64)>,
     pub rng: Pcg64Mcg,
@@ -187,7 +189,7 @@
             billed: BTreeMap::new(),
             without_output: BTreeSet::new(),
             crashed: BTreeSet::new(),
-            dispatches: Vec::new(),
+            calls: Vec::new(),
             orders: Vec::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             queue: BTreeMap::new(),
@@ -270,6 +272,15 @@
         self.change(vec![Operation::Put(item)]);
     }
 
+    /// A model of the configuration in the key-value service.
+    pub fn model(&self, id: &str) -> Model {
+        let pairs = self.kv.list(&format!("{}model/{id}", keys::CONFIG_PREFIX));
+        match decode_item(&pairs[0]) {
+            Ok(Item::Model(model)) => model,
+            other => panic!("{other:?} is not a model"),
+        }
+    }
+
     /// Runs until `at_ms` after the start.
     pub fn run_until(&mut self, at_ms: u64) {
         let end = START_MS + at_ms;
--- a/crates/hickorydoor/tests/support/network.rs
+++ b/crates/hickorydoor/tests/support/network.rs
@@ -5,7 +5,6 @@
 use hickorydoor::EntryEvent;
 use hickorydoor::EntryMessage;
 use hickorydoor::id::HostId;
-use hickorydoor::message::Call;
 use rand::RngExt;
 
 use super::fleet::Connection;
@@ -61,13 +60,6 @@
         let Some(id) = self.open_connection(entry, agent) else {
             return;
         };
-        if let EntryMessage::Dispatch(dispatch) = &message {
-            let version = match &dispatch.call {
-                Call::Model(call) => Some(call.version.clone()),
-                Call::Service(_) => None,
-            };
-            self.dispatches.push((self.now_ms, agent, version));
-        }
         let arrives = self.now_ms + self.rng.random_range(1..8_u64);
         let arrives = arrives.max(self.connections[id].to_agent_at);
         self.connections[id].to_agent_at = arrives;
--- a/crates/hickorydoor/tests/support/store.rs
+++ b/crates/hickorydoor/tests/support/store.rs
@@ -29,6 +29,10 @@
             self.notify_watches();
             return;
         }
+        if operation == KvCall::Unwatch {
+            self.watches.retain(|watch| (watch.node, watch.life, watch.call) != (node, life, call));
+            return;
+        }
         let now = self.now();
         let Some(reply) = self.kv.run(&operation, now) else {
             return;
@@ -75,6 +79,17 @@
         }
     }
 
+    /// Entries with a pending watch, in order.
+    pub fn watchers(&self) -> Vec<usize> {
+        let live = |watch: &Watch| match watch.node {
+            Node::Entry(index) if self.entries[index].life == watch.life => Some(index),
+            _ => None,
+        };
+        let mut watchers: Vec<usize> = self.watches.iter().filter_map(live).collect();
+        watchers.sort_unstable();
+        watchers
+    }
+
     /// Watches that are pending for live processes.
     pub fn watch_count(&self) -> usize {
         let live = |watch: &&Watch| match watch.node {
--- a/crates/hickorydoor/tests/support/upstreams.rs
+++ b/crates/hickorydoor/tests/support/upstreams.rs
@@ -29,6 +29,11 @@
             self.push(delay, happening);
             return;
         }
+        let version = match call {
+            Call::Model(call) => Some(call.version.clone()),
+            Call::Service(_) => None,
+        };
+        self.calls.push((self.now_ms, agent, version));
         self.callers.run(number, agent, life, attempt);
         let content_type = "text/plain".into();
         let started =
