--- a/crates/hickorydoor/src/agent_evidence.rs
+++ b/crates/hickorydoor/src/agent_evidence.rs
@@ -1,14 +1,16 @@
 //! How an agent counts the behaviour of its engine's versions.
 
+use std::collections::BTreeMap;
+
 use crate::agent::Agent;
 use crate::class::Class;
-use crate::configuration::Configuration;
 use crate::evidence::Evidence;
 use crate::id::HostId;
 use crate::id::VersionId;
 use crate::message::AgentMessage;
 use crate::message::AttemptFault;
 use crate::message::Verdict;
+use crate::model::Version;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 use crate::version_judge::is_compared;
@@ -16,6 +18,9 @@
 /// Time between two digests on a link; 115 bytes for each version under rollout.
 const EVIDENCE_INTERVAL_MS: DurationMs = DurationMs::from_secs(10);
 
+/// Versions with evidence, each with all versions of its model.
+pub(crate) type ComparedVersions = BTreeMap<VersionId, Option<Vec<Version>>>;
+
 impl Agent {
     /// Counts an attempt that ended at the engine. A deadline that passed counts as slow, because
     /// the entry chose it.
@@ -54,18 +59,21 @@
 
     /// Counts anew when the versions of a model have changed, so that a new lease holder compares
     /// counters over the same time.
-    pub(crate) fn restart_evidence(&mut self, before: &Configuration) {
-        let current = self.config.current();
-        let changed = |version: &VersionId| {
-            let model = |configuration: &Configuration| {
-                configuration.version(version).map(|(model, _)| model.versions.clone())
-            };
-            model(before) != model(current)
-        };
-        self.evidence.retain(|version, _| !changed(version));
+    pub(crate) fn restart_evidence(&mut self, before: &ComparedVersions) {
+        let current = self.compared_versions();
+        self.evidence.retain(|version, _| before.get(version) == current.get(version));
         self.evidence_from = self.revision();
     }
 
+    /// Versions with evidence, each with all versions of its model.
+    pub(crate) fn compared_versions(&self) -> ComparedVersions {
+        let configuration = self.config.current();
+        let versions = |version: &VersionId| {
+            configuration.version(version).map(|(model, _)| model.versions.clone())
+        };
+        self.evidence.keys().map(|version| (version.clone(), versions(version))).collect()
+    }
+
     pub(crate) fn tick_evidence(&mut self, now: TimeMs) {
         if now < self.next_evidence_at_ms {
             return;
