Add mutual TLS on links and the operators' port

Certificates carry the host id as DNS name; both sides check it against the hello, so a host cannot speak for another one. The daemon's runtime has one thread by default.

--- a/crates/hickoryd/benches/path.rs
+++ b/crates/hickoryd/benches/path.rs
@@ -31,6 +31,7 @@
 use fleet::AnyError;
 use fleet::CUSTOMER_KEY;
 use fleet::Fleet;
+use fleet::FleetOptions;
 
 #[global_allocator]
 static ALLOCATOR: MiMalloc = MiMalloc;
@@ -78,7 +79,8 @@
     let mut engine = EngineSettings::new([VERSION, "brine-large-1"]);
     engine.first_token_time = Duration::ZERO;
     engine.slots = 4 * WORKERS;
-    let fleet = stand_ins.block_on(Fleet::start_apart(1, engine))?;
+    let options = FleetOptions { own_runtimes: true, identities: None };
+    let fleet = stand_ins.block_on(Fleet::start_with(1, engine, options))?;
     for stream in [false, true] {
         compare(&generator, &fleet, stream);
     }
--- a/crates/hickoryd/src/agent_link.rs
+++ b/crates/hickoryd/src/agent_link.rs
@@ -1,5 +1,6 @@
 //! Links that entries open to an agent.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use hickorydoor::AgentMessage;
@@ -8,14 +9,17 @@
 use hickorydoor::wire::AgentFrame;
 use hickorydoor::wire::EntryFrame;
 use log::debug;
+use rustls::ServerConfig;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadHalf;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 use tokio::time::timeout;
+use tokio_rustls::TlsAcceptor;
 use tokio_util::codec::FramedRead;
 use tokio_util::codec::LengthDelimitedCodec;
 
@@ -26,6 +30,8 @@
 use crate::link::read_message;
 use crate::link::write_messages;
 use crate::link_table::Generation;
+use crate::tls::TlsWatch;
+use crate::tls::belongs_to;
 
 /// An entry says hello right after it has connected.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
@@ -33,14 +39,19 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Accepts links until the process ends.
-pub async fn accept_links(listener: TcpListener, inputs: mpsc::Sender<AgentInput>) {
+pub async fn accept_links(
+    listener: TcpListener,
+    tls: Option<TlsWatch>,
+    inputs: mpsc::Sender<AgentInput>,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
                 let inputs = inputs.clone();
+                let server = tls.as_ref().map(|tls| Arc::clone(&tls.borrow().server));
                 drop(stream.set_nodelay(true));
                 tokio::spawn(async move {
-                    if let Err(fault) = serve_link(stream, inputs).await {
+                    if let Err(fault) = accept_link(stream, server, inputs).await {
                         debug!(peer:% = peer, reason:% = fault; "link ended");
                     }
                 });
@@ -53,8 +64,27 @@
     }
 }
 
-/// Serves one link until it ends.
-pub async fn serve_link<S>(stream: S, inputs: mpsc::Sender<AgentInput>) -> Result<(), LinkFault>
+async fn accept_link(
+    stream: TcpStream,
+    server: Option<Arc<ServerConfig>>,
+    inputs: mpsc::Sender<AgentInput>,
+) -> Result<(), LinkFault> {
+    let Some(server) = server else {
+        return serve_link(stream, |_entry| true, inputs).await;
+    };
+    let handshake = timeout(HELLO_TIMEOUT, TlsAcceptor::from(server).accept(stream));
+    let stream = handshake.await.map_err(|_elapsed| LinkFault::Timeout)??;
+    let certificates = stream.get_ref().1.peer_certificates().map(<[_]>::to_vec);
+    serve_link(stream, move |entry| belongs_to(certificates.as_deref(), entry), inputs).await
+}
+
+/// Serves one link until it ends; `may_be` tells whether the peer may be the entry that its hello
+/// names.
+async fn serve_link<S>(
+    stream: S,
+    may_be: impl FnOnce(&HostId) -> bool,
+    inputs: mpsc::Sender<AgentInput>,
+) -> Result<(), LinkFault>
 where
     S: AsyncRead + AsyncWrite,
 {
@@ -66,6 +96,9 @@
         return Err(LinkFault::WrongHello);
     };
     let entry = hello.entry.clone();
+    if !may_be(&entry) {
+        return Err(LinkFault::WrongHello);
+    }
     let (queue, queue_reader) = LinkQueue::new();
     let generation = open(&entry, queue, &inputs).await?;
     let message = EntryMessage::Hello(hello);
--- a/crates/hickoryd/src/agent_process.rs
+++ b/crates/hickoryd/src/agent_process.rs
@@ -87,7 +87,8 @@
         let poll =
             poll_load(client, options.upstream_uri, offer, options.load_interval, inputs.clone());
         tasks.helper(poll);
-        tasks.helper(accept_links(listener, inputs.clone()));
+        let tls = tasks.identity(options.common.links_tls.as_ref())?;
+        tasks.helper(accept_links(listener, tls, inputs.clone()));
         let main = tokio::spawn(main.run(input_reader));
         Ok(Self { link_address, operators_address, inputs, main, tasks })
     }
--- a/crates/hickoryd/src/entry_link.rs
+++ b/crates/hickoryd/src/entry_link.rs
@@ -1,5 +1,6 @@
 //! Links that an entry opens to agents.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -16,6 +17,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
+use tokio_rustls::TlsConnector;
+use tokio_rustls::client::TlsStream;
 use tokio_util::codec::FramedRead;
 use tokio_util::codec::LengthDelimitedCodec;
 
@@ -26,24 +29,54 @@
 use crate::link::read_message;
 use crate::link::write_messages;
 use crate::link_table::Generation;
+use crate::tls::TlsIdentity;
+use crate::tls::server_name;
 
 /// Time to open a connection, across regions at the longest.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Opens a link and serves it until it ends.
-pub async fn run_link(agent: HostId, address: SocketAddr, inputs: mpsc::Sender<EntryInput>) {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let Ok(Ok(stream)) = connected else {
-        // The channel only closes when the process ends.
-        drop(inputs.send(EntryInput::ConnectFailed { agent }).await);
-        return;
+pub async fn run_link(
+    agent: HostId,
+    address: SocketAddr,
+    identity: Option<TlsIdentity>,
+    inputs: mpsc::Sender<EntryInput>,
+) {
+    let served = match identity {
+        None => match timeout(CONNECT_TIMEOUT, connect(address)).await {
+            Ok(Ok(stream)) => Some(serve_link(&agent, stream, inputs.clone()).await),
+            Ok(Err(_)) | Err(_) => None,
+        },
+        Some(identity) => match timeout(CONNECT_TIMEOUT, secure(&agent, address, identity)).await {
+            Ok(Ok(stream)) => Some(serve_link(&agent, stream, inputs.clone()).await),
+            Ok(Err(_)) | Err(_) => None,
+        },
     };
-    drop(stream.set_nodelay(true));
-    if let Err(fault) = serve_link(&agent, stream, inputs).await {
-        debug!(upstream:% = agent, reason:% = fault; "link ended");
+    match served {
+        Some(Ok(())) => {}
+        Some(Err(fault)) => debug!(upstream:% = agent, reason:% = fault; "link ended"),
+        // The channel only closes when the process ends.
+        None => drop(inputs.send(EntryInput::ConnectFailed { agent }).await),
     }
 }
 
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Connects with TLS and checks that the certificate belongs to the agent's host.
+async fn secure(
+    agent: &HostId,
+    address: SocketAddr,
+    identity: TlsIdentity,
+) -> io::Result<TlsStream<TcpStream>> {
+    let name = server_name(agent).ok_or(io::ErrorKind::InvalidInput)?;
+    let stream = connect(address).await?;
+    TlsConnector::from(identity.client).connect(name, stream).await
+}
+
 /// Serves one link until it ends.
 pub async fn serve_link<S>(
     agent: &HostId,
--- a/crates/hickoryd/src/entry_loop.rs
+++ b/crates/hickoryd/src/entry_loop.rs
@@ -34,6 +34,7 @@
 use crate::question::Question;
 use crate::status::PeerStatus;
 use crate::status::Status;
+use crate::tls::TlsWatch;
 
 /// The reducers want a tick at least every 100 ms.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -63,6 +64,8 @@
     pub inputs: mpsc::Sender<EntryInput>,
     /// The configuration in force, for the HTTP front.
     pub configuration: watch::Sender<Arc<Configuration>>,
+    /// TLS identity for links, if they use TLS.
+    pub tls: Option<TlsWatch>,
     /// Open links.
     pub links: LinkTable<EntryMessage>,
     /// Callers whose answers are on their way.
@@ -171,7 +174,8 @@
             }
             EntryEffect::Abort { caller, refusal } => self.callers.cut(caller, refusal),
             EntryEffect::Connect { agent, address } => {
-                tokio::spawn(run_link(agent, address, self.inputs.clone()));
+                let identity = self.tls.as_ref().map(|tls| tls.borrow().clone());
+                tokio::spawn(run_link(agent, address, identity, self.inputs.clone()));
             }
             EntryEffect::Disconnect { agent } => self.links.close(&agent),
             EntryEffect::Send { agent, message } => self.send(agent, message),
--- a/crates/hickoryd/src/entry_process.rs
+++ b/crates/hickoryd/src/entry_process.rs
@@ -88,7 +88,7 @@
             options.body_timeout,
         );
         let router = Arc::new(front).router();
-        tasks.server(serve(listener, router, options.http_limits, tasks.stopping()));
+        tasks.server(serve(listener, router, options.http_limits, None, tasks.stopping()));
         let client = http_client::new();
         let region = options.settings.region.clone();
         let poll = poll_hosts(
@@ -102,6 +102,7 @@
         let kv = KvPort::new(options.common.kv_client(), inputs.clone(), |call, outcome| {
             EntryInput::Event(Box::new(EntryEvent::Kv { call, outcome }))
         });
+        let tls = tasks.identity(options.common.links_tls.as_ref())?;
         let main = EntryLoop {
             host: options.settings.host.clone(),
             reducer: Entry::new(options.settings, options.seed, clock.now()),
@@ -112,6 +113,7 @@
             journal: options.common.journal()?,
             inputs: inputs.clone(),
             configuration,
+            tls,
             links: LinkTable::default(),
             callers: CallerTable::default(),
             followups: VecDeque::new(),
--- a/crates/hickoryd/src/http_server.rs
+++ b/crates/hickoryd/src/http_server.rs
@@ -9,12 +9,18 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::service::TowerToHyperService;
 use log::debug;
+use rustls::ServerConfig;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time::sleep;
+use tokio::time::timeout;
+use tokio_rustls::TlsAcceptor;
+
+use crate::tls::TlsWatch;
 
 /// Pause after a failed accept, for example when no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
@@ -48,6 +54,7 @@
     listener: TcpListener,
     router: Router,
     limits: HttpLimits,
+    tls: Option<TlsWatch>,
     mut stop: watch::Receiver<bool>,
 ) {
     let places = Arc::new(Semaphore::new(limits.max_connections));
@@ -59,9 +66,13 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, _peer)) => {
                     drop(stream.set_nodelay(true));
-                    let connection =
-                        serve_connection(stream, router.clone(), limits, stop.clone(), place);
-                    tokio::spawn(connection);
+                    let server = tls.as_ref().map(|tls| Arc::clone(&tls.borrow().server));
+                    let router = router.clone();
+                    let stop = stop.clone();
+                    tokio::spawn(async move {
+                        accept_connection(stream, server, router, limits, stop).await;
+                        drop(place);
+                    });
                 }
                 Err(error) => {
                     debug!(reason:% = error; "accept failed");
@@ -76,12 +87,29 @@
     drop(places.acquire_many(limits.max_connections as u32).await);
 }
 
-async fn serve_connection(
+async fn accept_connection(
     stream: TcpStream,
+    server: Option<Arc<ServerConfig>>,
+    router: Router,
+    limits: HttpLimits,
+    stop: watch::Receiver<bool>,
+) {
+    let Some(server) = server else {
+        return serve_connection(stream, router, limits, stop).await;
+    };
+    let handshake = timeout(limits.head_timeout, TlsAcceptor::from(server).accept(stream));
+    match handshake.await {
+        Ok(Ok(stream)) => serve_connection(stream, router, limits, stop).await,
+        Ok(Err(error)) => debug!(reason:% = error; "TLS handshake failed"),
+        Err(_elapsed) => debug!("TLS handshake took too long"),
+    }
+}
+
+async fn serve_connection(
+    stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
     router: Router,
     limits: HttpLimits,
     mut stop: watch::Receiver<bool>,
-    _place: OwnedSemaphorePermit,
 ) {
     let service = TowerToHyperService::new(router);
     let connection = http1::Builder::new()
--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -50,6 +50,7 @@
 mod start_error;
 mod status;
 mod timings;
+mod tls;
 mod upstream_call;
 mod whole_to_stream;
 
@@ -65,3 +66,5 @@
 pub use settings_error::FieldError;
 pub use settings_error::SettingsError;
 pub use start_error::StartError;
+pub use tls::TlsError;
+pub use tls::TlsFiles;
--- a/crates/hickoryd/src/main.rs
+++ b/crates/hickoryd/src/main.rs
@@ -7,6 +7,7 @@
 use getopts::Options;
 use hickoryd::Settings;
 use mimalloc::MiMalloc;
+use tokio::runtime::Builder;
 
 #[global_allocator]
 static ALLOCATOR: MiMalloc = MiMalloc;
@@ -53,14 +54,22 @@
     ExitCode::from(EXIT_USAGE)
 }
 
-#[tokio::main]
-async fn run(settings: Settings) -> ExitCode {
+fn run(settings: Settings) -> ExitCode {
     let log = hickoryd::logging::start(settings.log_level);
     if let Err(error) = &log {
         eprintln!("hickoryd: cannot start the log: {error}");
         return ExitCode::FAILURE;
     }
-    match hickoryd::run(settings).await {
+    let runtime =
+        Builder::new_multi_thread().worker_threads(settings.worker_threads).enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("hickoryd: cannot start the runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(hickoryd::run(settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("hickoryd: {error}");
--- a/crates/hickoryd/src/process.rs
+++ b/crates/hickoryd/src/process.rs
@@ -21,6 +21,10 @@
 use crate::operators::OperatorPort;
 use crate::question::Question;
 use crate::start_error::StartError;
+use crate::tls::TlsError;
+use crate::tls::TlsFiles;
+use crate::tls::TlsWatch;
+use crate::tls::watch_identity;
 
 /// Inputs that may wait for the reducer; links and HTTP handlers pause when it is full.
 pub const MAX_INPUTS: usize = 4096;
@@ -38,6 +42,10 @@
     pub operators_listen: Option<SocketAddr>,
     /// Digests of the operators' keys.
     pub operator_keys: Vec<KeyDigest>,
+    /// TLS on links; plain TCP if absent.
+    pub links_tls: Option<TlsFiles>,
+    /// TLS on the operators' port; plain HTTP if absent.
+    pub operators_tls: Option<TlsFiles>,
     /// Where metrics go, if anywhere.
     pub statsd: Option<SocketAddr>,
 }
@@ -84,7 +92,8 @@
         });
         let port = OperatorPort::new(self.operator_keys.clone(), asker);
         let router = Arc::new(port).router();
-        tasks.server(serve(listener, router, HttpLimits::default(), tasks.stopping()));
+        let tls = tasks.identity(self.operators_tls.as_ref())?;
+        tasks.server(serve(listener, router, HttpLimits::default(), tls, tasks.stopping()));
         Ok(Some(address))
     }
 }
@@ -123,6 +132,19 @@
         self.helpers.push(tokio::spawn(helper).abort_handle());
     }
 
+    /// Reads a TLS identity and keeps it up to date.
+    ///
+    /// # Errors
+    /// Fails if the identity cannot be used.
+    pub fn identity(&mut self, files: Option<&TlsFiles>) -> Result<Option<TlsWatch>, TlsError> {
+        let Some(files) = files else {
+            return Ok(None);
+        };
+        let (identity, reload) = watch_identity(files.clone())?;
+        self.helper(reload);
+        Ok(Some(identity))
+    }
+
     /// Starts a server.
     pub fn server(&mut self, server: impl Future<Output = ()> + Send + 'static) {
         self.servers.push(tokio::spawn(server));
--- a/crates/hickoryd/src/raw_settings.rs
+++ b/crates/hickoryd/src/raw_settings.rs
@@ -1,6 +1,7 @@
 //! Settings as operators write them. Unknown fields are refused.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use compact_str::CompactString;
 use hickorydoor::KeyDigest;
@@ -31,6 +32,19 @@
     pub role: RawRole,
 }
 
+/// Files of a TLS identity in PEM.
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawTls {
+    /// The certificate and its chain.
+    pub certificate: PathBuf,
+    /// The private key.
+    pub key: PathBuf,
+    /// The authorities that peers are checked against.
+    pub authorities: PathBuf,
+}
+
 /// The operators' port.
 #[derive(Clone, Debug)]
 #[derive(Deserialize)]
@@ -40,6 +54,9 @@
     pub listen: SocketAddr,
     /// SHA-256 digests of the operators' keys.
     pub key_digests: Vec<KeyDigest>,
+    /// TLS on this port.
+    #[serde(default)]
+    pub tls: Option<RawTls>,
 }
 
 /// Metrics.
@@ -139,6 +156,12 @@
     /// The operators' port.
     #[serde(default)]
     pub operators: Option<RawOperators>,
+    /// TLS on links.
+    #[serde(default)]
+    pub links_tls: Option<RawTls>,
+    /// Threads of the runtime.
+    #[serde(default)]
+    pub worker_threads: Option<usize>,
     /// Metrics.
     #[serde(default)]
     pub metrics: Option<RawMetrics>,
@@ -196,6 +219,12 @@
     /// The operators' port.
     #[serde(default)]
     pub operators: Option<RawOperators>,
+    /// TLS on links.
+    #[serde(default)]
+    pub links_tls: Option<RawTls>,
+    /// Threads of the runtime.
+    #[serde(default)]
+    pub worker_threads: Option<usize>,
     /// Metrics.
     #[serde(default)]
     pub metrics: Option<RawMetrics>,
--- a/crates/hickoryd/src/settings.rs
+++ b/crates/hickoryd/src/settings.rs
@@ -29,8 +29,10 @@
 use crate::raw_settings::RawOperators;
 use crate::raw_settings::RawRole;
 use crate::raw_settings::RawRoleOnly;
+use crate::raw_settings::RawTls;
 use crate::settings_error::FieldError;
 use crate::settings_error::SettingsError;
+use crate::tls::TlsFiles;
 
 const URI_ALLOWED: &str = "of the form http://HOST:PORT without a path";
 const POSITIVE: &str = "greater than 0";
@@ -38,6 +40,9 @@
 const DEFAULT_LOAD_INTERVAL_MS: u64 = 250;
 const DEFAULT_BODY_TIMEOUT_MS: u64 = 30_000;
 const DEFAULT_OPEN_REQUESTS: usize = 2_048;
+/// One thread serves the load of a node; more cost latency, since parts of a request's path then
+/// wake each other across threads.
+const DEFAULT_WORKER_THREADS: usize = 1;
 /// hyper's smallest buffer.
 const MIN_HEAD_BYTES: usize = 8_192;
 
@@ -57,6 +62,8 @@
     pub role: Role,
     /// Level of the log.
     pub log_level: LevelFilter,
+    /// Threads of the runtime.
+    pub worker_threads: usize,
 }
 
 impl Settings {
@@ -123,9 +130,13 @@
             host_list_uri: root("host_list_uri", &raw.host_list_uri)?,
             host_list_interval: millis("host_list_interval_ms", list_interval_ms)?,
             rating_uri,
-            common: common(&raw.kv_endpoints, raw.operators, raw.metrics.as_ref())?,
+            common: common(&raw.kv_endpoints, raw.operators, raw.links_tls, raw.metrics.as_ref())?,
         };
-        Ok(Self { role: Role::Entry(Box::new(options)), log_level: log_level(raw.log) })
+        Ok(Self {
+            role: Role::Entry(Box::new(options)),
+            log_level: log_level(raw.log),
+            worker_threads: worker_threads(raw.worker_threads)?,
+        })
     }
 }
 
@@ -156,12 +167,26 @@
             link_listen: raw.link_listen,
             upstream_uri: root("upstream_uri", &raw.upstream_uri)?,
             load_interval: millis("load_interval_ms", load_interval_ms)?,
-            common: common(&raw.kv_endpoints, raw.operators, raw.metrics.as_ref())?,
+            common: common(&raw.kv_endpoints, raw.operators, raw.links_tls, raw.metrics.as_ref())?,
         };
-        Ok(Self { role: Role::Agent(Box::new(options)), log_level: log_level(raw.log) })
+        Ok(Self {
+            role: Role::Agent(Box::new(options)),
+            log_level: log_level(raw.log),
+            worker_threads: worker_threads(raw.worker_threads)?,
+        })
     }
 }
 
+impl From<RawTls> for TlsFiles {
+    fn from(raw: RawTls) -> Self {
+        Self { certificate: raw.certificate, key: raw.key, authorities: raw.authorities }
+    }
+}
+
+fn worker_threads(raw: Option<usize>) -> Result<usize, FieldError> {
+    positive("worker_threads", raw.unwrap_or(DEFAULT_WORKER_THREADS))
+}
+
 fn offer(raw: RawOffer) -> Result<Offer, FieldError> {
     match (raw.engine_versions, raw.service) {
         (Some(versions), None) => Ok(Offer::Engine { versions }),
@@ -193,6 +218,7 @@
 fn common(
     kv_endpoints: &[CompactString],
     operators: Option<RawOperators>,
+    links_tls: Option<RawTls>,
     metrics: Option<&RawMetrics>,
 ) -> Result<CommonOptions, FieldError> {
     let kv = ClientSettings::new(kv_endpoints).map_err(|_error| {
@@ -201,10 +227,16 @@
     if operators.as_ref().is_some_and(|operators| operators.key_digests.is_empty()) {
         return Err(FieldError::new("operators.key_digests", "one or more SHA-256 digests"));
     }
+    let (operators_listen, operator_keys, operators_tls) = match operators {
+        Some(raw) => (Some(raw.listen), raw.key_digests, raw.tls),
+        None => (None, Vec::new(), None),
+    };
     Ok(CommonOptions {
         kv,
-        operators_listen: operators.as_ref().map(|operators| operators.listen),
-        operator_keys: operators.map(|operators| operators.key_digests).unwrap_or_default(),
+        operators_listen,
+        operator_keys,
+        links_tls: links_tls.map(TlsFiles::from),
+        operators_tls: operators_tls.map(TlsFiles::from),
         statsd: metrics.map(|metrics| metrics.statsd),
     })
 }
--- a/crates/hickoryd/src/start_error.rs
+++ b/crates/hickoryd/src/start_error.rs
@@ -4,6 +4,8 @@
 use std::io;
 use std::net::SocketAddr;
 
+use crate::tls::TlsError;
+
 /// Reasons why a process cannot start.
 #[derive(Debug)]
 pub enum StartError {
@@ -14,6 +16,8 @@
         /// The cause.
         cause: io::Error,
     },
+    /// A TLS identity cannot be used.
+    Tls(TlsError),
     /// Signals cannot be received.
     Signals {
         /// The cause.
@@ -30,6 +34,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Listen { address, cause } => write!(f, "cannot listen on {address}: {cause}"),
+            Self::Tls(error) => write!(f, "cannot use the TLS identity: {error}"),
             Self::Signals { cause } => write!(f, "cannot receive signals: {cause}"),
             Self::Metrics { cause } => write!(f, "cannot open the metrics socket: {cause}"),
         }
@@ -37,3 +42,9 @@
 }
 
 impl std::error::Error for StartError {}
+
+impl From<TlsError> for StartError {
+    fn from(error: TlsError) -> Self {
+        Self::Tls(error)
+    }
+}
--- a/crates/hickoryd/tests/fleet/mod.rs
+++ b/crates/hickoryd/tests/fleet/mod.rs
@@ -4,6 +4,8 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -24,6 +26,7 @@
 use hickoryd::EntryOptions;
 use hickoryd::EntryProcess;
 use hickoryd::HttpLimits;
+use hickoryd::TlsFiles;
 use hickorydoor::AgentSettings;
 use hickorydoor::Configuration;
 use hickorydoor::DurationMs;
@@ -75,7 +78,16 @@
     pub entries: Vec<EntryProcess>,
     pub agents: Vec<AgentProcess>,
     runtimes: Vec<Runtime>,
-    own_runtimes: bool,
+    options: FleetOptions,
+}
+
+/// How a fleet runs.
+#[derive(Clone, Debug, Default)]
+pub struct FleetOptions {
+    /// A runtime of one thread for each entry and agent, as in the daemon.
+    pub own_runtimes: bool,
+    /// Directory with the TLS identities of the hosts; links use plain TCP if absent.
+    pub identities: Option<PathBuf>,
 }
 
 /// A whole HTTP answer.
@@ -106,18 +118,14 @@
 impl Fleet {
     /// Starts `entry_count` entries, two model engines and one plain service.
     pub async fn start(entry_count: usize, engine: EngineSettings) -> Result<Self, AnyError> {
-        Self::start_with(entry_count, engine, false).await
-    }
-
-    /// Starts the fleet with a runtime of one thread for each entry and agent, as in the daemon.
-    pub async fn start_apart(entry_count: usize, engine: EngineSettings) -> Result<Self, AnyError> {
-        Self::start_with(entry_count, engine, true).await
+        Self::start_with(entry_count, engine, FleetOptions::default()).await
     }
 
-    async fn start_with(
+    /// Starts a fleet with these options.
+    pub async fn start_with(
         entry_count: usize,
         engine: EngineSettings,
-        own_runtimes: bool,
+        options: FleetOptions,
     ) -> Result<Self, AnyError> {
         let kv = Kv::start().await?;
         store_configuration(&kv, CONFIGURATION).await?;
@@ -133,7 +141,7 @@
             entries: Vec::new(),
             agents: Vec::new(),
             runtimes: Vec::new(),
-            own_runtimes,
+            options,
         };
         fleet.start_engine("agent-1", engine.clone()).await?;
         fleet.start_engine("agent-2", engine).await?;
@@ -168,7 +176,7 @@
             link_listen: loopback(),
             upstream_uri: url.into(),
             load_interval: Duration::from_millis(200),
-            common: self.common()?,
+            common: self.common(host)?,
         };
         let agent = self.place(host)?.spawn(AgentProcess::start(options)).await??;
         self.hosts.update(|hosts| hosts.push(listed(host, agent.link_address())));
@@ -195,7 +203,7 @@
             host_list_uri: self.hosts.url().into(),
             host_list_interval: Duration::from_millis(100),
             rating_uri: Some(self.rating.url().into()),
-            common: self.common()?,
+            common: self.common(&host)?,
         };
         let entry = self.place(&host)?.spawn(EntryProcess::start(options)).await??;
         self.entries.push(entry);
@@ -204,7 +212,7 @@
 
     /// Where the next process runs.
     fn place(&mut self, host: &str) -> Result<Handle, AnyError> {
-        if !self.own_runtimes {
+        if !self.options.own_runtimes {
             return Ok(Handle::current());
         }
         let runtime =
@@ -214,11 +222,13 @@
         Ok(handle)
     }
 
-    fn common(&self) -> Result<CommonOptions, AnyError> {
+    fn common(&self, host: &str) -> Result<CommonOptions, AnyError> {
         Ok(CommonOptions {
             kv: ClientSettings::new([self.kv.url()])?,
             operators_listen: Some(loopback()),
             operator_keys: vec![KeyDigest::of_key(OPERATOR_KEY)],
+            links_tls: self.options.identities.as_deref().map(|path| identity(path, host)),
+            operators_tls: None,
             statsd: None,
         })
     }
@@ -329,6 +339,15 @@
     Ok(KvOperation::Put { key, value: serde_json::to_vec(value)?.into(), lease: None })
 }
 
+/// Files of a host's TLS identity.
+pub fn identity(directory: &Path, host: &str) -> TlsFiles {
+    TlsFiles {
+        certificate: directory.join(format!("{host}.crt")),
+        key: directory.join(format!("{host}.key")),
+        authorities: directory.join("authorities.crt"),
+    }
+}
+
 fn loopback() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
