--- a/crates/hickorydoor/tests/wire.rs
+++ b/crates/hickorydoor/tests/wire.rs
@@ -20,6 +20,7 @@
 use hickorydoor::message::Dispatch;
 use hickorydoor::message::ModelCall;
 use hickorydoor::message::ServiceCall;
+use hickorydoor::message::Settlement;
 use hickorydoor::quantity::ByteCount;
 use hickorydoor::quantity::Tokens;
 use hickorydoor::usage::Usage;
@@ -114,14 +115,25 @@
     )
 }
 
+fn settlement() -> impl Strategy<Value = Settlement> {
+    let serials = prop::collection::vec(any::<u64>().prop_map(Serial::new), 0..6);
+    (attempt(), any::<u64>(), serials).prop_map(|(attempt, below, serials)| Settlement {
+        entry: attempt.request.entry,
+        incarnation: attempt.request.incarnation,
+        below: Serial::new(below),
+        serials,
+    })
+}
+
 fn entry_message() -> impl Strategy<Value = EntryMessage> {
     prop_oneof![
         dispatch(),
         attempt().prop_map(|attempt| EntryMessage::Cancel { attempt }),
         (attempt(), any::<u64>()).prop_map(|(attempt, bytes)| EntryMessage::Credit {
             attempt,
-            bytes: ByteCount::new(bytes)
+            read_bytes: ByteCount::new(bytes)
         }),
+        settlement().prop_map(EntryMessage::Settled),
         (attempt(), any::<u64>()).prop_map(|(attempt, offset)| EntryMessage::Resume {
             attempt,
             offset: ByteCount::new(offset)
