Shorten the history and warn of hosts ahead of the store

A walk through the sample configuration with the daemon and the stand-ins showed that the first change's items made the history some 600 columns wide, and that status was silent when a key-value service came back without its data. The history names three items of a change; status counts hosts whose revision is above the stored one.

--- a/crates/hickoryctl/src/bill_report.rs
+++ b/crates/hickoryctl/src/bill_report.rs
@@ -105,7 +105,7 @@
         }
         let total_micros = self.sums.values().map(|sum| sum.cost_micros).sum();
         let total: hickorydoor::quantity::CostMicros = total_micros;
-        let text = format!("{table}\nTotal: {} in {} batches\n", money(total.get()), self.batches);
+        let text = format!("{table}\nTotal: {} (batches: {})\n", money(total.get()), self.batches);
         let json = json!({"sums": list, "total_cost_micros": total, "batches": self.batches});
         Report::success(form, text, &json)
     }
--- a/crates/hickoryctl/src/fleet_report.rs
+++ b/crates/hickoryctl/src/fleet_report.rs
@@ -39,16 +39,30 @@
         let lagging = self.hosts.iter().filter(|host| !host.has(newest)).count();
         let links = self.links();
         let table = self.table(newest);
-        let text =
-            format!("{revision}\nHosts: {hosts}, lagging or unknown: {lagging}\n{links}\n{table}");
+        let ahead = self.ahead();
+        let warning = if ahead == 0 { String::new() } else { ahead_warning(ahead) };
+        let text = format!(
+            "{revision}\nHosts: {hosts}, lagging or unknown: {lagging}\n{links}{warning}\n{table}"
+        );
         let json = json!({
             "stored_revision": self.stored,
             "newest_revision": newest,
+            "hosts_ahead_of_store": ahead,
             "hosts": self.hosts_json(newest),
         });
         Report::success(form, text, &json)
     }
 
+    /// Hosts with a higher revision than the stored one. The store was read before the hosts, so
+    /// a few are normal while changes are made.
+    fn ahead(&self) -> usize {
+        let stored = |stored: Revision| {
+            let reported = self.hosts.iter().filter_map(|host| host.status.as_ref().ok());
+            reported.filter(|status| status.revision > stored).count()
+        };
+        self.stored.map_or(0, stored)
+    }
+
     /// How many links from entries to agents are open.
     fn links(&self) -> String {
         let members = self.hosts.iter().filter_map(|host| host.status.as_ref().ok());
@@ -129,3 +143,10 @@
         Err(fault) => format!("    {}: {}\n", host.address, fault.text()),
     }
 }
+
+fn ahead_warning(ahead: usize) -> String {
+    format!(
+        "Hosts ahead of the store: {ahead}. If this lasts, the key-value service has lost changes, \
+         and hosts ignore new ones up to their own revision.\n"
+    )
+}
--- a/crates/hickoryctl/src/stored_reports.rs
+++ b/crates/hickoryctl/src/stored_reports.rs
@@ -18,6 +18,9 @@
 use crate::report::Report;
 use crate::table::Table;
 
+/// Items of a change that the history names in a table.
+const SHOWN_ITEMS: usize = 3;
+
 /// A value as JSON. The raw types have only string keys, so this cannot fail.
 fn to_json(value: &impl Serialize) -> Value {
     serde_json::to_value(value).unwrap_or_default()
@@ -132,17 +135,25 @@
 pub fn history(form: OutputForm, records: &[ChangeRecord]) -> Report {
     let mut table = Table::new(["REVISION", "MADE AT", "OPERATOR", "CHANGE", "ITEMS", "REASON"]);
     for record in records {
-        let items: Vec<String> =
-            record.operations.iter().map(Operation::key).map(|key| key.to_string()).collect();
         table.row([
             &record.revision,
             &Moment(record.made_at_ms),
             &record.operator,
             &record.change,
-            &items.join(", "),
+            &items(&record.operations),
             &record.reason,
         ]);
     }
     let json: Vec<RawChangeRecord> = records.iter().map(RawChangeRecord::from).collect();
     Report::success(form, table.to_string(), &to_json(&json))
 }
+
+/// The items of a change, of which the first ones are named.
+fn items(operations: &[Operation]) -> String {
+    let keys = operations.iter().take(SHOWN_ITEMS).map(|operation| operation.key().to_string());
+    let keys = keys.collect::<Vec<_>>().join(", ");
+    match operations.len().saturating_sub(SHOWN_ITEMS) {
+        0 => keys,
+        more => format!("{keys} and {more} more"),
+    }
+}
--- a/crates/hickoryctl/tests/fleet.rs
+++ b/crates/hickoryctl/tests/fleet.rs
@@ -109,6 +109,14 @@
     insta::assert_snapshot!("status_json", without_padding(&report.output));
 }
 
+// Guards against a store that has lost changes without anybody noticing.
+#[tokio::test]
+async fn status_warns_of_hosts_ahead_of_the_store() {
+    let tool = Tool::start().await;
+    let report = ask(KEY, &["status"], &fleet().await[..1], Some(&tool.kv.url())).await;
+    assert!(report.output.contains("Hosts ahead of the store: 1."), "{}", report.output);
+}
+
 // Guards against a wait that succeeds too early, and against exit codes that are mixed up.
 #[tokio::test]
 async fn wait_ends_when_a_revision_is_in_force_everywhere() {
--- a/crates/hickorydoor/src/change_attempt.rs
+++ b/crates/hickorydoor/src/change_attempt.rs
@@ -267,8 +267,10 @@
     diff.keys().any(|key| touched.contains(key))
 }
 
-/// Writes items, head and record if the head is as it was read.
-fn write_call(record: &ChangeRecord, head_modified_at: Option<u64>) -> KvCall {
+/// The call that writes items, head and record if the head is as it was read.
+///
+/// If it is not, the call returns the record of the revision and the head.
+pub fn write_call(record: &ChangeRecord, head_modified_at: Option<u64>) -> KvCall {
     let head_key = CompactString::from(keys::HEAD);
     let compare = match head_modified_at {
         Some(store_revision) => KvCompare::ModifiedAt { key: head_key.clone(), store_revision },
