--- a/crates/hickoryctl/src/bill_report.rs
+++ b/crates/hickoryctl/src/bill_report.rs
@@ -111,9 +111,11 @@
     }
 }
 
-/// Whether a key holds a batch of an entry or one that an agent wrote after the entry's loss.
+/// Whether a key under `ENTRY/INCARNATION/` holds a batch, of the entry or of an agent after the
+/// entry's loss.
 fn is_batch(key: &str) -> bool {
-    key.contains("/batch/") || key.contains("/recovered/")
+    let path = key.strip_prefix(keys::BILLS_PREFIX).unwrap_or_default();
+    matches!(path.split('/').nth(2), Some("batch" | "recovered"))
 }
 
 /// Millionths of the billing currency as a decimal number.
--- a/crates/hickoryctl/tests/fleet.rs
+++ b/crates/hickoryctl/tests/fleet.rs
@@ -8,7 +8,8 @@
 use hickoryctl::Report;
 use hickorydoor::Class;
 use hickorydoor::TimeMs;
-use hickorydoor::bill::BillSum;
+use hickorydoor::bill::Bill;
+use hickorydoor::bill::BillLine;
 use hickorydoor::id::Incarnation;
 use hickorydoor::id::Sequence;
 use hickorydoor::id::Serial;
@@ -19,6 +20,7 @@
 use hickorydoor::ledger::Batch;
 use hickorydoor::quantity::CostMicros;
 use hickorydoor::quantity::Tokens;
+use hickorydoor::usage::Usage;
 use support::NOW_MS;
 use support::Tool;
 use support::environment;
@@ -133,20 +135,21 @@
 }
 
 async fn store_batch(tool: &Tool, sequence: u64, sealed_at: u64, customer: &str, requests: u64) {
-    let sum = BillSum {
-        customer: customer.parse().expect("the id is valid"),
+    let line = BillLine {
         version: Some("brine-1".parse().expect("the id is valid")),
-        class: Class::Interactive,
-        requests,
-        prompt_tokens: Tokens::new(10 * requests),
-        answer_tokens: Tokens::new(5 * requests),
-        cost_micros: CostMicros::new(700_000 * requests),
-    };
-    let batch = Batch {
-        sealed_at_ms: TimeMs::new(sealed_at),
-        serials: vec![Serial::new(sequence)],
-        sums: vec![sum],
+        usage: Usage { prompt_tokens: Tokens::new(10), answer_tokens: Tokens::new(5) },
+        cost_micros: CostMicros::new(700_000),
     };
+    let mut batch = Batch::default();
+    for serial in 0..requests {
+        batch.add(&Bill {
+            serial: Serial::new(100 * sequence + serial),
+            customer: customer.parse().expect("the id is valid"),
+            class: Class::Interactive,
+            lines: vec![line.clone()],
+        });
+    }
+    batch.sealed_at_ms = TimeMs::new(sealed_at);
     let entry = "entry-1".parse().expect("the id is valid");
     let key = keys::batch(&entry, Incarnation::new(1), Sequence::new(sequence));
     let put = KvOperation::Put { key, value: batch.encode(), lease: None };
