Test racing operators, compaction and waiting on lagging hosts only

The key-value stand-in forgets its history on demand, and a watch from a forgotten revision is lost. wait asks only the hosts that lag again, since revisions grow only.

--- a/crates/hickory-kv/tests/watches.rs
+++ b/crates/hickory-kv/tests/watches.rs
@@ -64,3 +64,17 @@
     assert_eq!(watch.next().await, lost);
     assert_eq!(client.watch("/w/", 0).await.next().await, lost);
 }
+
+// Guards against a watch that silently misses changes which the service has forgotten.
+#[tokio::test]
+async fn a_watch_from_a_compacted_revision_is_lost() {
+    let kv = Kv::start().await.expect("a port is free");
+    let client = client(&kv);
+    put(&client, "/w/1", b"a").await;
+    kv.compact();
+    let lost = KvOutcome::Fault(KvFault::WatchLost);
+    assert_eq!(client.watch("/w/", 1).await.next().await, lost);
+    let mut watch = client.watch("/w/", 3).await;
+    put(&client, "/w/2", b"b").await;
+    assert_eq!(reported(&watch.next().await), (vec!["/w/2"], vec![]));
+}
--- a/crates/hickory-standins/src/kv.rs
+++ b/crates/hickory-standins/src/kv.rs
@@ -140,6 +140,11 @@
         self.shared.cuts.send_modify(|cuts| *cuts += 1);
     }
 
+    /// Forgets the history, so that watches cannot start at or before the present revision.
+    pub fn compact(&self) {
+        self.shared.lock().store.compact();
+    }
+
     /// Ends all leases at once, as if their holders had been paused for too long.
     pub fn expire_leases(&self) {
         self.shared.lock().store.expire_all();
@@ -351,6 +356,14 @@
         let message = json!({"result": {"header": header, "created": true}});
         return Some((Ok(line(&message)), watching));
     }
+    if let Some(message) = watching.compacted() {
+        // The service ends the watch with this message; the stream ends after it.
+        watching.next_revision = u64::MAX;
+        return Some((Ok(line(&message)), watching));
+    }
+    if watching.next_revision == u64::MAX {
+        return None;
+    }
     loop {
         let message = watching.take_events();
         if let Some(message) = message {
@@ -364,6 +377,16 @@
 }
 
 impl Watching {
+    fn compacted(&self) -> Option<Value> {
+        let state = self.shared.lock();
+        let compacted = state.store.compacted();
+        let revision = compacted.to_string();
+        (self.next_revision <= compacted).then(|| {
+            let header = kv_wire::header(state.store.revision());
+            json!({"result": {"header": header, "canceled": true, "compact_revision": revision}})
+        })
+    }
+
     fn take_events(&mut self) -> Option<Value> {
         let state = self.shared.lock();
         let revision = state.store.revision();
--- a/crates/hickory-standins/src/kv_store.rs
+++ b/crates/hickory-standins/src/kv_store.rs
@@ -95,6 +95,8 @@
     revision: u64,
     keys: BTreeMap<Key, Stored>,
     history: Vec<Event>,
+    /// Changes up to this revision are no longer in the history.
+    compacted: u64,
     leases: BTreeMap<u64, Lease>,
     next_lease: u64,
 }
@@ -105,6 +107,7 @@
             revision: 1,
             keys: BTreeMap::new(),
             history: Vec::new(),
+            compacted: 0,
             leases: BTreeMap::new(),
             next_lease: 1,
         }
@@ -114,6 +117,16 @@
         self.revision
     }
 
+    pub const fn compacted(&self) -> u64 {
+        self.compacted
+    }
+
+    /// Forgets the history; the keys stay.
+    pub fn compact(&mut self) {
+        self.history.clear();
+        self.compacted = self.revision;
+    }
+
     pub fn pairs(&self) -> impl Iterator<Item = (&Key, &Stored)> {
         self.keys.iter()
     }
--- a/crates/hickoryctl/src/fleet.rs
+++ b/crates/hickoryctl/src/fleet.rs
@@ -112,14 +112,23 @@
 
     /// Asks every host.
     pub async fn observe(&self) -> Vec<Observed> {
-        let ask = async |address: &SocketAddr| Observed {
-            address: *address,
-            status: self.ask(*address).await,
-        };
-        let calls = stream::iter(self.addresses.iter().map(ask));
+        let calls = stream::iter(self.addresses.iter().map(|address| self.observe_one(*address)));
         calls.buffered(CONCURRENT_CALLS).collect().await
     }
 
+    /// Asks the hosts again at which a revision is not in force. Revisions only grow, so the
+    /// others need not be asked.
+    pub async fn observe_lagging(&self, hosts: Vec<Observed>, revision: Revision) -> Vec<Observed> {
+        let again = async |host: Observed| {
+            if host.has(revision) { host } else { self.observe_one(host.address).await }
+        };
+        stream::iter(hosts.into_iter().map(again)).buffered(CONCURRENT_CALLS).collect().await
+    }
+
+    async fn observe_one(&self, address: SocketAddr) -> Observed {
+        Observed { address, status: self.ask(address).await }
+    }
+
     async fn ask(&self, address: SocketAddr) -> Result<HostStatus, StatusFault> {
         let answer = tokio::time::timeout(CALL_TIMEOUT, self.get(address)).await;
         let (status, body) = answer.ok().flatten().ok_or(StatusFault::Unreachable)?;
--- a/crates/hickoryctl/src/run.rs
+++ b/crates/hickoryctl/src/run.rs
@@ -164,13 +164,15 @@
     async fn wait(&self, revision: Revision) -> Result<Report, CliError> {
         let fleet = self.fleet()?;
         let deadline = Instant::now() + self.limit;
+        let mut hosts = fleet.observe().await;
         loop {
-            let report = FleetReport { stored: None, hosts: fleet.observe().await };
-            let done = report.hosts.iter().all(|host| host.has(revision));
+            let done = hosts.iter().all(|host| host.has(revision));
             if done || Instant::now() + POLL_INTERVAL >= deadline {
+                let report = FleetReport { stored: None, hosts };
                 return Ok(report.wait(self.form, revision));
             }
             tokio::time::sleep(POLL_INTERVAL).await;
+            hosts = fleet.observe_lagging(hosts, revision).await;
         }
     }
 
--- a/crates/hickoryctl/tests/changes.rs
+++ b/crates/hickoryctl/tests/changes.rs
@@ -158,3 +158,34 @@
     let history = tool.ok(&["history", "--change", &change]).await;
     assert_eq!(history.lines().count(), 2, "{history}");
 }
+
+// Guards against operators at the same time whose changes overwrite each other, or of whom one is
+// told an untrue word.
+#[tokio::test]
+async fn operators_at_the_same_time_are_told_the_truth() {
+    let tool = Tool::configured("race").await;
+    tool.kv.lose_answers_after(3, 6);
+    let runs = (10..22_u8).map(|number| {
+        let mut environment = support::environment();
+        environment.variables.insert("HICKORY_KV".to_owned(), tool.kv.url());
+        environment.change_entropy = [number; 16];
+        let name = format!("exception-{number}");
+        async move {
+            // Two operators share each name.
+            let id = format!("e{}", number / 2);
+            let words =
+                ["exception", "add", &id, "upstream-out", "--upstream", &name, "-r", "a race"];
+            support::run_in(&environment, &words).await.status
+        }
+    });
+    let statuses = futures_util::future::join_all(runs).await;
+    let accepted = statuses.iter().filter(|status| **status == ExitStatus::Success).count();
+    assert_eq!(accepted, 6, "{statuses:?}");
+    let told =
+        |status| [ExitStatus::Success, ExitStatus::Conflict, ExitStatus::Input].contains(status);
+    assert!(statuses.iter().all(told), "{statuses:?}");
+    let records = tool.kv.keys().into_iter().filter(|key| key.contains("/changes/"));
+    assert_eq!(records.count(), 1 + accepted);
+    let stored = tool.kv.keys().into_iter().filter(|key| key.contains("/exception/"));
+    assert_eq!(stored.count(), accepted);
+}
