--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -8,6 +8,7 @@
 use crate::entry_effect::EntryEffect;
 use crate::entry_effect::ResponseHead;
 use crate::entry_event::RatingFault;
+use crate::entry_resume::after_unknown;
 use crate::id::AttemptId;
 use crate::id::CallerId;
 use crate::id::HostId;
@@ -56,7 +57,7 @@
             AgentMessage::Evidence(digests) => self.on_evidence(agent, &digests),
             AgentMessage::Draining => self.on_draining(agent),
             AgentMessage::IncarnationClosed { incarnation } => {
-                self.on_incarnation_closed(incarnation);
+                self.on_incarnation_closed(incarnation, now);
             }
             AgentMessage::ConfigNotice { revision } => self.on_peer_revision(agent, revision, now),
             AgentMessage::ConfigPull { have } => self.on_config_pull(agent, have),
@@ -70,9 +71,8 @@
     /// The request whose current attempt this is; late messages of other attempts find none.
     fn current(&mut self, agent: &HostId, attempt: &AttemptId) -> Option<Serial> {
         let request = &attempt.request;
-        let own =
-            request.entry == self.settings.host && request.incarnation == self.settings.incarnation;
-        let state = self.requests.get(&request.serial).filter(|_| own)?;
+        // Requests keep the incarnation under which they arrived.
+        let state = self.requests.get(&request.serial).filter(|state| state.id == *request)?;
         let current = state.attempt.as_ref()?;
         let same = current.ordinal == attempt.ordinal && current.agent == *agent;
         let matches = same && !current.complete;
@@ -88,7 +88,7 @@
         agent: &HostId,
         attempt: &AttemptId,
         reason: AgentRefusal,
-        _retry_after_ms: DurationMs,
+        retry_after_ms: DurationMs,
         now: TimeMs,
     ) {
         let Some(serial) = self.current(agent, attempt) else {
@@ -103,6 +103,12 @@
             agent: agent.clone(),
             reason,
         });
+        if reason == AgentRefusal::StoreUnavailable {
+            // Other agents need the same key-value service.
+            let reason = RefusalReason::StoreUnavailable;
+            self.refuse(serial, reason, Some(retry_after_ms), now);
+            return;
+        }
         self.dispatch(serial, now);
     }
 
@@ -177,10 +183,13 @@
         if state.held_bytes > MAX_HELD_BYTES {
             self.release_held(serial);
         }
-        let agent = self.attempt_mut(serial).map(|current| current.agent.clone());
-        if let Some(agent) = agent {
-            self.send(&agent, EntryMessage::Credit { attempt: attempt.clone(), bytes: length });
-        }
+        let Some(current) = self.attempt_mut(serial) else {
+            return;
+        };
+        current.credited += length;
+        let read_bytes = current.credited;
+        let agent = current.agent.clone();
+        self.send(&agent, EntryMessage::Credit { attempt: attempt.clone(), read_bytes });
     }
 
     fn send_head(&mut self, serial: Serial) {
@@ -242,6 +251,10 @@
             return;
         }
         current.complete = true;
+        self.acknowledge(agent, attempt, length);
+        let Some(current) = self.attempt_mut(serial) else {
+            return;
+        };
         let version = current.version.clone();
         self.count_own_attempt(serial, version.as_ref(), None);
         self.add_usage(serial, version, usage);
@@ -258,23 +271,10 @@
             self.push(EntryEffect::End { caller });
         }
         self.rate_sample(serial, now);
-        if let Some(attempt) = self.release_attempt(serial) {
-            self.credit_rest(serial, &attempt);
-        }
+        self.release_attempt(serial);
         self.finish(serial, RequestOutcome::Served, now);
     }
 
-    /// Credits a whole streamed answer. The caller's last reads come after the request has ended
-    /// and would find no attempt, so the agent would keep the answer until its deadline.
-    fn credit_rest(&mut self, serial: Serial, attempt: &Attempt) {
-        let Some(state) = self.requests.get(&serial).filter(|state| state.streams()) else {
-            return;
-        };
-        let id = AttemptId { request: state.id.clone(), ordinal: attempt.ordinal };
-        let bytes = attempt.received;
-        self.send(&attempt.agent, EntryMessage::Credit { attempt: id, bytes });
-    }
-
     /// Has the answer of a cascade step judged; returns whether a rating is needed.
     fn ask_for_rating(&mut self, serial: Serial) -> bool {
         let Some(state) = self.requests.get(&serial) else {
@@ -348,6 +348,8 @@
             agent: agent.clone(),
             fault,
         });
+        // The cancel acknowledges the failure, so that the agent may forget the attempt.
+        self.send(agent, EntryMessage::Cancel { attempt: attempt.clone() });
         let version = self.release_attempt(serial).and_then(|attempt| attempt.version);
         self.count_own_attempt(serial, version.as_ref(), Some(fault));
         self.add_usage(serial, version, usage);
@@ -370,9 +372,14 @@
             return;
         };
         state.excluded.push(agent.clone());
-        state.run = RunState::Unknown;
-        let retry = !state.head_sent && state.is_repeatable();
-        if retry && matches!(fault, AttemptFault::UpstreamError | AttemptFault::ConnectionLost) {
+        if fault != AttemptFault::KeyReused {
+            state.run = after_unknown(state.run);
+        }
+        let passing = matches!(
+            fault,
+            AttemptFault::UpstreamError | AttemptFault::ConnectionLost | AttemptFault::NotResumable
+        );
+        if passing && !state.head_sent && state.is_repeatable() {
             state.held.clear();
             state.held_bytes = ByteCount::default();
             self.dispatch(serial, now);
@@ -395,16 +402,19 @@
         else {
             return;
         };
-        let Some(attempt) = &state.attempt else {
-            return;
-        };
         if !state.streams() {
             // Held answers were credited when they arrived.
             return;
         }
+        let request = state.id.clone();
+        let Some(attempt) = self.attempt_mut(request.serial) else {
+            return;
+        };
+        attempt.credited += bytes;
+        let read_bytes = attempt.credited;
         let agent = attempt.agent.clone();
-        let attempt = AttemptId { request: state.id.clone(), ordinal: attempt.ordinal };
-        self.send(&agent, EntryMessage::Credit { attempt, bytes });
+        let attempt = AttemptId { request, ordinal: attempt.ordinal };
+        self.send(&agent, EntryMessage::Credit { attempt, read_bytes });
     }
 
     pub(crate) fn on_caller_gone(&mut self, caller: CallerId, now: TimeMs) {
--- a/crates/hickorydoor/src/observation.rs
+++ b/crates/hickorydoor/src/observation.rs
@@ -145,6 +145,11 @@
         /// Everything counted about it; `attempts` is its exposure.
         total: Box<Evidence>,
     },
+    /// The settled requests of a closed ledger cannot be read, so its copies are kept.
+    LedgerUnreadable {
+        /// The entry whose ledger it is.
+        entry: HostId,
+    },
     /// The key-value service did not answer a call.
     KvUnavailable,
 }
