--- a/crates/hickorydoor/tests/memory_kv/mod.rs
+++ b/crates/hickorydoor/tests/memory_kv/mod.rs
@@ -1,5 +1,7 @@
 //! An in-memory key-value service and a small configuration.
 
+#![allow(dead_code, reason = "tests and examples use a part of these helpers")]
+
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
