Enforce customers' limits and retry budgets; move late requests

Cause: limits and retry budgets were configured but not enforced, and a request on a hung engine waited until the engine or the deadline ended it. Each entry enforces an equal part of a limit.

--- a/crates/hickorydoor/examples/policy/main.rs
+++ b/crates/hickorydoor/examples/policy/main.rs
@@ -1,13 +1,15 @@
 //! Measures the placement, cold-start, queueing and retry policies against simple baselines.
 //!
 //! The real reducers run in virtual time against a short model of an engine, with fixed seeds.
-//! `policy [DEPLOYMENT] [FAULT] [POLICY]` limits the runs to names that contain the given texts. The table
+//! `policy [DEPLOYMENT] [FAULT] [POLICY]` limits the runs to names that contain the given texts; `policy
+//! limits` prints the error of the customers' limits instead. The table
 //! is also written to `target/policy.csv`.
 
 mod deployment;
 mod engine;
 mod fault;
 mod fleet;
+mod limit_error;
 mod report;
 mod world;
 
@@ -27,6 +29,10 @@
 fn main() -> std::io::Result<()> {
     let mut wanted = std::env::args().skip(1);
     let deployment = wanted.next().unwrap_or_default();
+    if deployment == "limits" {
+        limit_error::print();
+        return Ok(());
+    }
     let fault = wanted.next().unwrap_or_default();
     let policy = wanted.next().unwrap_or_default();
     let policies = POLICIES.iter().filter(|known| known.name.contains(&policy));
--- a/crates/hickorydoor/examples/policy/report.rs
+++ b/crates/hickorydoor/examples/policy/report.rs
@@ -30,7 +30,7 @@
     pub refused_by_customer: Vec<(u64, u64)>,
 }
 
-pub const HEADER: &str = "deployment,fault,policy,asked,served,first_token_p50_ms,first_token_p95_ms,first_token_p99_ms,token_interval_p95_ms,deadlines_met_percent,refused,lost,cost_per_1k_requests,attempts_per_request,bad_version,above_cold_bound,recovery_s";
+pub const HEADER: &str = "deployment,fault,policy,asked,served,first_token_p50_ms,first_token_p95_ms,first_token_p99_ms,first_token_max_ms,token_interval_p95_ms,deadlines_met_percent,refused,lost,cost_per_1k_requests,attempts_per_request,bad_version,above_cold_bound,recovery_s";
 
 impl Report {
     pub fn new(seconds: u64, customers: usize) -> Self {
@@ -85,12 +85,13 @@
         let asked = self.asked.max(1) as f64;
         let arrived = self.arrived.max(1) as f64;
         format!(
-            "{deployment},{fault},{policy},{},{},{:.0},{:.0},{:.0},{:.1},{:.2},{},{},{:.2},{:.3},{},{},{}",
+            "{deployment},{fault},{policy},{},{},{:.0},{:.0},{:.0},{:.0},{:.1},{:.2},{},{},{:.2},{:.3},{},{},{}",
             self.asked,
             self.served,
             ms(&self.first_token_us, 0.5),
             ms(&self.first_token_us, 0.95),
             ms(&self.first_token_us, 0.99),
+            ms(&self.first_token_us, 1.0),
             ms(&self.interval_us, 0.95),
             self.in_time as f64 * 100.0 / asked,
             self.refused,
--- a/crates/hickorydoor/src/entry.rs
+++ b/crates/hickorydoor/src/entry.rs
@@ -31,11 +31,13 @@
 use crate::id::Serial;
 use crate::kv_call::KvCall;
 use crate::ledger::Ledger;
+use crate::limits::LimitTable;
 use crate::member_table::MemberTable;
 use crate::message::EntryMessage;
 use crate::observation::Observation;
 use crate::placement::Placement;
 use crate::request_state::RequestState;
+use crate::retry_budget::RetryBudget;
 use crate::rollout_guard::RolloutGuard;
 use crate::session_pin::SessionPins;
 use crate::time::DurationMs;
@@ -84,6 +86,8 @@
     pub(crate) members: MemberTable,
     pub(crate) placement: Placement,
     pub(crate) requests: HashMap<Serial, RequestState>,
+    pub(crate) limits: LimitTable,
+    pub(crate) retries: RetryBudget,
     pub(crate) queues: HashMap<CompactString, FairQueue>,
     /// Set when an upstream may have got room for a waiting request.
     pub(crate) room_freed: bool,
@@ -127,6 +131,8 @@
                 settings.region.clone(),
             ),
             requests: HashMap::new(),
+            limits: LimitTable::default(),
+            retries: RetryBudget::default(),
             queues: HashMap::new(),
             room_freed: false,
             callers: HashMap::new(),
@@ -205,6 +211,7 @@
         self.tick_guard(now);
         self.tick_ratings(now);
         self.expire_queues(now);
+        self.move_late_requests(now);
         self.expire_requests(now);
         self.room_freed = true;
         self.tick_configuration(now);
--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -390,13 +390,16 @@
             fault,
             AttemptFault::UpstreamError | AttemptFault::ConnectionLost | AttemptFault::NotResumable
         );
-        if passing && !state.head_sent && state.is_repeatable() {
-            state.held.clear();
-            state.held_bytes = ByteCount::default();
+        let repeatable = state.is_repeatable();
+        let may_move = passing && !state.head_sent && repeatable;
+        if may_move && self.may_retry(serial) {
+            if let Some(state) = self.requests.get_mut(&serial) {
+                state.held.clear();
+                state.held_bytes = ByteCount::default();
+            }
             self.dispatch(serial, now);
             return;
         }
-        let repeatable = state.is_repeatable();
         let reason = match fault {
             AttemptFault::DeadlineExceeded => RefusalReason::DeadlineExceeded,
             AttemptFault::DuplicateInProgress => RefusalReason::DuplicateInProgress,
--- a/crates/hickorydoor/src/entry_config.rs
+++ b/crates/hickorydoor/src/entry_config.rs
@@ -59,6 +59,7 @@
     pub(crate) fn on_host_list(&mut self, records: Vec<HostRecord>, now: TimeMs) {
         let own = &self.settings;
         self.watch.elect(&own.host, &own.data_centre, &records);
+        self.count_entries(&records);
         self.members.apply_list(records);
         self.tick_links(now);
     }
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -51,7 +51,12 @@
     pub(crate) fn on_request(&mut self, request: CallerRequest, now: TimeMs) {
         let caller = request.caller;
         match self.admit(request, now) {
-            Ok(state) => {
+            Ok(mut state) => {
+                if let Err(refusal) = self.check_limits(&mut state, now) {
+                    let request = Some(state.id);
+                    self.push(EntryEffect::Refuse { caller, request, refusal });
+                    return;
+                }
                 let serial = state.id.serial;
                 self.callers.insert(caller, serial);
                 self.requests.insert(serial, state);
@@ -96,6 +101,7 @@
             attempt: None,
             excluded: SmallVec::new(),
             queue: None,
+            limited_tokens: 0,
             agents: SmallVec::new(),
             run: RunState::NotRun,
             lines: Vec::new(),
@@ -280,6 +286,8 @@
             ordinal: state.attempts,
             agent: agent.clone(),
             agent_incarnation,
+            sent_at_ms: now,
+            expected_first_token_ms: placed.first_token_ms,
             version: version.clone(),
             started: None,
             received: ByteCount::default(),
@@ -377,6 +385,10 @@
         };
         self.callers.remove(&state.caller);
         self.leave_queue(&state);
+        let used_tokens =
+            state.lines.iter().map(|line| line.usage.prompt_tokens + line.usage.answer_tokens);
+        let used_tokens = used_tokens.sum::<Tokens>().get();
+        self.limits.end(&state.customer, state.limited_tokens, used_tokens);
         let mut usage = Usage::default();
         let mut version = None;
         for line in &state.lines {
--- a/crates/hickorydoor/src/entry_resume.rs
+++ b/crates/hickorydoor/src/entry_resume.rs
@@ -36,7 +36,7 @@
     }
 
     /// Moves an attempt to another agent, if there is one; otherwise it waits for its agent.
-    fn move_attempt(&mut self, serial: Serial, agent: &HostId, now: TimeMs) {
+    pub(crate) fn move_attempt(&mut self, serial: Serial, agent: &HostId, now: TimeMs) {
         let Some(state) = self.requests.get_mut(&serial) else {
             return;
         };
@@ -51,6 +51,12 @@
             }
             return;
         }
+        if !self.may_retry(serial) {
+            if let Some(state) = self.requests.get_mut(&serial) {
+                state.excluded.truncate(attempts_before);
+            }
+            return;
+        }
         self.record_lost(serial, agent);
         self.cancel_attempt(serial);
         self.dispatch(serial, now);
--- a/crates/hickorydoor/src/request_state.rs
+++ b/crates/hickorydoor/src/request_state.rs
@@ -17,6 +17,7 @@
 use crate::quantity::ByteCount;
 use crate::quantity::Tokens;
 use crate::refusal::RunState;
+use crate::time::DurationMs;
 use crate::time::TimeMs;
 
 /// The attempt of a request that runs now.
@@ -28,6 +29,10 @@
     pub agent: HostId,
     /// The life of that agent.
     pub agent_incarnation: Incarnation,
+    /// When it was sent.
+    pub sent_at_ms: TimeMs,
+    /// Expected time from then to the first token.
+    pub expected_first_token_ms: DurationMs,
     /// The version; absent for plain services.
     pub version: Option<VersionId>,
     /// Status and content type, once the upstream began to answer.
@@ -92,6 +97,8 @@
     pub excluded: SmallVec<[HostId; 4]>,
     /// Agents that were sent an attempt; they may hold copies of its usage.
     pub agents: SmallVec<[HostId; 2]>,
+    /// Tokens that were counted against the customer's limit in advance.
+    pub limited_tokens: u64,
     /// The queue in which it waits for an upstream.
     pub queue: Option<CompactString>,
     /// What is known about whether it was run.
--- /dev/null
+++ b/crates/hickorydoor/tests/limits.rs
@@ -0,0 +1,112 @@
+//! Guards against limits and retry budgets that let more through than they state.
+
+use hickorydoor::DurationMs;
+use hickorydoor::TimeMs;
+use hickorydoor::customer::CustomerLimits;
+use hickorydoor::id::CustomerId;
+use hickorydoor::limits::LimitTable;
+use hickorydoor::quantity::Share;
+use hickorydoor::retry_budget::RetryBudget;
+use proptest::prelude::ProptestConfig;
+use proptest::prop_assert;
+use proptest::proptest;
+use proptest::test_runner::RngSeed;
+
+const SEED: u64 = 13;
+const CASES: u32 = 64;
+/// Requests that each entry may admit at once above its rate: 2 s of its part, at least 2.
+const BURST_S: f64 = 2.0;
+
+fn config() -> ProptestConfig {
+    let raised = std::env::var("HICKORY_PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
+    ProptestConfig {
+        cases: raised.unwrap_or(CASES),
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn customer() -> CustomerId {
+    CustomerId::try_from("customer").expect("a valid id")
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    // Failure: the entries together admit more than the rate and the stated burst.
+    #[test]
+    fn the_rate_holds_across_entries(
+        asks in proptest::collection::vec((0_usize..8, 0_u64..200), 1..600),
+        entries in 1_usize..8,
+        limit in 1_u32..50,
+    ) {
+        let limit = f64::from(limit);
+        let limits = CustomerLimits { requests_per_s: Some(limit), ..CustomerLimits::default() };
+        let mut tables = vec![LimitTable::default(); entries];
+        for table in &mut tables {
+            table.set_entries(entries);
+        }
+        let mut now = TimeMs::new(0);
+        let mut admitted = 0.0;
+        for (entry, pause_ms) in asks {
+            now = now + DurationMs::new(pause_ms);
+            let table = &mut tables[entry % entries];
+            if table.begin(&customer(), &limits, 1, now).is_ok() {
+                table.end(&customer(), 1, 1);
+                admitted += 1.0;
+            }
+        }
+        let burst = entries as f64 * (limit / entries as f64 * BURST_S).max(2.0);
+        let seconds = now.since(TimeMs::new(0)).as_f64() / 1_000.0;
+        prop_assert!(admitted <= limit * seconds + burst + 1e-6);
+    }
+
+    // Failure: a customer runs more requests at once than its part, or refused ones count.
+    #[test]
+    fn concurrency_holds(steps in proptest::collection::vec(proptest::bool::ANY, 1..300), limit in 1_u32..20) {
+        let limits = CustomerLimits { concurrent_requests: Some(limit), ..CustomerLimits::default() };
+        let mut table = LimitTable::default();
+        let mut running = 0;
+        for begins in steps {
+            if begins {
+                let admitted = table.begin(&customer(), &limits, 1, TimeMs::new(0)).is_ok();
+                prop_assert!(admitted == (running < limit));
+                running += u32::from(admitted);
+            } else if running > 0 {
+                table.end(&customer(), 1, 1);
+                running -= 1;
+            }
+        }
+    }
+
+    // Failure: retries amplify an overload beyond the stated share.
+    #[test]
+    fn retries_stay_within_their_share(steps in proptest::collection::vec(0_u8..4, 1..800), percent in 0_u32..50) {
+        let share = Share::from_percent(percent);
+        let mut budget = RetryBudget::default();
+        let mut requests = 0;
+        let mut retries = 0.0;
+        for step in steps {
+            if step == 0 {
+                budget.earn(&customer(), share);
+                requests += 1;
+            } else if requests > 0 && budget.spend(&customer()) {
+                retries += 1.0;
+            }
+            prop_assert!(retries <= RetryBudget::bound(requests, share) + 1e-6);
+        }
+    }
+}
+
+// Failure: a large prompt drains the token limit for ever, or is never charged.
+#[test]
+fn tokens_are_paid_off_at_the_rate() {
+    let limits = CustomerLimits { tokens_per_s: Some(100.0), ..CustomerLimits::default() };
+    let mut table = LimitTable::default();
+    assert!(table.begin(&customer(), &limits, 1_000, TimeMs::new(0)).is_ok());
+    table.end(&customer(), 1_000, 1_200);
+    let refused = table.begin(&customer(), &limits, 1, TimeMs::new(1_000));
+    assert_eq!(refused, Err(DurationMs::new(9_010)));
+    assert!(table.begin(&customer(), &limits, 1, TimeMs::new(10_020)).is_ok());
+}
