Bound links, watch silence and prove rolling restarts

Every entry linked to the first agents of the list, never noticed a silent agent and ignored leave notices. A rolling restart of all processes under load cuts no request in the property test.

Faults found by it: a restarted entry refused callers as unknown before it had a configuration, and requests found no upstream before its links were up. Entry::is_ready tells load balancers when to send callers.

--- a/crates/hickorydoor/src/agent.rs
+++ b/crates/hickorydoor/src/agent.rs
@@ -79,6 +79,12 @@
     pub received: u64,
     /// When the entry was heard last.
     pub last_heard_at_ms: TimeMs,
+    /// When anything was sent to the entry last.
+    pub last_sent_at_ms: TimeMs,
+    /// When the last load report was sent.
+    pub last_report_at_ms: TimeMs,
+    /// Time between two reports while the link is idle.
+    pub report_interval_ms: DurationMs,
 }
 
 /// State of one agent.
@@ -99,7 +105,8 @@
     pub(crate) upstream_up: bool,
     pub(crate) first_token_ms: f64,
     pub(crate) pull: ConfigPull,
-    pub(crate) next_report_at_ms: TimeMs,
+    /// Until when entries have said that the platform lists this host as leaving.
+    pub(crate) leaving_until_ms: Option<TimeMs>,
     pub(crate) rng: Pcg64Mcg,
     pub(crate) kv_calls: HashMap<KvCallId, AgentKvPurpose>,
     pub(crate) recovery_backoff: Backoff,
@@ -135,7 +142,7 @@
             upstream_up: true,
             first_token_ms: 0.0,
             pull: ConfigPull::default(),
-            next_report_at_ms: now + settings.report_interval_ms,
+            leaving_until_ms: None,
             rng: Pcg64Mcg::seed_from_u64(seed_of(&settings)),
             kv_calls: HashMap::new(),
             recovery_backoff: Backoff::default(),
@@ -202,6 +209,7 @@
     fn on_tick(&mut self, now: TimeMs) {
         self.expire_attempts(now);
         self.tick_configuration(now);
+        self.tick_leaving(now);
         self.tick_reports(now);
         self.tick_evidence(now);
         self.tick_claims(now);
@@ -277,6 +285,9 @@
     }
 
     pub(crate) fn send(&mut self, entry: &HostId, message: AgentMessage) {
+        if let Some(link) = self.links.get_mut(entry) {
+            link.last_sent_at_ms = self.last_event_at_ms;
+        }
         self.push(AgentEffect::Send { entry: entry.clone(), message });
     }
 
--- a/crates/hickorydoor/src/agent_attempt.rs
+++ b/crates/hickorydoor/src/agent_attempt.rs
@@ -152,7 +152,7 @@
     }
 
     fn check_dispatch(&self, dispatch: &Dispatch, now: TimeMs) -> Result<(), AgentRefusal> {
-        if self.draining {
+        if self.is_leaving() {
             return Err(AgentRefusal::Draining);
         }
         if now < self.stale_until_ms {
--- a/crates/hickorydoor/src/agent_config.rs
+++ b/crates/hickorydoor/src/agent_config.rs
@@ -1,6 +1,9 @@
 //! How an agent keeps its configuration and its links to entries.
 
+use std::collections::BTreeSet;
+
 use crate::agent::Agent;
+use crate::agent::EntryLink;
 use crate::agent_event::UpstreamReport;
 use crate::id::HostId;
 use crate::id::Revision;
@@ -16,6 +19,9 @@
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
+/// How long a leave notice holds; entries repeat it with every host list. A list that was wrong
+/// takes the agent out no longer than this.
+const LEAVE_NOTICE_MS: DurationMs = DurationMs::from_secs(30);
 /// Time after a pause in which an agent admits no work; a pull takes a few milliseconds.
 const CATCH_UP_MS: DurationMs = DurationMs::from_secs(1);
 /// Peers that are asked after a pause; some of them may lag or have been paused too.
@@ -57,7 +63,7 @@
             }
             EntryMessage::ConfigPull { have } => self.on_config_pull(entry, have),
             EntryMessage::ConfigUpdate(update) => self.on_config_update(update, now),
-            EntryMessage::LeaveNotice => self.on_leave_notice(),
+            EntryMessage::LeaveNotice => self.on_leave_notice(now),
             EntryMessage::Pin { key, pin, settled } => self.on_pin(entry, key, pin, settled),
         }
     }
@@ -70,11 +76,20 @@
         }
         link.connected = true;
         link.last_heard_at_ms = now;
+        link.report_interval_ms = hello.heartbeat_interval_ms;
         if link.incarnation != hello.incarnation {
             link.incarnation = hello.incarnation;
             link.received = 0;
             self.fence.start(entry, hello.incarnation);
         }
+        self.send_hello(entry);
+        self.send_report(entry, now);
+        self.send_evidence(entry);
+        self.check_incarnation(&(entry.clone(), hello.incarnation));
+        self.on_peer_revision(entry, hello.revision, now);
+    }
+
+    fn send_hello(&mut self, entry: &HostId) {
         let reply = AgentHello {
             agent: self.settings.host.clone(),
             upstream: self.settings.upstream.clone(),
@@ -83,13 +98,14 @@
             region: self.settings.region.clone(),
             offer: self.offer(),
             revision: self.revision(),
-            draining: self.draining,
+            draining: self.is_leaving(),
         };
         self.send(entry, AgentMessage::Hello(reply));
-        self.send_report(entry, now);
-        self.send_evidence(entry);
-        self.check_incarnation(&(entry.clone(), hello.incarnation));
-        self.on_peer_revision(entry, hello.revision, now);
+    }
+
+    /// Whether the agent is shutting down or its host is listed as leaving.
+    pub(crate) const fn is_leaving(&self) -> bool {
+        self.draining || self.leaving_until_ms.is_some()
     }
 
     fn offer(&self) -> Offer {
@@ -115,17 +131,45 @@
         }
     }
 
+    /// Reports on idle links at their interval, and at least once a second on links with work, so
+    /// that an entry can tell a slow engine from a lost agent.
     pub(crate) fn tick_reports(&mut self, now: TimeMs) {
-        if now < self.next_report_at_ms {
+        let busy = self.busy_entries();
+        let shortest_ms = self.settings.report_interval_ms;
+        let due = |(entry, link): &(&HostId, &EntryLink)| {
+            let idle_ms = shortest_ms.max(link.report_interval_ms);
+            let quiet = now >= link.last_sent_at_ms + shortest_ms;
+            let report_due = now >= link.last_report_at_ms + idle_ms;
+            link.connected && (report_due || (quiet && busy.contains(*entry)))
+        };
+        let mut entries: Vec<HostId> =
+            self.links.iter().filter(due).map(|(entry, _)| entry.clone()).collect();
+        entries.sort_unstable();
+        for entry in entries {
+            self.send_report(&entry, now);
+        }
+    }
+
+    fn busy_entries(&self) -> BTreeSet<HostId> {
+        let running = self.attempts.values().filter(|state| !state.is_over());
+        running.map(|state| state.entry.clone()).collect()
+    }
+
+    /// Tells entries that this host stays, once none says any more that it leaves.
+    pub(crate) fn tick_leaving(&mut self, now: TimeMs) {
+        if self.leaving_until_ms.is_none_or(|until| now < until) {
             return;
         }
-        self.next_report_at_ms = now + self.settings.report_interval_ms;
+        self.leaving_until_ms = None;
         for entry in self.connected_entries() {
-            self.send_report(&entry, now);
+            self.send_hello(&entry);
         }
     }
 
     fn send_report(&mut self, entry: &HostId, now: TimeMs) {
+        if let Some(link) = self.links.get_mut(entry) {
+            link.last_report_at_ms = now;
+        }
         let received_from_entry = self.links.get(entry).map_or(0, |link| link.received);
         let report = LoadReport {
             observed_at_ms: now,
@@ -193,8 +237,10 @@
         }
     }
 
-    fn on_leave_notice(&mut self) {
-        if self.draining {
+    fn on_leave_notice(&mut self, now: TimeMs) {
+        let known = self.is_leaving();
+        self.leaving_until_ms = Some(now + LEAVE_NOTICE_MS);
+        if known {
             return;
         }
         for entry in self.connected_entries() {
--- a/crates/hickorydoor/src/entry.rs
+++ b/crates/hickorydoor/src/entry.rs
@@ -29,6 +29,8 @@
 use crate::id::Serial;
 use crate::kv_call::KvCall;
 use crate::ledger::Ledger;
+use crate::link_plan::LinkPlan;
+use crate::member_table::Member;
 use crate::member_table::MemberTable;
 use crate::message::EntryMessage;
 use crate::observation::Observation;
@@ -79,6 +81,7 @@
     pub(crate) rng: Pcg64Mcg,
     pub(crate) config: ConfigLog,
     pub(crate) members: MemberTable,
+    pub(crate) links: LinkPlan,
     pub(crate) requests: HashMap<Serial, RequestState>,
     pub(crate) callers: HashMap<CallerId, Serial>,
     pub(crate) pins: SessionPins,
@@ -114,6 +117,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             config: ConfigLog::default(),
             members: MemberTable::default(),
+            links: LinkPlan::default(),
             requests: HashMap::new(),
             callers: HashMap::new(),
             pins: SessionPins::default(),
@@ -148,7 +152,7 @@
             EntryEvent::Request(request) => self.on_request(*request, now),
             EntryEvent::CallerRead { caller, bytes } => self.on_caller_read(caller, bytes),
             EntryEvent::CallerGone { caller } => self.on_caller_gone(caller, now),
-            EntryEvent::LinkUp { agent } => self.on_link_up(&agent),
+            EntryEvent::LinkUp { agent } => self.on_link_up(&agent, now),
             EntryEvent::LinkDown { agent } => self.on_link_down(&agent, now),
             EntryEvent::Message { agent, message } => self.on_message(&agent, message, now),
             EntryEvent::Rated { request, ordinal, rating } => {
@@ -173,6 +177,15 @@
         self.config.revision()
     }
 
+    /// Whether the entry can serve callers: it knows the configuration, has tried every planned
+    /// link and is not shutting down.
+    pub fn is_ready(&self) -> bool {
+        let tried = |member: &Member| member.hello.is_some() || member.failed_connects > 0;
+        let planned = self.members.iter().filter(|(agent, _)| self.links.contains(agent));
+        let known = self.revision() > Revision::default() && !self.links.is_empty();
+        known && !self.draining && planned.into_iter().all(|(_, member)| tried(member))
+    }
+
     /// The agents that this entry knows.
     pub const fn members(&self) -> &MemberTable {
         &self.members
@@ -204,6 +217,10 @@
         for attempt in self.requests.values_mut().filter_map(|state| state.attempt.as_mut()) {
             attempt.link_lost_at_ms = attempt.link_lost_at_ms.map(|at| at + gap_ms);
         }
+        for (_, member) in self.members.iter_mut() {
+            member.last_heard_at_ms = member.last_heard_at_ms + gap_ms;
+            member.awaited_since_ms = member.awaited_since_ms.map(|at| at + gap_ms);
+        }
     }
 
     fn on_shutdown(&mut self, now: TimeMs) {
@@ -219,6 +236,7 @@
         let idle_since_ms = *self.idle_since_ms.get_or_insert(now);
         if self.ledger.is_drained() || now >= idle_since_ms + STORE_LIMIT_MS {
             self.stopped = true;
+            self.close_links();
             self.push(EntryEffect::Stopped);
         }
     }
--- a/crates/hickorydoor/src/entry_config.rs
+++ b/crates/hickorydoor/src/entry_config.rs
@@ -2,24 +2,16 @@
 
 use crate::entry::Entry;
 use crate::entry::KvPurpose;
-use crate::entry_effect::EntryEffect;
-use crate::host_record::HostRecord;
 use crate::id::HostId;
 use crate::id::KvCallId;
 use crate::id::Revision;
 use crate::kv_call::KvOutcome;
 use crate::load_report::LoadReport;
 use crate::message::AgentHello;
-use crate::message::EntryHello;
 use crate::message::EntryMessage;
 use crate::observation::Observation;
-use crate::time::DurationMs;
 use crate::time::TimeMs;
 
-/// First pause before a lost link is opened again; it doubles up to [`MAX_CONNECT_PAUSE_MS`].
-const CONNECT_PAUSE_MS: u64 = 100;
-const MAX_CONNECT_PAUSE_MS: u64 = 5_000;
-
 impl Entry {
     pub(crate) fn on_kv(&mut self, call: KvCallId, outcome: KvOutcome, now: TimeMs) {
         let Some(purpose) = self.kv_calls.get(&call).copied() else {
@@ -56,90 +48,6 @@
         }
     }
 
-    pub(crate) fn on_host_list(&mut self, records: Vec<HostRecord>, now: TimeMs) {
-        let own = &self.settings;
-        self.watch.elect(&own.host, &own.data_centre, &records);
-        self.members.apply_list(records);
-        self.tick_links(now);
-    }
-
-    pub(crate) fn tick_links(&mut self, now: TimeMs) {
-        let mut open =
-            self.members.iter().filter(|(_, member)| member.connected || member.connecting).count();
-        let mut connects = Vec::new();
-        for (agent, member) in self.members.iter_mut() {
-            let Some(record) = &member.record else {
-                continue;
-            };
-            let idle = !member.connected && !member.connecting && !member.draining;
-            if idle && now >= member.next_connect_at_ms && open < self.settings.max_links {
-                member.connecting = true;
-                open += 1;
-                connects.push((agent.clone(), record.address));
-            }
-        }
-        for (agent, address) in connects {
-            self.push(EntryEffect::Connect { agent, address });
-        }
-        if now >= self.next_heartbeat_at_ms {
-            self.next_heartbeat_at_ms = now + self.settings.heartbeat_interval_ms;
-            self.send_heartbeats();
-        }
-    }
-
-    fn send_heartbeats(&mut self) {
-        let revision = self.revision();
-        for agent in self.linked_agents() {
-            self.send(&agent, EntryMessage::Heartbeat { revision });
-        }
-    }
-
-    pub(crate) fn on_link_up(&mut self, agent: &HostId) {
-        let Some(member) = self.members.get_mut(agent) else {
-            self.push(EntryEffect::Disconnect { agent: agent.clone() });
-            return;
-        };
-        member.connected = true;
-        member.connecting = false;
-        member.failed_connects = 0;
-        self.send_hello(agent);
-    }
-
-    pub(crate) fn send_hello(&mut self, agent: &HostId) {
-        let hello = EntryHello {
-            entry: self.settings.host.clone(),
-            incarnation: self.settings.incarnation,
-            data_centre: self.settings.data_centre.clone(),
-            revision: self.revision(),
-        };
-        self.send(agent, EntryMessage::Hello(hello));
-    }
-
-    /// Agents with an open link.
-    pub(crate) fn linked_agents(&self) -> Vec<HostId> {
-        let linked = self.members.iter().filter(|(_, member)| member.connected);
-        linked.map(|(agent, _)| agent.clone()).collect()
-    }
-
-    pub(crate) fn on_link_down(&mut self, agent: &HostId, now: TimeMs) {
-        if let Some(member) = self.members.get_mut(agent) {
-            let was_connected = member.connected;
-            member.connected = false;
-            // The next life of the agent must say hello before it gets work.
-            member.hello = None;
-            member.draining = false;
-            member.connecting = false;
-            member.failed_connects += u32::from(!was_connected);
-            let pause_ms = CONNECT_PAUSE_MS << member.failed_connects.min(6);
-            member.next_connect_at_ms = now + DurationMs::new(pause_ms.min(MAX_CONNECT_PAUSE_MS));
-            if was_connected {
-                self.record(Observation::AgentUsable { agent: agent.clone(), usable: false });
-            }
-        }
-        self.pull.forget(agent);
-        self.lose_attempts_on(agent, now);
-    }
-
     pub(crate) fn on_hello(&mut self, agent: &HostId, hello: AgentHello, now: TimeMs) {
         let incarnation = hello.incarnation;
         if self.members.get(agent).is_some_and(|member| incarnation < member.incarnation) {
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -15,6 +15,7 @@
 use crate::id::HostId;
 use crate::id::ModelId;
 use crate::id::RequestId;
+use crate::id::Revision;
 use crate::id::Serial;
 use crate::id::VersionId;
 use crate::message::Call;
@@ -59,6 +60,10 @@
         if self.draining {
             return Err(Refusal::not_run(RefusalReason::ShuttingDown).retry_after(RETRY_AFTER_MS));
         }
+        if self.revision() == Revision::default() {
+            // Without a configuration no key can be checked, so none is called unknown.
+            return Err(Refusal::not_run(RefusalReason::NoUpstream).retry_after(RETRY_AFTER_MS));
+        }
         let configuration = self.config.current();
         let customer = configuration
             .customer_by_key(&request.key)
--- a/crates/hickorydoor/src/entry_resume.rs
+++ b/crates/hickorydoor/src/entry_resume.rs
@@ -103,6 +103,15 @@
         }
     }
 
+    /// Ends the resume windows of attempts whose silent agent is heard again.
+    pub(crate) fn resume_after_silence(&mut self, agent: &HostId) {
+        for state in self.requests.values_mut() {
+            if let Some(attempt) = state.running_on(agent) {
+                attempt.link_lost_at_ms = None;
+            }
+        }
+    }
+
     /// Cancels that could not be sent while the link was down.
     fn send_owed_cancels(&mut self, agent: &HostId, incarnation: Incarnation) {
         let Some(member) = self.members.get_mut(agent) else {
--- a/crates/hickorydoor/src/member_table.rs
+++ b/crates/hickorydoor/src/member_table.rs
@@ -14,6 +14,7 @@
 use crate::id::Incarnation;
 use crate::id::ServiceName;
 use crate::id::VersionId;
+use crate::link_plan::LinkPlan;
 use crate::load_report::LoadReport;
 use crate::message::AgentHello;
 use crate::message::Offer;
@@ -21,6 +22,7 @@
 
 /// What an entry knows about one agent.
 #[derive(Clone, Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "independent facts about one link")]
 pub struct Member {
     /// The platform's record, once listed.
     pub record: Option<HostRecord>,
@@ -44,6 +46,14 @@
     pub sent: u64,
     /// Attempts of this entry that run there.
     pub in_flight: u32,
+    /// When the agent was heard last.
+    pub last_heard_at_ms: TimeMs,
+    /// Since when an agent with work in flight is awaited to say something.
+    pub awaited_since_ms: Option<TimeMs>,
+    /// Whether the agent was not heard although it should have been.
+    pub silent: bool,
+    /// Whether the link is to be closed when it is idle.
+    pub is_unwanted: bool,
     /// Newest life of the agent that said hello.
     pub incarnation: Incarnation,
     /// Cancels that wait for the link, with the agent's life that they are for.
@@ -64,6 +74,10 @@
             load_received_at_ms: TimeMs::default(),
             sent: 0,
             in_flight: 0,
+            last_heard_at_ms: TimeMs::default(),
+            awaited_since_ms: None,
+            silent: false,
+            is_unwanted: false,
             incarnation: Incarnation::default(),
             owed_cancels: Vec::new(),
         }
@@ -85,7 +99,7 @@
             return false;
         };
         let leaving = self.draining || self.is_leaving();
-        self.connected && !leaving && !configuration.is_out(&hello.data_centre)
+        self.connected && !self.silent && !leaving && !configuration.is_out(&hello.data_centre)
     }
 
     /// Whether the agent's engine serves this version.
@@ -131,20 +145,30 @@
         self.members.iter_mut()
     }
 
-    /// Takes over the platform's list. Hosts that it no longer names are forgotten once they are
-    /// not connected.
-    pub fn apply_list(&mut self, records: Vec<HostRecord>) {
+    /// Takes over the platform's list as far as it concerns planned links. A linked agent that the
+    /// list does not name stays: the list lags, and the link is newer.
+    pub fn apply_list(&mut self, records: Vec<HostRecord>, plan: &LinkPlan) {
         for member in self.members.values_mut() {
             member.record = None;
+            member.is_unwanted = false;
         }
         for record in records {
             if record.role != HostRole::Agent {
                 continue;
             }
-            let member = self.members.entry(record.host.clone()).or_insert_with(Member::new);
-            member.record = Some(record);
+            let planned = plan.contains(&record.host);
+            if planned {
+                self.members.entry(record.host.clone()).or_insert_with(Member::new);
+            }
+            if let Some(member) = self.members.get_mut(&record.host) {
+                member.is_unwanted = !planned && record.state == HostState::Live;
+                member.record = Some(record);
+            }
         }
-        self.members.retain(|_, member| member.record.is_some() || member.connected);
+        self.members.retain(|agent, member| {
+            let planned = member.record.is_some() && plan.contains(agent);
+            planned || member.connected || member.in_flight > 0
+        });
     }
 
     /// Takes over the hello of an agent.
--- a/crates/hickorydoor/src/message.rs
+++ b/crates/hickorydoor/src/message.rs
@@ -43,6 +43,8 @@
     pub data_centre: DataCentreId,
     /// The configuration in force at the entry.
     pub revision: Revision,
+    /// Time between two heartbeats on an idle link, in both directions; 0 for the default.
+    pub heartbeat_interval_ms: DurationMs,
 }
 
 /// What an upstream offers.
--- a/crates/hickorydoor/src/wire.rs
+++ b/crates/hickorydoor/src/wire.rs
@@ -395,6 +395,9 @@
     /// The revision in force.
     #[prost(uint64, tag = "4")]
     pub revision: u64,
+    /// Milliseconds between two heartbeats on an idle link.
+    #[prost(uint64, tag = "5")]
+    pub heartbeat_interval_ms: u64,
 }
 
 impl From<EntryHello> for WireEntryHello {
@@ -404,6 +407,7 @@
             incarnation: hello.incarnation.get(),
             data_centre: hello.data_centre.to_string(),
             revision: hello.revision.get(),
+            heartbeat_interval_ms: hello.heartbeat_interval_ms.get(),
         }
     }
 }
@@ -417,6 +421,7 @@
             incarnation: Incarnation::new(wire.incarnation),
             data_centre: wire.data_centre.parse()?,
             revision: Revision::new(wire.revision),
+            heartbeat_interval_ms: DurationMs::new(wire.heartbeat_interval_ms),
         })
     }
 }
--- /dev/null
+++ b/crates/hickorydoor/tests/membership.rs
@@ -0,0 +1,226 @@
+//! Links, draining, silence and restarts.
+//!
+//! Guards against requests that a planned restart cuts, work for agents that drain or are silent,
+//! and agents that no entry is linked to.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use hickorydoor::EntrySettings;
+use hickorydoor::host_record::HostRecord;
+use hickorydoor::host_record::HostRole;
+use hickorydoor::host_record::HostState;
+use hickorydoor::id::HostId;
+use hickorydoor::id::Incarnation;
+use hickorydoor::link_plan::LinkPlan;
+use hickorydoor::refusal::RefusalReason;
+use proptest::prelude::any;
+use proptest::prelude::proptest;
+
+use crate::support::bills;
+use crate::support::callers::Kind;
+use crate::support::callers::Outcome;
+use crate::support::fleet::Fleet;
+use crate::support::fleet::Node;
+use crate::support::fleet::Setup;
+use crate::support::schedule;
+use crate::support::schedule::Fault;
+
+const AGENTS: usize = 12_000;
+const CENTRES: usize = 32;
+const REGIONS: usize = 9;
+
+fn calm(setup: Setup, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(setup, seed);
+    fleet.run_for(5_000);
+    fleet
+}
+
+fn quiet() -> Setup {
+    Setup { upstream_fault_chance: 0.0, double_chance: 0.0, ..Setup::default() }
+}
+
+fn record(index: usize) -> HostRecord {
+    HostRecord {
+        host: format!("agent-{index}").parse().expect("id"),
+        role: HostRole::Agent,
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: format!("centre-{}", index % CENTRES).parse().expect("id"),
+        region: format!("region-{}", index % CENTRES % REGIONS).parse().expect("id"),
+        state: HostState::Live,
+    }
+}
+
+fn settings(index: usize) -> EntrySettings {
+    EntrySettings::new(
+        format!("entry-{index}").parse().expect("id"),
+        Incarnation::new(1),
+        format!("centre-{}", index % CENTRES).parse().expect("id"),
+        format!("region-{}", index % CENTRES % REGIONS).parse().expect("id"),
+    )
+}
+
+#[test]
+fn every_agent_is_linked_and_none_is_crowded() {
+    // A data centre has more agents than an entry has links, so its entries link to no others.
+    let records: Vec<HostRecord> = (0..AGENTS).step_by(CENTRES).map(record).collect();
+    let mut links: BTreeMap<&HostId, usize> = records.iter().map(|r| (&r.host, 0)).collect();
+    for index in (0..560).step_by(CENTRES) {
+        let mut plan = LinkPlan::default();
+        plan.choose(&settings(index), &records, &BTreeSet::new(), false);
+        assert_eq!(plan.len(), 256);
+        for record in records.iter().filter(|record| plan.contains(&record.host)) {
+            *links.entry(&record.host).or_default() += 1;
+        }
+    }
+    let (fewest, most) = (links.values().min(), links.values().max());
+    println!("links of an agent: fewest {fewest:?}, most {most:?}");
+    assert!(fewest >= Some(&4) && most <= Some(&20), "{fewest:?} {most:?}");
+}
+
+#[test]
+fn a_changed_list_moves_few_links() {
+    let records: Vec<HostRecord> = (0..AGENTS).map(record).collect();
+    let mut before = LinkPlan::default();
+    before.choose(&settings(0), &records, &BTreeSet::new(), false);
+    let mut after = LinkPlan::default();
+    after.choose(&settings(0), &records[CENTRES * 10..], &BTreeSet::new(), false);
+    let kept = records.iter().filter(|r| before.contains(&r.host) && after.contains(&r.host));
+    // Ten of the 375 agents of the data centre are gone.
+    assert!(kept.count() >= 256 - 10);
+}
+
+#[test]
+fn rare_services_are_found_and_kept() {
+    let agents = 1_500;
+    let records: Vec<HostRecord> = (0..agents).map(record).collect();
+    let rare: HostId = "agent-7".parse().expect("id");
+    let mut plan = LinkPlan::default();
+    let mut lists = 0;
+    while !plan.contains(&rare) {
+        plan.choose(&settings(0), &records, &BTreeSet::new(), true);
+        lists += 1;
+        assert!(lists <= agents / 16, "the agent is never tried");
+    }
+    let useful = BTreeSet::from([rare.clone()]);
+    for _ in 0..20 {
+        plan.choose(&settings(0), &records, &useful, true);
+        assert!(plan.contains(&rare));
+        assert_eq!(plan.len(), 256);
+    }
+}
+
+#[test]
+fn a_silent_agent_gets_no_work_after_three_seconds() {
+    let mut fleet = calm(quiet(), 1);
+    fleet.load(2_000, 20, &[]);
+    fleet.apply(Fault::PauseAgent { agent: 0, ms: 60_000 });
+    fleet.load(3_000, 20, &[]);
+    let host = fleet.agents[0].host.clone();
+    for entry in &fleet.entries {
+        let member = entry.state.members().get(&host).expect("member");
+        assert!(!member.is_usable(entry.state.configuration()), "{}", entry.host);
+    }
+    fleet.run_for(120_000);
+    for entry in &fleet.entries {
+        let member = entry.state.members().get(&host).expect("member");
+        assert!(member.is_usable(entry.state.configuration()), "{}", entry.host);
+    }
+    fleet.callers.check();
+}
+
+#[test]
+fn a_host_that_is_listed_as_leaving_gets_no_work_and_may_stay() {
+    let mut fleet = calm(quiet(), 1);
+    fleet.agents[0].leaving = true;
+    fleet.run_for(3_000);
+    let before = fleet.calls.len();
+    fleet.load(10_000, 50, &[]);
+    assert!(fleet.calls[before..].iter().all(|(_, agent, _)| *agent != 0));
+    fleet.agents[0].leaving = false;
+    fleet.run_for(40_000);
+    let before = fleet.calls.len();
+    fleet.load(10_000, 50, &[]);
+    assert!(fleet.calls[before..].iter().any(|(_, agent, _)| *agent == 0));
+    fleet.run_for(60_000);
+    assert_none_cut(&fleet);
+}
+
+/// Restarts a process gracefully under load and waits for its next life.
+fn restart(fleet: &mut Fleet, node: Node) {
+    fleet.drain(node);
+    let life = fleet.life(node);
+    let mut waited_ms = 0;
+    // The load starts stopped processes again.
+    while fleet.life(node) == life {
+        fleet.load(200, 40, &[]);
+        waited_ms += 200;
+        assert!(waited_ms < 60_000, "{node:?} does not stop");
+    }
+    fleet.load(1_000, 40, &[]);
+}
+
+/// Every answer was whole. A later call under a key may meet the first one while that runs.
+fn assert_none_cut(fleet: &Fleet) {
+    let mut keys = BTreeSet::new();
+    for exchange in fleet.callers.exchanges.values() {
+        let outcome = exchange.outcome.as_ref();
+        let whole = matches!(outcome, Some(Outcome::Whole | Outcome::Gone));
+        let later = matches!(exchange.kind, Kind::KeyedWrite(_)) && !keys.insert(exchange.number);
+        assert!(whole || (later && is_duplicate(outcome)), "{exchange:?}");
+    }
+}
+
+fn is_duplicate(outcome: Option<&Outcome>) -> bool {
+    let Some(Outcome::Refused(refusal)) = outcome else {
+        return false;
+    };
+    let reasons = [RefusalReason::DuplicateInProgress, RefusalReason::OutcomeUnknown];
+    reasons.contains(&refusal.reason)
+}
+
+proptest! {
+    #![proptest_config(schedule::config(3))]
+
+    #[test]
+    fn a_rolling_restart_cuts_no_request(seed in any::<u64>()) {
+        let mut fleet = calm(quiet(), seed);
+        fleet.load(1_000, 40, &[]);
+        for index in 0..fleet.entries.len() {
+            restart(&mut fleet, Node::Entry(index));
+        }
+        for index in 0..fleet.agents.len() {
+            restart(&mut fleet, Node::Agent(index));
+        }
+        fleet.run_for(60_000);
+        fleet.callers.check();
+        bills::check(&fleet);
+        assert_none_cut(&fleet);
+        for agent in &fleet.agents {
+            assert!(agent.state.usage().is_empty(), "{} holds usage", agent.host);
+        }
+    }
+
+    #[test]
+    fn drained_and_lost_agents_in_any_order(
+        seed in any::<u64>(),
+        faults in schedule::faults(20_000, 14),
+    ) {
+        let mut fleet = calm(Setup::default(), seed);
+        fleet.load(20_000, 50, &faults);
+        fleet.run_for(330_000);
+        fleet.start_stopped();
+        fleet.run_for(20_000);
+        fleet.callers.check();
+        // Every entry uses every agent again.
+        for entry in fleet.entries.iter().filter(|entry| entry.life != 0) {
+            for agent in &fleet.agents {
+                let member = entry.state.members().get(&agent.host);
+                let usable = member.is_some_and(|m| m.is_usable(entry.state.configuration()));
+                assert!(usable, "{} does not use {}", entry.host, agent.host);
+            }
+        }
+    }
+}
--- a/crates/hickorydoor/tests/support/faults.rs
+++ b/crates/hickorydoor/tests/support/faults.rs
@@ -75,6 +75,24 @@
         }
     }
 
+    /// Asks a process to stop; the load balancer sends it no more callers.
+    pub fn drain(&mut self, node: Node) {
+        match node {
+            Node::Entry(index) => {
+                self.entries[index].leaving = true;
+                self.at_entry(index, EntryEvent::Shutdown);
+            }
+            Node::Agent(index) => self.at_agent(index, AgentEvent::Shutdown),
+        }
+    }
+
+    pub fn life(&self, node: Node) -> u64 {
+        match node {
+            Node::Entry(index) => self.entries[index].life,
+            Node::Agent(index) => self.agents[index].life,
+        }
+    }
+
     /// Starts processes again that have stopped by themselves.
     pub fn start_stopped(&mut self) {
         for index in 0..self.entries.len() {
