--- a/crates/hickorydoor/src/agent.rs
+++ b/crates/hickorydoor/src/agent.rs
@@ -16,6 +16,7 @@
 
 use crate::agent_attempt::AttemptState;
 use crate::agent_effect::AgentEffect;
+use crate::agent_effect::EngineOrder;
 use crate::agent_event::AgentEvent;
 use crate::agent_event::UpstreamReport;
 use crate::agent_settings::AgentSettings;
@@ -34,6 +35,7 @@
 use crate::id::VersionId;
 use crate::kv_call::KvCall;
 use crate::kv_call::KvOutcome;
+use crate::lease::LeaseHolder;
 use crate::message::AgentMessage;
 use crate::observation::Observation;
 use crate::recent_map::RecentMap;
@@ -59,6 +61,8 @@
     StoreRecovered(LifeKey),
     /// Works on claims.
     Claims,
+    /// Keeps the presence lease.
+    Lease,
 }
 
 impl AgentKvPurpose {
@@ -89,6 +93,7 @@
 
 /// State of one agent.
 #[derive(Clone, Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "independent facts about one process")]
 pub struct Agent {
     pub(crate) settings: AgentSettings,
     pub(crate) config: ConfigLog,
@@ -100,6 +105,10 @@
     pub(crate) next_evidence_at_ms: TimeMs,
     pub(crate) fence: DispatchFence,
     pub(crate) claims: ClaimTable,
+    pub(crate) lease: LeaseHolder,
+    /// The newest order for each version, with its time.
+    pub(crate) orders: HashMap<VersionId, (EngineOrder, TimeMs)>,
+    pub(crate) engine_reported: bool,
     pub(crate) usage: UsageStore,
     pub(crate) report: UpstreamReport,
     pub(crate) upstream_up: bool,
@@ -137,6 +146,14 @@
             next_evidence_at_ms: now,
             fence: DispatchFence::default(),
             claims: ClaimTable::default(),
+            lease: LeaseHolder::new(
+                &settings.upstream,
+                settings.host.clone(),
+                settings.incarnation,
+                now,
+            ),
+            orders: HashMap::new(),
+            engine_reported: false,
             usage: UsageStore::default(),
             report: UpstreamReport::default(),
             upstream_up: true,
@@ -213,6 +230,7 @@
         self.tick_reports(now);
         self.tick_evidence(now);
         self.tick_claims(now);
+        self.tick_orders(now);
         self.tick_billing(now);
     }
 
@@ -238,6 +256,7 @@
         };
         match purpose {
             AgentKvPurpose::CloseLedger(life) => self.on_ledger_closed(&life, outcome, now),
+            AgentKvPurpose::Lease => self.on_lease_outcome(outcome, now),
             AgentKvPurpose::Claims => self.on_claims_outcome(outcome, now),
             AgentKvPurpose::StoreRecovered(life) => self.on_recovered_stored(&life, &outcome, now),
         }
@@ -257,6 +276,7 @@
         self.idle_since_ms.get_or_insert(now);
         if self.is_settled(now) {
             self.stopped = true;
+            self.end_lease();
             self.push(AgentEffect::Stopped);
         }
     }
--- a/crates/hickorydoor/src/agent_attempt.rs
+++ b/crates/hickorydoor/src/agent_attempt.rs
@@ -125,6 +125,12 @@
         self.settings.warm_limit
     }
 
+    /// Whether an attempt of this version runs.
+    pub(crate) fn runs(&self, version: &VersionId) -> bool {
+        let running = self.attempts.values().filter(|state| !state.is_over());
+        running.into_iter().any(|state| state.version.as_ref() == Some(version))
+    }
+
     pub(crate) fn on_dispatch(&mut self, entry: &HostId, dispatch: &Dispatch, now: TimeMs) {
         if let Some(link) = self.links.get_mut(entry) {
             link.received += 1;
--- a/crates/hickorydoor/src/agent_config.rs
+++ b/crates/hickorydoor/src/agent_config.rs
@@ -127,6 +127,7 @@
     pub(crate) fn on_upstream_report(&mut self, report: Option<UpstreamReport>) {
         self.upstream_up = report.is_some();
         if let Some(report) = report {
+            self.engine_reported = true;
             self.report = report;
         }
     }
--- a/crates/hickorydoor/src/agent_effect.rs
+++ b/crates/hickorydoor/src/agent_effect.rs
@@ -27,6 +27,15 @@
     },
 }
 
+impl EngineOrder {
+    /// The version that the order is about.
+    pub const fn version(&self) -> &VersionId {
+        match self {
+            Self::Load { version } | Self::Unload { version } => version,
+        }
+    }
+}
+
 /// An effect of the agent reducer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum AgentEffect {
--- /dev/null
+++ b/crates/hickorydoor/src/agent_orders.rs
@@ -0,0 +1,96 @@
+//! Which orders an agent gives to its engine.
+//!
+//! Operators assign versions to an engine in the agent's settings. The agent has assigned versions
+//! loaded while the configuration lets them serve, and withdrawn ones unloaded once nothing runs
+//! on them.
+
+use crate::agent::Agent;
+use crate::agent::AgentKvPurpose;
+use crate::agent_effect::AgentEffect;
+use crate::agent_effect::EngineOrder;
+use crate::exception::Override;
+use crate::id::VersionId;
+use crate::kv_call::KvOutcome;
+use crate::message::Offer;
+use crate::model::VersionState;
+use crate::time::DurationMs;
+use crate::time::TimeMs;
+
+/// Time before an order that has had no effect is given again; loading weights takes minutes when
+/// the weight store is busy, and a repeated order must not restart it.
+const REPEAT_MS: DurationMs = DurationMs::from_secs(300);
+
+impl Agent {
+    /// Keeps the presence lease and gives due orders.
+    pub(crate) fn tick_orders(&mut self, now: TimeMs) {
+        if !self.draining
+            && let Some(operation) = self.lease.next_call(now)
+        {
+            self.call_kv(AgentKvPurpose::Lease, operation);
+        }
+        if !self.engine_reported || self.draining {
+            return;
+        }
+        for order in self.due_orders(now) {
+            self.give(order, now);
+        }
+    }
+
+    pub(crate) fn on_lease_outcome(&mut self, outcome: KvOutcome, now: TimeMs) {
+        let checks_fencing = !self.ignores_fencing(now);
+        self.lease.on_outcome(outcome, checks_fencing, now, &mut self.rng);
+    }
+
+    fn ignores_fencing(&self, now: TimeMs) -> bool {
+        let exceptions = self.config.current().exceptions.values();
+        let mut in_force = exceptions.filter(|exception| exception.is_in_force(now));
+        in_force.any(|exception| match &exception.change {
+            Override::IgnoresFencing { upstream } => *upstream == self.settings.upstream,
+            _ => false,
+        })
+    }
+
+    fn due_orders(&self, now: TimeMs) -> Vec<EngineOrder> {
+        let Offer::Engine { versions: assigned } = &self.settings.offer else {
+            return Vec::new();
+        };
+        let loaded = &self.report.versions;
+        let serves = |state: VersionState| state.serves_sessions();
+        let load = assigned
+            .iter()
+            .filter(|version| !loaded.contains(version))
+            .filter(|version| self.state_of(version).is_some_and(serves))
+            .map(|version| EngineOrder::Load { version: version.clone() });
+        let unload = loaded
+            .iter()
+            .filter(|version| self.state_of(version) == Some(VersionState::Withdrawn))
+            .filter(|version| !self.runs(version))
+            .map(|version| EngineOrder::Unload { version: version.clone() });
+        let due = |order: &EngineOrder| {
+            let given = self.orders.get(order.version());
+            given.is_none_or(|(given, at)| given != order || now >= *at + REPEAT_MS)
+        };
+        load.chain(unload).filter(due).collect()
+    }
+
+    fn state_of(&self, version: &VersionId) -> Option<VersionState> {
+        self.config.current().version(version).map(|(_, version)| version.state)
+    }
+
+    /// Gives an order under the fencing number; the lease is checked before each one, because the
+    /// process may have been paused since the last check.
+    fn give(&mut self, order: EngineOrder, now: TimeMs) {
+        let Some(fencing) = self.lease.fencing(now) else {
+            return;
+        };
+        self.orders.insert(order.version().clone(), (order.clone(), now));
+        self.push(AgentEffect::Order { fencing, order });
+    }
+
+    /// Ends the lease when the agent stops.
+    pub(crate) fn end_lease(&mut self) {
+        if let Some(operation) = self.lease.revoke() {
+            self.call_kv(AgentKvPurpose::Lease, operation);
+        }
+    }
+}
--- a/crates/hickorydoor/src/keys.rs
+++ b/crates/hickorydoor/src/keys.rs
@@ -9,6 +9,7 @@
 use crate::id::Revision;
 use crate::id::Sequence;
 use crate::id::ServiceName;
+use crate::id::UpstreamId;
 use crate::item::ItemKey;
 
 /// Prefix of all configuration items.
@@ -22,6 +23,8 @@
 /// Prefix of all rollout leases.
 pub const ROLLOUTS_PREFIX: &str = "/hickorydoor/rollouts/";
 
+/// Prefix of the presence keys of all agents.
+pub const PRESENCE_PREFIX: &str = "/hickorydoor/presence/";
 /// Prefix of all claims of idempotency keys.
 pub const CLAIMS_PREFIX: &str = "/hickorydoor/claims/";
 
@@ -84,3 +87,8 @@
 pub fn claim(service: &ServiceName, key_digest: &str) -> CompactString {
     format_compact!("{CLAIMS_PREFIX}{service}/{key_digest}")
 }
+
+/// Key of the agent beside an upstream; its create revision is the fencing number.
+pub fn presence(upstream: &UpstreamId) -> CompactString {
+    format_compact!("{PRESENCE_PREFIX}{upstream}")
+}
