--- a/crates/hickorydoor/src/entry_rating.rs
+++ b/crates/hickorydoor/src/entry_rating.rs
@@ -18,12 +18,12 @@
 use crate::id::VersionId;
 use crate::message::EntryMessage;
 use crate::message::Verdict;
+use crate::model::VersionState;
 use crate::quantity::ByteCount;
 use crate::rating_sampler::RatingSampler;
 use crate::request_state::RequestState;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
-use crate::version_judge::is_compared;
 
 /// Longer answers are not sampled; bounds the memory of copies.
 const MAX_SAMPLE_BYTES: ByteCount = ByteCount::new(256 << 10);
@@ -72,9 +72,10 @@
         if judged.is_some() {
             return false;
         }
-        let model = self.config.current().version(version).map(|(model, _)| model);
-        let compared = model.is_some_and(is_compared);
-        self.ratings.sampler.take(compared, now)
+        // The baseline has many times the traffic and must not use up the canary's samples.
+        let known = self.config.current().version(version);
+        let first = known.is_some_and(|(_, known)| known.state == VersionState::Canary);
+        self.ratings.sampler.take(first, now)
     }
 
     /// Keeps a piece of a sampled answer.
--- a/crates/hickorydoor/src/rating_sampler.rs
+++ b/crates/hickorydoor/src/rating_sampler.rs
@@ -4,7 +4,7 @@
 
 /// Seconds of sampling that may be saved up for bursts.
 const BURST_S: f64 = 2.0;
-/// Share of the saved samples that is kept for versions under rollout.
+/// Share of the saved samples that is kept for canaries.
 const RESERVED: f64 = 0.5;
 
 /// Token bucket of rating calls.
@@ -21,14 +21,13 @@
         Self { rate_per_s, available: rate_per_s * BURST_S, filled_at_ms: now }
     }
 
-    /// Takes a sample if the rate allows it. Answers of versions without a rollout leave half of
-    /// the bucket to those with one.
-    pub fn take(&mut self, under_rollout: bool, now: TimeMs) -> bool {
+    /// Takes a sample if the rate allows it. Other versions leave half of the bucket to canaries.
+    pub fn take(&mut self, is_canary: bool, now: TimeMs) -> bool {
         let capacity = self.rate_per_s * BURST_S;
         let passed_s = now.since(self.filled_at_ms).as_f64() / 1000.0;
         self.available = (self.available + passed_s * self.rate_per_s).min(capacity);
         self.filled_at_ms = now;
-        let reserve = if under_rollout { 0.0 } else { capacity * RESERVED };
+        let reserve = if is_canary { 0.0 } else { capacity * RESERVED };
         let granted = self.available >= reserve + 1.0;
         self.available -= f64::from(u8::from(granted));
         granted
