--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -258,10 +258,23 @@
             self.push(EntryEffect::End { caller });
         }
         self.rate_sample(serial, now);
-        self.release_attempt(serial);
+        if let Some(attempt) = self.release_attempt(serial) {
+            self.credit_rest(serial, &attempt);
+        }
         self.finish(serial, RequestOutcome::Served, now);
     }
 
+    /// Credits a whole streamed answer. The caller's last reads come after the request has ended
+    /// and would find no attempt, so the agent would keep the answer until its deadline.
+    fn credit_rest(&mut self, serial: Serial, attempt: &Attempt) {
+        let Some(state) = self.requests.get(&serial).filter(|state| state.streams()) else {
+            return;
+        };
+        let id = AttemptId { request: state.id.clone(), ordinal: attempt.ordinal };
+        let bytes = attempt.received;
+        self.send(&attempt.agent, EntryMessage::Credit { attempt: id, bytes });
+    }
+
     /// Has the answer of a cascade step judged; returns whether a rating is needed.
     fn ask_for_rating(&mut self, serial: Serial) -> bool {
         let Some(state) = self.requests.get(&serial) else {
