Judge cascades by a learned policy and survive a failing rating service

Cascades tried every step always, waited for ratings without a limit and asked engines for a single response even if the caller wanted a stream. A held answer whose caller left before the rating was billed twice.

--- a/crates/hickorydoor/src/entry.rs
+++ b/crates/hickorydoor/src/entry.rs
@@ -10,6 +10,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::cascade_policy::CascadePolicy;
 use crate::config_log::ConfigLog;
 use crate::configuration::Configuration;
 use crate::entry_effect::EntryEffect;
@@ -68,6 +69,7 @@
     pub(crate) guard: RolloutGuard,
     pub(crate) rollout: RolloutLease,
     pub(crate) ratings: Ratings,
+    pub(crate) cascades: CascadePolicy,
     pub(crate) next_own_evaluation_at_ms: TimeMs,
     pub(crate) next_fleet_evaluation_at_ms: TimeMs,
     pub(crate) ledger: Ledger,
@@ -98,6 +100,7 @@
             pins: SessionPins::default(),
             guard: RolloutGuard::default(),
             rollout: RolloutLease::default(),
+            cascades: CascadePolicy::default(),
             ratings: Ratings::new(settings.ratings_per_s, now),
             next_own_evaluation_at_ms: now,
             next_fleet_evaluation_at_ms: now,
@@ -162,6 +165,7 @@
         self.tick_pins(now);
         self.tick_guard(now);
         self.tick_ratings(now);
+        self.tick_cascades(now);
         self.expire_requests(now);
         self.tick_configuration(now);
         self.tick_links(now);
--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -3,7 +3,6 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 
-use crate::caller_request::Ask;
 use crate::entry::Entry;
 use crate::entry_effect::EntryEffect;
 use crate::entry_effect::ResponseHead;
@@ -24,7 +23,6 @@
 use crate::refusal::RefusalReason;
 use crate::refusal::RunState;
 use crate::request_state::Attempt;
-use crate::request_state::Plan;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 use crate::usage::Usage;
@@ -159,10 +157,17 @@
             state.first_token_at_ms.get_or_insert(now);
         }
         self.copy_to_sample(serial, &data);
-        self.deliver(serial, attempt, data, length);
+        self.deliver(serial, attempt, data, length, now);
     }
 
-    fn deliver(&mut self, serial: Serial, attempt: &AttemptId, data: Bytes, length: ByteCount) {
+    fn deliver(
+        &mut self,
+        serial: Serial,
+        attempt: &AttemptId,
+        data: Bytes,
+        length: ByteCount,
+        now: TimeMs,
+    ) {
         let Some(state) = self.requests.get_mut(&serial) else {
             return;
         };
@@ -175,6 +180,10 @@
         state.held.push(data);
         state.held_bytes += length;
         if state.held_bytes > MAX_HELD_BYTES {
+            // An answer that is too long to be judged is not released.
+            if self.escalate(serial, now) {
+                return;
+            }
             self.release_held(serial);
         }
         let agent = self.attempt_mut(serial).map(|current| current.agent.clone());
@@ -203,7 +212,7 @@
             content_type,
             version: attempt.version.clone(),
             session_moved: state.session_moved,
-            stream: state.streams(),
+            stream: state.wants_stream(),
         };
         let caller = state.caller;
         self.push(EntryEffect::Respond { caller, head });
@@ -245,13 +254,14 @@
         let version = current.version.clone();
         self.count_own_attempt(serial, version.as_ref(), None);
         self.add_usage(serial, version, usage);
-        if !self.ask_for_rating(serial) {
+        if !self.judge_step(serial, now) {
+            self.record_cascade(serial, None);
             self.release_answer(serial, now);
         }
     }
 
     /// Delivers the rest of a complete answer and ends the request.
-    fn release_answer(&mut self, serial: Serial, now: TimeMs) {
+    pub(crate) fn release_answer(&mut self, serial: Serial, now: TimeMs) {
         self.release_held(serial);
         if let Some(state) = self.requests.get(&serial) {
             let caller = state.caller;
@@ -275,30 +285,6 @@
         self.send(&attempt.agent, EntryMessage::Credit { attempt: id, bytes });
     }
 
-    /// Has the answer of a cascade step judged; returns whether a rating is needed.
-    fn ask_for_rating(&mut self, serial: Serial) -> bool {
-        let Some(state) = self.requests.get(&serial) else {
-            return false;
-        };
-        let (Some(attempt), Some(_), false) =
-            (&state.attempt, state.rating_needed(), state.head_sent)
-        else {
-            return false;
-        };
-        let (Some(version), Ask::Chat(chat)) = (attempt.version.clone(), &state.request.ask) else {
-            return false;
-        };
-        let effect = EntryEffect::Rate {
-            request: state.id.clone(),
-            ordinal: attempt.ordinal,
-            version,
-            prompt: chat.body.clone(),
-            answer: state.held.concat().into(),
-        };
-        self.push(effect);
-        true
-    }
-
     pub(crate) fn on_rated(
         &mut self,
         request: &RequestId,
@@ -309,27 +295,7 @@
         if self.on_sample_rated(request, ordinal, rating) {
             return;
         }
-        let serial = request.serial;
-        let Some(state) = self.requests.get_mut(&serial).filter(|state| state.id == *request)
-        else {
-            return;
-        };
-        let waits = state.attempt.as_ref().is_some_and(|a| a.ordinal == ordinal && a.complete);
-        let Some(release_score) = state.rating_needed().filter(|_| waits) else {
-            return;
-        };
-        if rating.is_ok_and(|score| score >= release_score) {
-            self.release_answer(serial, now);
-            return;
-        }
-        if let Plan::Models { step, .. } = &mut state.plan {
-            *step += 1;
-        }
-        state.held.clear();
-        state.held_bytes = ByteCount::default();
-        state.excluded.clear();
-        self.release_attempt(serial);
-        self.dispatch(serial, now);
+        self.on_step_rated(request, ordinal, rating, now);
     }
 
     fn on_failed(
@@ -371,6 +337,7 @@
         };
         state.excluded.push(agent.clone());
         state.run = RunState::Unknown;
+        state.failed = true;
         let retry = !state.head_sent && state.is_repeatable();
         if retry && matches!(fault, AttemptFault::UpstreamError | AttemptFault::ConnectionLost) {
             state.held.clear();
--- /dev/null
+++ b/crates/hickorydoor/src/entry_cascade.rs
@@ -0,0 +1,276 @@
+//! How an entry runs cascades.
+//!
+//! The answer of every step but the last is held until it is judged, in the form in which the
+//! caller asked for it. The last step is not judged and is delivered like a plain model.
+
+use smallvec::SmallVec;
+
+use crate::caller_request::Ask;
+use crate::caller_request::ChatRequest;
+use crate::cascade_policy::CascadeRequest;
+use crate::cascade_policy::StepChoice;
+use crate::cascade_policy::StepKey;
+use crate::entry::Entry;
+use crate::entry_effect::EntryEffect;
+use crate::entry_event::RatingFault;
+use crate::id::CascadeId;
+use crate::id::RequestId;
+use crate::id::Serial;
+use crate::observation::CascadeRecord;
+use crate::observation::Observation;
+use crate::quantity::ByteCount;
+use crate::quantity::CostMicros;
+use crate::quantity::Tokens;
+use crate::refusal::RefusalReason;
+use crate::request_state::Plan;
+use crate::request_state::RequestState;
+use crate::time::DurationMs;
+use crate::time::TimeMs;
+use crate::usage::Usage;
+
+/// A held answer costs the caller's time, so a rating is not waited for longer.
+const RATING_TIMEOUT_MS: DurationMs = DurationMs::from_secs(2);
+
+impl Entry {
+    /// Chooses the first step of a cascade.
+    pub(crate) fn start_cascade(&mut self, serial: Serial, now: TimeMs) {
+        self.enter_step(serial, 0, now);
+    }
+
+    /// Goes on with a later step; returns whether there is one.
+    pub(crate) fn escalate(&mut self, serial: Serial, now: TimeMs) -> bool {
+        let Some(state) = self.requests.get(&serial) else {
+            return false;
+        };
+        let Plan::Models { steps, step, cascade: Some(_), .. } = &state.plan else {
+            return false;
+        };
+        let next = step + 1;
+        if state.head_sent || next >= steps.len() {
+            return false;
+        }
+        self.cancel_attempt(serial);
+        self.enter_step(serial, next, now);
+        self.dispatch(serial, now);
+        true
+    }
+
+    /// Whether a request that cannot be served by its step goes on with a later one instead.
+    pub(crate) fn escalates_instead(
+        &mut self,
+        serial: Serial,
+        reason: &RefusalReason,
+        now: TimeMs,
+    ) -> bool {
+        let goes_on = matches!(reason, RefusalReason::NoUpstream | RefusalReason::UpstreamFailed);
+        goes_on && self.escalate(serial, now)
+    }
+
+    fn enter_step(&mut self, serial: Serial, from: usize, now: TimeMs) {
+        let Some(choice) = self.choose_step(serial, from, now) else {
+            return;
+        };
+        let Some(state) = self.requests.get_mut(&serial) else {
+            return;
+        };
+        if let Plan::Models { step, judged, .. } = &mut state.plan {
+            *step = choice.step;
+            *judged = choice.judged;
+        }
+        state.step_started_at_ms = now;
+        state.step_first_attempt = state.attempts;
+        state.failed = false;
+        state.excluded.clear();
+        state.held.clear();
+        state.held_bytes = ByteCount::default();
+    }
+
+    fn choose_step(&mut self, serial: Serial, from: usize, now: TimeMs) -> Option<StepChoice> {
+        let state = self.requests.get(&serial)?;
+        let (cascade, chat) = cascade_of(state)?;
+        let request = cascade_request(state, cascade, chat);
+        let Plan::Models { steps, .. } = &state.plan else {
+            return None;
+        };
+        let configuration = self.config.current();
+        let expected = Tokens::new(configuration.defaults.expected_answer_tokens);
+        let answer_tokens = chat.max_tokens.unwrap_or(expected).min(expected);
+        let usage = Usage { prompt_tokens: chat.prompt_tokens, answer_tokens };
+        let cost = |model| {
+            let model = configuration.models.get(model);
+            model.map_or(0.0, |model| model.cost(&usage).get() as f64)
+        };
+        let costs: SmallVec<[f64; 4]> = steps.iter().map(cost).collect();
+        let left_ms = state.deadline_ms.since(now);
+        Some(self.cascades.choose_step(request, from, &costs, left_ms, now, &mut self.rng))
+    }
+
+    /// Takes in the end of a step; returns whether its answer waits for a rating.
+    pub(crate) fn judge_step(&mut self, serial: Serial, now: TimeMs) -> bool {
+        let Some(key) = self.step_key(serial) else {
+            return false;
+        };
+        let Some(state) = self.requests.get_mut(&serial) else {
+            return false;
+        };
+        self.cascades.on_step_time(key, now.since(state.step_started_at_ms));
+        let must_judge = state.rating_needed().is_some() && !state.head_sent;
+        if !must_judge {
+            return false;
+        }
+        if matches!(state.plan, Plan::Models { judged: false, .. }) {
+            self.end_step(serial, self.cascades.releases_unrated(key), None, now);
+            return true;
+        }
+        self.ask_for_rating(serial, now)
+    }
+
+    fn ask_for_rating(&mut self, serial: Serial, now: TimeMs) -> bool {
+        let Some(state) = self.requests.get_mut(&serial) else {
+            return false;
+        };
+        let (Some(attempt), Ask::Chat(chat)) = (&mut state.attempt, &state.request.ask) else {
+            return false;
+        };
+        let Some(version) = attempt.version.clone() else {
+            return false;
+        };
+        attempt.rating_asked_at_ms = Some(now);
+        let effect = EntryEffect::Rate {
+            request: state.id.clone(),
+            ordinal: attempt.ordinal,
+            version,
+            prompt: chat.body.clone(),
+            answer: state.held.concat().into(),
+        };
+        self.push(effect);
+        true
+    }
+
+    /// Takes in the rating of a held answer, or why there is none.
+    pub(crate) fn on_step_rated(
+        &mut self,
+        request: &RequestId,
+        ordinal: u32,
+        rating: Result<f64, RatingFault>,
+        now: TimeMs,
+    ) {
+        let serial = request.serial;
+        let Some(state) = self.requests.get(&serial).filter(|state| state.id == *request) else {
+            return;
+        };
+        let Some(attempt) = state.attempt.as_ref().filter(|attempt| attempt.ordinal == ordinal)
+        else {
+            return;
+        };
+        let (Some(asked_at_ms), Some(release_score), Some(key), Some((cascade, _))) = (
+            attempt.rating_asked_at_ms,
+            state.rating_needed(),
+            self.step_key(serial),
+            cascade_of(state),
+        ) else {
+            return;
+        };
+        let (agent, version) = (attempt.agent.clone(), attempt.version.clone());
+        let released = match rating {
+            Ok(score) => {
+                let cascade = cascade.clone();
+                self.cascades.ratings.on_rating(now.since(asked_at_ms));
+                if let Some(version) = version {
+                    self.report_rating(&agent, &version, score);
+                }
+                self.cascades.on_judged(key, &cascade, score, release_score)
+            }
+            Err(_fault) => {
+                self.cascades.ratings.on_fault(now);
+                self.cascades.releases_unrated(key)
+            }
+        };
+        self.end_step(serial, released, rating.ok(), now);
+    }
+
+    fn end_step(&mut self, serial: Serial, released: bool, rating: Option<f64>, now: TimeMs) {
+        if released {
+            self.record_cascade(serial, rating);
+            self.release_answer(serial, now);
+            return;
+        }
+        // The attempt is complete, so there is nothing to cancel.
+        self.release_attempt(serial);
+        self.escalate(serial, now);
+    }
+
+    /// Gives up ratings that take too long.
+    pub(crate) fn tick_cascades(&mut self, now: TimeMs) {
+        let mut late = Vec::new();
+        for state in self.requests.values() {
+            let asked = state.attempt.as_ref().and_then(|attempt| {
+                attempt.rating_asked_at_ms.map(|asked| (attempt.ordinal, asked))
+            });
+            if let Some((ordinal, asked_at_ms)) = asked
+                && now >= asked_at_ms + RATING_TIMEOUT_MS
+            {
+                late.push((state.id.clone(), ordinal));
+            }
+        }
+        late.sort_unstable();
+        for (request, ordinal) in late {
+            self.on_step_rated(&request, ordinal, Err(RatingFault::Timeout), now);
+        }
+    }
+
+    fn step_key(&self, serial: Serial) -> Option<StepKey> {
+        let state = self.requests.get(&serial)?;
+        let (cascade, chat) = cascade_of(state)?;
+        let Plan::Models { step, .. } = &state.plan else {
+            return None;
+        };
+        Some(cascade_request(state, cascade, chat).step(*step))
+    }
+
+    /// Reports what a cascade's answer cost against the dearest step alone.
+    pub(crate) fn record_cascade(&mut self, serial: Serial, rating: Option<f64>) {
+        let Some(state) = self.requests.get(&serial) else {
+            return;
+        };
+        let Some((cascade, _)) = cascade_of(state) else {
+            return;
+        };
+        let Plan::Models { steps, step, release_score, .. } = &state.plan else {
+            return;
+        };
+        let usage = state.lines.last().map(|line| line.usage).unwrap_or_default();
+        let dearest = steps.last().and_then(|model| self.config.current().models.get(model));
+        let cost_micros: CostMicros = state.lines.iter().map(|line| line.cost_micros).sum();
+        let record = CascadeRecord {
+            request: state.id.clone(),
+            cascade: cascade.clone(),
+            step: *step,
+            rating,
+            release_score: release_score.unwrap_or_default(),
+            cost_micros,
+            dearest_cost_micros: dearest.map(|model| model.cost(&usage)).unwrap_or_default(),
+        };
+        self.record(Observation::Cascade(Box::new(record)));
+    }
+}
+
+pub(crate) fn cascade_of(state: &RequestState) -> Option<(&CascadeId, &ChatRequest)> {
+    match (&state.plan, &state.request.ask) {
+        (Plan::Models { cascade: Some(cascade), .. }, Ask::Chat(chat)) => Some((cascade, chat)),
+        _ => None,
+    }
+}
+
+const fn cascade_request<'a>(
+    state: &'a RequestState,
+    cascade: &'a CascadeId,
+    chat: &ChatRequest,
+) -> CascadeRequest<'a> {
+    CascadeRequest {
+        customer: &state.customer,
+        class: state.class,
+        cascade,
+        prompt_tokens: chat.prompt_tokens,
+    }
+}
--- a/crates/hickorydoor/src/entry_rating.rs
+++ b/crates/hickorydoor/src/entry_rating.rs
@@ -10,8 +10,10 @@
 
 use crate::caller_request::Ask;
 use crate::entry::Entry;
+use crate::entry_cascade::cascade_of;
 use crate::entry_effect::EntryEffect;
 use crate::entry_event::RatingFault;
+use crate::id::CascadeId;
 use crate::id::HostId;
 use crate::id::RequestId;
 use crate::id::Serial;
@@ -37,6 +39,8 @@
 struct Sample {
     agent: HostId,
     version: VersionId,
+    /// The cascade whose dearest step answered.
+    reference: Option<CascadeId>,
     until_ms: TimeMs,
 }
 
@@ -95,6 +99,7 @@
         let Some(state) = self.requests.get_mut(&serial) else {
             return;
         };
+        let reference = cascade_of(state).map(|(cascade, _)| cascade.clone());
         let Some(attempt) = &mut state.attempt else {
             return;
         };
@@ -107,6 +112,7 @@
         let sample = Sample {
             agent: attempt.agent.clone(),
             version: version.clone(),
+            reference,
             until_ms: now + SAMPLE_TIMEOUT_MS,
         };
         let effect = EntryEffect::Rate {
@@ -134,6 +140,9 @@
         };
         if let Ok(score) = rating {
             self.report_rating(&sample.agent, &sample.version, score);
+            if let Some(cascade) = &sample.reference {
+                self.cascades.add_reference(cascade, score);
+            }
         }
         true
     }
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -48,6 +48,7 @@
                 let serial = state.id.serial;
                 self.callers.insert(caller, serial);
                 self.requests.insert(serial, state);
+                self.start_cascade(serial, now);
                 self.dispatch(serial, now);
             }
             Err(refusal) => self.push(EntryEffect::Refuse { caller, request: None, refusal }),
@@ -96,6 +97,9 @@
             first_dispatch_at_ms: None,
             first_token_at_ms: None,
             session_moved: false,
+            step_started_at_ms: now,
+            step_first_attempt: 0,
+            failed: false,
             request,
         })
     }
@@ -103,7 +107,13 @@
     fn plan_chat(&self, customer: &Customer, chat: &ChatRequest) -> Result<Plan, Refusal> {
         let unknown = || Refusal::not_run(RefusalReason::UnknownModel { name: chat.model.clone() });
         if let Some(model) = customer.models.iter().find(|id| id.as_str() == chat.model) {
-            return Ok(Plan::Models { steps: vec![model.clone()], step: 0, release_score: None });
+            return Ok(Plan::Models {
+                steps: vec![model.clone()],
+                step: 0,
+                release_score: None,
+                cascade: None,
+                judged: false,
+            });
         }
         let cascade = customer
             .cascades
@@ -116,7 +126,13 @@
         if steps.is_empty() {
             return Err(unknown());
         }
-        Ok(Plan::Models { steps, step: 0, release_score: Some(cascade.release_score) })
+        Ok(Plan::Models {
+            steps,
+            step: 0,
+            release_score: Some(cascade.release_score),
+            cascade: Some(cascade.id.clone()),
+            judged: true,
+        })
     }
 
     fn plan_service(&self, customer: &Customer, request: &ServiceRequest) -> Result<Plan, Refusal> {
@@ -140,7 +156,7 @@
         let Some(state) = self.requests.get(&serial) else {
             return;
         };
-        if state.attempts >= self.settings.max_attempts {
+        if state.attempts - state.step_first_attempt >= self.settings.max_attempts {
             self.refuse(serial, RefusalReason::NoUpstream, Some(RETRY_AFTER_MS), now);
             return;
         }
@@ -201,7 +217,7 @@
                 let Some(version) = version.clone() else {
                     return;
                 };
-                Call::Model(model_call(chat, version, state.streams(), expected_answer))
+                Call::Model(model_call(chat, version, state.wants_stream(), expected_answer))
             }
             Ask::Service(request) => Call::Service(service_call(request, state.is_repeatable())),
         };
@@ -223,6 +239,7 @@
             tokens: Tokens::default(),
             link_lost_at_ms: None,
             complete: false,
+            rating_asked_at_ms: None,
             sample: sampled.then(Vec::new),
         });
         state.attempts += 1;
@@ -245,6 +262,9 @@
         now: TimeMs,
     ) {
         self.release_attempt(serial);
+        if self.escalates_instead(serial, &reason, now) {
+            return;
+        }
         let Some(state) = self.requests.get(&serial) else {
             return;
         };
@@ -275,6 +295,10 @@
         let Some(attempt) = self.release_attempt(serial) else {
             return;
         };
+        if attempt.complete {
+            // A complete answer that waits for its rating is billed already.
+            return;
+        }
         let Some(state) = self.requests.get(&serial) else {
             return;
         };
--- a/crates/hickorydoor/src/entry_rollout.rs
+++ b/crates/hickorydoor/src/entry_rollout.rs
@@ -9,7 +9,6 @@
 use crate::id::VersionId;
 use crate::model::Version;
 use crate::model::VersionState;
-use crate::refusal::RunState;
 use crate::request_state::RequestState;
 use crate::session_pin::share_hash;
 
@@ -23,9 +22,7 @@
         let version = match &state.request.session {
             Some(session) => self.pinned_version(state, session, model)?,
             // A request that failed on a canary is not exposed to it again.
-            None if state.run != RunState::NotRun => {
-                self.derive_version(None, &state.customer, model)?
-            }
+            None if state.failed => self.derive_version(None, &state.customer, model)?,
             None => self.derive_version(Some(request_hash(&state.id)), &state.customer, model)?,
         };
         let runs = self.may_run(&state.customer, &version) && !self.is_stopped(&version);
--- a/crates/hickorydoor/src/entry_session.rs
+++ b/crates/hickorydoor/src/entry_session.rs
@@ -283,6 +283,7 @@
     /// session while a version was halted.
     pub(crate) fn on_models_changed(&mut self) {
         self.pins.epoch += 1;
+        self.cascades.restart_references();
         self.guard.on_configuration(self.config.current());
     }
 }
--- a/crates/hickorydoor/src/observation.rs
+++ b/crates/hickorydoor/src/observation.rs
@@ -5,6 +5,7 @@
 use crate::class::Class;
 use crate::evidence::Evidence;
 use crate::id::AttemptId;
+use crate::id::CascadeId;
 use crate::id::CustomerId;
 use crate::id::HostId;
 use crate::id::RequestId;
@@ -59,11 +60,32 @@
     pub outcome: RequestOutcome,
 }
 
+/// A cascade's answer and its price.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CascadeRecord {
+    /// The request.
+    pub request: RequestId,
+    /// The cascade.
+    pub cascade: CascadeId,
+    /// Index of the step whose answer was released.
+    pub step: usize,
+    /// The rating that released the answer, if there was one.
+    pub rating: Option<f64>,
+    /// The cascade's release score.
+    pub release_score: f64,
+    /// Price of all steps that ran.
+    pub cost_micros: CostMicros,
+    /// Price of the same tokens on the dearest step alone.
+    pub dearest_cost_micros: CostMicros,
+}
+
 /// Something worth a log line or a metric.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Observation {
     /// A request ended.
     Request(Box<RequestRecord>),
+    /// A cascade answered.
+    Cascade(Box<CascadeRecord>),
     /// An attempt was handed to an agent.
     Dispatched {
         /// The attempt.
--- a/crates/hickorydoor/src/recent_map.rs
+++ b/crates/hickorydoor/src/recent_map.rs
@@ -32,6 +32,18 @@
         self.newer.get(&key).or_else(|| self.older.get(&key))
     }
 
+    /// The value of a key, set to the default if there is none.
+    pub fn entry(&mut self, key: K) -> &mut V
+    where
+        V: Default,
+    {
+        let known = self.older.remove(&key);
+        if known.is_some() || !self.newer.contains_key(&key) {
+            self.insert(key, known.unwrap_or_default());
+        }
+        self.newer.entry(key).or_default()
+    }
+
     /// Sets the value of a key.
     pub fn insert(&mut self, key: K, value: V) {
         self.older.remove(&key);
--- a/crates/hickorydoor/src/request_state.rs
+++ b/crates/hickorydoor/src/request_state.rs
@@ -8,6 +8,7 @@
 use crate::caller_request::CallerRequest;
 use crate::class::Class;
 use crate::id::CallerId;
+use crate::id::CascadeId;
 use crate::id::CustomerId;
 use crate::id::HostId;
 use crate::id::Incarnation;
@@ -40,6 +41,8 @@
     pub link_lost_at_ms: Option<TimeMs>,
     /// Set when the whole answer has arrived and waits for its rating.
     pub complete: bool,
+    /// When the rating of the held answer was asked for.
+    pub rating_asked_at_ms: Option<TimeMs>,
     /// Copies of the answer's pieces, if it is rated after its delivery.
     pub sample: Option<Vec<Bytes>>,
 }
@@ -55,6 +58,10 @@
         step: usize,
         /// Lowest rating that releases an answer, for cascades.
         release_score: Option<f64>,
+        /// The cascade.
+        cascade: Option<CascadeId>,
+        /// Whether the current step is rated; otherwise its learned pass rate decides.
+        judged: bool,
     },
     /// A plain service.
     Service {
@@ -104,19 +111,28 @@
     pub first_token_at_ms: Option<TimeMs>,
     /// Set when the session had to leave its version.
     pub session_moved: bool,
+    /// When the current cascade step began.
+    pub step_started_at_ms: TimeMs,
+    /// Attempts made before the current cascade step.
+    pub step_first_attempt: u32,
+    /// Set when an attempt of the current step failed.
+    pub failed: bool,
 }
 
 impl RequestState {
-    /// Whether the answer is streamed to the caller as it arrives.
-    pub fn streams(&self) -> bool {
+    /// Whether the caller asked for a stream.
+    pub fn wants_stream(&self) -> bool {
         match &self.request.ask {
-            crate::caller_request::Ask::Chat(chat) => {
-                chat.stream && !matches!(&self.plan, Plan::Models { release_score: Some(_), .. })
-            }
+            crate::caller_request::Ask::Chat(chat) => chat.stream,
             crate::caller_request::Ask::Service(_) => false,
         }
     }
 
+    /// Whether the answer is streamed to the caller as it arrives; judged answers are held.
+    pub fn streams(&self) -> bool {
+        self.wants_stream() && self.rating_needed().is_none()
+    }
+
     /// The attempt, if it still runs on this agent.
     pub fn running_on(&mut self, agent: &HostId) -> Option<&mut Attempt> {
         self.attempt.as_mut().filter(|attempt| attempt.agent == *agent && !attempt.complete)
@@ -125,7 +141,9 @@
     /// The cascade's release score, if a dearer step is left after the current one.
     pub fn rating_needed(&self) -> Option<f64> {
         match &self.plan {
-            Plan::Models { steps, step, release_score } if step + 1 < steps.len() => *release_score,
+            Plan::Models { steps, step, release_score, .. } if step + 1 < steps.len() => {
+                *release_score
+            }
             _ => None,
         }
     }
