Pass on large whole answers and cut off callers that stop reading

A whole answer of more than 8 MiB is passed on before it is complete; its later bytes were credited neither on arrival nor when the caller read them, so it stalled at 9 MiB plus the window until its deadline. The entry now counts what the caller has read and credits what goes beyond the held bytes.

hyper has no limit on pending writes, so a caller that never reads held its connection for ever. The HTTP ports now cut it off after write_timeout_ms.

An engine's 404 or 429 to a model call means that it was not run, so the agent reports it as such and the entry tries another upstream.

--- a/crates/hickoryd/src/http_server.rs
+++ b/crates/hickoryd/src/http_server.rs
@@ -21,6 +21,7 @@
 use tokio_rustls::TlsAcceptor;
 
 use crate::tls::TlsWatch;
+use crate::write_limit::WriteLimit;
 
 /// Pause after a failed accept, for example when no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
@@ -34,6 +35,8 @@
     pub max_headers: usize,
     /// Time for a whole request head, and for the next request on an idle connection.
     pub head_timeout: Duration,
+    /// Time for the caller to take bytes that are ready; a caller that takes none is cut off.
+    pub write_timeout: Duration,
     /// Open connections at most.
     pub max_connections: usize,
 }
@@ -44,6 +47,7 @@
             max_head_bytes: 32 << 10,
             max_headers: 64,
             head_timeout: Duration::from_secs(20),
+            write_timeout: Duration::from_secs(30),
             max_connections: 8192,
         }
     }
@@ -117,7 +121,7 @@
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.max_head_bytes)
         .max_headers(limits.max_headers)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(WriteLimit::new(stream, limits.write_timeout)), service);
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -53,6 +53,7 @@
 mod tls;
 mod upstream_call;
 mod whole_to_stream;
+mod write_limit;
 
 pub use agent_process::AgentOptions;
 pub use agent_process::AgentProcess;
--- a/crates/hickoryd/src/raw_settings.rs
+++ b/crates/hickoryd/src/raw_settings.rs
@@ -113,6 +113,9 @@
     /// Time for a whole request body.
     #[serde(default)]
     pub body_timeout_ms: Option<u64>,
+    /// Time for the caller to take bytes that are ready.
+    #[serde(default)]
+    pub write_timeout_ms: Option<u64>,
     /// Open connections.
     #[serde(default)]
     pub max_connections: Option<usize>,
--- a/crates/hickoryd/src/settings.rs
+++ b/crates/hickoryd/src/settings.rs
@@ -209,6 +209,9 @@
     if let Some(head_timeout_ms) = raw.head_timeout_ms {
         limits.head_timeout = millis("http.head_timeout_ms", head_timeout_ms)?;
     }
+    if let Some(write_timeout_ms) = raw.write_timeout_ms {
+        limits.write_timeout = millis("http.write_timeout_ms", write_timeout_ms)?;
+    }
     if let Some(max_connections) = raw.max_connections {
         limits.max_connections = positive("http.max_connections", max_connections)?;
     }
--- a/crates/hickoryd/src/upstream_call.rs
+++ b/crates/hickoryd/src/upstream_call.rs
@@ -15,6 +15,7 @@
 use hickorydoor::usage::Usage;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::header::ACCEPT;
 use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
@@ -89,6 +90,9 @@
         if status.is_server_error() {
             return Err(UpstreamFault::ServerError);
         }
+        if matches!(self.call, Call::Model(_)) && is_refusal(status) {
+            return Err(UpstreamFault::NotSent);
+        }
         let content_type = content_type(&response);
         let streams = status.is_success() && content_type.starts_with(EVENT_STREAM);
         let started = AgentEvent::UpstreamStarted {
@@ -214,6 +218,12 @@
     exhausted: bool,
 }
 
+/// Whether the engine refused to run a request that another engine may run: the version is not
+/// loaded any more, or the engine is full.
+fn is_refusal(status: StatusCode) -> bool {
+    matches!(status, StatusCode::NOT_FOUND | StatusCode::TOO_MANY_REQUESTS)
+}
+
 fn join(mut events: Vec<Bytes>) -> Bytes {
     match events.len() {
         1 => events.remove(0),
--- /dev/null
+++ b/crates/hickoryd/src/write_limit.rs
@@ -0,0 +1,92 @@
+//! Cuts off peers that stop reading.
+
+use std::io;
+use std::io::IoSlice;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::time::Sleep;
+use tokio::time::sleep;
+
+/// A connection whose writes fail when the peer takes no byte for a while. hyper has no such limit,
+/// so a caller that never reads would hold its connection for ever.
+#[derive(Debug)]
+pub struct WriteLimit<S> {
+    stream: S,
+    limit: Duration,
+    stalled: Option<Pin<Box<Sleep>>>,
+}
+
+impl<S> WriteLimit<S> {
+    /// A connection with this limit.
+    pub const fn new(stream: S, limit: Duration) -> Self {
+        Self { stream, limit, stalled: None }
+    }
+
+    /// Passes a result on, or fails if writes have been pending for longer than the limit.
+    fn check<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        result: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if result.is_ready() {
+            self.stalled = None;
+            return result;
+        }
+        let limit = self.limit;
+        let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(limit)));
+        match stalled.as_mut().poll(cx) {
+            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for WriteLimit<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for WriteLimit<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.check(cx, result)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.check(cx, result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let result = Pin::new(&mut self.stream).poll_flush(cx);
+        self.check(cx, result)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let result = Pin::new(&mut self.stream).poll_shutdown(cx);
+        self.check(cx, result)
+    }
+}
--- a/crates/hickoryd/tests/bad_input.rs
+++ b/crates/hickoryd/tests/bad_input.rs
@@ -149,3 +149,26 @@
     tokio::time::timeout(Duration::from_secs(10), stopped).await?;
     Ok(())
 }
+
+/// Guards against callers that never read and thereby hold their connections for ever.
+#[tokio::test]
+async fn a_caller_that_stops_reading_is_cut_off() -> Result<(), AnyError> {
+    let mut engine = EngineSettings::new(VERSIONS);
+    // More bytes than the socket buffers between engine and caller hold.
+    engine.answer_tokens = 200_000;
+    let fleet = Fleet::start(1, engine).await?;
+    let messages = json!([{ "role": "user", "content": "hello" }]);
+    let body = json!({ "model": "brine-small", "stream": true, "messages": messages }).to_string();
+    let url = format!("{}/v1/chat/completions", fleet.url(0));
+    let response = send("POST", &url, CUSTOMER_KEY, &[], &body).await?;
+    let cut = async {
+        while fleet.engines.iter().any(|engine| engine.running() > 0) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), cut).await?;
+    let completed: u64 = fleet.engines.iter().map(|engine| engine.counts().completions).sum();
+    assert_eq!(completed, 0, "the answer is cut, not delivered");
+    assert!(whole(response).await.is_err(), "the caller sees that its answer is not complete");
+    Ok(())
+}
--- a/crates/hickoryd/tests/fleet/mod.rs
+++ b/crates/hickoryd/tests/fleet/mod.rs
@@ -197,7 +197,11 @@
             settings,
             seed: number,
             http_listen: loopback(),
-            http_limits: HttpLimits { max_head_bytes: 16 << 10, ..HttpLimits::default() },
+            http_limits: HttpLimits {
+                max_head_bytes: 16 << 10,
+                write_timeout: Duration::from_secs(2),
+                ..HttpLimits::default()
+            },
             max_open_requests: 1024,
             body_timeout: Duration::from_secs(5),
             host_list_uri: self.hosts.url().into(),
--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -402,15 +402,16 @@
         else {
             return;
         };
-        if !state.streams() {
-            // Held answers were credited when they arrived.
-            return;
-        }
         let request = state.id.clone();
         let Some(attempt) = self.attempt_mut(request.serial) else {
             return;
         };
-        attempt.credited += bytes;
+        attempt.read += bytes;
+        if attempt.read <= attempt.credited {
+            // Held bytes were credited when they arrived.
+            return;
+        }
+        attempt.credited = attempt.read;
         let read_bytes = attempt.credited;
         let agent = attempt.agent.clone();
         let attempt = AttemptId { request, ordinal: attempt.ordinal };
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -223,6 +223,7 @@
             started: None,
             received: ByteCount::default(),
             credited: ByteCount::default(),
+            read: ByteCount::default(),
             tokens: Tokens::default(),
             link_lost_at_ms: None,
             complete: false,
--- a/crates/hickorydoor/src/request_state.rs
+++ b/crates/hickorydoor/src/request_state.rs
@@ -36,6 +36,8 @@
     pub received: ByteCount,
     /// Bytes of the answer that the caller has read.
     pub credited: ByteCount,
+    /// Bytes that the caller has read; less than `credited` while an answer is held.
+    pub read: ByteCount,
     /// Tokens of the answer that have arrived.
     pub tokens: Tokens,
     /// When the link was lost, if it is.
