--- a/crates/hickoryctl/tests/fleet.rs
+++ b/crates/hickoryctl/tests/fleet.rs
@@ -8,7 +8,8 @@
 use hickoryctl::Report;
 use hickorydoor::Class;
 use hickorydoor::TimeMs;
-use hickorydoor::bill::BillSum;
+use hickorydoor::bill::Bill;
+use hickorydoor::bill::BillLine;
 use hickorydoor::id::Incarnation;
 use hickorydoor::id::Sequence;
 use hickorydoor::id::Serial;
@@ -19,7 +20,7 @@
 use hickorydoor::ledger::Batch;
 use hickorydoor::quantity::CostMicros;
 use hickorydoor::quantity::Tokens;
-use hickorydoor::serial_set::SerialSet;
+use hickorydoor::usage::Usage;
 use support::NOW_MS;
 use support::Tool;
 use support::environment;
@@ -110,6 +111,14 @@
     insta::assert_snapshot!("status_json", without_padding(&report.output));
 }
 
+// Guards against a store that has lost changes without anybody noticing.
+#[tokio::test]
+async fn status_warns_of_hosts_ahead_of_the_store() {
+    let tool = Tool::start().await;
+    let report = ask(KEY, &["status"], &fleet().await[..1], Some(&tool.kv.url())).await;
+    assert!(report.output.contains("Hosts ahead of the store: 1."), "{}", report.output);
+}
+
 // Guards against a wait that succeeds too early, and against exit codes that are mixed up.
 #[tokio::test]
 async fn wait_ends_when_a_revision_is_in_force_everywhere() {
@@ -126,18 +135,21 @@
 }
 
 async fn store_batch(tool: &Tool, sequence: u64, sealed_at: u64, customer: &str, requests: u64) {
-    let sum = BillSum {
-        customer: customer.parse().expect("the id is valid"),
+    let line = BillLine {
         version: Some("brine-1".parse().expect("the id is valid")),
-        class: Class::Interactive,
-        requests,
-        prompt_tokens: Tokens::new(10 * requests),
-        answer_tokens: Tokens::new(5 * requests),
-        cost_micros: CostMicros::new(700_000 * requests),
+        usage: Usage { prompt_tokens: Tokens::new(10), answer_tokens: Tokens::new(5) },
+        cost_micros: CostMicros::new(700_000),
     };
-    let mut serials = SerialSet::default();
-    serials.insert(Serial::new(sequence));
-    let batch = Batch { sealed_at_ms: TimeMs::new(sealed_at), serials, sums: vec![sum] };
+    let mut batch = Batch::default();
+    for serial in 0..requests {
+        batch.add(&Bill {
+            serial: Serial::new(100 * sequence + serial),
+            customer: customer.parse().expect("the id is valid"),
+            class: Class::Interactive,
+            lines: vec![line.clone()],
+        });
+    }
+    batch.sealed_at_ms = TimeMs::new(sealed_at);
     let entry = "entry-1".parse().expect("the id is valid");
     let key = keys::batch(&entry, Incarnation::new(1), Sequence::new(sequence));
     let put = KvOperation::Put { key, value: batch.encode(), lease: None };
