--- a/crates/hickoryctl/src/main.rs
+++ b/crates/hickoryctl/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::ffi::OsString;
+use std::io::Write;
 use std::process::ExitCode;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -42,7 +43,8 @@
     };
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let report = hickoryctl::run(&arguments, &environment).await;
-    print!("{}", report.output);
-    eprint!("{}", report.errors);
+    // A reader that has closed its end, such as `head`, wants no more output.
+    let _written = std::io::stdout().write_all(report.output.as_bytes());
+    let _written = std::io::stderr().write_all(report.errors.as_bytes());
     ExitCode::from(report.status.code())
 }
