--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -50,8 +50,10 @@
 mod start_error;
 mod status;
 mod timings;
+mod tls;
 mod upstream_call;
 mod whole_to_stream;
+mod write_limit;
 
 pub use agent_process::AgentOptions;
 pub use agent_process::AgentProcess;
@@ -65,3 +67,5 @@
 pub use settings_error::FieldError;
 pub use settings_error::SettingsError;
 pub use start_error::StartError;
+pub use tls::TlsError;
+pub use tls::TlsFiles;
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -50,6 +50,7 @@
                 let serial = state.id.serial;
                 self.callers.insert(caller, serial);
                 self.requests.insert(serial, state);
+                self.start_cascade(serial, now);
                 self.dispatch(serial, now);
             }
             Err(refusal) => self.push(EntryEffect::Refuse { caller, request: None, refusal }),
@@ -103,6 +104,9 @@
             first_dispatch_at_ms: None,
             first_token_at_ms: None,
             session_moved: false,
+            step_started_at_ms: now,
+            step_first_attempt: 0,
+            failed: false,
             request,
         })
     }
@@ -110,7 +114,13 @@
     fn plan_chat(&self, customer: &Customer, chat: &ChatRequest) -> Result<Plan, Refusal> {
         let unknown = || Refusal::not_run(RefusalReason::UnknownModel { name: chat.model.clone() });
         if let Some(model) = customer.models.iter().find(|id| id.as_str() == chat.model) {
-            return Ok(Plan::Models { steps: vec![model.clone()], step: 0, release_score: None });
+            return Ok(Plan::Models {
+                steps: vec![model.clone()],
+                step: 0,
+                release_score: None,
+                cascade: None,
+                judged: false,
+            });
         }
         let cascade = customer
             .cascades
@@ -123,7 +133,13 @@
         if steps.is_empty() {
             return Err(unknown());
         }
-        Ok(Plan::Models { steps, step: 0, release_score: Some(cascade.release_score) })
+        Ok(Plan::Models {
+            steps,
+            step: 0,
+            release_score: Some(cascade.release_score),
+            cascade: Some(cascade.id.clone()),
+            judged: true,
+        })
     }
 
     fn plan_service(&self, customer: &Customer, request: &ServiceRequest) -> Result<Plan, Refusal> {
@@ -147,7 +163,7 @@
         let Some(state) = self.requests.get(&serial) else {
             return;
         };
-        if state.attempts >= self.settings.max_attempts {
+        if state.attempts - state.step_first_attempt >= self.settings.max_attempts {
             self.refuse(serial, RefusalReason::NoUpstream, Some(RETRY_AFTER_MS), now);
             return;
         }
@@ -208,7 +224,7 @@
                 let Some(version) = version.clone() else {
                     return;
                 };
-                Call::Model(model_call(chat, version, state.streams(), expected_answer))
+                Call::Model(model_call(chat, version, state.wants_stream(), expected_answer))
             }
             Ask::Service(request) => Call::Service(service_call(request, state.is_repeatable())),
         };
@@ -228,9 +244,11 @@
             started: None,
             received: ByteCount::default(),
             credited: ByteCount::default(),
+            read: ByteCount::default(),
             tokens: Tokens::default(),
             link_lost_at_ms: None,
             complete: false,
+            rating_asked_at_ms: None,
             sample: sampled.then(Vec::new),
         });
         state.attempts += 1;
@@ -256,6 +274,9 @@
         now: TimeMs,
     ) {
         self.release_attempt(serial);
+        if self.escalates_instead(serial, &reason, now) {
+            return;
+        }
         let Some(state) = self.requests.get(&serial) else {
             return;
         };
@@ -286,6 +307,10 @@
         let Some(attempt) = self.release_attempt(serial) else {
             return;
         };
+        if attempt.complete {
+            // A complete answer that waits for its rating is billed already.
+            return;
+        }
         let Some(state) = self.requests.get_mut(&serial) else {
             return;
         };
