--- a/crates/hickorydoor/src/agent.rs
+++ b/crates/hickorydoor/src/agent.rs
@@ -17,6 +17,7 @@
 use crate::admission::Admission;
 use crate::agent_attempt::AttemptState;
 use crate::agent_effect::AgentEffect;
+use crate::agent_effect::EngineOrder;
 use crate::agent_event::AgentEvent;
 use crate::agent_event::UpstreamReport;
 use crate::agent_settings::AgentSettings;
@@ -35,6 +36,7 @@
 use crate::id::VersionId;
 use crate::kv_call::KvCall;
 use crate::kv_call::KvOutcome;
+use crate::lease::LeaseHolder;
 use crate::message::AgentMessage;
 use crate::message::Offer;
 use crate::observation::Observation;
@@ -62,6 +64,8 @@
     StoreRecovered(LifeKey),
     /// Works on claims.
     Claims,
+    /// Keeps the presence lease.
+    Lease,
 }
 
 impl AgentKvPurpose {
@@ -82,10 +86,17 @@
     pub received: u64,
     /// When the entry was heard last.
     pub last_heard_at_ms: TimeMs,
+    /// When anything was sent to the entry last.
+    pub last_sent_at_ms: TimeMs,
+    /// When the last load report was sent.
+    pub last_report_at_ms: TimeMs,
+    /// Time between two reports while the link is idle.
+    pub report_interval_ms: DurationMs,
 }
 
 /// State of one agent.
 #[derive(Clone, Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "independent facts about one process")]
 pub struct Agent {
     pub(crate) settings: AgentSettings,
     pub(crate) config: ConfigLog,
@@ -97,6 +108,10 @@
     pub(crate) next_evidence_at_ms: TimeMs,
     pub(crate) fence: DispatchFence,
     pub(crate) claims: ClaimTable,
+    pub(crate) lease: LeaseHolder,
+    /// The newest order for each version, with its time.
+    pub(crate) orders: HashMap<VersionId, (EngineOrder, TimeMs)>,
+    pub(crate) engine_reported: bool,
     pub(crate) usage: UsageStore,
     pub(crate) report: UpstreamReport,
     pub(crate) speed: SpeedEstimate,
@@ -104,7 +119,8 @@
     pub(crate) upstream_up: bool,
     pub(crate) first_token_ms: f64,
     pub(crate) pull: ConfigPull,
-    pub(crate) next_report_at_ms: TimeMs,
+    /// Until when entries have said that the platform lists this host as leaving.
+    pub(crate) leaving_until_ms: Option<TimeMs>,
     pub(crate) rng: Pcg64Mcg,
     pub(crate) kv_calls: HashMap<KvCallId, AgentKvPurpose>,
     pub(crate) recovery_backoff: Backoff,
@@ -135,6 +151,14 @@
             next_evidence_at_ms: now,
             fence: DispatchFence::default(),
             claims: ClaimTable::default(),
+            lease: LeaseHolder::new(
+                &settings.upstream,
+                settings.host.clone(),
+                settings.incarnation,
+                now,
+            ),
+            orders: HashMap::new(),
+            engine_reported: false,
             usage: UsageStore::default(),
             report: UpstreamReport::default(),
             speed: SpeedEstimate::default(),
@@ -148,7 +172,7 @@
             upstream_up: true,
             first_token_ms: 0.0,
             pull: ConfigPull::default(),
-            next_report_at_ms: now + settings.report_interval_ms,
+            leaving_until_ms: None,
             rng: Pcg64Mcg::seed_from_u64(seed_of(&settings)),
             kv_calls: HashMap::new(),
             recovery_backoff: Backoff::default(),
@@ -216,9 +240,11 @@
         self.expire_attempts(now);
         self.tick_admission(now);
         self.tick_configuration(now);
+        self.tick_leaving(now);
         self.tick_reports(now);
         self.tick_evidence(now);
         self.tick_claims(now);
+        self.tick_orders(now);
         self.tick_billing(now);
     }
 
@@ -244,6 +270,7 @@
         };
         match purpose {
             AgentKvPurpose::CloseLedger(life) => self.on_ledger_closed(&life, outcome, now),
+            AgentKvPurpose::Lease => self.on_lease_outcome(outcome, now),
             AgentKvPurpose::Claims => self.on_claims_outcome(outcome, now),
             AgentKvPurpose::StoreRecovered(life) => self.on_recovered_stored(&life, &outcome, now),
         }
@@ -263,6 +290,7 @@
         self.idle_since_ms.get_or_insert(now);
         if self.is_settled(now) {
             self.stopped = true;
+            self.end_lease();
             self.push(AgentEffect::Stopped);
         }
     }
@@ -291,6 +319,9 @@
     }
 
     pub(crate) fn send(&mut self, entry: &HostId, message: AgentMessage) {
+        if let Some(link) = self.links.get_mut(entry) {
+            link.last_sent_at_ms = self.last_event_at_ms;
+        }
         self.push(AgentEffect::Send { entry: entry.clone(), message });
     }
 
--- a/crates/hickorydoor/src/entry.rs
+++ b/crates/hickorydoor/src/entry.rs
@@ -13,6 +13,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::backoff::Backoff;
+use crate::cascade_policy::CascadePolicy;
 use crate::config_log::ConfigLog;
 use crate::config_pull::ConfigPull;
 use crate::config_watch::ConfigWatch;
@@ -32,6 +33,8 @@
 use crate::kv_call::KvCall;
 use crate::ledger::Ledger;
 use crate::limits::LimitTable;
+use crate::link_plan::LinkPlan;
+use crate::member_table::Member;
 use crate::member_table::MemberTable;
 use crate::message::EntryMessage;
 use crate::observation::Observation;
@@ -85,6 +88,7 @@
     pub(crate) config: ConfigLog,
     pub(crate) members: MemberTable,
     pub(crate) placement: Placement,
+    pub(crate) links: LinkPlan,
     pub(crate) requests: HashMap<Serial, RequestState>,
     pub(crate) limits: LimitTable,
     pub(crate) retries: RetryBudget,
@@ -96,6 +100,7 @@
     pub(crate) guard: RolloutGuard,
     pub(crate) rollout: RolloutLease,
     pub(crate) ratings: Ratings,
+    pub(crate) cascades: CascadePolicy,
     pub(crate) next_own_evaluation_at_ms: TimeMs,
     pub(crate) next_fleet_evaluation_at_ms: TimeMs,
     pub(crate) ledger: Ledger,
@@ -130,6 +135,7 @@
                 settings.data_centre.clone(),
                 settings.region.clone(),
             ),
+            links: LinkPlan::default(),
             requests: HashMap::new(),
             limits: LimitTable::default(),
             retries: RetryBudget::default(),
@@ -139,6 +145,7 @@
             pins: SessionPins::default(),
             guard: RolloutGuard::default(),
             rollout: RolloutLease::default(),
+            cascades: CascadePolicy::default(),
             ratings: Ratings::new(settings.ratings_per_s, now),
             next_own_evaluation_at_ms: now,
             next_fleet_evaluation_at_ms: now,
@@ -168,7 +175,7 @@
             EntryEvent::Request(request) => self.on_request(*request, now),
             EntryEvent::CallerRead { caller, bytes } => self.on_caller_read(caller, bytes),
             EntryEvent::CallerGone { caller } => self.on_caller_gone(caller, now),
-            EntryEvent::LinkUp { agent } => self.on_link_up(&agent),
+            EntryEvent::LinkUp { agent } => self.on_link_up(&agent, now),
             EntryEvent::LinkDown { agent } => self.on_link_down(&agent, now),
             EntryEvent::Message { agent, message } => self.on_message(&agent, message, now),
             EntryEvent::Rated { request, ordinal, rating } => {
@@ -196,6 +203,15 @@
         self.config.revision()
     }
 
+    /// Whether the entry can serve callers: it knows the configuration, has tried every planned
+    /// link and is not shutting down.
+    pub fn is_ready(&self) -> bool {
+        let tried = |member: &Member| member.hello.is_some() || member.failed_connects > 0;
+        let planned = self.members.iter().filter(|(agent, _)| self.links.contains(agent));
+        let known = self.revision() > Revision::default() && !self.links.is_empty();
+        known && !self.draining && planned.into_iter().all(|(_, member)| tried(member))
+    }
+
     /// The agents that this entry knows.
     pub const fn members(&self) -> &MemberTable {
         &self.members
@@ -210,6 +226,7 @@
         self.tick_pins(now);
         self.tick_guard(now);
         self.tick_ratings(now);
+        self.tick_cascades(now);
         self.expire_queues(now);
         self.move_late_requests(now);
         self.expire_requests(now);
@@ -230,6 +247,10 @@
         for attempt in self.requests.values_mut().filter_map(|state| state.attempt.as_mut()) {
             attempt.link_lost_at_ms = attempt.link_lost_at_ms.map(|at| at + gap_ms);
         }
+        for (_, member) in self.members.iter_mut() {
+            member.last_heard_at_ms = member.last_heard_at_ms + gap_ms;
+            member.awaited_since_ms = member.awaited_since_ms.map(|at| at + gap_ms);
+        }
     }
 
     fn on_shutdown(&mut self, now: TimeMs) {
@@ -245,6 +266,7 @@
         let idle_since_ms = *self.idle_since_ms.get_or_insert(now);
         if self.ledger.is_drained() || now >= idle_since_ms + STORE_LIMIT_MS {
             self.stopped = true;
+            self.close_links();
             self.push(EntryEffect::Stopped);
         }
     }
--- a/crates/hickorydoor/src/entry_queue.rs
+++ b/crates/hickorydoor/src/entry_queue.rs
@@ -37,7 +37,7 @@
         let Some(state) = self.requests.get(&serial) else {
             return;
         };
-        if state.attempts >= self.settings.max_dispatches || !self.has_upstream(serial) {
+        if self.is_exhausted(state) || !self.has_upstream(serial) {
             self.dispatch(serial, now);
         } else {
             self.enqueue(serial, now);
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -14,6 +14,7 @@
 use crate::entry_resume::after_unknown;
 use crate::id::ModelId;
 use crate::id::RequestId;
+use crate::id::Revision;
 use crate::id::Serial;
 use crate::id::VersionId;
 use crate::message::Call;
@@ -60,6 +61,7 @@
                 let serial = state.id.serial;
                 self.callers.insert(caller, serial);
                 self.requests.insert(serial, state);
+                self.start_cascade(serial, now);
                 self.dispatch(serial, now);
             }
             Err(refusal) => self.push(EntryEffect::Refuse { caller, request: None, refusal }),
@@ -70,6 +72,10 @@
         if self.draining {
             return Err(Refusal::not_run(RefusalReason::ShuttingDown).retry_after(RETRY_AFTER_MS));
         }
+        if self.revision() == Revision::default() {
+            // Without a configuration no key can be checked, so none is called unknown.
+            return Err(Refusal::not_run(RefusalReason::NoUpstream).retry_after(RETRY_AFTER_MS));
+        }
         let configuration = self.config.current();
         let customer = configuration
             .customer_by_key(&request.key)
@@ -111,6 +117,9 @@
             first_dispatch_at_ms: None,
             first_token_at_ms: None,
             session_moved: false,
+            step_started_at_ms: now,
+            step_first_attempt: 0,
+            failed: false,
             request,
         })
     }
@@ -118,7 +127,13 @@
     fn plan_chat(&self, customer: &Customer, chat: &ChatRequest) -> Result<Plan, Refusal> {
         let unknown = || Refusal::not_run(RefusalReason::UnknownModel { name: chat.model.clone() });
         if let Some(model) = customer.models.iter().find(|id| id.as_str() == chat.model) {
-            return Ok(Plan::Models { steps: vec![model.clone()], step: 0, release_score: None });
+            return Ok(Plan::Models {
+                steps: vec![model.clone()],
+                step: 0,
+                release_score: None,
+                cascade: None,
+                judged: false,
+            });
         }
         let cascade = customer
             .cascades
@@ -131,7 +146,13 @@
         if steps.is_empty() {
             return Err(unknown());
         }
-        Ok(Plan::Models { steps, step: 0, release_score: Some(cascade.release_score) })
+        Ok(Plan::Models {
+            steps,
+            step: 0,
+            release_score: Some(cascade.release_score),
+            cascade: Some(cascade.id.clone()),
+            judged: true,
+        })
     }
 
     fn plan_service(&self, customer: &Customer, request: &ServiceRequest) -> Result<Plan, Refusal> {
@@ -170,9 +191,9 @@
         }
     }
 
-    fn is_exhausted(&self, state: &RequestState) -> bool {
+    pub(crate) fn is_exhausted(&self, state: &RequestState) -> bool {
         state.excluded.len() >= self.settings.max_attempts as usize
-            || state.attempts >= self.settings.max_dispatches
+            || state.attempts - state.step_first_attempt >= self.settings.max_dispatches
     }
 
     /// Chooses an agent, and for model calls the version that it runs.
@@ -270,7 +291,7 @@
                 let Some(version) = version.clone() else {
                     return;
                 };
-                Call::Model(model_call(chat, version, state.streams(), work.answer_tokens))
+                Call::Model(model_call(chat, version, state.wants_stream(), work.answer_tokens))
             }
             Ask::Service(request) => Call::Service(service_call(request, state.is_repeatable())),
         };
@@ -292,9 +313,11 @@
             started: None,
             received: ByteCount::default(),
             credited: ByteCount::default(),
+            read: ByteCount::default(),
             tokens: Tokens::default(),
             link_lost_at_ms: None,
             complete: false,
+            rating_asked_at_ms: None,
             sample: sampled.then(Vec::new),
         });
         state.attempts += 1;
@@ -320,6 +343,9 @@
         now: TimeMs,
     ) {
         self.release_attempt(serial);
+        if self.escalates_instead(serial, &reason, now) {
+            return;
+        }
         let Some(state) = self.requests.get(&serial) else {
             return;
         };
@@ -351,6 +377,10 @@
         let Some(attempt) = self.release_attempt(serial) else {
             return;
         };
+        if attempt.complete {
+            // A complete answer that waits for its rating is billed already.
+            return;
+        }
         let Some(state) = self.requests.get_mut(&serial) else {
             return;
         };
