Finish the first request of connections that are open at a stop

Cause: in the failover experiment one of 1,552 callers was cut during the rolling restart of entries. hyper closes a connection at a graceful shutdown if it has not received a request yet, although the request may be under way; connections in the listen backlog were reset with the listener. Both now get their answer first. The experiment counts keyed calls apart from model calls, since keyed callers wait for the key-value service and hid the model traffic during its outage.

--- a/crates/hickoryd/examples/failover/clients.rs
+++ b/crates/hickoryd/examples/failover/clients.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -27,7 +28,7 @@
 /// How one try of a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
-    Served { tokens: Option<u64> },
+    Served { tokens: u64 },
     NotRun,
     Unknown,
     Failed,
@@ -38,7 +39,8 @@
 #[derive(Debug)]
 struct Shared {
     entries: Vec<String>,
-    tally: Mutex<Tally>,
+    chats: Mutex<Tally>,
+    keyed: Mutex<Tally>,
     stopping: AtomicBool,
 }
 
@@ -52,16 +54,25 @@
 impl Clients {
     /// Starts the callers, which spread over the entries as a balancer would.
     pub fn start(entries: Vec<String>) -> Self {
-        let tally = Mutex::new(Tally::default());
-        let shared = Arc::new(Shared { entries, tally, stopping: AtomicBool::new(false) });
+        let shared = Arc::new(Shared {
+            entries,
+            chats: Mutex::new(Tally::default()),
+            keyed: Mutex::new(Tally::default()),
+            stopping: AtomicBool::new(false),
+        });
         let spawn = |number| tokio::spawn(run_client(Arc::clone(&shared), number));
         let tasks = (0..CLIENT_COUNT).map(spawn).collect();
         Self { shared, tasks: Mutex::new(tasks) }
     }
 
-    /// What the callers saw since the last call.
-    pub fn take_tally(&self) -> Tally {
-        std::mem::take(&mut self.shared.lock())
+    /// What callers of models saw since the last call.
+    pub fn take_chats(&self) -> Tally {
+        std::mem::take(&mut lock(&self.shared.chats))
+    }
+
+    /// What callers with idempotency keys saw since the last call.
+    pub fn take_keyed(&self) -> Tally {
+        std::mem::take(&mut lock(&self.shared.keyed))
     }
 
     /// Lets every caller finish its request.
@@ -75,34 +86,32 @@
     }
 }
 
-impl Shared {
-    fn lock(&self) -> std::sync::MutexGuard<'_, Tally> {
-        self.tally.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+fn lock(tally: &Mutex<Tally>) -> MutexGuard<'_, Tally> {
+    tally.lock().unwrap_or_else(PoisonError::into_inner)
+}
 
-    fn count(&self, outcome: Outcome, elapsed: Duration) {
-        let mut tally = self.lock();
-        match outcome {
-            Outcome::Served { tokens } => {
-                tally.served += 1;
-                tally.delivered_tokens += tokens.unwrap_or_default();
-                tally.model_requests += u64::from(tokens.is_some());
-                let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
-                tally.longest_ms = tally.longest_ms.max(elapsed_ms);
-            }
-            Outcome::NotRun => tally.not_run += 1,
-            Outcome::Unknown => tally.unknown += 1,
-            Outcome::Failed => tally.failed += 1,
-            Outcome::Cut => tally.cut += 1,
-            Outcome::Unreachable => tally.unreachable += 1,
+fn count(tally: &Mutex<Tally>, outcome: Outcome, elapsed: Duration) {
+    let mut tally = lock(tally);
+    match outcome {
+        Outcome::Served { tokens } => {
+            tally.served += 1;
+            tally.delivered_tokens += tokens;
+            let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+            tally.longest_ms = tally.longest_ms.max(elapsed_ms);
         }
+        Outcome::NotRun => tally.not_run += 1,
+        Outcome::Unknown => tally.unknown += 1,
+        Outcome::Failed => tally.failed += 1,
+        Outcome::Cut => tally.cut += 1,
+        Outcome::Unreachable => tally.unreachable += 1,
     }
 }
 
 async fn run_client(shared: Arc<Shared>, number: u64) {
     let mut round = 0;
     while !shared.stopping.load(Ordering::Relaxed) {
-        match (number + round) % 3 {
+        // Keyed calls wait for the key-value service, so they have callers of their own.
+        match number % 3 {
             0 => chat(&shared, number, round, false).await,
             1 => chat(&shared, number, round, true).await,
             _ => release_lot(&shared, number, round).await,
@@ -129,7 +138,7 @@
         Ok(answer) => refusal(&answer),
         Err(outcome) => outcome,
     };
-    shared.count(outcome, started.elapsed());
+    count(&shared.chats, outcome, started.elapsed());
 }
 
 /// A keyed call that may run only once; it is sent again until it is answered.
@@ -141,11 +150,11 @@
         let entry = shared.entry(number + round + attempt_number);
         let url = format!("{entry}/services/registry/lots");
         let outcome = match attempt(&url, &[("idempotency-key", &key)], &body).await {
-            Ok(answer) if answer.status == 200 => Outcome::Served { tokens: None },
+            Ok(answer) if answer.status == 200 => Outcome::Served { tokens: 0 },
             Ok(answer) => refusal(&answer),
             Err(outcome) => outcome,
         };
-        shared.count(outcome, started.elapsed());
+        count(&shared.keyed, outcome, started.elapsed());
         if matches!(outcome, Outcome::Served { .. } | Outcome::Unknown) {
             return;
         }
@@ -195,7 +204,7 @@
 
 fn tokens_of(usage: &Value) -> Outcome {
     match usage["total_tokens"].as_u64() {
-        Some(tokens) => Outcome::Served { tokens: Some(tokens) },
+        Some(tokens) => Outcome::Served { tokens },
         None => Outcome::Cut,
     }
 }
--- a/crates/hickoryd/examples/failover/main.rs
+++ b/crates/hickoryd/examples/failover/main.rs
@@ -49,7 +49,7 @@
 async fn run() -> Result<bool, AnyError> {
     let mut deployment = Deployment::start().await?;
     let clients = Clients::start(deployment.entry_addresses());
-    let mut total = Tally::default();
+    let mut total = Totals::default();
     println!("{}", Tally::HEADER);
 
     tokio::time::sleep(STEADY).await;
@@ -70,8 +70,8 @@
     }
     tokio::time::sleep(SETTLE).await;
     report("rolling restart of entries", &clients, &mut total);
-    let planned_cuts = total.cut;
-    let planned_unknown = total.unknown;
+    let planned_cuts = total.chats.cut + total.keyed.cut;
+    let planned_unknown = total.chats.unknown + total.keyed.unknown;
 
     deployment.kv.set_down(true).await?;
     tokio::time::sleep(KV_OUTAGE).await;
@@ -102,11 +102,14 @@
     println!("\nconfiguration change in force at every process after {} ms", millis(in_force));
     println!("cut on planned stops: {planned_cuts}, unknown outcomes: {planned_unknown}");
     println!("service calls run twice: {double_runs}");
-    println!("answers delivered: {total}");
+    println!("answers delivered: {}", total.chats);
     println!("bills stored:      {bills}");
-    let lost = total.delivered_tokens.saturating_sub(bills.tokens);
+    let lost = total.chats.delivered_tokens.saturating_sub(bills.tokens);
     println!("tokens delivered and not billed: {lost}");
-    println!("tokens billed of answers that were cut or refused: {}", bills.extra_tokens(&total));
+    println!(
+        "tokens billed of answers that were cut or refused: {}",
+        bills.extra_tokens(&total.chats)
+    );
     Ok(planned_cuts == 0 && double_runs == 0 && lost == 0)
 }
 
@@ -114,10 +117,20 @@
     duration.as_millis()
 }
 
-fn report(phase: &str, clients: &Clients, total: &mut Tally) {
-    let tally = clients.take_tally();
-    println!("{phase:<30} {}", tally.row());
-    total.add(&tally);
+/// What callers saw over all phases.
+#[derive(Debug, Default)]
+struct Totals {
+    chats: Tally,
+    keyed: Tally,
+}
+
+fn report(phase: &str, clients: &Clients, total: &mut Totals) {
+    let chats = clients.take_chats();
+    let keyed = clients.take_keyed();
+    println!("{phase:<28} models  {}", chats.row());
+    println!("{:<28} service {}", "", keyed.row());
+    total.chats.add(&chats);
+    total.keyed.add(&keyed);
 }
 
 /// Waits until `done` holds.
--- a/crates/hickoryd/examples/failover/tally.rs
+++ b/crates/hickoryd/examples/failover/tally.rs
@@ -19,16 +19,13 @@
     pub unreachable: u64,
     /// Tokens of the answers that were delivered whole, with their prompts.
     pub delivered_tokens: u64,
-    /// Model requests among the served ones.
-    pub model_requests: u64,
     /// Longest time of a served request, in milliseconds.
     pub longest_ms: u64,
 }
 
 impl Tally {
     /// Heads the columns of [`Tally::row`].
-    pub const HEADER: &'static str =
-        "phase                            served  not-run  unknown  failed     cut  longest ms";
+    pub const HEADER: &'static str = "phase                                  served  not-run  unknown  failed     cut  longest ms";
 
     /// Adds another tally.
     pub fn add(&mut self, other: &Self) {
@@ -39,7 +36,6 @@
         self.cut += other.cut;
         self.unreachable += other.unreachable;
         self.delivered_tokens += other.delivered_tokens;
-        self.model_requests += other.model_requests;
         self.longest_ms = self.longest_ms.max(other.longest_ms);
     }
 
@@ -54,6 +50,6 @@
 
 impl fmt::Display for Tally {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} model requests, {} tokens", self.model_requests, self.delivered_tokens)
+        write!(f, "{} model requests, {} tokens", self.served, self.delivered_tokens)
     }
 }
--- a/crates/hickoryd/src/http_server.rs
+++ b/crates/hickoryd/src/http_server.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 
 use axum::Router;
+use futures_util::FutureExt;
+use http::Request;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
@@ -14,11 +17,13 @@
 use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio_rustls::TlsAcceptor;
+use tower::util::MapRequest;
 
 use crate::tls::TlsWatch;
 use crate::write_limit::WriteLimit;
@@ -26,6 +31,9 @@
 /// Pause after a failed accept, for example when no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time that a stopping port gives a new connection for its first request.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Limits of an HTTP port.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HttpLimits {
@@ -69,14 +77,7 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _peer)) => {
-                    drop(stream.set_nodelay(true));
-                    let server = tls.as_ref().map(|tls| Arc::clone(&tls.borrow().server));
-                    let router = router.clone();
-                    let stop = stop.clone();
-                    tokio::spawn(async move {
-                        accept_connection(stream, server, router, limits, stop).await;
-                        drop(place);
-                    });
+                    start_connection(stream, place, &router, limits, tls.as_ref(), &stop);
                 }
                 Err(error) => {
                     debug!(reason:% = error; "accept failed");
@@ -86,11 +87,37 @@
             () = stopping(&mut stop) => break,
         }
     }
+    // Connections that the system has accepted already would be reset with the listener.
+    while let Some(Ok((stream, _peer))) = listener.accept().now_or_never() {
+        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+            break;
+        };
+        start_connection(stream, place, &router, limits, tls.as_ref(), &stop);
+    }
     drop(listener);
     // Every place is free again once all connections have ended.
     drop(places.acquire_many(limits.max_connections as u32).await);
 }
 
+/// Serves a connection on a task of its own, which holds the connection's place.
+fn start_connection(
+    stream: TcpStream,
+    place: OwnedSemaphorePermit,
+    router: &Router,
+    limits: HttpLimits,
+    tls: Option<&TlsWatch>,
+    stop: &watch::Receiver<bool>,
+) {
+    // Without delay small pieces of a stream leave at once.
+    drop(stream.set_nodelay(true));
+    let server = tls.map(|tls| Arc::clone(&tls.borrow().server));
+    let (router, stop) = (router.clone(), stop.clone());
+    tokio::spawn(async move {
+        accept_connection(stream, server, router, limits, stop).await;
+        drop(place);
+    });
+}
+
 async fn accept_connection(
     stream: TcpStream,
     server: Option<Arc<ServerConfig>>,
@@ -115,7 +142,12 @@
     limits: HttpLimits,
     mut stop: watch::Receiver<bool>,
 ) {
-    let service = TowerToHyperService::new(router);
+    let (first_request, mut first_requested) = watch::channel(false);
+    let service = MapRequest::new(router, move |request: Request<Incoming>| {
+        first_request.send_replace(true);
+        request
+    });
+    let service = TowerToHyperService::new(service);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
@@ -126,8 +158,15 @@
     let result = tokio::select! {
         result = connection.as_mut() => result,
         () = stopping(&mut stop) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            // The request of a connection that was just opened may be under way. Without this
+            // wait the connection would be closed before its request could be answered.
+            tokio::select! {
+                result = connection.as_mut() => result,
+                () = first_request_seen(&mut first_requested) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            }
         }
     };
     if let Err(error) = result {
@@ -135,6 +174,11 @@
     }
 }
 
+/// Waits for the first request of a connection, for a limited time.
+async fn first_request_seen(seen: &mut watch::Receiver<bool>) {
+    drop(timeout(FIRST_REQUEST_TIMEOUT, seen.wait_for(|seen| *seen)).await);
+}
+
 /// Waits until the process stops.
 async fn stopping(stop: &mut watch::Receiver<bool>) {
     // A closed channel also means that the process stops.
