Test the daemon's binary end to end

The test starts hickoryd against the stand-ins, sends a request, stops it with SIGTERM and checks exit code, log lines and the stored bill, and that the log holds neither the prompt nor the key.

--- /dev/null
+++ b/crates/hickoryd/tests/binary.rs
@@ -0,0 +1,97 @@
+//! The daemon's binary serves, logs without prompts and keys, and stops without a loss.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+use hickory_standins::EngineSettings;
+use serde_json::Value;
+
+mod fleet;
+
+use fleet::Answer;
+use fleet::AnyError;
+use fleet::CUSTOMER_KEY;
+use fleet::Fleet;
+use fleet::send;
+use fleet::whole;
+
+const SAMPLE: &str = include_str!("../samples/entry.yaml");
+const PROMPT: &str = "a prompt that no log may hold";
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+
+fn settings(fleet: &Fleet) -> String {
+    SAMPLE
+        .replace("host: entry-1", "host: entry-7")
+        .replace("http://127.0.0.1:2379", &fleet.kv.url())
+        .replace("http://127.0.0.1:8500", &fleet.hosts.url())
+        .replace("127.0.0.1:8080", "127.0.0.1:0")
+        .replace("127.0.0.1:9080", "127.0.0.1:0")
+        .replace("level: info", "level: debug")
+}
+
+/// Starts the daemon and returns it with its address and the rest of its log.
+fn start(
+    text: &str,
+) -> Result<(Child, String, impl Iterator<Item = String> + Send + use<>), AnyError> {
+    let file = std::env::temp_dir().join(format!("hickoryd-binary-{}.yaml", std::process::id()));
+    std::fs::write(&file, text)?;
+    let mut daemon = Command::new(env!("CARGO_BIN_EXE_hickoryd"))
+        .arg("--settings")
+        .arg(&file)
+        .stderr(Stdio::piped())
+        .spawn()?;
+    let log = daemon.stderr.take().ok_or("the daemon has no standard error")?;
+    let mut lines = BufReader::new(log).lines().map_while(Result::ok);
+    let started = lines.find(|line| line.contains("entry started")).ok_or("it did not start")?;
+    std::fs::remove_file(&file)?;
+    let started: Value = serde_json::from_str(&started)?;
+    let address = started["http"].as_str().ok_or("no address")?.to_owned();
+    Ok((daemon, address, lines))
+}
+
+async fn ask(address: &str) -> Result<Answer, AnyError> {
+    let messages = serde_json::json!([{ "role": "user", "content": PROMPT }]);
+    let body = serde_json::json!({ "model": "brine-small", "messages": messages }).to_string();
+    let url = format!("http://{address}/v1/chat/completions");
+    whole(send("POST", &url, CUSTOMER_KEY, &[], &body).await?).await
+}
+
+// The stand-ins need threads of their own while the test waits for the daemon.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_daemon_serves_and_stops_gracefully() -> Result<(), AnyError> {
+    let fleet = Fleet::start(1, EngineSettings::new(["brine-small-1", "brine-large-1"])).await?;
+    let (mut daemon, address, log) = start(&settings(&fleet))?;
+    let served = async {
+        loop {
+            match ask(&address).await {
+                Ok(answer) if answer.status == 200 => return answer,
+                _ => tokio::time::sleep(Duration::from_millis(20)).await,
+            }
+        }
+    };
+    let answer = tokio::time::timeout(START_TIMEOUT, served).await?;
+    assert!(answer.text().contains(PROMPT));
+    Command::new("kill").args(["-TERM", &daemon.id().to_string()]).status()?;
+    let stopped = tokio::task::spawn_blocking(move || {
+        let log: Vec<String> = log.collect();
+        daemon.wait().map(|status| (status, log))
+    });
+    let (status, log) = stopped.await??;
+    assert_eq!(status.code(), Some(0), "{log:?}");
+    let lines: Result<Vec<Value>, _> = log.iter().map(|line| serde_json::from_str(line)).collect();
+    let lines = lines?;
+    let request = lines.iter().find(|line| line["outcome"] == "served").ok_or("no request line")?;
+    assert_eq!(request["customer"], "cooperativa");
+    assert_eq!(request["version"], "brine-small-1");
+    assert_eq!(request["request"], answer.header("x-hickorydoor-request-id"));
+    assert_eq!(request["answer_tokens"], 8);
+    let text = log.join("\n");
+    assert!(!text.contains(PROMPT) && !text.contains(CUSTOMER_KEY), "{text}");
+    // The bill of the last request is stored before the process exits.
+    assert!(fleet.kv.keys().iter().any(|key| key.contains("bills/entry-7")), "no bill is stored");
+    Ok(())
+}
