--- a/crates/hickorydoor/src/entry_rating.rs
+++ b/crates/hickorydoor/src/entry_rating.rs
@@ -10,20 +10,22 @@
 
 use crate::caller_request::Ask;
 use crate::entry::Entry;
+use crate::entry_cascade::cascade_of;
 use crate::entry_effect::EntryEffect;
 use crate::entry_event::RatingFault;
+use crate::id::CascadeId;
 use crate::id::HostId;
 use crate::id::RequestId;
 use crate::id::Serial;
 use crate::id::VersionId;
 use crate::message::EntryMessage;
 use crate::message::Verdict;
+use crate::model::VersionState;
 use crate::quantity::ByteCount;
 use crate::rating_sampler::RatingSampler;
 use crate::request_state::RequestState;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
-use crate::version_judge::is_compared;
 
 /// Longer answers are not sampled; bounds the memory of copies.
 const MAX_SAMPLE_BYTES: ByteCount = ByteCount::new(256 << 10);
@@ -37,6 +39,8 @@
 struct Sample {
     agent: HostId,
     version: VersionId,
+    /// The cascade whose dearest step answered.
+    reference: Option<CascadeId>,
     until_ms: TimeMs,
 }
 
@@ -72,9 +76,10 @@
         if judged.is_some() {
             return false;
         }
-        let model = self.config.current().version(version).map(|(model, _)| model);
-        let compared = model.is_some_and(is_compared);
-        self.ratings.sampler.take(compared, now)
+        // The baseline has many times the traffic and must not use up the canary's samples.
+        let known = self.config.current().version(version);
+        let first = known.is_some_and(|(_, known)| known.state == VersionState::Canary);
+        self.ratings.sampler.take(first, now)
     }
 
     /// Keeps a piece of a sampled answer.
@@ -94,6 +99,7 @@
         let Some(state) = self.requests.get_mut(&serial) else {
             return;
         };
+        let reference = cascade_of(state).map(|(cascade, _)| cascade.clone());
         let Some(attempt) = &mut state.attempt else {
             return;
         };
@@ -106,6 +112,7 @@
         let sample = Sample {
             agent: attempt.agent.clone(),
             version: version.clone(),
+            reference,
             until_ms: now + SAMPLE_TIMEOUT_MS,
         };
         let effect = EntryEffect::Rate {
@@ -133,6 +140,9 @@
         };
         if let Ok(score) = rating {
             self.report_rating(&sample.agent, &sample.version, score);
+            if let Some(cascade) = &sample.reference {
+                self.cascades.add_reference(cascade, score);
+            }
         }
         true
     }
