--- a/crates/hickoryd/tests/tls.rs
+++ b/crates/hickoryd/tests/tls.rs
@@ -111,6 +111,7 @@
         incarnation: Incarnation::new(2),
         data_centre: "arauco-1".parse()?,
         revision: hickorydoor::id::Revision::new(1),
+        heartbeat_interval_ms: hickorydoor::DurationMs::from_secs(1),
     };
     let frame = EntryFrame::from(EntryMessage::Hello(hello)).encode_to_vec();
     let mut framed = u32::try_from(frame.len())?.to_be_bytes().to_vec();
