--- a/crates/hickorydoor/benches/reducer.rs
+++ b/crates/hickorydoor/benches/reducer.rs
@@ -38,6 +38,7 @@
 use hickorydoor::id::HostId;
 use hickorydoor::id::Incarnation;
 use hickorydoor::id::Revision;
+use hickorydoor::id::SessionId;
 use hickorydoor::load_report::LoadReport;
 use hickorydoor::message::AgentHello;
 use hickorydoor::message::ConfigUpdate;
@@ -122,10 +123,12 @@
     }
 
     /// Runs one request from its arrival to its bill.
-    fn request(&mut self) {
+    fn request(&mut self, session: Option<SessionId>) {
         self.next_caller += 1;
         let caller = CallerId::new(self.next_caller);
-        let effects = self.apply(EntryEvent::Request(Box::new(request(caller))));
+        let request = Box::new(request(caller, session));
+        let effects = self.apply(EntryEvent::Request(request));
+        let effects = self.answer_pins(effects);
         let (agent, attempt) = dispatched(&effects);
         let started = AgentMessage::Started {
             attempt: attempt.clone(),
@@ -150,6 +153,25 @@
         let received = self.entry.members().get(&agent).map_or(0, |member| member.sent);
         self.message(&agent, AgentMessage::Load(Box::new(report(received))));
     }
+
+    /// Has the home agents of a new session accept its pin.
+    fn answer_pins(&mut self, effects: Vec<EntryEffect>) -> Vec<EntryEffect> {
+        let mut after = Vec::new();
+        for effect in effects {
+            match effect {
+                EntryEffect::Send { agent, message: EntryMessage::Pin { key, pin, .. } } => {
+                    let reply = AgentMessage::PinReply { key, pin, known: false };
+                    after.extend(self.message(&agent, reply));
+                }
+                other => after.push(other),
+            }
+        }
+        after
+    }
+
+    fn new_session(&self) -> SessionId {
+        id(&format!("user-{}", self.next_caller))
+    }
 }
 
 fn id<T: std::str::FromStr>(text: &str) -> T {
@@ -198,11 +220,11 @@
     configuration
 }
 
-fn request(caller: CallerId) -> CallerRequest {
+fn request(caller: CallerId, session: Option<SessionId>) -> CallerRequest {
     CallerRequest {
         caller,
         key: KeyDigest::of_key(KEY),
-        session: None,
+        session,
         class: Class::Interactive,
         deadline_ms: None,
         ask: Ask::Chat(ChatRequest {
@@ -229,15 +251,25 @@
 
 fn reducer(criterion: &mut Criterion) {
     let mut bench = Bench::new();
-    bench.request();
+    bench.request(None);
     let before = ALLOCATIONS.load(Ordering::Relaxed);
     for _ in 0..COUNTED_REQUESTS {
-        bench.request();
+        bench.request(None);
     }
     let allocations = ALLOCATIONS.load(Ordering::Relaxed) - before;
     println!("allocations per request: {:.1}", allocations as f64 / COUNTED_REQUESTS as f64);
     criterion.bench_function("entry: one request, 256 upstreams", |bencher| {
-        bencher.iter(|| bench.request());
+        bencher.iter(|| bench.request(None));
+    });
+    let known = bench.new_session();
+    criterion.bench_function("entry: one request of a known session", |bencher| {
+        bencher.iter(|| bench.request(Some(known.clone())));
+    });
+    criterion.bench_function("entry: one request of a new session", |bencher| {
+        bencher.iter(|| {
+            let session = bench.new_session();
+            bench.request(Some(session));
+        });
     });
 }
 
--- a/crates/hickorydoor/tests/fleet/mod.rs
+++ b/crates/hickorydoor/tests/fleet/mod.rs
@@ -21,6 +21,7 @@
 use hickorydoor::Entry;
 use hickorydoor::EntryEffect;
 use hickorydoor::EntryEvent;
+use hickorydoor::EntryMessage;
 use hickorydoor::EntrySettings;
 use hickorydoor::KeyDigest;
 use hickorydoor::RawConfiguration;
@@ -35,10 +36,12 @@
 use hickorydoor::host_record::HostState;
 use hickorydoor::id::AttemptId;
 use hickorydoor::id::CallerId;
+use hickorydoor::id::CustomerId;
 use hickorydoor::id::HostId;
 use hickorydoor::id::Incarnation;
 use hickorydoor::id::VersionId;
 use hickorydoor::message::Call;
+use hickorydoor::message::Dispatch;
 use hickorydoor::message::Offer;
 use hickorydoor::observation::Observation;
 use hickorydoor::quantity::Tokens;
@@ -48,6 +51,8 @@
 use self::store::Store;
 
 const KEY: &str = "key-1";
+/// Key of the second customer, if the configuration has one.
+const OTHER_KEY: &str = "key-2";
 const TICK_MS: u64 = 100;
 
 /// How engines and the rating service treat one version.
@@ -94,10 +99,13 @@
     pub rate_calls: u64,
     /// Set while replies of home agents are lost.
     pub mute_pin_replies: bool,
+    /// Set while requests come from the second customer.
+    pub as_other: bool,
     offers: Vec<Vec<String>>,
     incarnations: u64,
     next_caller: u64,
     answers: BTreeMap<CallerId, Answer>,
+    customers: BTreeMap<AttemptId, CustomerId>,
     queue: VecDeque<Parcel>,
 }
 
@@ -128,10 +136,12 @@
             ratings_stalled: false,
             rate_calls: 0,
             mute_pin_replies: false,
+            as_other: false,
             offers: offers.iter().map(|o| o.iter().map(ToString::to_string).collect()).collect(),
             incarnations: 0,
             next_caller: 0,
             answers: BTreeMap::new(),
+            customers: BTreeMap::new(),
             queue: VecDeque::new(),
         };
         fleet.store.put_configuration(&configuration(yaml));
@@ -290,6 +300,9 @@
                 self.queue.push_back(Parcel::Entry(index, EntryEvent::LinkUp { agent }));
             }
             EntryEffect::Send { agent, message } => {
+                if let EntryMessage::Dispatch(dispatch) = &message {
+                    self.check_dispatch(index, dispatch);
+                }
                 let event = AgentEvent::Message { entry: entry_host(index), message };
                 self.queue.push_back(Parcel::Agent(index_of(&agent), event));
             }
@@ -335,10 +348,21 @@
         }
     }
 
+    /// An entry only sends what its configuration permits.
+    fn check_dispatch(&mut self, index: usize, dispatch: &Dispatch) {
+        if let Call::Model(call) = &dispatch.call {
+            let configuration = self.entries[index].configuration();
+            assert_permitted(configuration, &dispatch.customer, &call.version);
+        }
+        self.customers.insert(dispatch.attempt.clone(), dispatch.customer.clone());
+    }
+
     fn on_call(&mut self, index: usize, attempt: AttemptId, call: &Call) {
         let Call::Model(call) = call else {
             return;
         };
+        let customer = self.customers.get(&attempt).expect("the attempt was dispatched");
+        assert_permitted(self.agents[index].configuration(), customer, &call.version);
         self.runs.push(call.version.clone());
         let events = if self.behaviour_of(&call.version).fails {
             vec![AgentEvent::UpstreamFailed { attempt, fault: UpstreamFault::ServerError }]
@@ -381,7 +405,7 @@
         };
         let request = CallerRequest {
             caller: CallerId::new(self.next_caller),
-            key: KeyDigest::of_key(KEY),
+            key: KeyDigest::of_key(if self.as_other { OTHER_KEY } else { KEY }),
             session: session.map(|text| text.parse().expect("the session is valid")),
             class: Class::Interactive,
             deadline_ms: None,
@@ -405,8 +429,16 @@
     }
 }
 
+fn assert_permitted(configuration: &Configuration, customer: &CustomerId, version: &VersionId) {
+    let (model, known) = configuration.version(version).expect("the version is configured");
+    let customer = configuration.customers.get(customer).expect("the customer is configured");
+    assert!(customer.allows_version(model, known), "{version} is not allowed");
+    assert!(known.state.serves_sessions(), "{version} is {}", known.state);
+}
+
 /// Checks a configuration text, in which `KEY_DIGEST` stands for the callers' key.
 pub fn configuration(yaml: &str) -> Configuration {
+    let yaml = yaml.replace("OTHER_DIGEST", &KeyDigest::of_key(OTHER_KEY).to_string());
     let yaml = yaml.replace("KEY_DIGEST", &KeyDigest::of_key(KEY).to_string());
     let raw = RawConfiguration::from_yaml(&yaml).expect("the text is a configuration");
     Configuration::try_from(raw).expect("the configuration is valid")
--- a/crates/hickorydoor/tests/rollouts.rs
+++ b/crates/hickorydoor/tests/rollouts.rs
@@ -235,3 +235,92 @@
         prop_assert!(seen <= share + margin, "share {seen} of {share}");
     }
 }
+
+const TWO_CUSTOMERS: &str = "
+models:
+- id: chat
+  prompt_cost_micros_per_1k_tokens: 100
+  answer_cost_micros_per_1k_tokens: 300
+  versions:
+  - {id: chat-1, state: active}
+  - {id: chat-2, state: canary, canary_share: 0.5}
+  - {id: chat-3, state: draining}
+customers:
+- id: cuzco
+  key_digests: [KEY_DIGEST]
+  models: [chat]
+- id: puno
+  key_digests: [OTHER_DIGEST]
+  models: [chat]
+  versions: [chat-1, chat-3]
+";
+const STATES: [&str; 5] = ["active", "canary", "draining", "halted", "withdrawn"];
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ask { entry: usize, other: bool, session: Option<usize> },
+    SetVersion { version: usize, state: usize, share: f64 },
+    FailVersion { version: usize, fails: bool },
+    SetStoreDown(bool),
+    Wait,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let ask = (0..ENTRIES, any::<bool>(), prop::option::of(0..5_usize));
+    prop_oneof![
+        12 => ask.prop_map(|(entry, other, session)| Step::Ask { entry, other, session }),
+        2 => (0..3_usize, 0..STATES.len(), 0.0..1.0)
+            .prop_map(|(version, state, share)| Step::SetVersion { version, state, share }),
+        1 => (0..3_usize, any::<bool>())
+            .prop_map(|(version, fails)| Step::FailVersion { version, fails }),
+        1 => any::<bool>().prop_map(Step::SetStoreDown),
+        1 => Just(Step::Wait),
+    ]
+}
+
+fn apply(fleet: &mut Fleet, step: &Step) {
+    const VERSIONS: [&str; 3] = ["chat-1", "chat-2", "chat-3"];
+    match *step {
+        Step::Ask { entry, other, session } => {
+            fleet.as_other = other;
+            let session = session.map(|number| format!("user-{number}"));
+            fleet.send(entry, "chat", session.as_deref(), false);
+            // Answered or refused at once, whatever the states are.
+            let answer = fleet.take_answer();
+            assert!(answer.ended || answer.refusal.is_some(), "the request hangs");
+            if let Some(version) = answer.version().filter(|_| other) {
+                assert_ne!(version, "chat-2", "the version is not allowed to the customer");
+            }
+        }
+        Step::SetVersion { version, state, share } => {
+            let state = STATES[state];
+            fleet.set_version(VERSIONS[version], state, (state == "canary").then_some(share));
+        }
+        Step::FailVersion { version, fails } => {
+            let behaviour = Behaviour { fails, rating: Some(0.9) };
+            fleet.behaviour.insert(VERSIONS[version].to_owned(), behaviour);
+        }
+        Step::SetStoreDown(down) => fleet.set_store_down(down),
+        Step::Wait => fleet.run_ms(3_000),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: cases(48),
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Guards against work on versions that are withdrawn, halted or not allowed: the fleet checks
+    // each dispatch against the entry's and each call against the agent's configuration.
+    #[test]
+    fn requests_run_only_where_they_may(steps in prop::collection::vec(step(), 1..80)) {
+        let all: [&[&str]; 3] = [&["chat-1", "chat-2", "chat-3"]; 3];
+        let mut fleet = Fleet::new(ENTRIES, &all, TWO_CUSTOMERS);
+        for step in &steps {
+            apply(&mut fleet, step);
+        }
+    }
+}
