--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -59,7 +59,7 @@
             }
             AgentMessage::ConfigNotice { revision } => self.on_peer_revision(agent, revision, now),
             AgentMessage::ConfigPull { have } => self.on_config_pull(agent, have),
-            AgentMessage::ConfigUpdate(update) => self.on_config_update(update),
+            AgentMessage::ConfigUpdate(update) => self.on_config_update(update, now),
             AgentMessage::PinReply { key, pin, known } => {
                 self.on_pin_reply(agent, key, pin, known, now);
             }
@@ -369,15 +369,16 @@
         else {
             return;
         };
-        if !state.streams() {
-            // Held answers were credited when they arrived.
-            return;
-        }
         let request = state.id.clone();
         let Some(attempt) = self.attempt_mut(request.serial) else {
             return;
         };
-        attempt.credited += bytes;
+        attempt.read += bytes;
+        if attempt.read <= attempt.credited {
+            // Held bytes were credited when they arrived.
+            return;
+        }
+        attempt.credited = attempt.read;
         let read_bytes = attempt.credited;
         let agent = attempt.agent.clone();
         let attempt = AttemptId { request, ordinal: attempt.ordinal };
