Move sessions of dry versions without a halt and judge restored versions anew

An entry halted a version in the configuration when none of its region's agents served it, although other regions might. It now only moves the sessions that reach it, and they do not move back.

--- a/crates/hickorydoor/src/agent_evidence.rs
+++ b/crates/hickorydoor/src/agent_evidence.rs
@@ -15,7 +15,7 @@
 use crate::time::TimeMs;
 use crate::version_judge::is_compared;
 
-/// Time between two digests on a link; 115 bytes for each version under rollout.
+/// Time between two digests on a link; a digest takes 95 bytes for a version with a 20-byte id.
 const EVIDENCE_INTERVAL_MS: DurationMs = DurationMs::from_secs(10);
 
 /// Versions with evidence, each with all versions of its model.
--- a/crates/hickorydoor/src/entry_guard.rs
+++ b/crates/hickorydoor/src/entry_guard.rs
@@ -1,6 +1,6 @@
 //! How an entry stops versions that turn out to be worse.
 
-use compact_str::format_compact;
+use std::collections::BTreeSet;
 
 use crate::class::Class;
 use crate::entry::Entry;
@@ -22,8 +22,8 @@
 const OWN_INTERVAL_MS: DurationMs = DurationMs::from_secs(1);
 /// Time between two evaluations of the agents' counters.
 const FLEET_INTERVAL_MS: DurationMs = DurationMs::from_secs(10);
-/// A version that no agent serves for this long is halted, so that its sessions can move. Longer
-/// than a restart of a few engines.
+/// The sessions of a version that no agent has served for this long move. Longer than a restart of
+/// a few engines.
 const DRY_MS: DurationMs = DurationMs::from_secs(60);
 
 impl Entry {
@@ -32,7 +32,7 @@
             self.next_own_evaluation_at_ms = now + OWN_INTERVAL_MS;
             let stopped = self.guard.evaluate_own(self.config.current());
             self.record_stops(&stopped, now);
-            self.stop_dry_versions(now);
+            self.notice_dry_versions(now);
         }
         if now >= self.next_fleet_evaluation_at_ms {
             self.next_fleet_evaluation_at_ms = now + FLEET_INTERVAL_MS;
@@ -109,7 +109,8 @@
 
     /// Whether this entry sends nothing to the version, although the configuration allows it.
     pub(crate) fn is_stopped(&self, version: &VersionId) -> bool {
-        self.guard.stops.contains_key(version) && self.fallback(version).is_some()
+        let stopped = self.guard.stops.contains_key(version) || self.guard.dry.contains(version);
+        stopped && self.fallback(version).is_some()
     }
 
     /// The version that takes over when `version` is stopped: the newest other active one with an
@@ -126,29 +127,33 @@
         found.map(|known| known.id.clone())
     }
 
-    /// Stops versions without upstreams. Only an entry that is linked to every listed agent can
-    /// tell that there are none.
-    fn stop_dry_versions(&mut self, now: TimeMs) {
+    /// Notices versions without upstreams, whose sessions then move. The configuration stays: other
+    /// regions may have upstreams of the version that this entry does not know. Only an entry that
+    /// is linked to every listed agent can tell that there are none here.
+    fn notice_dry_versions(&mut self, now: TimeMs) {
         let all_linked = self.members.iter().all(|(_, member)| member.connected);
         let compared = self.config.current().models.values().filter(|model| is_compared(model));
         let serving = compared.flat_map(|model| &model.versions);
         let serving = serving.filter(|version| version.state.serves_sessions());
-        let dry: Vec<VersionId> = serving
+        let without: Vec<VersionId> = serving
             .filter(|version| all_linked && !self.has_agent(&version.id))
-            .filter(|version| self.fallback(&version.id).is_some())
             .map(|version| version.id.clone())
             .collect();
-        self.guard.dry_since_ms.retain(|version, _| dry.contains(version));
-        for version in dry {
-            let since = *self.guard.dry_since_ms.entry(version.clone()).or_insert(now);
-            if now >= since + DRY_MS {
-                let reason = format_compact!("no upstream has served it for {DRY_MS}");
-                if self.guard.stop(self.config.current(), &version, reason) {
-                    self.record(Observation::VersionStopped { version, log_evidence: 0.0 });
-                    self.on_models_changed();
-                }
-            }
+        self.guard.dry_since_ms.retain(|version, _| without.contains(version));
+        for version in without {
+            self.guard.dry_since_ms.entry(version).or_insert(now);
+        }
+        let long = self.guard.dry_since_ms.iter().filter(|(_, since)| now >= **since + DRY_MS);
+        let dry: BTreeSet<VersionId> = long.map(|(version, _)| version.clone()).collect();
+        if dry == self.guard.dry {
+            return;
+        }
+        let before = std::mem::replace(&mut self.guard.dry, dry.clone());
+        for version in dry.difference(&before).cloned() {
+            self.record(Observation::VersionStopped { version, log_evidence: 0.0 });
         }
+        // Sessions that moved stay where they are, so cached pins are confirmed again.
+        self.on_models_changed();
     }
 
     /// Models with versions to compare whose agents are linked to this entry.
--- a/crates/hickorydoor/src/rollout_guard.rs
+++ b/crates/hickorydoor/src/rollout_guard.rs
@@ -52,6 +52,8 @@
     pub held: BTreeSet<ModelId>,
     /// Since when no known agent has served these versions.
     pub dry_since_ms: BTreeMap<VersionId, TimeMs>,
+    /// Versions whose sessions this entry moves because no agent has served them for long.
+    pub dry: BTreeSet<VersionId>,
 }
 
 impl RolloutGuard {
@@ -75,6 +77,8 @@
     /// Forgets versions that are no longer configured and ends stops of versions whose state
     /// operators changed.
     pub fn on_configuration(&mut self, configuration: &Configuration) {
+        self.fleet.on_configuration(configuration);
+        self.own.on_configuration(configuration);
         self.digests.retain(|(_, version), _| configuration.version(version).is_some());
         self.stops.retain(|version, stop| {
             configuration.version(version).is_some_and(|(_, known)| known.state == stop.state)
--- a/crates/hickorydoor/tests/rollouts.rs
+++ b/crates/hickorydoor/tests/rollouts.rs
@@ -162,13 +162,34 @@
     fleet.reload_agent(2, &["chat-1"]);
     assert!(fleet.ask(0, "chat", Some(&canary[0])).refusal.is_some(), "no engine at first");
     fleet.run_ms(70_000);
-    assert_eq!(fleet.version_state(0, "chat-2"), "halted");
+    assert_eq!(fleet.version_state(0, "chat-2"), "canary", "other regions may serve it");
     for session in &canary {
         let first = fleet.ask(0, "chat", Some(session));
         assert!(first.head.is_some_and(|head| head.session_moved), "{session} moves");
         let second = fleet.ask(1, "chat", Some(session));
         assert!(second.head.is_some_and(|head| !head.session_moved), "{session} moves once");
     }
+    fleet.reload_agent(2, &["chat-2"]);
+    fleet.run_ms(5_000);
+    for session in &canary {
+        let later = fleet.ask(1, "chat", Some(session)).version();
+        assert_eq!(later.as_deref(), Some("chat-1"), "{session} does not move back");
+    }
+}
+
+// Guards against old evidence that stops a version again after operators have restored it.
+#[test]
+fn a_restored_version_is_judged_anew() {
+    let mut fleet = fleet();
+    rate(&mut fleet, "chat-2", 0.3);
+    while fleet.version_state(0, "chat-2") == "canary" && fleet.runs.len() < 2_000 {
+        traffic(&mut fleet, 1);
+    }
+    assert_eq!(fleet.version_state(0, "chat-2"), "halted");
+    rate(&mut fleet, "chat-2", 0.9);
+    fleet.set_version("chat-2", "canary", Some(0.2));
+    traffic(&mut fleet, 300);
+    assert_eq!(fleet.version_state(0, "chat-2"), "canary");
 }
 
 // Guards against a guard that overwrites what operators decided.
