--- a/crates/hickoryd/tests/tls.rs
+++ b/crates/hickoryd/tests/tls.rs
@@ -11,6 +11,7 @@
 use hickoryd::AgentProcess;
 use hickoryd::CommonOptions;
 use hickorydoor::AgentSettings;
+use hickorydoor::DurationMs;
 use hickorydoor::EntryMessage;
 use hickorydoor::id::Incarnation;
 use hickorydoor::message::EntryHello;
@@ -111,6 +112,7 @@
         incarnation: Incarnation::new(2),
         data_centre: "arauco-1".parse()?,
         revision: hickorydoor::id::Revision::new(1),
+        heartbeat_interval_ms: DurationMs::from_secs(1),
     };
     let frame = EntryFrame::from(EntryMessage::Hello(hello)).encode_to_vec();
     let mut framed = u32::try_from(frame.len())?.to_be_bytes().to_vec();
--- a/crates/hickorydoor/src/agent_config.rs
+++ b/crates/hickorydoor/src/agent_config.rs
@@ -233,6 +233,12 @@
             self.pull.plan_notice(now);
             self.tick_configuration(now);
         }
+        if before == Revision::default() {
+            // Entries give no work to an agent without a configuration.
+            for entry in self.connected_entries() {
+                self.send_report(&entry, now);
+            }
+        }
         if result.is_err() {
             self.record(Observation::ConfigurationRefused { revision });
         }
--- a/crates/hickorydoor/src/entry_billing.rs
+++ b/crates/hickorydoor/src/entry_billing.rs
@@ -38,6 +38,7 @@
         if now >= self.next_seal_at_ms {
             self.next_seal_at_ms = now + self.settings.billing_interval_ms;
             self.ledger.seal(now);
+            self.send_settled_below();
         } else if self.draining && self.requests.is_empty() {
             self.ledger.seal(now);
         }
@@ -92,6 +93,20 @@
         }
     }
 
+    /// Tells agents that still hold copies of what was sent to them how far all is settled. An
+    /// attempt may end at its agent after its bill is stored.
+    fn send_settled_below(&mut self) {
+        let below = self.ledger.settled_below();
+        let behind = self.members.iter().filter(|(_, member)| {
+            let holds = member.last_serial.is_some_and(|last| last >= member.settled_below);
+            member.connected && holds && member.settled_below < below
+        });
+        let agents: Vec<HostId> = behind.map(|(agent, _)| agent.clone()).collect();
+        for agent in agents {
+            self.send_settlement(&agent, Vec::new());
+        }
+    }
+
     /// Tells an agent which copies it may drop.
     pub(crate) fn send_settlement(&mut self, agent: &HostId, serials: Vec<Serial>) {
         let settlement = Settlement {
@@ -100,6 +115,9 @@
             below: self.ledger.settled_below(),
             serials,
         };
+        if let Some(member) = self.members.get_mut(agent) {
+            member.settled_below = settlement.below;
+        }
         self.send(agent, EntryMessage::Settled(settlement));
     }
 
--- a/crates/hickorydoor/src/entry_config.rs
+++ b/crates/hickorydoor/src/entry_config.rs
@@ -38,6 +38,9 @@
     }
 
     pub(crate) fn on_peer_revision(&mut self, agent: &HostId, revision: Revision, now: TimeMs) {
+        if let Some(member) = self.members.get_mut(agent) {
+            member.revision = revision.max(member.revision);
+        }
         self.pull.note(agent, revision);
         self.pull_configuration(now);
     }
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -212,6 +212,7 @@
         let agent_incarnation = hello.incarnation;
         let expected_first_token_ms = member.load.first_token_ms;
         member.sent += 1;
+        member.last_serial = Some(serial);
         member.in_flight += 1;
         let defaults = &self.config.current().defaults;
         let expected_answer = Tokens::new(defaults.expected_answer_tokens);
--- a/crates/hickorydoor/src/member_table.rs
+++ b/crates/hickorydoor/src/member_table.rs
@@ -12,6 +12,8 @@
 use crate::id::AttemptId;
 use crate::id::HostId;
 use crate::id::Incarnation;
+use crate::id::Revision;
+use crate::id::Serial;
 use crate::id::ServiceName;
 use crate::id::VersionId;
 use crate::link_plan::LinkPlan;
@@ -46,6 +48,12 @@
     pub sent: u64,
     /// Attempts of this entry that run there.
     pub in_flight: u32,
+    /// Configuration in force at the agent; without one it refuses all work.
+    pub revision: Revision,
+    /// Newest request that was sent to the agent.
+    pub last_serial: Option<Serial>,
+    /// Every request below this number is settled, as the agent was told last.
+    pub settled_below: Serial,
     /// When the agent was heard last.
     pub last_heard_at_ms: TimeMs,
     /// Since when an agent with work in flight is awaited to say something.
@@ -74,6 +82,9 @@
             load_received_at_ms: TimeMs::default(),
             sent: 0,
             in_flight: 0,
+            revision: Revision::default(),
+            last_serial: None,
+            settled_below: Serial::default(),
             last_heard_at_ms: TimeMs::default(),
             awaited_since_ms: None,
             silent: false,
@@ -99,7 +110,12 @@
             return false;
         };
         let leaving = self.draining || self.is_leaving();
-        self.connected && !self.silent && !leaving && !configuration.is_out(&hello.data_centre)
+        let configured = self.revision > Revision::default();
+        self.connected
+            && configured
+            && !self.silent
+            && !leaving
+            && !configuration.is_out(&hello.data_centre)
     }
 
     /// Whether the agent's engine serves this version.
@@ -183,6 +199,7 @@
             member.load.versions.clone_from(versions);
         }
         member.draining = hello.draining;
+        member.revision = hello.revision;
         member.load_received_at_ms = now;
         member.hello = Some(hello);
     }
