--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -282,6 +282,7 @@
         };
         let agent_incarnation = hello.incarnation;
         member.count_sent(work.prompt_tokens);
+        member.last_serial = Some(serial);
         let Some(state) = self.requests.get_mut(&serial) else {
             return;
         };
--- a/crates/hickorydoor/src/member_table.rs
+++ b/crates/hickorydoor/src/member_table.rs
@@ -14,6 +14,8 @@
 use crate::id::AttemptId;
 use crate::id::HostId;
 use crate::id::Incarnation;
+use crate::id::Revision;
+use crate::id::Serial;
 use crate::id::ServiceName;
 use crate::id::VersionId;
 use crate::link_plan::LinkPlan;
@@ -53,6 +55,12 @@
     unreported: VecDeque<(u64, Tokens)>,
     /// Attempts of other entries that ran there when the newest report was made.
     pub others_running: u32,
+    /// Configuration in force at the agent; without one it refuses all work.
+    pub revision: Revision,
+    /// Newest request that was sent to the agent.
+    pub last_serial: Option<Serial>,
+    /// Every request below this number is settled, as the agent was told last.
+    pub settled_below: Serial,
     /// When the agent was heard last.
     pub last_heard_at_ms: TimeMs,
     /// Since when an agent with work in flight is awaited to say something.
@@ -86,6 +94,9 @@
             in_flight: 0,
             unreported: VecDeque::new(),
             others_running: 0,
+            revision: Revision::default(),
+            last_serial: None,
+            settled_below: Serial::default(),
             last_heard_at_ms: TimeMs::default(),
             awaited_since_ms: None,
             silent: false,
@@ -160,7 +171,12 @@
             return false;
         };
         let leaving = self.draining || self.is_leaving();
-        self.connected && !self.silent && !leaving && !configuration.is_out(&hello.data_centre)
+        let configured = self.revision > Revision::default();
+        self.connected
+            && configured
+            && !self.silent
+            && !leaving
+            && !configuration.is_out(&hello.data_centre)
     }
 
     /// Whether the agent's engine serves this version.
@@ -265,6 +281,7 @@
             member.load.versions.clone_from(versions);
         }
         member.draining = hello.draining;
+        member.revision = hello.revision;
         member.load_received_at_ms = now;
         member.hello = Some(hello);
     }
