Take the plateau back to 60 s

With 5 s and 50 token intervals an engine that is steadily slow counted as warm, and admission::stays_cold_without_evidence failed; the membership test failed with either value.

--- a/crates/hickorydoor/src/cold_start.rs
+++ b/crates/hickorydoor/src/cold_start.rs
@@ -12,10 +12,8 @@
 const COLD_SPEED: f64 = 0.5;
 /// An engine whose speed falls below this share of what it has shown has lost its warmth.
 const COLLAPSE_SPEED: f64 = 0.5;
-/// An engine that has not become faster for this long, and for this many token intervals, has shown
-/// its warm speed. An engine that warms up under load becomes 5% faster within 3 s.
-const PLATEAU_MS: DurationMs = DurationMs::from_secs(5);
-const PLATEAU_SAMPLES: u32 = 50;
+/// An engine that has not become faster for this long has shown its warm speed.
+const PLATEAU_MS: DurationMs = DurationMs::from_secs(60);
 /// Smallest relative gain that counts as becoming faster.
 const GAIN: f64 = 0.95;
 
@@ -28,19 +26,12 @@
     interval_ms: f64,
     best_interval_ms: f64,
     best_at_ms: TimeMs,
-    samples_since_best: u32,
 }
 
 impl ColdStart {
     /// A cold engine whose warm token interval, without other work, is about `warm_interval_ms`.
     pub const fn new(warm_interval_ms: f64, now: TimeMs) -> Self {
-        Self {
-            warm_interval_ms,
-            interval_ms: 0.0,
-            best_interval_ms: f64::MAX,
-            best_at_ms: now,
-            samples_since_best: 0,
-        }
+        Self { warm_interval_ms, interval_ms: 0.0, best_interval_ms: f64::MAX, best_at_ms: now }
     }
 
     /// Forgets the current speed; what the engine has shown stays the measure.
@@ -48,7 +39,6 @@
         self.interval_ms = 0.0;
         self.best_interval_ms = f64::MAX;
         self.best_at_ms = now;
-        self.samples_since_best = 0;
     }
 
     /// Takes over a token interval, scaled to an engine without other work.
@@ -58,16 +48,12 @@
         } else {
             self.interval_ms += NEWEST_WEIGHT * (interval_ms - self.interval_ms);
         }
-        self.samples_since_best = self.samples_since_best.saturating_add(1);
         if self.interval_ms < self.best_interval_ms * GAIN {
             self.best_interval_ms = self.interval_ms;
             self.best_at_ms = now;
-            self.samples_since_best = 0;
-        } else if self.samples_since_best >= PLATEAU_SAMPLES && now >= self.best_at_ms + PLATEAU_MS
-        {
+        } else if now >= self.best_at_ms + PLATEAU_MS {
             self.warm_interval_ms = self.best_interval_ms;
             self.best_at_ms = now;
-            self.samples_since_best = 0;
         }
     }
 
