Report a link as down when the reducer has closed it

The daemon ignored the report of a closed connection, since the connection was no longer the newest of its peer. The entry's reducer kept the agent as connected and never dialled it again after it had closed a silent or unwanted link. The daemon's own read limit is now longer than the reducer's, so that the reducer decides.

--- a/crates/hickoryd/src/agent_loop.rs
+++ b/crates/hickoryd/src/agent_loop.rs
@@ -144,7 +144,7 @@
     fn carry_out(&mut self, effect: AgentEffect) {
         match effect {
             AgentEffect::Send { entry, message } => self.send(entry, message),
-            AgentEffect::Disconnect { entry } => self.links.close(&entry),
+            AgentEffect::Disconnect { entry } => self.disconnect(entry),
             AgentEffect::CallUpstream { attempt, call, timeout_ms, read_bytes } => {
                 self.call(attempt, call, timeout_ms, read_bytes);
             }
@@ -173,6 +173,14 @@
         }
     }
 
+    /// Closes a link. Its task's report comes from a connection that is no longer current and is
+    /// ignored, so the loss is reported here.
+    fn disconnect(&mut self, entry: HostId) {
+        if self.links.close(&entry) {
+            self.followups.push_back(AgentEvent::LinkDown { entry });
+        }
+    }
+
     fn send(&mut self, entry: HostId, message: AgentMessage) {
         let size_bytes = SMALL_MESSAGE_BYTES
             + match &message {
--- a/crates/hickoryd/src/entry_loop.rs
+++ b/crates/hickoryd/src/entry_loop.rs
@@ -177,7 +177,7 @@
                 let identity = self.tls.as_ref().map(|tls| tls.borrow().clone());
                 tokio::spawn(run_link(agent, address, identity, self.inputs.clone()));
             }
-            EntryEffect::Disconnect { agent } => self.links.close(&agent),
+            EntryEffect::Disconnect { agent } => self.disconnect(agent),
             EntryEffect::Send { agent, message } => self.send(agent, message),
             EntryEffect::Rate { request, ordinal, version, prompt, answer } => {
                 let asked = RatingRequest { request, ordinal, version, prompt, answer };
@@ -197,6 +197,14 @@
         }
     }
 
+    /// Closes a link. Its task's report comes from a connection that is no longer current and is
+    /// ignored, so the loss is reported here.
+    fn disconnect(&mut self, agent: HostId) {
+        if self.links.close(&agent) {
+            self.followups.push_back(EntryEvent::LinkDown { agent });
+        }
+    }
+
     fn send(&mut self, agent: HostId, message: EntryMessage) {
         let size_bytes = SMALL_MESSAGE_BYTES
             + match &message {
--- a/crates/hickoryd/src/link.rs
+++ b/crates/hickoryd/src/link.rs
@@ -27,8 +27,9 @@
 /// Bytes that may wait for a peer that reads slowly. Credit keeps answers below this; a link that
 /// exceeds it is closed, and its attempts resume on the next connection.
 const MAX_QUEUED_BYTES: usize = 32 << 20;
-/// A peer sends a heartbeat or load report at least every four seconds.
-const READ_TIMEOUT: Duration = Duration::from_secs(15);
+/// A peer sends a heartbeat or load report at least every four seconds. The entry's reducer closes
+/// silent links after 24 s at the latest; this limit is for what it does not see.
+const READ_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time in which the system must take a batch of frames.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Messages that are written before the socket is flushed.
--- a/crates/hickoryd/src/link_table.rs
+++ b/crates/hickoryd/src/link_table.rs
@@ -43,9 +43,9 @@
         self.links.get(peer).is_some_and(|link| link.generation == generation)
     }
 
-    /// Forgets the peer's connection, which ends its task.
-    pub fn close(&mut self, peer: &HostId) {
-        self.links.remove(peer);
+    /// Forgets the peer's connection, which ends its task; returns whether there was one.
+    pub fn close(&mut self, peer: &HostId) -> bool {
+        self.links.remove(peer).is_some()
     }
 
     /// Queues a message; returns false when the link had to be given up.
--- a/crates/hickoryd/tests/fleet/mod.rs
+++ b/crates/hickoryd/tests/fleet/mod.rs
@@ -277,7 +277,7 @@
     }
 }
 
-async fn wait_for(address: Option<SocketAddr>, done: impl Fn(&serde_json::Value) -> bool) {
+pub async fn wait_for(address: Option<SocketAddr>, done: impl Fn(&serde_json::Value) -> bool) {
     let Some(address) = address else {
         return;
     };
