--- a/crates/hickorydoor/src/agent.rs
+++ b/crates/hickorydoor/src/agent.rs
@@ -14,6 +14,7 @@
 use rand_pcg::Pcg64Mcg;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::admission::Admission;
 use crate::agent_attempt::AttemptState;
 use crate::agent_effect::AgentEffect;
 use crate::agent_effect::EngineOrder;
@@ -37,17 +38,19 @@
 use crate::kv_call::KvOutcome;
 use crate::lease::LeaseHolder;
 use crate::message::AgentMessage;
+use crate::message::Offer;
 use crate::observation::Observation;
 use crate::recent_map::RecentMap;
 use crate::session_pin::Pin;
 use crate::session_pin::PinKey;
+use crate::speed_estimate::SpeedEstimate;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 use crate::usage_store::LifeKey;
 use crate::usage_store::UsageStore;
 
-/// Pins that an agent holds at least, under 20 MB with their versions' names. Two homes for each
-/// of 12,000 agents hold 780 million sessions.
+/// Pins that an agent holds at least; with two homes, 12,000 agents hold 780 million sessions. Both
+/// halves take up to 2 x 262,144 buckets of 65 bytes, 34 MB.
 const HELD_PINS: usize = 1 << 17;
 /// Longer gaps between events mean that the process was paused; ticks come every 100 ms.
 const PAUSE_MS: DurationMs = DurationMs::from_secs(2);
@@ -111,6 +114,8 @@
     pub(crate) engine_reported: bool,
     pub(crate) usage: UsageStore,
     pub(crate) report: UpstreamReport,
+    pub(crate) speed: SpeedEstimate,
+    pub(crate) admission: Admission,
     pub(crate) upstream_up: bool,
     pub(crate) first_token_ms: f64,
     pub(crate) pull: ConfigPull,
@@ -156,6 +161,14 @@
             engine_reported: false,
             usage: UsageStore::default(),
             report: UpstreamReport::default(),
+            speed: SpeedEstimate::default(),
+            admission: Admission::new(
+                settings.cold_limit,
+                settings.warm_limit,
+                matches!(settings.offer, Offer::Engine { .. }),
+                settings.warm_token_interval_ms.as_f64(),
+                now,
+            ),
             upstream_up: true,
             first_token_ms: 0.0,
             pull: ConfigPull::default(),
@@ -194,7 +207,7 @@
             AgentEvent::UpstreamFailed { attempt, fault } => {
                 self.on_upstream_failed(&attempt, fault, now);
             }
-            AgentEvent::UpstreamReport(report) => self.on_upstream_report(report),
+            AgentEvent::UpstreamReport(report) => self.on_upstream_report(report, now),
             AgentEvent::Kv { call, outcome } => self.on_kv(call, outcome, now),
             AgentEvent::Tick => self.on_tick(now),
             AgentEvent::Shutdown => self.on_shutdown(),
@@ -225,6 +238,7 @@
 
     fn on_tick(&mut self, now: TimeMs) {
         self.expire_attempts(now);
+        self.tick_admission(now);
         self.tick_configuration(now);
         self.tick_leaving(now);
         self.tick_reports(now);
--- a/crates/hickorydoor/src/agent_attempt.rs
+++ b/crates/hickorydoor/src/agent_attempt.rs
@@ -73,14 +73,15 @@
     /// The entry that sent it.
     pub entry: HostId,
     customer: CustomerId,
-    class: Class,
+    pub(crate) class: Class,
     version: Option<VersionId>,
     prompt_tokens: Tokens,
-    admitted_at_ms: TimeMs,
+    pub(crate) admitted_at_ms: TimeMs,
     deadline_ms: TimeMs,
     /// Status and content type, once the upstream began to answer.
     pub started: Option<(u16, CompactString)>,
-    first_token_at_ms: Option<TimeMs>,
+    pub(crate) first_token_at_ms: Option<TimeMs>,
+    last_piece_at_ms: TimeMs,
     /// Pieces that the entry has not credited.
     pub pieces: VecDeque<Piece>,
     /// Bytes sent to the entry.
@@ -122,7 +123,7 @@
 impl Agent {
     /// Attempts that the agent admits at the same time.
     pub(crate) const fn admission_limit(&self) -> u32 {
-        self.settings.warm_limit
+        self.admission.limit()
     }
 
     /// Whether an attempt of this version runs.
@@ -179,7 +180,7 @@
         {
             return Err(AgentRefusal::VersionNotServed);
         }
-        if self.running() >= self.admission_limit() as usize {
+        if !self.admission.admits(self.running()) {
             return Err(AgentRefusal::AtLimit);
         }
         Ok(())
@@ -232,6 +233,7 @@
             deadline_ms: now + dispatch.time_left_ms,
             started: None,
             first_token_at_ms: None,
+            last_piece_at_ms: now,
             pieces: VecDeque::new(),
             sent: ByteCount::default(),
             credited: ByteCount::default(),
@@ -241,6 +243,9 @@
             claimed_body: Vec::new(),
             lost_at_ms: None,
         };
+        if self.running() == 0 {
+            self.admission.start_silence(now);
+        }
         self.attempts.insert(dispatch.attempt.clone(), state);
         if !self.claim(dispatch, now) {
             self.pass_on(&dispatch.attempt, now);
@@ -330,6 +335,8 @@
         };
         let first = state.first_token_at_ms.is_none();
         let first_token_ms = now.since(state.admitted_at_ms);
+        let gap_ms = now.since(state.last_piece_at_ms);
+        state.last_piece_at_ms = now;
         state.first_token_at_ms.get_or_insert(now);
         let offset = state.sent;
         state.sent += ByteCount::new(data.len() as u64);
@@ -344,6 +351,9 @@
         if first {
             let step = FIRST_TOKEN_WEIGHT * (first_token_ms.as_f64() - self.first_token_ms);
             self.first_token_ms += step;
+            self.admit_more_after(first_token_ms, now);
+        } else {
+            self.judge_output(tokens, gap_ms, now);
         }
     }
 
@@ -357,6 +367,7 @@
             return;
         };
         let usage = usage.unwrap_or_else(|| state.usage_so_far());
+        self.admission.on_call_ended(true, now);
         if self.claims.is_running(attempt) {
             let (status, content_type) = state.started.clone().unwrap_or_default();
             let response = StoredResponse::new(status, content_type, &state.claimed_body);
@@ -375,18 +386,21 @@
             return;
         };
         let usage = state.usage_so_far();
+        let entry = state.entry.clone();
         match fault {
             UpstreamFault::NotSent => {
-                let entry = state.entry.clone();
+                self.restart_admission(now);
                 self.claims.release(attempt, now);
                 self.attempts.remove(attempt);
                 self.refuse(&entry, attempt, AgentRefusal::UpstreamDown);
             }
             UpstreamFault::ServerError => {
+                self.admission.on_call_ended(false, now);
                 self.claims.finish(attempt, None, now);
                 self.end_attempt(attempt, Ending::Failed(AttemptFault::UpstreamError, usage));
             }
             UpstreamFault::ConnectionLost => {
+                self.restart_admission(now);
                 self.claims.finish(attempt, None, now);
                 self.end_attempt(attempt, Ending::Failed(AttemptFault::ConnectionLost, usage));
             }
--- a/crates/hickorydoor/src/agent_config.rs
+++ b/crates/hickorydoor/src/agent_config.rs
@@ -124,12 +124,21 @@
         }
     }
 
-    pub(crate) fn on_upstream_report(&mut self, report: Option<UpstreamReport>) {
-        self.upstream_up = report.is_some();
-        if let Some(report) = report {
-            self.engine_reported = true;
-            self.report = report;
+    pub(crate) fn on_upstream_report(&mut self, report: Option<UpstreamReport>, now: TimeMs) {
+        let was_up = std::mem::replace(&mut self.upstream_up, report.is_some());
+        let Some(report) = report else {
+            if was_up {
+                self.restart_admission(now);
+            }
+            return;
+        };
+        self.engine_reported = true;
+        let known = !self.report.versions.is_empty();
+        if known && self.report.versions != report.versions {
+            self.restart_admission(now);
         }
+        self.speed.observe(&report, self.settings.warm_limit);
+        self.report = report;
     }
 
     /// Reports on idle links at their interval, and at least once a second on links with work, so
@@ -151,6 +160,13 @@
         }
     }
 
+    /// Sends a report at once, for changes that entries must not learn late.
+    pub(crate) fn report_now(&mut self, now: TimeMs) {
+        for entry in self.connected_entries() {
+            self.send_report(&entry, now);
+        }
+    }
+
     fn busy_entries(&self) -> BTreeSet<HostId> {
         let running = self.attempts.values().filter(|state| !state.is_over());
         running.map(|state| state.entry.clone()).collect()
@@ -172,16 +188,17 @@
             link.last_report_at_ms = now;
         }
         let received_from_entry = self.links.get(entry).map_or(0, |link| link.received);
+        let running = self.running() as u32;
         let report = LoadReport {
             observed_at_ms: now,
             revision: self.revision(),
-            running: self.running() as u32,
+            running,
             queued: self.report.queued,
             admission_limit: self.admission_limit(),
             warm_limit: self.settings.warm_limit,
             queued_prompt_tokens: self.report.queued_prompt_tokens,
-            prefill_tokens_per_s: self.report.prefill_tokens_per_s,
-            token_interval_ms: self.report.token_interval_ms,
+            prefill_tokens_per_s: self.speed.prefill_tokens_per_s(),
+            token_interval_ms: self.speed.token_interval_ms(running, self.settings.warm_limit),
             first_token_ms: DurationMs::new(self.first_token_ms as u64),
             versions: self.versions(),
             received_from_entry,
--- a/crates/hickorydoor/src/entry.rs
+++ b/crates/hickorydoor/src/entry.rs
@@ -8,6 +8,7 @@
 
 use std::collections::HashMap;
 
+use compact_str::CompactString;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -22,6 +23,7 @@
 use crate::entry_halt::RolloutLease;
 use crate::entry_rating::Ratings;
 use crate::entry_settings::EntrySettings;
+use crate::fair_queue::FairQueue;
 use crate::id::CallerId;
 use crate::id::HostId;
 use crate::id::Incarnation;
@@ -30,12 +32,15 @@
 use crate::id::Serial;
 use crate::kv_call::KvCall;
 use crate::ledger::Ledger;
+use crate::limits::LimitTable;
 use crate::link_plan::LinkPlan;
 use crate::member_table::Member;
 use crate::member_table::MemberTable;
 use crate::message::EntryMessage;
 use crate::observation::Observation;
+use crate::placement::Placement;
 use crate::request_state::RequestState;
+use crate::retry_budget::RetryBudget;
 use crate::rollout_guard::RolloutGuard;
 use crate::session_pin::SessionPins;
 use crate::time::DurationMs;
@@ -82,8 +87,14 @@
     pub(crate) rng: Pcg64Mcg,
     pub(crate) config: ConfigLog,
     pub(crate) members: MemberTable,
+    pub(crate) placement: Placement,
     pub(crate) links: LinkPlan,
     pub(crate) requests: HashMap<Serial, RequestState>,
+    pub(crate) limits: LimitTable,
+    pub(crate) retries: RetryBudget,
+    pub(crate) queues: HashMap<CompactString, FairQueue>,
+    /// Set when an upstream may have got room for a waiting request.
+    pub(crate) room_freed: bool,
     pub(crate) callers: HashMap<CallerId, Serial>,
     pub(crate) pins: SessionPins,
     pub(crate) guard: RolloutGuard,
@@ -119,8 +130,17 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             config: ConfigLog::default(),
             members: MemberTable::default(),
+            placement: Placement::new(
+                settings.placement,
+                settings.data_centre.clone(),
+                settings.region.clone(),
+            ),
             links: LinkPlan::default(),
             requests: HashMap::new(),
+            limits: LimitTable::default(),
+            retries: RetryBudget::default(),
+            queues: HashMap::new(),
+            room_freed: false,
             callers: HashMap::new(),
             pins: SessionPins::default(),
             guard: RolloutGuard::default(),
@@ -166,6 +186,9 @@
             EntryEvent::Tick => self.on_tick(now),
             EntryEvent::Shutdown => self.on_shutdown(now),
         }
+        if std::mem::take(&mut self.room_freed) {
+            self.drain_queues(now);
+        }
         self.finish_shutdown(now);
         std::mem::take(&mut self.effects)
     }
@@ -204,7 +227,10 @@
         self.tick_guard(now);
         self.tick_ratings(now);
         self.tick_cascades(now);
+        self.expire_queues(now);
+        self.move_late_requests(now);
         self.expire_requests(now);
+        self.room_freed = true;
         self.tick_configuration(now);
         self.tick_links(now);
         self.tick_billing(now);
--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -94,7 +94,11 @@
             return;
         };
         self.release_attempt(serial);
-        if let Some(state) = self.requests.get_mut(&serial) {
+        if reason == AgentRefusal::AtLimit {
+            if let Some(member) = self.members.get_mut(agent) {
+                member.note_full();
+            }
+        } else if let Some(state) = self.requests.get_mut(&serial) {
             state.excluded.push(agent.clone());
         }
         self.record(Observation::AttemptRefused {
@@ -102,6 +106,10 @@
             agent: agent.clone(),
             reason,
         });
+        if reason == AgentRefusal::AtLimit {
+            self.enqueue_again(serial, now);
+            return;
+        }
         if reason == AgentRefusal::StoreUnavailable {
             // Other agents need the same key-value service.
             let reason = RefusalReason::StoreUnavailable;
@@ -266,6 +274,9 @@
             return;
         };
         let version = current.version.clone();
+        if let Some(state) = self.requests.get(&serial).filter(|_| version.is_some()) {
+            self.placement.lengths.learn(&state.customer, state.class, usage.answer_tokens);
+        }
         self.count_own_attempt(serial, version.as_ref(), None);
         self.add_usage(serial, version, usage);
         if !self.judge_step(serial, now) {
@@ -347,13 +358,16 @@
             fault,
             AttemptFault::UpstreamError | AttemptFault::ConnectionLost | AttemptFault::NotResumable
         );
-        if passing && !state.head_sent && state.is_repeatable() {
-            state.held.clear();
-            state.held_bytes = ByteCount::default();
+        let repeatable = state.is_repeatable();
+        let may_move = passing && !state.head_sent && repeatable;
+        if may_move && self.may_retry(serial) {
+            if let Some(state) = self.requests.get_mut(&serial) {
+                state.held.clear();
+                state.held_bytes = ByteCount::default();
+            }
             self.dispatch(serial, now);
             return;
         }
-        let repeatable = state.is_repeatable();
         let reason = match fault {
             AttemptFault::DeadlineExceeded => RefusalReason::DeadlineExceeded,
             AttemptFault::DuplicateInProgress => RefusalReason::DuplicateInProgress,
--- a/crates/hickorydoor/src/entry_links.rs
+++ b/crates/hickorydoor/src/entry_links.rs
@@ -33,6 +33,7 @@
         self.watch.elect(&own.host, &own.data_centre, &records);
         let (useful, is_lacking) = self.spare_links();
         self.links.choose(&self.settings, &records, &useful, is_lacking);
+        self.count_entries(&records);
         self.members.apply_list(records, &self.links);
         let leaving: Vec<HostId> = self
             .members
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -12,7 +12,6 @@
 use crate::entry::Entry;
 use crate::entry_effect::EntryEffect;
 use crate::entry_resume::after_unknown;
-use crate::id::HostId;
 use crate::id::ModelId;
 use crate::id::RequestId;
 use crate::id::Revision;
@@ -26,7 +25,9 @@
 use crate::observation::Observation;
 use crate::observation::RequestOutcome;
 use crate::observation::RequestRecord;
-use crate::placement;
+use crate::placement::Need;
+use crate::placement::Placed;
+use crate::placement::PlacementRequest;
 use crate::quantity::ByteCount;
 use crate::quantity::Tokens;
 use crate::refusal::Refusal;
@@ -37,16 +38,26 @@
 use crate::request_state::RequestState;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
+use crate::upstream_score::Work;
 use crate::usage::Usage;
 
 /// When callers may retry after a refusal for lack of upstreams.
 const RETRY_AFTER_MS: DurationMs = DurationMs::from_secs(1);
 
+/// No version of the model is permitted and takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct NoVersion;
+
 impl Entry {
     pub(crate) fn on_request(&mut self, request: CallerRequest, now: TimeMs) {
         let caller = request.caller;
         match self.admit(request, now) {
-            Ok(state) => {
+            Ok(mut state) => {
+                if let Err(refusal) = self.check_limits(&mut state, now) {
+                    let request = Some(state.id);
+                    self.push(EntryEffect::Refuse { caller, request, refusal });
+                    return;
+                }
                 let serial = state.id.serial;
                 self.callers.insert(caller, serial);
                 self.requests.insert(serial, state);
@@ -95,6 +106,8 @@
             attempts: 0,
             attempt: None,
             excluded: SmallVec::new(),
+            queue: None,
+            limited_tokens: 0,
             agents: SmallVec::new(),
             run: RunState::NotRun,
             lines: Vec::new(),
@@ -163,44 +176,102 @@
         let Some(state) = self.requests.get(&serial) else {
             return;
         };
-        if state.attempts - state.step_first_attempt >= self.settings.max_attempts {
+        if self.is_exhausted(state) {
             self.refuse(serial, RefusalReason::NoUpstream, Some(RETRY_AFTER_MS), now);
             return;
         }
-        let Some((agent, version)) = self.place(serial) else {
+        if !self.must_wait(serial)
+            && let Some((placed, version)) = self.place(serial, now)
+        {
+            self.send_attempt(serial, &placed, version, now);
+        } else if self.has_upstream(serial) {
+            self.enqueue(serial, now);
+        } else {
             self.refuse(serial, RefusalReason::NoUpstream, Some(RETRY_AFTER_MS), now);
-            return;
-        };
-        self.send_attempt(serial, &agent, version, now);
+        }
+    }
+
+    pub(crate) fn is_exhausted(&self, state: &RequestState) -> bool {
+        state.excluded.len() >= self.settings.max_attempts as usize
+            || state.attempts - state.step_first_attempt >= self.settings.max_dispatches
     }
 
     /// Chooses an agent, and for model calls the version that it runs.
-    pub(crate) fn place(&mut self, serial: Serial) -> Option<(HostId, Option<VersionId>)> {
+    pub(crate) fn place(
+        &mut self,
+        serial: Serial,
+        now: TimeMs,
+    ) -> Option<(Placed, Option<VersionId>)> {
         let state = self.requests.get(&serial)?;
-        let version = match &state.plan {
-            Plan::Models { steps, step, .. } => Some(self.choose_version(state, &steps[*step])?),
-            Plan::Service { .. } => None,
+        let version = self.version_for(state).ok()?;
+        let request = PlacementRequest {
+            need: need(state, version.as_ref())?,
+            work: self.work(state),
+            prefix: prefix_of(state),
+            excluded: &state.excluded,
         };
         let configuration = self.config.current();
-        let candidates = self.members.iter().filter(|(agent, member)| {
-            let serves = match (&version, &state.request.ask) {
-                (Some(version), _) => member.serves_version(version),
-                (None, Ask::Service(call)) => member.serves_service(&call.service),
-                (None, Ask::Chat(_)) => false,
-            };
-            serves && member.is_usable(configuration) && !state.excluded.contains(agent)
-        });
-        let agent = placement::choose(candidates, &mut self.rng)?;
-        Some((agent, version))
+        let placed =
+            self.placement.choose(&self.members, configuration, &request, now, &mut self.rng)?;
+        Some((placed, version))
+    }
+
+    /// Whether any usable upstream serves the request, with or without room.
+    pub(crate) fn has_upstream(&self, serial: Serial) -> bool {
+        let find = || {
+            let state = self.requests.get(&serial)?;
+            let version = self.version_for(state).ok()?;
+            let need = need(state, version.as_ref())?;
+            let configuration = self.config.current();
+            let mut usable = self.members.iter().filter(|(agent, member)| {
+                need.is_met_by(member)
+                    && member.is_usable(configuration)
+                    && !state.excluded.contains(agent)
+            });
+            usable.next()
+        };
+        find().is_some()
     }
 
-    fn send_attempt(
+    /// The version to run; none for plain services.
+    pub(crate) fn version_for(&self, state: &RequestState) -> Result<Option<VersionId>, NoVersion> {
+        match &state.plan {
+            Plan::Models { steps, step, .. } => {
+                self.choose_version(state, &steps[*step]).map(Some).ok_or(NoVersion)
+            }
+            Plan::Service { .. } => Ok(None),
+        }
+    }
+
+    /// The expected work of a request.
+    pub(crate) fn work(&self, state: &RequestState) -> Work {
+        let default = Tokens::new(self.config.current().defaults.expected_answer_tokens);
+        let learned = self.placement.lengths.expected(&state.customer, state.class, default);
+        match &state.request.ask {
+            Ask::Chat(chat) => Work {
+                class: state.class,
+                prompt_tokens: chat.prompt_tokens,
+                answer_tokens: chat.max_tokens.map_or(learned, |limit| limit.min(learned)),
+            },
+            Ask::Service(_) => Work {
+                class: state.class,
+                prompt_tokens: Tokens::default(),
+                answer_tokens: Tokens::default(),
+            },
+        }
+    }
+
+    pub(crate) fn send_attempt(
         &mut self,
         serial: Serial,
-        agent: &HostId,
+        placed: &Placed,
         version: Option<VersionId>,
         now: TimeMs,
     ) {
+        let agent = &placed.agent;
+        let Some(work) = self.requests.get(&serial).map(|state| self.work(state)) else {
+            return;
+        };
         let sampled =
             version.as_ref().is_some_and(|version| self.draws_sample(serial, version, now));
         let Some(member) = self.members.get_mut(agent) else {
@@ -210,11 +281,7 @@
             return;
         };
         let agent_incarnation = hello.incarnation;
-        let expected_first_token_ms = member.load.first_token_ms;
-        member.sent += 1;
-        member.in_flight += 1;
-        let defaults = &self.config.current().defaults;
-        let expected_answer = Tokens::new(defaults.expected_answer_tokens);
+        member.count_sent(work.prompt_tokens);
         let Some(state) = self.requests.get_mut(&serial) else {
             return;
         };
@@ -224,7 +291,7 @@
                 let Some(version) = version.clone() else {
                     return;
                 };
-                Call::Model(model_call(chat, version, state.wants_stream(), expected_answer))
+                Call::Model(model_call(chat, version, state.wants_stream(), work.answer_tokens))
             }
             Ask::Service(request) => Call::Service(service_call(request, state.is_repeatable())),
         };
@@ -240,6 +307,8 @@
             ordinal: state.attempts,
             agent: agent.clone(),
             agent_incarnation,
+            sent_at_ms: now,
+            expected_first_token_ms: placed.first_token_ms,
             version: version.clone(),
             started: None,
             received: ByteCount::default(),
@@ -261,7 +330,7 @@
             attempt,
             agent: agent.clone(),
             version,
-            expected_first_token_ms,
+            expected_first_token_ms: placed.first_token_ms,
         });
     }
 
@@ -299,6 +368,7 @@
         if let Some(member) = self.members.get_mut(&attempt.agent) {
             member.in_flight = member.in_flight.saturating_sub(1);
         }
+        self.room_freed = true;
         Some(attempt)
     }
 
@@ -344,6 +414,11 @@
             return;
         };
         self.callers.remove(&state.caller);
+        self.leave_queue(&state);
+        let used_tokens =
+            state.lines.iter().map(|line| line.usage.prompt_tokens + line.usage.answer_tokens);
+        let used_tokens = used_tokens.sum::<Tokens>().get();
+        self.limits.end(&state.customer, state.limited_tokens, used_tokens);
         let mut usage = Usage::default();
         let mut version = None;
         for line in &state.lines {
@@ -393,6 +468,21 @@
     }
 }
 
+fn need<'a>(state: &'a RequestState, version: Option<&'a VersionId>) -> Option<Need<'a>> {
+    match (version, &state.request.ask) {
+        (Some(version), _) => Some(Need::Version(version)),
+        (None, Ask::Service(call)) => Some(Need::Service(&call.service)),
+        (None, Ask::Chat(_)) => None,
+    }
+}
+
+fn prefix_of(state: &RequestState) -> u64 {
+    match &state.request.ask {
+        Ask::Chat(chat) => chat.prefix_hash,
+        Ask::Service(_) => 0,
+    }
+}
+
 fn model_call(
     chat: &ChatRequest,
     version: VersionId,
@@ -404,7 +494,7 @@
         stream,
         include_usage: chat.include_usage,
         prompt_tokens: chat.prompt_tokens,
-        answer_tokens: chat.max_tokens.unwrap_or(expected_answer),
+        answer_tokens: expected_answer,
         prefix_hash: chat.prefix_hash,
         body: chat.body.clone(),
     }
--- a/crates/hickorydoor/src/entry_resume.rs
+++ b/crates/hickorydoor/src/entry_resume.rs
@@ -36,16 +36,22 @@
     }
 
     /// Moves an attempt to another agent, if there is one; otherwise it waits for its agent.
-    fn move_attempt(&mut self, serial: Serial, agent: &HostId, now: TimeMs) {
+    pub(crate) fn move_attempt(&mut self, serial: Serial, agent: &HostId, now: TimeMs) {
         let Some(state) = self.requests.get_mut(&serial) else {
             return;
         };
-        if state.attempts >= self.settings.max_attempts {
+        if state.excluded.len() >= self.settings.max_attempts as usize {
             return;
         }
         let attempts_before = state.excluded.len();
         state.excluded.push(agent.clone());
-        if self.place(serial).is_none() {
+        if self.place(serial, now).is_none() {
+            if let Some(state) = self.requests.get_mut(&serial) {
+                state.excluded.truncate(attempts_before);
+            }
+            return;
+        }
+        if !self.may_retry(serial) {
             if let Some(state) = self.requests.get_mut(&serial) {
                 state.excluded.truncate(attempts_before);
             }
--- a/crates/hickorydoor/src/entry_settings.rs
+++ b/crates/hickorydoor/src/entry_settings.rs
@@ -4,6 +4,7 @@
 use crate::id::HostId;
 use crate::id::Incarnation;
 use crate::id::RegionId;
+use crate::placement::PlacementRule;
 use crate::time::DurationMs;
 
 /// Settings of one entry.
@@ -25,8 +26,13 @@
     pub heartbeat_interval_ms: DurationMs,
     /// How long an attempt survives the loss of its link.
     pub resume_window_ms: DurationMs,
-    /// Attempts of one request at most, refusals included.
+    /// Upstreams that one request may be tried on before it fails, refusals at the admission limit
+    /// not included.
     pub max_attempts: u32,
+    /// Attempts of one request at most, all refusals included.
+    pub max_dispatches: u32,
+    /// How upstreams are chosen.
+    pub placement: PlacementRule,
     /// Answers outside cascades that are rated, a second.
     pub ratings_per_s: f64,
 }
@@ -49,6 +55,8 @@
             heartbeat_interval_ms: DurationMs::from_secs(1),
             resume_window_ms: DurationMs::from_secs(10),
             max_attempts: 4,
+            max_dispatches: 16,
+            placement: PlacementRule::default(),
             ratings_per_s: 5.0,
         }
     }
