Try the key-value service every 5 s at most for bills and claims

Cause: in the failover experiment keyed calls stayed refused for more than 9 s after an outage of 15 s, and 209 of 3,192 bills (4,911 tokens) were lost, because an entry and an agent were killed before the entry tried to store its bills again: the pause between tries had grown to 30 s. Entries and agents of plain services now pause 5 s at most, about 150 calls a second from 560 entries; the calls that all 12,000 agents make keep 30 s.

--- a/crates/hickorydoor/src/claim_table.rs
+++ b/crates/hickorydoor/src/claim_table.rs
@@ -79,7 +79,7 @@
 }
 
 /// Claims that an agent works on.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ClaimTable {
     claims: BTreeMap<AttemptId, LocalClaim>,
     lease: Option<(u64, TimeMs)>,
@@ -88,6 +88,19 @@
     paused_until_ms: TimeMs,
 }
 
+impl Default for ClaimTable {
+    fn default() -> Self {
+        Self {
+            claims: BTreeMap::new(),
+            lease: None,
+            in_flight: None,
+            // A caller waits for its keyed call until the key-value service is tried again.
+            backoff: Backoff::urgent(),
+            paused_until_ms: TimeMs::default(),
+        }
+    }
+}
+
 impl ClaimTable {
     /// Asks for a claim. `None` means that the verdict follows later.
     pub fn request(
--- a/crates/hickorydoor/src/entry.rs
+++ b/crates/hickorydoor/src/entry.rs
@@ -156,7 +156,7 @@
             next_heartbeat_at_ms: now + settings.heartbeat_interval_ms,
             next_seal_at_ms: now + settings.billing_interval_ms,
             next_store_at_ms: now,
-            store_backoff: Backoff::default(),
+            store_backoff: Backoff::urgent(),
             draining: false,
             idle_since_ms: None,
             stopped: false,
