--- a/crates/hickorydoor/src/lib.rs
+++ b/crates/hickorydoor/src/lib.rs
@@ -151,7 +151,15 @@
 pub mod usage_store;
 pub mod version_judge;
 pub mod wire;
-pub mod wire_pin;
+mod wire_agent;
+mod wire_attempt;
+mod wire_config;
+mod wire_dispatch;
+mod wire_entry;
+mod wire_error;
+mod wire_hello;
+mod wire_load;
+mod wire_pin;
 
 pub use agent::Agent;
 pub use agent_effect::AgentEffect;
--- /dev/null
+++ b/crates/hickorydoor/src/wire_attempt.rs
@@ -0,0 +1,99 @@
+//! Encoded attempts and what is said of them.
+
+use crate::id::AttemptId;
+use crate::id::Incarnation;
+use crate::id::RequestId;
+use crate::id::Serial;
+use crate::quantity::ByteCount;
+use crate::quantity::Tokens;
+use crate::usage::Usage;
+use crate::wire_error::WireError;
+
+/// Encoded attempt id.
+#[derive(Clone, PartialEq, Eq, Hash)]
+#[derive(prost::Message)]
+pub struct WireAttempt {
+    /// Host of the entry.
+    #[prost(string, tag = "1")]
+    pub entry: String,
+    /// Life of the entry.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Number of the request.
+    #[prost(uint64, tag = "3")]
+    pub serial: u64,
+    /// Number of the attempt.
+    #[prost(uint32, tag = "4")]
+    pub ordinal: u32,
+}
+
+impl From<&AttemptId> for WireAttempt {
+    fn from(id: &AttemptId) -> Self {
+        Self {
+            entry: id.request.entry.to_string(),
+            incarnation: id.request.incarnation.get(),
+            serial: id.request.serial.get(),
+            ordinal: id.ordinal,
+        }
+    }
+}
+
+impl TryFrom<WireAttempt> for AttemptId {
+    type Error = WireError;
+
+    fn try_from(wire: WireAttempt) -> Result<Self, WireError> {
+        let request = RequestId {
+            entry: wire.entry.parse()?,
+            incarnation: Incarnation::new(wire.incarnation),
+            serial: Serial::new(wire.serial),
+        };
+        Ok(Self { request, ordinal: wire.ordinal })
+    }
+}
+
+pub(crate) fn attempt(wire: Option<WireAttempt>) -> Result<AttemptId, WireError> {
+    wire.ok_or(WireError::Missing { part: "attempt" })?.try_into()
+}
+
+/// Encoded usage.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(prost::Message)]
+pub struct WireUsage {
+    /// Tokens of the prompt.
+    #[prost(uint64, tag = "1")]
+    pub prompt_tokens: u64,
+    /// Tokens of the answer.
+    #[prost(uint64, tag = "2")]
+    pub answer_tokens: u64,
+}
+
+impl From<Usage> for WireUsage {
+    fn from(usage: Usage) -> Self {
+        Self { prompt_tokens: usage.prompt_tokens.get(), answer_tokens: usage.answer_tokens.get() }
+    }
+}
+
+impl From<WireUsage> for Usage {
+    fn from(wire: WireUsage) -> Self {
+        Self {
+            prompt_tokens: Tokens::new(wire.prompt_tokens),
+            answer_tokens: Tokens::new(wire.answer_tokens),
+        }
+    }
+}
+
+/// An attempt id and a byte count.
+#[derive(Clone, PartialEq, Eq, Hash)]
+#[derive(prost::Message)]
+pub struct WirePosition {
+    /// The attempt.
+    #[prost(message, optional, tag = "1")]
+    pub attempt: Option<WireAttempt>,
+    /// Bytes.
+    #[prost(uint64, tag = "2")]
+    pub bytes: u64,
+}
+
+pub(crate) fn position(attempt: &AttemptId, bytes: ByteCount) -> WirePosition {
+    WirePosition { attempt: Some(attempt.into()), bytes: bytes.get() }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/wire_entry.rs
@@ -0,0 +1,204 @@
+//! Frames from an entry to an agent.
+
+use crate::id::Incarnation;
+use crate::id::Revision;
+use crate::id::Serial;
+use crate::message::EntryMessage;
+use crate::message::Settlement;
+use crate::message::Verdict;
+use crate::quantity::ByteCount;
+use crate::wire_attempt::WireAttempt;
+use crate::wire_attempt::WirePosition;
+use crate::wire_attempt::attempt;
+use crate::wire_attempt::position;
+use crate::wire_config::WireConfigUpdate;
+use crate::wire_dispatch::WireDispatch;
+use crate::wire_error::WireError;
+use crate::wire_hello::WireEntryHello;
+use crate::wire_pin::WirePin;
+
+/// Requests whose bills are stored, all of one entry incarnation.
+#[derive(Clone, PartialEq, Eq, Hash)]
+#[derive(prost::Message)]
+pub struct WireSettled {
+    /// Host of the entry.
+    #[prost(string, tag = "1")]
+    pub entry: String,
+    /// Life of the entry.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Numbers of the requests.
+    #[prost(uint64, repeated, tag = "3")]
+    pub serials: Vec<u64>,
+    /// Every request below this number is settled.
+    #[prost(uint64, tag = "4")]
+    pub below: u64,
+}
+
+/// Ratings of answers.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct WireVerdicts {
+    /// The rated versions.
+    #[prost(string, repeated, tag = "1")]
+    pub versions: Vec<String>,
+    /// The ratings, in the same order.
+    #[prost(double, repeated, tag = "2")]
+    pub scores: Vec<f64>,
+}
+
+/// A message without content.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(prost::Message)]
+pub struct WireEmpty {}
+
+/// Content of an [`EntryFrame`].
+#[derive(Clone, PartialEq)]
+#[derive(prost::Oneof)]
+pub enum EntryBody {
+    /// [`EntryMessage::Hello`]
+    #[prost(message, tag = "1")]
+    Hello(WireEntryHello),
+    /// [`EntryMessage::Dispatch`]
+    #[prost(message, tag = "2")]
+    Dispatch(Box<WireDispatch>),
+    /// [`EntryMessage::Cancel`]
+    #[prost(message, tag = "3")]
+    Cancel(WireAttempt),
+    /// [`EntryMessage::Credit`]
+    #[prost(message, tag = "4")]
+    Credit(WirePosition),
+    /// [`EntryMessage::Resume`]
+    #[prost(message, tag = "5")]
+    Resume(WirePosition),
+    /// [`EntryMessage::Settled`]
+    #[prost(message, tag = "6")]
+    Settled(WireSettled),
+    /// [`EntryMessage::Verdicts`]
+    #[prost(message, tag = "7")]
+    Verdicts(WireVerdicts),
+    /// [`EntryMessage::Heartbeat`]
+    #[prost(uint64, tag = "8")]
+    Heartbeat(u64),
+    /// [`EntryMessage::ConfigNotice`]
+    #[prost(uint64, tag = "9")]
+    ConfigNotice(u64),
+    /// [`EntryMessage::ConfigPull`]
+    #[prost(uint64, tag = "10")]
+    ConfigPull(u64),
+    /// [`EntryMessage::ConfigUpdate`]
+    #[prost(message, tag = "11")]
+    ConfigUpdate(WireConfigUpdate),
+    /// [`EntryMessage::LeaveNotice`]
+    #[prost(message, tag = "12")]
+    LeaveNotice(WireEmpty),
+    /// [`EntryMessage::Pin`]
+    #[prost(message, tag = "20")]
+    Pin(WirePin),
+}
+
+/// A frame from an entry to an agent.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct EntryFrame {
+    /// The message.
+    #[prost(oneof = "EntryBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 20")]
+    pub body: Option<EntryBody>,
+}
+
+impl From<Settlement> for WireSettled {
+    fn from(settlement: Settlement) -> Self {
+        Self {
+            entry: settlement.entry.to_string(),
+            incarnation: settlement.incarnation.get(),
+            serials: settlement.serials.iter().map(|serial| serial.get()).collect(),
+            below: settlement.below.get(),
+        }
+    }
+}
+
+impl From<EntryMessage> for EntryFrame {
+    fn from(message: EntryMessage) -> Self {
+        let body = match message {
+            EntryMessage::Hello(hello) => EntryBody::Hello(hello.into()),
+            EntryMessage::Dispatch(dispatch) => EntryBody::Dispatch(Box::new((*dispatch).into())),
+            EntryMessage::Cancel { attempt } => EntryBody::Cancel((&attempt).into()),
+            EntryMessage::Credit { attempt, read_bytes } => {
+                EntryBody::Credit(position(&attempt, read_bytes))
+            }
+            EntryMessage::Resume { attempt, offset } => {
+                EntryBody::Resume(position(&attempt, offset))
+            }
+            EntryMessage::Settled(settlement) => EntryBody::Settled(settlement.into()),
+            EntryMessage::Verdicts(verdicts) => EntryBody::Verdicts(WireVerdicts {
+                versions: verdicts.iter().map(|verdict| verdict.version.to_string()).collect(),
+                scores: verdicts.iter().map(|verdict| verdict.score).collect(),
+            }),
+            EntryMessage::Heartbeat { revision } => EntryBody::Heartbeat(revision.get()),
+            EntryMessage::ConfigNotice { revision } => EntryBody::ConfigNotice(revision.get()),
+            EntryMessage::ConfigPull { have } => EntryBody::ConfigPull(have.get()),
+            EntryMessage::ConfigUpdate(update) => EntryBody::ConfigUpdate(update.into()),
+            EntryMessage::LeaveNotice => EntryBody::LeaveNotice(WireEmpty {}),
+            EntryMessage::Pin { key, pin, settled } => {
+                EntryBody::Pin(WirePin::new(key, pin.as_ref(), settled))
+            }
+        };
+        Self { body: Some(body) }
+    }
+}
+
+impl TryFrom<EntryFrame> for EntryMessage {
+    type Error = WireError;
+
+    fn try_from(frame: EntryFrame) -> Result<Self, WireError> {
+        let body = frame.body.ok_or(WireError::Missing { part: "body" })?;
+        Ok(match body {
+            EntryBody::Hello(hello) => Self::Hello(hello.try_into()?),
+            EntryBody::Dispatch(dispatch) => Self::Dispatch(Box::new((*dispatch).try_into()?)),
+            EntryBody::Cancel(wire) => Self::Cancel { attempt: wire.try_into()? },
+            EntryBody::Credit(wire) => Self::Credit {
+                attempt: attempt(wire.attempt)?,
+                read_bytes: ByteCount::new(wire.bytes),
+            },
+            EntryBody::Resume(wire) => {
+                Self::Resume { attempt: attempt(wire.attempt)?, offset: ByteCount::new(wire.bytes) }
+            }
+            EntryBody::Settled(wire) => Self::Settled(wire.try_into()?),
+            EntryBody::Verdicts(wire) => Self::Verdicts(wire.try_into()?),
+            EntryBody::Heartbeat(revision) => Self::Heartbeat { revision: Revision::new(revision) },
+            EntryBody::ConfigNotice(revision) => {
+                Self::ConfigNotice { revision: Revision::new(revision) }
+            }
+            EntryBody::ConfigPull(have) => Self::ConfigPull { have: Revision::new(have) },
+            EntryBody::ConfigUpdate(update) => Self::ConfigUpdate(update.try_into()?),
+            EntryBody::LeaveNotice(WireEmpty {}) => Self::LeaveNotice,
+            EntryBody::Pin(wire) => {
+                let (key, pin, settled) = wire.try_into()?;
+                Self::Pin { key, pin, settled }
+            }
+        })
+    }
+}
+
+impl TryFrom<WireSettled> for Settlement {
+    type Error = WireError;
+
+    fn try_from(wire: WireSettled) -> Result<Self, WireError> {
+        Ok(Self {
+            entry: wire.entry.parse()?,
+            incarnation: Incarnation::new(wire.incarnation),
+            below: Serial::new(wire.below),
+            serials: wire.serials.into_iter().map(Serial::new).collect(),
+        })
+    }
+}
+
+impl TryFrom<WireVerdicts> for Vec<Verdict> {
+    type Error = WireError;
+
+    fn try_from(wire: WireVerdicts) -> Result<Self, WireError> {
+        let verdict =
+            |(version, score): (String, f64)| Ok(Verdict { version: version.parse()?, score });
+        wire.versions.into_iter().zip(wire.scores).map(verdict).collect()
+    }
+}
