Read the host list only when it has changed and rate the text of answers

Cause: an entry read the whole list of its region each second. At full scale a region has 1,400 hosts, over 200 KB as JSON, against 8 KB/s for control; the list changes about once in two minutes. The entry now sends If-None-Match and uses its copy on 304.

The rating service was sent the JSON or the server-sent events of an answer; it now gets the text.

--- a/crates/hickory-standins/src/host_list.rs
+++ b/crates/hickory-standins/src/host_list.rs
@@ -1,5 +1,8 @@
 //! Stand-in for the platform's list of hosts.
 
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,8 +15,14 @@
 use axum::Json;
 use axum::Router;
 use axum::extract::State;
+use axum::response::IntoResponse;
+use axum::response::Response;
 use axum::routing::get;
+use http::HeaderMap;
+use http::StatusCode;
 use http::Uri;
+use http::header::ETAG;
+use http::header::IF_NONE_MATCH;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -62,6 +71,7 @@
 #[derive(Debug)]
 struct HostListState {
     lag: Duration,
+    unchanged_reads: u64,
     /// The list and when it came into force, oldest first.
     versions: Vec<(Instant, Vec<Host>)>,
 }
@@ -95,7 +105,7 @@
     /// # Errors
     /// Fails if the port cannot be opened.
     pub async fn start_at(address: SocketAddr) -> io::Result<Self> {
-        let state = HostListState { lag: Duration::ZERO, versions: Vec::new() };
+        let state = HostListState { lag: Duration::ZERO, unchanged_reads: 0, versions: Vec::new() };
         let state = Arc::new(Mutex::new(state));
         let router = Router::new().route("/hosts", get(hosts)).with_state(Arc::clone(&state));
         Ok(Self { server: Server::start_at(router, address).await?, state })
@@ -124,6 +134,11 @@
         lock(&self.state).lag = lag;
     }
 
+    /// Reads that were answered without the list, since the reader had it.
+    pub fn unchanged_reads(&self) -> u64 {
+        lock(&self.state).unchanged_reads
+    }
+
     /// Replaces the list.
     pub fn set_hosts(&self, hosts: Vec<Host>) {
         lock(&self.state).versions.push((Instant::now(), hosts));
@@ -142,11 +157,28 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn hosts(State(state): State<Arc<Mutex<HostListState>>>, uri: Uri) -> Json<Vec<Host>> {
+async fn hosts(
+    State(state): State<Arc<Mutex<HostListState>>>,
+    uri: Uri,
+    headers: HeaderMap,
+) -> Response {
     let query = uri.query().unwrap_or_default();
     let region = query.split('&').find_map(|pair| pair.strip_prefix("region="));
-    let state = lock(&state);
+    let mut state = lock(&state);
     let hosts = state.visible(Instant::now());
     let asked = |host: &&Host| region.is_none_or(|region| host.region == region);
-    Json(hosts.iter().filter(asked).cloned().collect())
+    let hosts: Vec<Host> = hosts.iter().filter(asked).cloned().collect();
+    let tag = tag_of(&hosts);
+    if headers.get(IF_NONE_MATCH).is_some_and(|known| known == tag.as_str()) {
+        state.unchanged_reads += 1;
+        return StatusCode::NOT_MODIFIED.into_response();
+    }
+    ([(ETAG, tag)], Json(hosts)).into_response()
+}
+
+/// An entity tag that changes with the list.
+fn tag_of(hosts: &[Host]) -> String {
+    let mut hasher = DefaultHasher::new();
+    format!("{hosts:?}").hash(&mut hasher);
+    format!("\"{:016x}\"", hasher.finish())
 }
--- a/crates/hickoryd/benches/path.rs
+++ b/crates/hickoryd/benches/path.rs
@@ -8,6 +8,8 @@
 use std::collections::BTreeMap;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -46,13 +48,18 @@
 /// Latencies up to 10 s with three digits, in microseconds.
 const MAX_US: u64 = 10_000_000;
 
+/// Different questions.
+const PREFIXES: usize = 64;
+
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 /// Where requests go and what they ask.
 struct Target {
     name: &'static str,
     url: String,
-    body: Bytes,
+    /// Questions with different prefixes; with one prefix all requests would prefer one upstream.
+    bodies: Vec<Bytes>,
+    next: AtomicUsize,
 }
 
 /// What a phase measured.
@@ -128,9 +135,15 @@
 }
 
 fn target(name: &'static str, url: &str, model: &str, stream: bool) -> Target {
-    let messages = serde_json::json!([{ "role": "user", "content": "What pH does a brine need?" }]);
-    let body = serde_json::json!({ "model": model, "stream": stream, "messages": messages });
-    Target { name, url: format!("{url}/v1/chat/completions"), body: body.to_string().into() }
+    let body = |lot: usize| {
+        let question = format!("Lot {lot}: what pH does its brine need?");
+        let messages = serde_json::json!([{ "role": "user", "content": question }]);
+        let body = serde_json::json!({ "model": model, "stream": stream, "messages": messages });
+        Bytes::from(body.to_string())
+    };
+    let bodies = (0..PREFIXES).map(body).collect();
+    let next = AtomicUsize::new(0);
+    Target { name, url: format!("{url}/v1/chat/completions"), bodies, next }
 }
 
 fn print(phase: &str, measured: &Measured) {
@@ -177,8 +190,12 @@
 ) -> Measured {
     let client: HttpClient =
         Client::builder(TokioExecutor::new()).pool_max_idle_per_host(WORKERS).build_http();
-    let target =
-        Arc::new(Target { name: target.name, url: target.url.clone(), body: target.body.clone() });
+    let target = Arc::new(Target {
+        name: target.name,
+        url: target.url.clone(),
+        bodies: target.bodies.clone(),
+        next: AtomicUsize::new(0),
+    });
     let before = cpu_us();
     let started = Instant::now();
     let pace = requests_per_s.map(|rate| pace(rate, started + length));
@@ -250,10 +267,11 @@
 
 /// Sends one request and reads its whole answer; returns whether it was served.
 async fn ask(client: &HttpClient, target: &Target) -> bool {
+    let index = target.next.fetch_add(1, Ordering::Relaxed) % PREFIXES;
     let request = Request::post(&target.url)
         .header("content-type", "application/json")
         .header("authorization", format!("Bearer {CUSTOMER_KEY}"))
-        .body(Full::new(target.body.clone()));
+        .body(Full::new(target.bodies[index].clone()));
     let Ok(request) = request else {
         return false;
     };
--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -10,6 +10,7 @@
 mod agent_loop;
 mod agent_process;
 mod answer_response;
+pub mod answer_text;
 mod caller_answer;
 mod caller_body;
 mod caller_guard;
--- a/crates/hickoryd/src/platform.rs
+++ b/crates/hickoryd/src/platform.rs
@@ -15,8 +15,12 @@
 use hickorydoor::id::RegionId;
 use hickorydoor::id::RequestId;
 use hickorydoor::id::VersionId;
+use http::HeaderValue;
 use http::Request;
+use http::StatusCode;
 use http::header::CONTENT_TYPE;
+use http::header::ETAG;
+use http::header::IF_NONE_MATCH;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -27,6 +31,7 @@
 use tokio::time::interval;
 use tokio::time::timeout;
 
+use crate::answer_text::answer_text;
 use crate::entry_input::EntryInput;
 use crate::http_client::HttpClient;
 
@@ -92,32 +97,55 @@
     every: Duration,
     inputs: mpsc::Sender<EntryInput>,
 ) {
+    let uri = format!("{base_uri}/hosts?region={region}");
+    let mut known = KnownList::default();
     let mut ticks = interval(every);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let hosts = timeout(LIST_TIMEOUT, hosts(&client, &base_uri, &region)).await;
-        let Some(records) = hosts.ok().flatten() else {
+        let read = timeout(LIST_TIMEOUT, known.refresh(&client, &uri)).await;
+        if read.ok().flatten().is_none() {
             warn!("the host list could not be read");
             continue;
-        };
-        let event = Box::new(EntryEvent::HostList(records));
+        }
+        let event = Box::new(EntryEvent::HostList(known.records.clone()));
         if inputs.send(EntryInput::Event(event)).await.is_err() {
             return;
         }
     }
 }
 
-async fn hosts(client: &HttpClient, base_uri: &str, region: &RegionId) -> Option<Vec<HostRecord>> {
-    let uri = format!("{base_uri}/hosts?region={region}");
-    let request = Request::get(uri).body(Full::default()).ok()?;
-    let response = client.request(request).await.ok()?;
-    if !response.status().is_success() {
-        return None;
+/// The list as it was read last, with the tag under which the platform knows it.
+///
+/// The list of a region with 1,400 hosts has over 200 KB and changes about once in two minutes, so
+/// it is asked for under the condition that it has changed.
+#[derive(Debug, Default)]
+struct KnownList {
+    records: Vec<HostRecord>,
+    tag: Option<HeaderValue>,
+}
+
+impl KnownList {
+    /// Reads the list if it has changed. `None` means that it could not be read.
+    async fn refresh(&mut self, client: &HttpClient, uri: &str) -> Option<()> {
+        let mut request = Request::get(uri);
+        if let Some(tag) = &self.tag {
+            request = request.header(IF_NONE_MATCH, tag);
+        }
+        let response = client.request(request.body(Full::default()).ok()?).await.ok()?;
+        if response.status() == StatusCode::NOT_MODIFIED {
+            return Some(());
+        }
+        if !response.status().is_success() {
+            return None;
+        }
+        let tag = response.headers().get(ETAG).cloned();
+        let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect().await.ok()?;
+        let raw: Vec<RawHost> = serde_json::from_slice(&body.to_bytes()).ok()?;
+        self.records = raw.into_iter().map(HostRecord::from).collect();
+        self.tag = tag;
+        Some(())
     }
-    let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect().await.ok()?;
-    let raw: Vec<RawHost> = serde_json::from_slice(&body.to_bytes()).ok()?;
-    Some(raw.into_iter().map(HostRecord::from).collect())
 }
 
 /// An answer that is to be rated.
@@ -165,7 +193,7 @@
     let body = serde_json::json!({
         "version": asked.version,
         "prompt": String::from_utf8_lossy(&asked.prompt),
-        "answer": String::from_utf8_lossy(&asked.answer),
+        "answer": answer_text(&asked.answer),
     });
     let request = Request::post(format!("{base_uri}/rate"))
         .header(CONTENT_TYPE, "application/json")
--- a/crates/hickoryd/tests/path.rs
+++ b/crates/hickoryd/tests/path.rs
@@ -225,3 +225,16 @@
     }
     Ok(())
 }
+
+/// Guards against entries that read the whole host list each time although it has not changed.
+#[tokio::test]
+async fn an_unchanged_host_list_is_not_read_again() -> Result<(), AnyError> {
+    let fleet = fleet().await?;
+    let before = fleet.hosts.unchanged_reads();
+    while fleet.hosts.unchanged_reads() < before + 3 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let answer = fleet.chat(&chat("brine-small", "hello", false).to_string()).await?;
+    assert_eq!(answer.status, 200);
+    Ok(())
+}
