Act on exceptions for upstreams and deadlines

Cause: exceptions of the kinds upstream-out and interactive-deadline were stored, listed and distributed, and changed nothing. An agent whose upstream is taken out now says so to its entries within a tick and refuses work as not run; the deadline of a customer's interactive requests follows its exception. Both end with the exception. The three places that went through the exceptions in force share Configuration::overrides.

--- a/crates/hickorydoor/src/agent.rs
+++ b/crates/hickorydoor/src/agent.rs
@@ -128,6 +128,7 @@
     /// Until when no new work is admitted, because changes may have been missed in a pause.
     pub(crate) stale_until_ms: TimeMs,
     pub(crate) draining: bool,
+    pub(crate) upstream_out: bool,
     /// Since when a leaving agent has run nothing.
     pub(crate) idle_since_ms: Option<TimeMs>,
     pub(crate) stopped: bool,
@@ -179,6 +180,7 @@
             next_recovery_at_ms: now,
             stale_until_ms: now,
             draining: false,
+            upstream_out: false,
             idle_since_ms: None,
             stopped: false,
             next_kv_call: KvCallId::default(),
@@ -241,6 +243,7 @@
         self.tick_admission(now);
         self.tick_configuration(now);
         self.tick_leaving(now);
+        self.tick_upstream_out(now);
         self.tick_reports(now);
         self.tick_evidence(now);
         self.tick_claims(now);
--- a/crates/hickorydoor/src/agent_config.rs
+++ b/crates/hickorydoor/src/agent_config.rs
@@ -5,6 +5,7 @@
 use crate::agent::Agent;
 use crate::agent::EntryLink;
 use crate::agent_event::UpstreamReport;
+use crate::exception::Override;
 use crate::id::HostId;
 use crate::id::Revision;
 use crate::id::VersionId;
@@ -103,9 +104,25 @@
         self.send(entry, AgentMessage::Hello(reply));
     }
 
-    /// Whether the agent is shutting down or its host is listed as leaving.
+    /// Whether the agent is shutting down, its host is leaving or its upstream is taken out.
     pub(crate) const fn is_leaving(&self) -> bool {
-        self.draining || self.leaving_until_ms.is_some()
+        self.draining || self.upstream_out || self.leaving_until_ms.is_some()
+    }
+
+    /// Follows the exceptions that take this upstream out. Entries hear of a change at once, and
+    /// until they do the agent refuses their work.
+    pub(crate) fn tick_upstream_out(&mut self, now: TimeMs) {
+        let out = self.config.current().overrides(now).any(|change| match change {
+            Override::UpstreamOut { upstream } => *upstream == self.settings.upstream,
+            _ => false,
+        });
+        if out == self.upstream_out {
+            return;
+        }
+        self.upstream_out = out;
+        for entry in self.connected_entries() {
+            self.send_hello(&entry);
+        }
     }
 
     fn offer(&self) -> Offer {
--- a/crates/hickorydoor/src/agent_orders.rs
+++ b/crates/hickorydoor/src/agent_orders.rs
@@ -42,9 +42,7 @@
     }
 
     fn ignores_fencing(&self, now: TimeMs) -> bool {
-        let exceptions = self.config.current().exceptions.values();
-        let mut in_force = exceptions.filter(|exception| exception.is_in_force(now));
-        in_force.any(|exception| match &exception.change {
+        self.config.current().overrides(now).any(|change| match change {
             Override::IgnoresFencing { upstream } => *upstream == self.settings.upstream,
             _ => false,
         })
--- a/crates/hickorydoor/src/configuration.rs
+++ b/crates/hickorydoor/src/configuration.rs
@@ -14,6 +14,7 @@
 use crate::defaults::Defaults;
 use crate::error::Category;
 use crate::exception::Exception;
+use crate::exception::Override;
 use crate::id::CascadeId;
 use crate::id::CustomerId;
 use crate::id::DataCentreId;
@@ -29,6 +30,7 @@
 use crate::model::Model;
 use crate::model::Version;
 use crate::service::Service;
+use crate::time::TimeMs;
 
 /// Configuration of the fleet at one revision.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -144,6 +146,12 @@
         Some((model, model.version(id)?))
     }
 
+    /// What the exceptions in force change, in the order of their ids.
+    pub fn overrides(&self, now: TimeMs) -> impl DoubleEndedIterator<Item = &Override> {
+        let in_force = self.exceptions.values().filter(move |known| known.is_in_force(now));
+        in_force.map(|exception| &exception.change)
+    }
+
     /// Whether operators have taken this data centre out. Unknown data centres are in.
     pub fn is_out(&self, data_centre: &DataCentreId) -> bool {
         self.data_centres.get(data_centre).is_some_and(|known| known.out)
--- a/crates/hickorydoor/src/entry_limits.rs
+++ b/crates/hickorydoor/src/entry_limits.rs
@@ -1,5 +1,6 @@
 //! How an entry applies limits and retry budgets, with the exceptions in force.
 
+use crate::class::Class;
 use crate::customer::CustomerLimits;
 use crate::entry::Entry;
 use crate::exception::Override;
@@ -48,8 +49,7 @@
 
     fn limits_of(&self, customer: &CustomerId, now: TimeMs) -> CustomerLimits {
         let configuration = self.config.current();
-        let in_force = configuration.exceptions.values().filter(|known| known.is_in_force(now));
-        let mut changed = in_force.filter_map(|exception| match &exception.change {
+        let mut changed = configuration.overrides(now).filter_map(|change| match change {
             Override::CustomerLimits { customer: named, limits } if named == customer => {
                 Some(*limits)
             }
@@ -59,10 +59,29 @@
         changed.next_back().or(own).unwrap_or_default()
     }
 
+    /// Deadline of a customer's requests that name none.
+    pub(crate) fn default_deadline(
+        &self,
+        customer: &CustomerId,
+        class: Class,
+        now: TimeMs,
+    ) -> DurationMs {
+        let configuration = self.config.current();
+        if class == Class::Batch {
+            return configuration.defaults.batch_deadline_ms;
+        }
+        let mut changed = configuration.overrides(now).filter_map(|change| match change {
+            Override::InteractiveDeadline { customer: named, deadline_ms } => {
+                (named == customer).then_some(*deadline_ms)
+            }
+            _ => None,
+        });
+        changed.next_back().unwrap_or(configuration.defaults.interactive_deadline_ms)
+    }
+
     fn retry_share(&self, customer: &CustomerId, now: TimeMs) -> Share {
         let configuration = self.config.current();
-        let in_force = configuration.exceptions.values().filter(|known| known.is_in_force(now));
-        let mut changed = in_force.filter_map(|exception| match &exception.change {
+        let mut changed = configuration.overrides(now).filter_map(|change| match change {
             Override::RetryBudget { customer: named, share } if named == customer => Some(*share),
             _ => None,
         });
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -7,7 +7,6 @@
 use crate::caller_request::CallerRequest;
 use crate::caller_request::ChatRequest;
 use crate::caller_request::ServiceRequest;
-use crate::class::Class;
 use crate::customer::Customer;
 use crate::entry::Entry;
 use crate::entry_effect::EntryEffect;
@@ -84,12 +83,9 @@
             Ask::Chat(chat) => self.plan_chat(customer, chat)?,
             Ask::Service(service) => self.plan_service(customer, service)?,
         };
-        let defaults = &configuration.defaults;
-        let deadline_ms = request.deadline_ms.unwrap_or(match request.class {
-            Class::Interactive => defaults.interactive_deadline_ms,
-            Class::Batch => defaults.batch_deadline_ms,
-        });
         let customer = customer.id.clone();
+        let default_ms = self.default_deadline(&customer, request.class, now);
+        let deadline_ms = request.deadline_ms.unwrap_or(default_ms);
         let id = RequestId {
             entry: self.settings.host.clone(),
             incarnation: self.settings.incarnation,
