--- a/crates/hickoryd/examples/quickstart.rs
+++ b/crates/hickoryd/examples/quickstart.rs
@@ -8,6 +8,8 @@
 use std::time::Instant;
 
 use hickory_standins::EngineSettings;
+use hickoryd::AgentProcess;
+use hickoryd::EntryProcess;
 
 #[path = "../tests/fleet/mod.rs"]
 mod fleet;
@@ -40,9 +42,11 @@
     println!("base URL        {}/v1", fleet.url(0));
     println!("second entry    {}/v1", fleet.url(1));
     println!("customer key    {CUSTOMER_KEY}");
-    if let Some(address) = fleet.entries[0].operators_address() {
-        println!("operators' port http://{address} (key {OPERATOR_KEY})");
-    }
+    println!("key-value store {}", fleet.kv.url());
+    let entries = fleet.entries.iter().filter_map(EntryProcess::operators_address);
+    let agents = fleet.agents.iter().filter_map(AgentProcess::operators_address);
+    let ports: Vec<String> = entries.chain(agents).map(|address| address.to_string()).collect();
+    println!("operators' key  {OPERATOR_KEY}, ports {}", ports.join(" "));
     println!("models          brine-small, brine-large; cascade brine; service registry");
     if std::env::args().any(|argument| argument == "--once") {
         once(&fleet, started).await?;
