--- a/crates/hickoryd/src/daemon.rs
+++ b/crates/hickoryd/src/daemon.rs
@@ -22,7 +22,7 @@
 /// Fails if the process cannot start.
 pub async fn run(settings: Settings) -> Result<(), StartError> {
     let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    // Hosts keep no state, so the time of the start orders the lives of a host.
+    // Hosts keep no state, so the time of the start orders the incarnations of a host.
     let incarnation = Incarnation::new(started.as_millis() as u64);
     let mut signals = StopSignals::listen()?;
     match settings.role {
--- a/crates/hickorydoor/src/agent.rs
+++ b/crates/hickorydoor/src/agent.rs
@@ -46,7 +46,7 @@
 use crate::speed_estimate::SpeedEstimate;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
-use crate::usage_store::LifeKey;
+use crate::usage_store::IncarnationKey;
 use crate::usage_store::UsageStore;
 
 /// Pins that an agent holds at least; with two homes, 12,000 agents hold 780 million sessions. Both
@@ -59,9 +59,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum AgentKvPurpose {
     /// Closes the ledger of an entry incarnation.
-    CloseLedger(LifeKey),
+    CloseLedger(IncarnationKey),
     /// Stores a batch in place of a lost entry.
-    StoreRecovered(LifeKey),
+    StoreRecovered(IncarnationKey),
     /// Works on claims.
     Claims,
     /// Keeps the presence lease.
@@ -80,9 +80,9 @@
 pub(crate) struct EntryLink {
     /// Whether a connection is open.
     pub connected: bool,
-    /// The life of the entry that said hello last.
+    /// The incarnation of the entry that said hello last.
     pub incarnation: Incarnation,
-    /// Attempts received from that life.
+    /// Attempts received from that incarnation.
     pub received: u64,
     /// When the entry was heard last.
     pub last_heard_at_ms: TimeMs,
@@ -192,7 +192,7 @@
 
     /// Applies one event and returns the effects to carry out, in order.
     pub fn apply(&mut self, event: AgentEvent, now: TimeMs) -> Vec<AgentEffect> {
-        self.absorb_pause(now);
+        self.exclude_pause(now);
         match event {
             AgentEvent::LinkUp { entry } => self.on_link_up(&entry, now),
             AgentEvent::LinkDown { entry } => self.on_link_down(&entry, now),
@@ -252,7 +252,7 @@
     }
 
     /// While this process was paused it could hear nobody, so the gap does not count as silence.
-    fn absorb_pause(&mut self, now: TimeMs) {
+    fn exclude_pause(&mut self, now: TimeMs) {
         let gap_ms = now.since(self.last_event_at_ms);
         self.last_event_at_ms = now;
         if gap_ms <= PAUSE_MS {
@@ -262,7 +262,7 @@
             link.last_heard_at_ms = link.last_heard_at_ms + gap_ms;
         }
         for attempt in self.attempts.values_mut() {
-            attempt.absorb_pause(gap_ms);
+            attempt.exclude_pause(gap_ms);
         }
         self.catch_up(now);
     }
@@ -272,10 +272,14 @@
             return;
         };
         match purpose {
-            AgentKvPurpose::CloseLedger(life) => self.on_ledger_closed(&life, outcome, now),
+            AgentKvPurpose::CloseLedger(incarnation) => {
+                self.on_ledger_closed(&incarnation, outcome, now);
+            }
             AgentKvPurpose::Lease => self.on_lease_outcome(outcome, now),
             AgentKvPurpose::Claims => self.on_claims_outcome(outcome, now),
-            AgentKvPurpose::StoreRecovered(life) => self.on_recovered_stored(&life, &outcome, now),
+            AgentKvPurpose::StoreRecovered(incarnation) => {
+                self.on_recovered_stored(&incarnation, &outcome, now);
+            }
         }
     }
 
@@ -333,7 +337,7 @@
     }
 }
 
-/// A seed of its own for each life of each agent, so that their random pauses differ.
+/// A seed of its own for each incarnation of each agent, so that their random pauses differ.
 fn seed_of(settings: &AgentSettings) -> u64 {
     let mut hasher = Xxh3::new();
     hasher.write(settings.host.as_str().as_bytes());
--- a/crates/hickorydoor/src/agent_attempt.rs
+++ b/crates/hickorydoor/src/agent_attempt.rs
@@ -101,7 +101,7 @@
 
 impl AttemptState {
     /// Shifts the resume window by a pause of this process.
-    pub(crate) fn absorb_pause(&mut self, gap_ms: DurationMs) {
+    pub(crate) fn exclude_pause(&mut self, gap_ms: DurationMs) {
         self.lost_at_ms = self.lost_at_ms.map(|at| at + gap_ms);
     }
 
--- a/crates/hickorydoor/src/agent_billing.rs
+++ b/crates/hickorydoor/src/agent_billing.rs
@@ -23,7 +23,7 @@
 use crate::serial_set::SerialSet;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
-use crate::usage_store::LifeKey;
+use crate::usage_store::IncarnationKey;
 
 /// An entry that is not heard for this long is taken for lost.
 const ENTRY_LOST_MS: DurationMs = DurationMs::from_secs(120);
@@ -35,9 +35,9 @@
 
 impl Agent {
     pub(crate) fn on_settled(&mut self, settlement: &Settlement) {
-        let life = (settlement.entry.clone(), settlement.incarnation);
-        self.usage.settle(&life, settlement.below, &settlement.serials);
-        self.fence.settle_below(&life.0, life.1, settlement.below);
+        let incarnation = (settlement.entry.clone(), settlement.incarnation);
+        self.usage.settle(&incarnation, settlement.below, &settlement.serials);
+        self.fence.settle_below(&incarnation.0, incarnation.1, settlement.below);
     }
 
     pub(crate) fn tick_billing(&mut self, now: TimeMs) {
@@ -46,19 +46,21 @@
         if busy || now < self.next_recovery_at_ms {
             return;
         }
-        if let Some(life) = self.next_recovery(now) {
-            self.recover(life, now);
+        if let Some(incarnation) = self.next_recovery(now) {
+            self.recover(incarnation, now);
         }
     }
 
-    fn next_recovery(&self, now: TimeMs) -> Option<LifeKey> {
-        let due = |life: &&LifeKey| self.usage.is_closed(life) || self.is_life_over(life, now);
+    fn next_recovery(&self, now: TimeMs) -> Option<IncarnationKey> {
+        let due = |incarnation: &&IncarnationKey| {
+            self.usage.is_closed(incarnation) || self.is_incarnation_over(incarnation, now)
+        };
         self.usage.unsettled().find(due).cloned()
     }
 
     /// Whether an entry incarnation is taken for lost, so that this agent writes its copies.
-    fn is_life_over(&self, life: &LifeKey, now: TimeMs) -> bool {
-        let (entry, incarnation) = life;
+    fn is_incarnation_over(&self, incarnation: &IncarnationKey, now: TimeMs) -> bool {
+        let (entry, incarnation) = incarnation;
         let leaving = self.idle_since_ms.is_some_and(|idle| now >= idle + SETTLE_WAIT_MS);
         let lost = self.links.get(entry).is_none_or(|link| {
             link.incarnation > *incarnation || now >= link.last_heard_at_ms + ENTRY_LOST_MS
@@ -66,27 +68,33 @@
         leaving || lost
     }
 
-    fn recover(&mut self, life: LifeKey, now: TimeMs) {
-        if !self.usage.is_closed(&life) {
-            let operation = close_call(&life);
-            self.call_kv(AgentKvPurpose::CloseLedger(life), operation);
+    fn recover(&mut self, incarnation: IncarnationKey, now: TimeMs) {
+        if !self.usage.is_closed(&incarnation) {
+            let operation = close_call(&incarnation);
+            self.call_kv(AgentKvPurpose::CloseLedger(incarnation), operation);
             return;
         }
-        let Some(recovered) = self.usage.next_batch(&life, self.config.current(), now) else {
+        let Some(recovered) = self.usage.next_batch(&incarnation, self.config.current(), now)
+        else {
             return;
         };
         let agent = (&self.settings.host, self.settings.incarnation);
-        let key = keys::recovered((&life.0, life.1), agent, recovered.sequence);
+        let key = keys::recovered((&incarnation.0, incarnation.1), agent, recovered.sequence);
         let value = recovered.batch.encode();
         let operation = KvCall::Transaction {
             compares: vec![KvCompare::Absent { key: key.clone() }],
             then: vec![KvOperation::Put { key, value, lease: None }],
             otherwise: Vec::new(),
         };
-        self.call_kv(AgentKvPurpose::StoreRecovered(life), operation);
+        self.call_kv(AgentKvPurpose::StoreRecovered(incarnation), operation);
     }
 
-    pub(crate) fn on_ledger_closed(&mut self, life: &LifeKey, outcome: KvOutcome, now: TimeMs) {
+    pub(crate) fn on_ledger_closed(
+        &mut self,
+        incarnation: &IncarnationKey,
+        outcome: KvOutcome,
+        now: TimeMs,
+    ) {
         let KvOutcome::Reply(KvReply::Transaction { results, .. }) = outcome else {
             self.pause_recovery(now);
             return;
@@ -96,17 +104,17 @@
         let pair = results.last().and_then(|pairs| pairs.first());
         let Some(billed) = decode_settled(pair) else {
             // Without the numbers a request could be billed twice, so nothing is written.
-            self.record(Observation::LedgerUnreadable { entry: life.0.clone() });
+            self.record(Observation::LedgerUnreadable { entry: incarnation.0.clone() });
             self.pause_recovery(now);
             return;
         };
-        self.usage.close(life, billed);
-        self.fence.close(&life.0, life.1);
-        self.tell_closed(life);
+        self.usage.close(incarnation, billed);
+        self.fence.close(&incarnation.0, incarnation.1);
+        self.tell_closed(incarnation);
     }
 
-    fn tell_closed(&mut self, life: &LifeKey) {
-        let (entry, incarnation) = life;
+    fn tell_closed(&mut self, incarnation: &IncarnationKey) {
+        let (entry, incarnation) = incarnation;
         let same = |link: &EntryLink| link.connected && link.incarnation == *incarnation;
         if self.links.get(entry).is_some_and(same) {
             let message = AgentMessage::IncarnationClosed { incarnation: *incarnation };
@@ -115,18 +123,23 @@
     }
 
     /// Tells an entry that says hello with an incarnation whose ledger is closed.
-    pub(crate) fn check_incarnation(&mut self, life: &LifeKey) {
-        if self.usage.is_closed(life) {
-            self.tell_closed(life);
+    pub(crate) fn check_incarnation(&mut self, incarnation: &IncarnationKey) {
+        if self.usage.is_closed(incarnation) {
+            self.tell_closed(incarnation);
         }
     }
 
-    pub(crate) fn on_recovered_stored(&mut self, life: &LifeKey, outcome: &KvOutcome, now: TimeMs) {
+    pub(crate) fn on_recovered_stored(
+        &mut self,
+        incarnation: &IncarnationKey,
+        outcome: &KvOutcome,
+        now: TimeMs,
+    ) {
         // The key holds the agent's own incarnation, so an existing key is an earlier write of
         // the same content.
         if let KvOutcome::Reply(KvReply::Transaction { .. }) = outcome {
             self.recovery_backoff.succeed();
-            self.usage.stored(life);
+            self.usage.stored(incarnation);
         } else {
             self.pause_recovery(now);
         }
@@ -141,14 +154,15 @@
     fn forget_lives(&mut self) {
         let links = &self.links;
         let attempts = &self.attempts;
-        let in_use = |life: &LifeKey| {
+        let in_use = |incarnation: &IncarnationKey| {
             let of_life = |attempt: &AttemptId| {
-                attempt.request.entry == life.0 && attempt.request.incarnation == life.1
+                attempt.request.entry == incarnation.0
+                    && attempt.request.incarnation == incarnation.1
             };
-            links.get(&life.0).is_some_and(|link| link.incarnation <= life.1)
+            links.get(&incarnation.0).is_some_and(|link| link.incarnation <= incarnation.1)
                 || attempts.keys().any(of_life)
         };
-        self.usage.forget(|life| !in_use(life));
+        self.usage.forget(|incarnation| !in_use(incarnation));
     }
 
     /// Whether a leaving agent has nothing left that it must write.
@@ -159,8 +173,8 @@
 }
 
 /// Closes a ledger if it is open, and reads its settled requests in the same transaction.
-fn close_call(life: &LifeKey) -> KvCall {
-    let (entry, incarnation) = life;
+fn close_call(incarnation: &IncarnationKey) -> KvCall {
+    let (entry, incarnation) = incarnation;
     let closed = keys::ledger_closed(entry, *incarnation);
     let read = KvOperation::Get { key: keys::ledger_settled(entry, *incarnation) };
     KvCall::Transaction {
--- a/crates/hickorydoor/src/agent_config.rs
+++ b/crates/hickorydoor/src/agent_config.rs
@@ -72,7 +72,7 @@
     fn on_hello(&mut self, entry: &HostId, hello: &EntryHello, now: TimeMs) {
         let link = self.links.entry(entry.clone()).or_default();
         if hello.incarnation < link.incarnation {
-            // A late hello of an earlier life.
+            // A late hello of an earlier incarnation.
             return;
         }
         link.connected = true;
--- a/crates/hickorydoor/src/agent_settings.rs
+++ b/crates/hickorydoor/src/agent_settings.rs
@@ -16,7 +16,7 @@
     pub host: HostId,
     /// The upstream beside the agent.
     pub upstream: UpstreamId,
-    /// This life of the agent; later lives have higher numbers.
+    /// This incarnation of the agent; later incarnations have higher numbers.
     pub incarnation: Incarnation,
     /// The agent's data centre.
     pub data_centre: DataCentreId,
--- a/crates/hickorydoor/src/claim.rs
+++ b/crates/hickorydoor/src/claim.rs
@@ -53,7 +53,7 @@
     pub attempt: CompactString,
     /// The agent that holds the claim.
     pub agent: HostId,
-    /// The life of that agent.
+    /// The incarnation of that agent.
     pub incarnation: Incarnation,
     /// Digest of the claimed request.
     pub request_digest: CompactString,
@@ -64,7 +64,7 @@
 }
 
 impl Claim {
-    /// Whether both claims belong to the same attempt at the same life of an agent.
+    /// Whether both claims belong to the same attempt at the same incarnation of an agent.
     pub fn is_same_holder(&self, other: &Self) -> bool {
         self.attempt == other.attempt
             && self.agent == other.agent
--- a/crates/hickorydoor/src/dispatch_fence.rs
+++ b/crates/hickorydoor/src/dispatch_fence.rs
@@ -25,7 +25,7 @@
 
 /// Attempts of one entry incarnation.
 #[derive(Clone, Debug, Default)]
-struct FenceLife {
+struct IncarnationFence {
     below: Serial,
     seen: BTreeMap<(Serial, u32), Seen>,
     closed: bool,
@@ -34,7 +34,7 @@
 /// Attempts seen, by entry incarnation.
 #[derive(Clone, Debug, Default)]
 pub struct DispatchFence {
-    lives: HashMap<HostId, BTreeMap<Incarnation, FenceLife>>,
+    incarnations: HashMap<HostId, BTreeMap<Incarnation, IncarnationFence>>,
     newest: HashMap<HostId, Incarnation>,
 }
 
@@ -42,35 +42,38 @@
     /// What is known about an attempt; `None` if it was never seen.
     pub fn seen(&self, attempt: &AttemptId) -> Option<Seen> {
         let request = &attempt.request;
-        let life = self.lives.get(&request.entry).and_then(|lives| lives.get(&request.incarnation));
-        let known = life.and_then(|life| {
-            let seen = life.seen.get(&(request.serial, attempt.ordinal)).copied();
-            seen.or((request.serial < life.below).then_some(Seen::PassedOn))
+        let fence = self
+            .incarnations
+            .get(&request.entry)
+            .and_then(|incarnations| incarnations.get(&request.incarnation));
+        let known = fence.and_then(|fence| {
+            let seen = fence.seen.get(&(request.serial, attempt.ordinal)).copied();
+            seen.or((request.serial < fence.below).then_some(Seen::PassedOn))
         });
         let newest = self.newest.get(&request.entry).copied().unwrap_or_default();
-        let over = request.incarnation < newest || life.is_some_and(|life| life.closed);
+        let over = request.incarnation < newest || fence.is_some_and(|fence| fence.closed);
         known.or(over.then_some(Seen::Closed))
     }
 
     /// Remembers an attempt.
     pub fn note(&mut self, attempt: &AttemptId, seen: Seen) {
         let request = &attempt.request;
-        let life = self.life_mut(&request.entry, request.incarnation);
-        life.seen.insert((request.serial, attempt.ordinal), seen);
+        let fence = self.fence_mut(&request.entry, request.incarnation);
+        fence.seen.insert((request.serial, attempt.ordinal), seen);
     }
 
     /// Forgets the requests below `below`, which are over.
     pub fn settle_below(&mut self, entry: &HostId, incarnation: Incarnation, below: Serial) {
-        let life = self.life_mut(entry, incarnation);
-        if below > life.below {
-            life.below = below;
-            life.seen = life.seen.split_off(&(below, 0));
+        let fence = self.fence_mut(entry, incarnation);
+        if below > fence.below {
+            fence.below = below;
+            fence.seen = fence.seen.split_off(&(below, 0));
         }
     }
 
     /// Refuses new attempts of an incarnation from now on.
     pub fn close(&mut self, entry: &HostId, incarnation: Incarnation) {
-        self.life_mut(entry, incarnation).closed = true;
+        self.fence_mut(entry, incarnation).closed = true;
     }
 
     /// Notes the newest incarnation of an entry; older ones are over.
@@ -78,14 +81,14 @@
         let newest = self.newest.entry(entry.clone()).or_default();
         *newest = incarnation.max(*newest);
         let newest = *newest;
-        if let Some(lives) = self.lives.get_mut(entry) {
-            lives.retain(|life, _| *life >= newest);
+        if let Some(incarnations) = self.incarnations.get_mut(entry) {
+            incarnations.retain(|incarnation, _| *incarnation >= newest);
         }
     }
 
     /// Attempts remembered.
     pub fn len(&self) -> usize {
-        self.lives.values().flat_map(BTreeMap::values).map(|life| life.seen.len()).sum()
+        self.incarnations.values().flat_map(BTreeMap::values).map(|fence| fence.seen.len()).sum()
     }
 
     /// Whether nothing is remembered.
@@ -93,7 +96,7 @@
         self.len() == 0
     }
 
-    fn life_mut(&mut self, entry: &HostId, incarnation: Incarnation) -> &mut FenceLife {
-        self.lives.entry(entry.clone()).or_default().entry(incarnation).or_default()
+    fn fence_mut(&mut self, entry: &HostId, incarnation: Incarnation) -> &mut IncarnationFence {
+        self.incarnations.entry(entry.clone()).or_default().entry(incarnation).or_default()
     }
 }
--- a/crates/hickorydoor/src/entry.rs
+++ b/crates/hickorydoor/src/entry.rs
@@ -170,7 +170,7 @@
 
     /// Applies one event and returns the effects to carry out, in order.
     pub fn apply(&mut self, event: EntryEvent, now: TimeMs) -> Vec<EntryEffect> {
-        self.absorb_pause(now);
+        self.exclude_pause(now);
         match event {
             EntryEvent::Request(request) => self.on_request(*request, now),
             EntryEvent::CallerRead { caller, bytes } => self.on_caller_read(caller, bytes),
@@ -238,7 +238,7 @@
 
     /// While this process was paused it could hear nobody, so the gap does not count against the
     /// resume windows.
-    fn absorb_pause(&mut self, now: TimeMs) {
+    fn exclude_pause(&mut self, now: TimeMs) {
         let gap_ms = now.since(self.last_event_at_ms);
         self.last_event_at_ms = now;
         if gap_ms <= PAUSE_MS {
--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -34,7 +34,7 @@
 
 impl Entry {
     pub(crate) fn on_message(&mut self, agent: &HostId, message: AgentMessage, now: TimeMs) {
-        self.hear(agent, now);
+        self.note_heard(agent, now);
         match message {
             AgentMessage::Refused { attempt, reason, retry_after_ms } => {
                 self.on_refused(agent, &attempt, reason, retry_after_ms, now);
--- a/crates/hickorydoor/src/entry_config.rs
+++ b/crates/hickorydoor/src/entry_config.rs
@@ -54,7 +54,7 @@
     pub(crate) fn on_hello(&mut self, agent: &HostId, hello: AgentHello, now: TimeMs) {
         let incarnation = hello.incarnation;
         if self.members.get(agent).is_some_and(|member| incarnation < member.incarnation) {
-            // A late hello of an earlier life.
+            // A late hello of an earlier incarnation.
             return;
         }
         let revision = hello.revision;
--- a/crates/hickorydoor/src/entry_links.rs
+++ b/crates/hickorydoor/src/entry_links.rs
@@ -144,7 +144,7 @@
     }
 
     /// Notes that an agent was heard.
-    pub(crate) fn hear(&mut self, agent: &HostId, now: TimeMs) {
+    pub(crate) fn note_heard(&mut self, agent: &HostId, now: TimeMs) {
         let Some(member) = self.members.get_mut(agent) else {
             return;
         };
@@ -210,7 +210,7 @@
         if let Some(member) = self.members.get_mut(agent) {
             let was_connected = member.connected;
             member.connected = false;
-            // The next life of the agent must say hello before it gets work.
+            // The next incarnation of the agent must say hello before it gets work.
             member.hello = None;
             member.draining = false;
             member.connecting = false;
--- a/crates/hickorydoor/src/entry_resume.rs
+++ b/crates/hickorydoor/src/entry_resume.rs
@@ -124,17 +124,22 @@
             return;
         };
         let owed = std::mem::take(&mut member.owed_cancels);
-        for (life, attempt) in owed {
-            if life == incarnation {
+        for (owed_to, attempt) in owed {
+            if owed_to == incarnation {
                 self.send(agent, EntryMessage::Cancel { attempt });
             }
         }
     }
 
     /// Sends a cancel, or keeps it until the link is up again.
-    pub(crate) fn send_cancel(&mut self, agent: &HostId, life: Incarnation, attempt: AttemptId) {
+    pub(crate) fn send_cancel(
+        &mut self,
+        agent: &HostId,
+        incarnation: Incarnation,
+        attempt: AttemptId,
+    ) {
         match self.members.get_mut(agent) {
-            Some(member) if !member.connected => member.owed_cancels.push((life, attempt)),
+            Some(member) if !member.connected => member.owed_cancels.push((incarnation, attempt)),
             _ => self.send(agent, EntryMessage::Cancel { attempt }),
         }
     }
--- a/crates/hickorydoor/src/entry_settings.rs
+++ b/crates/hickorydoor/src/entry_settings.rs
@@ -12,7 +12,7 @@
 pub struct EntrySettings {
     /// The entry's host.
     pub host: HostId,
-    /// This life of the entry; later lives have higher numbers.
+    /// This incarnation of the entry; later incarnations have higher numbers.
     pub incarnation: Incarnation,
     /// The entry's data centre.
     pub data_centre: DataCentreId,
--- a/crates/hickorydoor/src/id.rs
+++ b/crates/hickorydoor/src/id.rs
@@ -205,7 +205,7 @@
     };
 }
 
-number_id!(/// One life of a process; higher for later lives of the same host.
+number_id!(/// One run of a process; higher for later runs on the same host.
     Incarnation);
 number_id!(/// Revision of the configuration.
     Revision);
@@ -225,9 +225,9 @@
 pub struct RequestId {
     /// The entry that accepted the request.
     pub entry: HostId,
-    /// The life of that entry.
+    /// The incarnation of that entry.
     pub incarnation: Incarnation,
-    /// The request's number within that life.
+    /// The request's number within that incarnation.
     pub serial: Serial,
 }
 
--- a/crates/hickorydoor/src/kv_call.rs
+++ b/crates/hickorydoor/src/kv_call.rs
@@ -39,7 +39,7 @@
         key: CompactString,
         /// The value, at most 1 MB.
         value: Bytes,
-        /// The lease that the key lives under.
+        /// The lease that the key is attached to.
         lease: Option<u64>,
     },
     /// Deletes a key.
--- a/crates/hickorydoor/src/lease.rs
+++ b/crates/hickorydoor/src/lease.rs
@@ -43,9 +43,9 @@
 pub struct Presence {
     /// The agent's host.
     pub host: HostId,
-    /// The life of the agent.
+    /// The incarnation of the agent.
     pub incarnation: Incarnation,
-    /// The lease that the key lives under.
+    /// The lease that the key is attached to.
     pub lease: u64,
 }
 
@@ -68,7 +68,7 @@
     valid_until_ms: TimeMs,
     fencing: Option<FencingNumber>,
     orders_from_ms: TimeMs,
-    /// Store revision of the key of an earlier life of this agent, which is to be removed.
+    /// Store revision of the key of an earlier incarnation of this agent, which is to be removed.
     stale_key: Option<u64>,
     in_flight: Option<LeaseCall>,
     sent_at_ms: TimeMs,
@@ -218,7 +218,7 @@
         }
         let replaced = found.host == self.host && found.incarnation <= self.incarnation;
         if replaced && checks_fencing {
-            // An earlier life of this agent; the engine rejects what it may still order. Other
+            // An earlier incarnation of this agent; the engine rejects what it may still order. Other
             // engines must wait until the key expires with its lease.
             self.stale_key = Some(pair.modify_revision);
             self.next_call_at_ms = now;
--- a/crates/hickorydoor/src/member_table.rs
+++ b/crates/hickorydoor/src/member_table.rs
@@ -69,9 +69,9 @@
     pub silent: bool,
     /// Whether the link is to be closed when it is idle.
     pub is_unwanted: bool,
-    /// Newest life of the agent that said hello.
+    /// Newest incarnation of the agent that said hello.
     pub incarnation: Incarnation,
-    /// Cancels that wait for the link, with the agent's life that they are for.
+    /// Cancels that wait for the link, with the agent's incarnation that they are for.
     pub owed_cancels: Vec<(Incarnation, AttemptId)>,
 }
 
--- a/crates/hickorydoor/src/message.rs
+++ b/crates/hickorydoor/src/message.rs
@@ -37,7 +37,7 @@
 pub struct EntryHello {
     /// The entry's host.
     pub entry: HostId,
-    /// The entry's current life.
+    /// The entry's current incarnation.
     pub incarnation: Incarnation,
     /// The entry's data centre.
     pub data_centre: DataCentreId,
@@ -69,7 +69,7 @@
     pub agent: HostId,
     /// The upstream beside the agent.
     pub upstream: UpstreamId,
-    /// The agent's current life.
+    /// The agent's current incarnation.
     pub incarnation: Incarnation,
     /// The agent's data centre.
     pub data_centre: DataCentreId,
@@ -170,7 +170,7 @@
 pub struct Settlement {
     /// The entry.
     pub entry: HostId,
-    /// The life of the entry.
+    /// The incarnation of the entry.
     pub incarnation: Incarnation,
     /// Every request below this number is settled; makes up for messages that were lost.
     pub below: Serial,
@@ -341,7 +341,7 @@
     Draining,
     /// The agent has closed the ledger of this entry incarnation.
     IncarnationClosed {
-        /// The closed life of the entry.
+        /// The closed incarnation of the entry.
         incarnation: Incarnation,
     },
     /// Announces a revision.
--- a/crates/hickorydoor/src/request_state.rs
+++ b/crates/hickorydoor/src/request_state.rs
@@ -28,7 +28,7 @@
     pub ordinal: u32,
     /// The agent that it was sent to.
     pub agent: HostId,
-    /// The life of that agent.
+    /// The incarnation of that agent.
     pub agent_incarnation: Incarnation,
     /// When it was sent.
     pub sent_at_ms: TimeMs,
--- a/crates/hickorydoor/src/rollout_guard.rs
+++ b/crates/hickorydoor/src/rollout_guard.rs
@@ -68,7 +68,9 @@
         let key = (agent.clone(), version.clone());
         let known = self.digests.insert(key, (incarnation, digest));
         let fresh = match known {
-            Some((life, earlier)) if life == incarnation => digest.since(&earlier),
+            Some((known_incarnation, earlier)) if known_incarnation == incarnation => {
+                digest.since(&earlier)
+            }
             _ => digest,
         };
         self.fleet.add(version, &fresh);
--- a/crates/hickorydoor/src/session_pin.rs
+++ b/crates/hickorydoor/src/session_pin.rs
@@ -119,7 +119,7 @@
     best.into_iter().map(|(_, agent, incarnation)| (agent.clone(), incarnation)).collect()
 }
 
-/// Short name of one life of a home; whole ids would double the size of the cache.
+/// Short name of one incarnation of a home; whole ids would double the size of the cache.
 pub(crate) fn home_fingerprint(home: &HostId, incarnation: Incarnation) -> u64 {
     xxh3_64_with_seed(home.as_str().as_bytes(), incarnation.get())
 }
--- a/crates/hickorydoor/src/usage_store.rs
+++ b/crates/hickorydoor/src/usage_store.rs
@@ -54,7 +54,7 @@
 
 /// Copies of one entry incarnation.
 #[derive(Clone, Debug, Default)]
-struct UsageLife {
+struct IncarnationUsage {
     copies: BTreeMap<(Serial, u32), (u32, Usage)>,
     below: Serial,
     /// Requests in the ledger's batches, once the ledger is closed.
@@ -64,12 +64,12 @@
 }
 
 /// Names an entry incarnation.
-pub type LifeKey = (HostId, Incarnation);
+pub type IncarnationKey = (HostId, Incarnation);
 
 /// Usage copies by entry incarnation and attempt.
 #[derive(Clone, Debug, Default)]
 pub struct UsageStore {
-    lives: BTreeMap<LifeKey, UsageLife>,
+    incarnations: BTreeMap<IncarnationKey, IncarnationUsage>,
     payers: Vec<Payer>,
 }
 
@@ -79,10 +79,10 @@
         let request = &attempt.request;
         let payer = self.payer(copy.customer, copy.class, copy.version);
         let key = (request.entry.clone(), request.incarnation);
-        let life = self.lives.entry(key).or_default();
-        let billed = life.billed.as_ref().is_some_and(|set| set.contains(request.serial));
-        if request.serial >= life.below && !billed {
-            life.copies.insert((request.serial, attempt.ordinal), (payer, copy.usage));
+        let incarnation = self.incarnations.entry(key).or_default();
+        let billed = incarnation.billed.as_ref().is_some_and(|set| set.contains(request.serial));
+        if request.serial >= incarnation.below && !billed {
+            incarnation.copies.insert((request.serial, attempt.ordinal), (payer, copy.usage));
         }
     }
 
@@ -97,75 +97,81 @@
     }
 
     /// Drops the copies of requests whose bills are stored.
-    pub fn settle(&mut self, life: &LifeKey, below: Serial, serials: &[Serial]) {
-        let Some(life) = self.lives.get_mut(life) else {
+    pub fn settle(&mut self, incarnation: &IncarnationKey, below: Serial, serials: &[Serial]) {
+        let Some(incarnation) = self.incarnations.get_mut(incarnation) else {
             return;
         };
-        if below > life.below {
-            life.below = below;
-            life.copies = life.copies.split_off(&(below, 0));
+        if below > incarnation.below {
+            incarnation.below = below;
+            incarnation.copies = incarnation.copies.split_off(&(below, 0));
         }
         for serial in serials {
-            remove_request(&mut life.copies, *serial);
+            remove_request(&mut incarnation.copies, *serial);
         }
     }
 
     /// Notes that the ledger of an incarnation is closed with these requests in its batches.
-    pub fn close(&mut self, life: &LifeKey, billed: SerialSet) {
-        let life = self.lives.entry(life.clone()).or_default();
-        life.copies.retain(|(serial, _), _| !billed.contains(*serial));
-        life.billed = Some(billed);
+    pub fn close(&mut self, incarnation: &IncarnationKey, billed: SerialSet) {
+        let incarnation = self.incarnations.entry(incarnation.clone()).or_default();
+        incarnation.copies.retain(|(serial, _), _| !billed.contains(*serial));
+        incarnation.billed = Some(billed);
     }
 
     /// Whether the ledger of an incarnation is known to be closed.
-    pub fn is_closed(&self, life: &LifeKey) -> bool {
-        self.lives.get(life).is_some_and(|life| life.billed.is_some())
+    pub fn is_closed(&self, incarnation: &IncarnationKey) -> bool {
+        self.incarnations.get(incarnation).is_some_and(|incarnation| incarnation.billed.is_some())
     }
 
     /// Incarnations with copies or batches that are not stored, in order.
-    pub fn unsettled(&self) -> impl Iterator<Item = &LifeKey> {
-        let unsettled = |life: &UsageLife| !life.copies.is_empty() || life.pending.is_some();
-        self.lives.iter().filter(move |(_, life)| unsettled(life)).map(|(key, _)| key)
+    pub fn unsettled(&self) -> impl Iterator<Item = &IncarnationKey> {
+        let unsettled = |incarnation: &IncarnationUsage| {
+            !incarnation.copies.is_empty() || incarnation.pending.is_some()
+        };
+        self.incarnations
+            .iter()
+            .filter(move |(_, incarnation)| unsettled(incarnation))
+            .map(|(key, _)| key)
     }
 
     /// The batch to write for a closed incarnation. Its content and number stay fixed until
     /// [`Self::stored`].
     pub fn next_batch(
         &mut self,
-        key: &LifeKey,
+        key: &IncarnationKey,
         configuration: &Configuration,
         now: TimeMs,
     ) -> Option<RecoveredBatch> {
-        let life = self.lives.get_mut(key)?;
-        life.billed.as_ref()?;
-        if life.pending.is_none() {
-            let batch = take_batch(&mut life.copies, &self.payers, configuration, now)?;
-            let sequence = life.next_sequence;
-            life.next_sequence = sequence.next();
-            life.pending = Some(RecoveredBatch { sequence, batch });
+        let incarnation = self.incarnations.get_mut(key)?;
+        incarnation.billed.as_ref()?;
+        if incarnation.pending.is_none() {
+            let batch = take_batch(&mut incarnation.copies, &self.payers, configuration, now)?;
+            let sequence = incarnation.next_sequence;
+            incarnation.next_sequence = sequence.next();
+            incarnation.pending = Some(RecoveredBatch { sequence, batch });
         }
-        life.pending.clone()
+        incarnation.pending.clone()
     }
 
     /// Notes that the pending batch of an incarnation is stored.
-    pub fn stored(&mut self, key: &LifeKey) {
-        if let Some(life) = self.lives.get_mut(key) {
-            life.pending = None;
+    pub fn stored(&mut self, key: &IncarnationKey) {
+        if let Some(incarnation) = self.incarnations.get_mut(key) {
+            incarnation.pending = None;
         }
     }
 
     /// Forgets incarnations that `is_over` and that have nothing left to write.
-    pub fn forget(&mut self, is_over: impl Fn(&LifeKey) -> bool) {
-        self.lives
-            .retain(|key, life| !life.copies.is_empty() || life.pending.is_some() || !is_over(key));
-        if self.lives.values().all(|life| life.copies.is_empty()) {
+    pub fn forget(&mut self, is_over: impl Fn(&IncarnationKey) -> bool) {
+        self.incarnations.retain(|key, incarnation| {
+            !incarnation.copies.is_empty() || incarnation.pending.is_some() || !is_over(key)
+        });
+        if self.incarnations.values().all(|incarnation| incarnation.copies.is_empty()) {
             self.payers.clear();
         }
     }
 
     /// Attempts with copies.
     pub fn len(&self) -> usize {
-        self.lives.values().map(|life| life.copies.len()).sum()
+        self.incarnations.values().map(|incarnation| incarnation.copies.len()).sum()
     }
 
     /// Whether nothing waits for being stored.
--- a/crates/hickorydoor/src/wire_attempt.rs
+++ b/crates/hickorydoor/src/wire_attempt.rs
@@ -16,7 +16,7 @@
     /// Host of the entry.
     #[prost(string, tag = "1")]
     pub entry: String,
-    /// Life of the entry.
+    /// Incarnation of the entry.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
     /// Number of the request.
--- a/crates/hickorydoor/src/wire_entry.rs
+++ b/crates/hickorydoor/src/wire_entry.rs
@@ -24,7 +24,7 @@
     /// Host of the entry.
     #[prost(string, tag = "1")]
     pub entry: String,
-    /// Life of the entry.
+    /// Incarnation of the entry.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
     /// Numbers of the requests.
--- a/crates/hickorydoor/src/wire_hello.rs
+++ b/crates/hickorydoor/src/wire_hello.rs
@@ -17,7 +17,7 @@
     /// The entry's host.
     #[prost(string, tag = "1")]
     pub entry: String,
-    /// The entry's life.
+    /// The entry's incarnation.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
     /// The entry's data centre.
@@ -67,7 +67,7 @@
     /// The upstream.
     #[prost(string, tag = "2")]
     pub upstream: String,
-    /// The agent's life.
+    /// The agent's incarnation.
     #[prost(uint64, tag = "3")]
     pub incarnation: u64,
     /// The agent's data centre.
