Write halts with the transaction of operators' changes

entry_halt built a change transaction of its own beside change_attempt's. The head is written by every change, so comparing it covers the model as well.

--- a/crates/hickorydoor/src/entry_halt.rs
+++ b/crates/hickorydoor/src/entry_halt.rs
@@ -1,16 +1,16 @@
 //! How an entry holds rollout leases and writes halts into the configuration.
 //!
 //! The lease only keeps entries from doing the same work. A holder that was paused and halts a
-//! version late does no harm: the halt compares the head and the model with what it has read, and
+//! version late does no harm: the halt compares the head with what it has read, and
 //! a version that operators have changed in the meantime is read again and left alone.
 
-use compact_str::CompactString;
 use compact_str::format_compact;
 use rand::RngExt;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::change::ChangeRecord;
 use crate::change::Operation;
+use crate::change_attempt::write_call;
 use crate::entry::Entry;
 use crate::entry::KvPurpose;
 use crate::head::Head;
@@ -31,7 +31,6 @@
 use crate::model::Model;
 use crate::model::VersionState;
 use crate::observation::Observation;
-use crate::raw_configuration::RawChangeRecord;
 use crate::raw_configuration::RawItem;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
@@ -238,27 +237,10 @@
             operator: OperatorId::try_from(OPERATOR).ok()?,
             reason: format_compact!("{version} halted by {}: {}", self.settings.host, stop.reason),
             made_at_ms: now,
-            operations: vec![Operation::Put(Item::Model(model.clone()))],
+            operations: vec![Operation::Put(Item::Model(model))],
         };
-        let new_head = Head { revision, change: record.change.clone() };
-        let put = |key: CompactString, value: Vec<u8>| KvOperation::Put {
-            key,
-            value: value.into(),
-            lease: None,
-        };
-        let raw = RawItem::from(&Item::Model(model));
-        Some(KvCall::Transaction {
-            compares: vec![unchanged(head), unchanged(item)],
-            then: vec![
-                put(item.key.clone(), serde_json::to_vec(&raw).ok()?),
-                put(head.key.clone(), serde_json::to_vec(&new_head).ok()?),
-                put(
-                    keys::change(revision),
-                    serde_json::to_vec(&RawChangeRecord::from(&record)).ok()?,
-                ),
-            ],
-            otherwise: Vec::new(),
-        })
+        // Every change writes the head, so an unchanged head means an unchanged model.
+        Some(write_call(&record, Some(head.modify_revision)))
     }
 
     fn next_change_id(&mut self, version: &VersionId) -> Option<ChangeId> {
@@ -284,10 +266,6 @@
     }
 }
 
-fn unchanged(pair: &KvPair) -> KvCompare {
-    KvCompare::ModifiedAt { key: pair.key.clone(), store_revision: pair.modify_revision }
-}
-
 /// Halts a version; a draining fallback takes new sessions again.
 fn halt(model: &mut Model, version: &VersionId, fallback: &VersionId) {
     for known in &mut model.versions {
