Share one configuration of property tests

Seeds and counts are unchanged; billing and configuration_edit now follow HICKORY_PROPTEST_CASES too.

--- a/crates/hickorydoor/tests/admission.rs
+++ b/crates/hickorydoor/tests/admission.rs
@@ -3,13 +3,13 @@
 use hickorydoor::DurationMs;
 use hickorydoor::TimeMs;
 use hickorydoor::admission::Admission;
-use proptest::prelude::ProptestConfig;
 use proptest::prelude::Strategy;
 use proptest::prop_assert;
 use proptest::prop_assert_eq;
 use proptest::prop_oneof;
 use proptest::proptest;
-use proptest::test_runner::RngSeed;
+
+mod property;
 
 const COLD_LIMIT: u32 = 4;
 const WARM_LIMIT: u32 = 32;
@@ -17,16 +17,6 @@
 const SEED: u64 = 7;
 const CASES: u32 = 64;
 
-fn config() -> ProptestConfig {
-    let raised = std::env::var("HICKORY_PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
-    ProptestConfig {
-        cases: raised.unwrap_or(CASES),
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 #[derive(Clone, Debug)]
 enum Step {
     Admit,
@@ -53,7 +43,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(property::config(SEED, CASES))]
 
     // Failure: an attempt is admitted above the limit, or the limit grows beyond the warm limit.
     #[test]
--- a/crates/hickorydoor/tests/billing.rs
+++ b/crates/hickorydoor/tests/billing.rs
@@ -14,8 +14,8 @@
 use hickorydoor::serial_set::SerialSet;
 use hickorydoor::usage::Usage;
 use proptest::prelude::proptest;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
+
+mod property;
 
 /// Requests of one entry in an hour at full scale (41 a second).
 const REQUESTS_PER_HOUR: u64 = 147_600;
@@ -84,11 +84,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config {
-        rng_seed: RngSeed::Fixed(7),
-        failure_persistence: None,
-        ..Config::default()
-    })]
+    #![proptest_config(property::config(7, 256))]
 
     /// Guards against numbers that are lost or invented when ranges merge.
     #[test]
--- a/crates/hickorydoor/tests/cascades.rs
+++ b/crates/hickorydoor/tests/cascades.rs
@@ -1,6 +1,7 @@
 //! Cascades judge answers before they release them, and bill every step that ran.
 
 mod fleet;
+mod property;
 
 use std::collections::BTreeSet;
 
@@ -11,11 +12,9 @@
 use hickorydoor::observation::Observation;
 use hickorydoor::observation::RequestRecord;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 use self::fleet::Behaviour;
 use self::fleet::Fleet;
-use self::fleet::cases;
 
 const YAML: &str = "
 models:
@@ -167,12 +166,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: cases(32),
-        rng_seed: RngSeed::Fixed(3),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(property::config(3, 32))]
 
     // Guards against answers below the release score, steps without a bill and lost requests,
     // whatever the rating service does.
--- a/crates/hickorydoor/tests/configuration_edit.rs
+++ b/crates/hickorydoor/tests/configuration_edit.rs
@@ -26,8 +26,8 @@
 use proptest::prelude::prop_oneof;
 use proptest::prelude::proptest;
 use proptest::sample::subsequence;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
+
+mod property;
 
 const MODELS: [&str; 3] = ["a", "b", "c"];
 const VERSIONS: [&str; 4] = ["v1", "v2", "v3", "v4"];
@@ -106,12 +106,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config {
-        cases: 500,
-        rng_seed: RngSeed::Fixed(5),
-        failure_persistence: None,
-        ..Config::default()
-    })]
+    #![proptest_config(property::config(5, 500))]
 
     #[test]
     fn changes_in_place_equal_a_new_configuration(
--- a/crates/hickorydoor/tests/fair_queue.rs
+++ b/crates/hickorydoor/tests/fair_queue.rs
@@ -9,26 +9,16 @@
 use hickorydoor::fair_queue::Waiting;
 use hickorydoor::id::CustomerId;
 use hickorydoor::id::Serial;
-use proptest::prelude::ProptestConfig;
 use proptest::prop_assert;
 use proptest::prop_assert_eq;
 use proptest::proptest;
-use proptest::test_runner::RngSeed;
+
+mod property;
 
 const SEED: u64 = 11;
 const CASES: u32 = 64;
 const WAIT_MS: DurationMs = DurationMs::from_secs(2);
 
-fn config() -> ProptestConfig {
-    let raised = std::env::var("HICKORY_PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
-    ProptestConfig {
-        cases: raised.unwrap_or(CASES),
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 fn waiting(serial: u64, customer: u8, weight: u32, class: Class) -> Waiting {
     Waiting {
         serial: Serial::new(serial),
@@ -41,7 +31,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(property::config(SEED, CASES))]
 
     // Failure: a request is served twice, or neither served, shed nor expired.
     #[test]
--- a/crates/hickorydoor/tests/fleet/mod.rs
+++ b/crates/hickorydoor/tests/fleet/mod.rs
@@ -443,9 +443,3 @@
     let raw = RawConfiguration::from_yaml(&yaml).expect("the text is a configuration");
     Configuration::try_from(raw).expect("the configuration is valid")
 }
-
-/// Cases of a property test; `HICKORY_PROPTEST_CASES` raises them.
-pub fn cases(default: u32) -> u32 {
-    let wanted = std::env::var("HICKORY_PROPTEST_CASES").ok();
-    wanted.and_then(|text| text.parse().ok()).unwrap_or(default)
-}
--- a/crates/hickorydoor/tests/limits.rs
+++ b/crates/hickorydoor/tests/limits.rs
@@ -7,32 +7,22 @@
 use hickorydoor::limits::LimitTable;
 use hickorydoor::quantity::Share;
 use hickorydoor::retry_budget::RetryBudget;
-use proptest::prelude::ProptestConfig;
 use proptest::prop_assert;
 use proptest::proptest;
-use proptest::test_runner::RngSeed;
+
+mod property;
 
 const SEED: u64 = 13;
 const CASES: u32 = 64;
 /// Requests that each entry may admit at once above its rate: 2 s of its part, at least 2.
 const BURST_S: f64 = 2.0;
 
-fn config() -> ProptestConfig {
-    let raised = std::env::var("HICKORY_PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
-    ProptestConfig {
-        cases: raised.unwrap_or(CASES),
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 fn customer() -> CustomerId {
     CustomerId::try_from("customer").expect("a valid id")
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(property::config(SEED, CASES))]
 
     // Failure: the entries together admit more than the rate and the stated burst.
     #[test]
--- a/crates/hickorydoor/tests/operator_changes.rs
+++ b/crates/hickorydoor/tests/operator_changes.rs
@@ -23,21 +23,12 @@
 use memory_kv::MemoryKv;
 use memory_kv::configuration;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+
+mod property;
 
 const DEADLINE_MS: TimeMs = TimeMs::new(1_000);
 const AFTER_DEADLINE_MS: TimeMs = TimeMs::new(2_000);
 
-fn proptest_config() -> ProptestConfig {
-    let cases = std::env::var("HICKORY_PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
-    ProptestConfig {
-        cases: cases.unwrap_or(256),
-        rng_seed: RngSeed::Fixed(11),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 /// What happens to the next call of an operator.
 #[derive(Clone, Copy, Debug)]
 enum Fate {
@@ -206,7 +197,7 @@
 }
 
 proptest! {
-    #![proptest_config(proptest_config())]
+    #![proptest_config(property::config(11, 256))]
 
     // Guards against changes that are accepted twice, lost after they were accepted, or stored
     // after they were refused, under races, lost answers and writes that take effect late.
--- a/crates/hickorydoor/tests/rollouts.rs
+++ b/crates/hickorydoor/tests/rollouts.rs
@@ -1,14 +1,13 @@
 //! Bad versions are stopped, good ones are not, and canaries keep to their share.
 
 mod fleet;
+mod property;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 use self::fleet::Answer;
 use self::fleet::Behaviour;
 use self::fleet::Fleet;
-use self::fleet::cases;
 
 const YAML: &str = "
 models:
@@ -227,12 +226,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: cases(16),
-        rng_seed: RngSeed::Fixed(2),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(property::config(2, 16))]
 
     // Guards against a canary that gets more than its share of sessions or of single requests.
     #[test]
@@ -327,12 +321,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: cases(48),
-        rng_seed: RngSeed::Fixed(4),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(property::config(4, 48))]
 
     // Guards against work on versions that are withdrawn, halted or not allowed: the fleet checks
     // each dispatch against the entry's and each call against the agent's configuration.
--- a/crates/hickorydoor/tests/sessions.rs
+++ b/crates/hickorydoor/tests/sessions.rs
@@ -1,14 +1,13 @@
 //! Sessions keep their versions.
 
 mod fleet;
+mod property;
 
 use std::collections::BTreeMap;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 use self::fleet::Fleet;
-use self::fleet::cases;
 
 const YAML: &str = "
 models:
@@ -116,12 +115,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: cases(64),
-        rng_seed: RngSeed::Fixed(1),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(property::config(1, 64))]
 
     // Guards against sessions that change their version when another entry serves them, when
     // processes restart or when a rollout goes on.
--- a/crates/hickorydoor/tests/wire.rs
+++ b/crates/hickorydoor/tests/wire.rs
@@ -31,21 +31,12 @@
 use hickorydoor::wire::AgentFrame;
 use hickorydoor::wire::EntryFrame;
 use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
 use prost::Message;
 
-const SEED: u64 = 0x7769_7265;
+mod property;
 
-fn config() -> Config {
-    let cases = std::env::var("HICKORY_PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
-    Config {
-        cases: cases.unwrap_or(128),
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
+const SEED: u64 = 0x7769_7265;
+const CASES: u32 = 128;
 
 fn id_text() -> impl Strategy<Value = String> {
     "[A-Za-z0-9._:@-]{1,32}"
@@ -256,7 +247,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(property::config(SEED, CASES))]
 
     /// Guards against fields that are lost or swapped between a message and its frame.
     #[test]
