Build attempt ids in one place

Three handlers of the entry built the id of an attempt from its request by hand. RequestState::attempt_id does it; inline type paths beside them became imports. Behaviour is unchanged.

--- a/crates/hickorydoor/src/entry_halt.rs
+++ b/crates/hickorydoor/src/entry_halt.rs
@@ -31,6 +31,7 @@
 use crate::model::Model;
 use crate::model::VersionState;
 use crate::observation::Observation;
+use crate::quantity::Share;
 use crate::raw_configuration::RawItem;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
@@ -271,7 +272,7 @@
     for known in &mut model.versions {
         if known.id == *version {
             known.state = VersionState::Halted;
-            known.canary_share = crate::quantity::Share::ZERO;
+            known.canary_share = Share::ZERO;
         } else if known.id == *fallback {
             known.state = VersionState::Active;
         }
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -282,7 +282,7 @@
         let Some(state) = self.requests.get_mut(&serial) else {
             return;
         };
-        let attempt = crate::id::AttemptId { request: state.id.clone(), ordinal: state.attempts };
+        let attempt = state.attempt_id(state.attempts);
         let call = match &state.request.ask {
             Ask::Chat(chat) => {
                 let Some(version) = version.clone() else {
@@ -382,7 +382,7 @@
             return;
         };
         state.run = after_unknown(state.run);
-        let id = crate::id::AttemptId { request: state.id.clone(), ordinal: attempt.ordinal };
+        let id = state.attempt_id(attempt.ordinal);
         let prompt_tokens = match &state.request.ask {
             Ask::Chat(chat) if attempt.tokens > Tokens::default() => chat.prompt_tokens,
             _ => Tokens::default(),
--- a/crates/hickorydoor/src/entry_resume.rs
+++ b/crates/hickorydoor/src/entry_resume.rs
@@ -69,7 +69,7 @@
         let Some(attempt) = &state.attempt else {
             return;
         };
-        let id = AttemptId { request: state.id.clone(), ordinal: attempt.ordinal };
+        let id = state.attempt_id(attempt.ordinal);
         let fault = AttemptFault::ConnectionLost;
         self.record(Observation::AttemptFailed { attempt: id, agent: agent.clone(), fault });
     }
--- a/crates/hickorydoor/src/request_state.rs
+++ b/crates/hickorydoor/src/request_state.rs
@@ -5,8 +5,10 @@
 use smallvec::SmallVec;
 
 use crate::bill::BillLine;
+use crate::caller_request::Ask;
 use crate::caller_request::CallerRequest;
 use crate::class::Class;
+use crate::id::AttemptId;
 use crate::id::CallerId;
 use crate::id::CascadeId;
 use crate::id::CustomerId;
@@ -135,11 +137,16 @@
 }
 
 impl RequestState {
+    /// The id of the attempt with this number.
+    pub fn attempt_id(&self, ordinal: u32) -> AttemptId {
+        AttemptId { request: self.id.clone(), ordinal }
+    }
+
     /// Whether the caller asked for a stream.
     pub fn wants_stream(&self) -> bool {
         match &self.request.ask {
-            crate::caller_request::Ask::Chat(chat) => chat.stream,
-            crate::caller_request::Ask::Service(_) => false,
+            Ask::Chat(chat) => chat.stream,
+            Ask::Service(_) => false,
         }
     }
 
