--- /dev/null
+++ b/crates/hickoryd/src/gateway/front.rs
@@ -0,0 +1,223 @@
+//! The callers' port.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use hickorydoor::DurationMs;
+use hickorydoor::gateway::call::Call;
+use hickorydoor::gateway::call::CallId;
+use hickorydoor::gateway::call::Prompt;
+use hickorydoor::gateway::call::PromptPart;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header;
+use http::request::Parts;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use log::debug;
+use log::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::gateway::answer::plain;
+use crate::gateway::answer_body::AnswerBody;
+use crate::gateway::call_driver::CallDriver;
+use crate::gateway::core::Core;
+use crate::gateway::header_names::HeaderNames;
+use crate::gateway::upstream_request::RequestTemplate;
+
+/// Pause after a failed accept, for example when no file descriptors are left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time for a request body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time beyond the idle timeout, so that a caller that keeps to it is not cut off.
+const IDLE_SLACK: Duration = Duration::from_secs(1);
+/// Least size of the read buffer of a connection.
+const LEAST_BUFFER_BYTES: usize = 16 << 10;
+/// Headers of a request at most.
+const MAX_HEADERS: usize = 100;
+
+/// Serves callers until `stop` turns true; open connections then finish their current request.
+pub async fn serve(
+    listener: TcpListener,
+    core: Rc<Core>,
+    names: Rc<HeaderNames>,
+    mut stop: watch::Receiver<bool>,
+) {
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _peer)) => {
+                    let connection =
+                        serve_connection(stream, Rc::clone(&core), Rc::clone(&names), stop.clone());
+                    spawn_local(connection);
+                }
+                Err(error) => {
+                    warn!(reason:% = error; "accept failed");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            () = stopped(&mut stop) => return,
+        }
+    }
+}
+
+/// Waits until the process stops; a closed channel means the same.
+async fn stopped(stop: &mut watch::Receiver<bool>) {
+    drop(stop.wait_for(|stop| *stop).await);
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    core: Rc<Core>,
+    names: Rc<HeaderNames>,
+    mut stop: watch::Receiver<bool>,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!(reason:% = error; "nodelay cannot be set");
+    }
+    let _count = core.count_connection();
+    let limits = core.limits();
+    let service = service_fn(move |request| {
+        let (core, names) = (Rc::clone(&core), Rc::clone(&names));
+        async move { Ok::<_, Infallible>(handle(request, core, names).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from(limits.idle_timeout_ms) + IDLE_SLACK)
+        .max_buf_size((limits.head_bytes.get() as usize).max(LEAST_BUFFER_BYTES))
+        .max_headers(MAX_HEADERS)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = stopped(&mut stop) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        debug!(reason:% = error; "connection ended");
+    }
+}
+
+async fn handle(
+    request: Request<Incoming>,
+    core: Rc<Core>,
+    names: Rc<HeaderNames>,
+) -> Response<AnswerBody> {
+    let (parts, body) = request.into_parts();
+    let limit_bytes = core.limits().body_bytes.get() as usize;
+    let read = timeout(BODY_TIMEOUT, Limited::new(body, limit_bytes).collect()).await;
+    let mut response = match read {
+        Err(_elapsed) => plain(408, "the request body took too long".to_owned()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            plain(413, "the request body is too long".to_owned())
+        }
+        Ok(Err(_broken)) => plain(400, "the request body is not complete".to_owned()),
+        Ok(Ok(body)) => drive(parts, body.to_bytes(), &core, names).await,
+    };
+    if core.is_stopping() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn drive(
+    parts: Parts,
+    body: Bytes,
+    core: &Rc<Core>,
+    names: Rc<HeaderNames>,
+) -> Response<AnswerBody> {
+    let call = read_call(&parts, body.len() as u64, &names);
+    let template = RequestTemplate::new(&parts, body, &names);
+    let last_event = call.last_event;
+    let (reply, answered) = oneshot::channel();
+    let (id, directives) = core.open(call);
+    let driver = CallDriver::new(Rc::clone(core), id, names, template, last_event, reply);
+    let task = spawn_local(driver.run(directives));
+    let mut guard = CallerGuard { core: Rc::clone(core), call: id, task: Some(task.abort_handle()) };
+    let response = answered.await;
+    guard.task = None;
+    response.unwrap_or_else(|_closed| plain(502, "the request was not answered".to_owned()))
+}
+
+/// Ends the task of a request whose caller leaves before the answer.
+#[derive(Debug)]
+struct CallerGuard {
+    core: Rc<Core>,
+    call: CallId,
+    task: Option<AbortHandle>,
+}
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        if let Some(task) = self.task.take() {
+            task.abort();
+            self.core.close(self.call);
+        }
+    }
+}
+
+fn read_call(parts: &Parts, body_bytes: u64, names: &HeaderNames) -> Call {
+    let headers = &parts.headers;
+    let authority = parts.uri.host().or_else(|| text(headers, &header::HOST));
+    let host = authority.unwrap_or_default();
+    let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+    let model = text(headers, &names.model).filter(|model| *model != "*");
+    Call {
+        client_attempt: text(headers, &names.client_attempt).unwrap_or_default().into(),
+        host: host.to_ascii_lowercase().into(),
+        path: parts.uri.path().into(),
+        key: text(headers, &names.key).map(CompactString::from),
+        deadline_ms: number(headers, &names.deadline_ms).map(DurationMs::new),
+        model: model.map(CompactString::from),
+        prompt: read_prompt(headers, names),
+        last_event: number(headers, &names.last_event),
+        session: text(headers, &names.session).map(CompactString::from),
+        body_bytes,
+    }
+}
+
+fn read_prompt(headers: &HeaderMap, names: &HeaderNames) -> Prompt {
+    let counts = text(headers, &names.tokens).unwrap_or_default();
+    let mut counts = counts.split(',').map(|count| count.trim().parse().unwrap_or_default());
+    let parts = text(headers, &names.prompt_parts).unwrap_or_default();
+    let part = |part: &str| {
+        let (id, tokens) = part.trim().split_once(':')?;
+        Some(PromptPart {
+            id: u64::from_str_radix(id, 16).ok()?,
+            tokens: tokens.parse().ok()?,
+        })
+    };
+    Prompt {
+        tokens: counts.next().unwrap_or_default(),
+        max_answer_tokens: counts.next().unwrap_or_default(),
+        parts: parts.split(',').filter_map(part).collect(),
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    text(headers, name)?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/hickoryd/src/gateway/process.rs
@@ -0,0 +1,128 @@
+//! A running gateway.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hickorydoor::gateway::GatewayEvent;
+use log::info;
+use log::warn;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio::time::sleep;
+
+use crate::gateway::core::AdapterPort;
+use crate::gateway::core::Core;
+use crate::gateway::front::serve;
+use crate::gateway::options::GatewayOptions;
+use crate::gateway::peers::exchange;
+use crate::gateway::status_port::serve_status;
+use crate::start_error::StartError;
+
+/// Time between two ticks of the reducer.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between two looks at whether a stopping process is idle.
+const IDLE_CHECK: Duration = Duration::from_millis(20);
+/// Time for the last bytes of answers to leave.
+const LAST_BYTES: Duration = Duration::from_millis(100);
+
+/// A running gateway. Its tasks run on the local task set that started it.
+#[derive(Debug)]
+pub struct GatewayProcess {
+    core: Rc<Core>,
+    http_address: SocketAddr,
+    ready_address: SocketAddr,
+    close_callers: watch::Sender<bool>,
+    stop_notice: Duration,
+    stop_timeout: Duration,
+}
+
+impl GatewayProcess {
+    /// Opens the ports and starts the tasks.
+    ///
+    /// # Errors
+    /// Fails if a port cannot be opened.
+    pub async fn start(options: GatewayOptions) -> Result<(Self, AdapterPort), StartError> {
+        let stop_notice = options.settings.stop_notice_ms.into();
+        let (core, port) = Core::new(options.settings)
+            .map_err(|cause| StartError::Metrics { cause: io::Error::other(cause) })?;
+        let names = Rc::new(options.names);
+        let close_callers = watch::Sender::new(false);
+        let callers = bind(options.http_listen).await?;
+        let http_address = local_address(&callers, options.http_listen)?;
+        let ready = bind(options.ready_listen).await?;
+        let ready_address = local_address(&ready, options.ready_listen)?;
+        let peer_address = SocketAddr::new(options.peer_ip, options.peer_port);
+        let peers = UdpSocket::bind(peer_address)
+            .await
+            .map_err(|cause| StartError::Listen { address: peer_address, cause })?;
+        spawn_local(serve(callers, Rc::clone(&core), names, close_callers.subscribe()));
+        spawn_local(serve_status(ready, Rc::clone(&core), options.ready_path.clone()));
+        if let Some(address) = options.metrics_listen {
+            let metrics = bind(address).await?;
+            spawn_local(serve_status(metrics, Rc::clone(&core), options.ready_path));
+        }
+        let peer_port = options.peer_port;
+        spawn_local(exchange(Rc::new(peers), Rc::clone(&core), peer_port, options.peer_interval));
+        spawn_local(tick(Rc::clone(&core)));
+        let stop_timeout = options.stop_timeout;
+        let process =
+            Self { core, http_address, ready_address, close_callers, stop_notice, stop_timeout };
+        Ok((process, port))
+    }
+
+    /// The shared reducer.
+    pub fn core(&self) -> Rc<Core> {
+        Rc::clone(&self.core)
+    }
+
+    /// Where callers connect.
+    pub const fn http_address(&self) -> SocketAddr {
+        self.http_address
+    }
+
+    /// Where readiness is asked for.
+    pub const fn ready_address(&self) -> SocketAddr {
+        self.ready_address
+    }
+
+    /// Stops gracefully: says that it is not ready, serves on until the platform has noticed,
+    /// then refuses new requests and finishes the open ones.
+    pub async fn stop(self) {
+        let deadline = Instant::now() + self.stop_timeout;
+        self.core.stop();
+        sleep(self.stop_notice).await;
+        self.close_callers.send_replace(true);
+        while self.core.connections() > 0 && Instant::now() < deadline {
+            sleep(IDLE_CHECK).await;
+        }
+        sleep(LAST_BYTES).await;
+        match self.core.open_calls() {
+            0 => info!("stopped"),
+            open => warn!(open_calls = open; "stopped with open requests"),
+        }
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|cause| StartError::Listen { address, cause })
+}
+
+fn local_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, StartError> {
+    listener.local_addr().map_err(|cause| StartError::Listen { address, cause })
+}
+
+async fn tick(core: Rc<Core>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        core.apply(GatewayEvent::Tick);
+    }
+}
--- /dev/null
+++ b/crates/hickoryd/src/gateway/upstream_request.rs
@@ -0,0 +1,189 @@
+//! One attempt at an upstream, on a connection of its own.
+//!
+//! The connection is opened for the attempt and closed after its answer, so no answer can be
+//! taken for that of an earlier request, and closing it cancels the work.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hickorydoor::gateway::effect::Dispatch;
+use hickorydoor::gateway::event::AttemptOutcome;
+use hickorydoor::gateway::event::Break;
+use hickorydoor::gateway::event::NotRun;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::Uri;
+use http::header;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use log::debug;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use tokio::time::timeout_at;
+
+use crate::gateway::answer::remove_connection_headers;
+use crate::gateway::header_names::HeaderNames;
+
+/// The part of a caller's request that is passed on.
+#[derive(Clone, Debug)]
+pub struct RequestTemplate {
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    client_attempt: Option<HeaderValue>,
+}
+
+/// The head of an upstream's answer; dropping it closes the connection.
+#[derive(Debug)]
+pub struct OpenAnswer {
+    /// Status, headers and body.
+    pub response: Response<Incoming>,
+    /// Keeps the connection open.
+    pub connection: ConnectionGuard,
+}
+
+/// Ends the task of a connection when it is dropped.
+#[derive(Debug)]
+pub struct ConnectionGuard(AbortHandle);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl RequestTemplate {
+    /// Keeps what is passed on of a request.
+    pub fn new(parts: &http::request::Parts, body: Bytes, names: &HeaderNames) -> Self {
+        let client_attempt = parts.headers.get(&names.client_attempt).cloned();
+        let mut headers = parts.headers.clone();
+        remove_connection_headers(&mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        for name in [
+            &names.key,
+            &names.customer,
+            &names.expected_upstream,
+            &names.priority,
+            &names.deadline_ms,
+            &names.last_event,
+        ] {
+            headers.remove(name);
+        }
+        for name in &names.reserved {
+            headers.remove(name);
+        }
+        let target = parts.uri.path_and_query().cloned();
+        let uri = target.map_or_else(|| parts.uri.clone(), Uri::from);
+        Self { method: parts.method.clone(), uri, headers, body, client_attempt }
+    }
+
+    fn request(&self, dispatch: &Dispatch, names: &HeaderNames) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let mut headers = self.headers.clone();
+        let mut set = |name: &http::HeaderName, value: String| {
+            match HeaderValue::try_from(value) {
+                Ok(value) => {
+                    headers.insert(name.clone(), value);
+                }
+                Err(error) => debug!(header:% = name, reason:% = error; "header left out"),
+            }
+        };
+        set(&names.deadline_ms, dispatch.upstream_deadline_ms.get().to_string());
+        set(&names.expected_upstream, dispatch.upstream.to_string());
+        if let Some(customer) = &dispatch.customer {
+            set(&names.customer, customer.to_string());
+        }
+        if let Some(model) = &dispatch.model {
+            set(&names.model, model.to_string());
+        }
+        if dispatch.streaming {
+            set(&names.priority, dispatch.priority.min(9).to_string());
+        }
+        if let Some(last_event) = dispatch.last_event {
+            set(&names.last_event, last_event.to_string());
+        }
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Whether an answer names this request.
+    fn is_answered_by(&self, headers: &HeaderMap, names: &HeaderNames) -> bool {
+        let echoed = headers.get(&names.client_attempt);
+        echoed.is_none() || echoed == self.client_attempt.as_ref()
+    }
+}
+
+/// Sends a request and waits for the head of the answer.
+///
+/// # Errors
+/// Fails with the outcome of the attempt if there is no answer that may be passed on.
+pub async fn send(
+    template: &RequestTemplate,
+    dispatch: &Dispatch,
+    names: &HeaderNames,
+    until: Instant,
+) -> Result<OpenAnswer, AttemptOutcome> {
+    let unreachable = AttemptOutcome::NotRun(NotRun::Unreachable);
+    let connect_timeout = Duration::from(dispatch.connect_timeout_ms);
+    let connected = timeout(connect_timeout, TcpStream::connect(dispatch.address)).await;
+    let Ok(Ok(stream)) = connected else {
+        return Err(unreachable);
+    };
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!(reason:% = error; "nodelay cannot be set");
+    }
+    let Ok((mut sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
+        return Err(unreachable);
+    };
+    let task = tokio::task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            debug!(reason:% = error; "upstream connection ended");
+        }
+    });
+    let connection = ConnectionGuard(task.abort_handle());
+    let sent = sender.send_request(template.request(dispatch, names));
+    let response = match timeout_at(until, sent).await {
+        Err(_elapsed) => return Err(AttemptOutcome::Unknown(Break::Silent)),
+        Ok(Err(error)) if error.is_parse() => {
+            return Err(AttemptOutcome::Unknown(Break::Garbled));
+        }
+        Ok(Err(_error)) => return Err(AttemptOutcome::Unknown(Break::Closed)),
+        Ok(Ok(response)) => response,
+    };
+    check_head(template, &response, names)?;
+    Ok(OpenAnswer { response, connection })
+}
+
+fn check_head(
+    template: &RequestTemplate,
+    response: &Response<Incoming>,
+    names: &HeaderNames,
+) -> Result<(), AttemptOutcome> {
+    let headers = response.headers();
+    if !template.is_answered_by(headers, names) {
+        return Err(AttemptOutcome::Unknown(Break::Garbled));
+    }
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        return Err(AttemptOutcome::NotRun(NotRun::OtherInstance));
+    }
+    if headers.contains_key(&names.not_run) {
+        return Err(AttemptOutcome::NotRun(NotRun::Refused));
+    }
+    let is_signed = headers.contains_key(&names.signature);
+    if !is_signed || headers.contains_key(header::CONTENT_ENCODING) {
+        return Err(AttemptOutcome::Unknown(Break::Garbled));
+    }
+    Ok(())
+}
--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -28,6 +28,7 @@
 mod field_line;
 mod front;
 mod front_error;
+pub mod gateway;
 mod http_client;
 mod http_server;
 mod journal;
--- a/crates/hickoryd/src/logging.rs
+++ b/crates/hickoryd/src/logging.rs
@@ -27,7 +27,7 @@
     Logger::with(specification).format(json_line).start()
 }
 
-fn json_line(
+pub(crate) fn json_line(
     writer: &mut dyn Write,
     now: &mut DeferredNow,
     record: &Record<'_>,
--- /dev/null
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -0,0 +1,77 @@
+//! What a gateway does.
+
+use std::net::SocketAddr;
+
+use crate::gateway::call::CallId;
+use crate::gateway::refusal::CallRefusal;
+use crate::gateway::rollout::RolloutStep;
+use crate::id::CustomerId;
+use crate::id::ModelId;
+use crate::id::UpstreamId;
+use crate::time::DurationMs;
+
+/// One attempt to run a request on an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Dispatch {
+    /// Counts the attempts of the request from 1.
+    pub attempt: u32,
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The customer, if the request has one.
+    pub customer: Option<CustomerId>,
+    /// The model that is to answer, if the gateway chose it.
+    pub model: Option<ModelId>,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Time left for the request.
+    pub remaining_ms: DurationMs,
+    /// Time that the upstream has at most.
+    pub upstream_deadline_ms: DurationMs,
+    /// Time for the connection.
+    pub connect_timeout_ms: DurationMs,
+    /// Time for the head of the answer or the first event.
+    pub first_byte_timeout_ms: DurationMs,
+    /// Time between events of a stream.
+    pub pause_timeout_ms: DurationMs,
+    /// Last event that the caller has.
+    pub last_event: Option<u64>,
+    /// Whether the answer is a stream of events.
+    pub streaming: bool,
+    /// Expected time to the first event.
+    pub expected_ms: DurationMs,
+    /// Version of the upstream.
+    pub version: compact_str::CompactString,
+}
+
+/// Something to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum GatewayEffect {
+    /// Send a request to an upstream.
+    Dispatch {
+        /// The request.
+        call: CallId,
+        /// The attempt.
+        dispatch: Box<Dispatch>,
+    },
+    /// Answer a request without an upstream.
+    Refuse {
+        /// The request.
+        call: CallId,
+        /// The answer.
+        refusal: CallRefusal,
+    },
+    /// Pass on the upstream's answer that the last attempt brought.
+    Deliver {
+        /// The request.
+        call: CallId,
+    },
+    /// Break off the answer that the caller is receiving.
+    Abort {
+        /// The request.
+        call: CallId,
+    },
+    /// Write the record of a rollout.
+    WriteRollout(RolloutStep),
+}
--- /dev/null
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -0,0 +1,282 @@
+//! The reducer of the gateway role.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use compact_str::CompactString;
+
+use crate::gateway::active_call::ActiveCall;
+use crate::gateway::call::CallId;
+use crate::gateway::catalog::Catalog;
+use crate::gateway::effect::GatewayEffect;
+use crate::gateway::event::GatewayEvent;
+use crate::gateway::freshness::Freshness;
+use crate::gateway::peer_digest::DigestEvidence;
+use crate::gateway::peer_digest::PeerDigest;
+use crate::gateway::repeat_budget::RepeatBudget;
+use crate::gateway::rollout::Rollout;
+use crate::gateway::rollout::RolloutOrder;
+use crate::gateway::rollout::RolloutRecord;
+use crate::gateway::settings::GatewaySettings;
+use crate::gateway::speed_table::SpeedTable;
+use crate::gateway::upstream::Registration;
+use crate::gateway::upstream_pool::UpstreamPool;
+use crate::id::DataCentreId;
+use crate::id::HostId;
+use crate::id::ServiceName;
+use crate::time::DurationMs;
+use crate::time::TimeMs;
+
+/// Time for which an upstream counts as cold after its data centre is taken back.
+const RETURN_COLD_MS: DurationMs = DurationMs::new(1_500);
+/// Sessions whose version is remembered.
+const MAX_SESSIONS: usize = 4_096;
+
+/// Decides about all requests of one entry host that calls upstreams itself.
+#[derive(Debug)]
+pub struct Gateway {
+    pub(super) settings: GatewaySettings,
+    pub(super) catalog: Option<Catalog>,
+    pub(super) pool: UpstreamPool,
+    pub(super) speeds: SpeedTable,
+    pub(super) freshness: Freshness,
+    pub(super) rollouts: BTreeMap<ServiceName, Rollout>,
+    pub(super) closed_data_centres: BTreeSet<DataCentreId>,
+    pub(super) calls: BTreeMap<CallId, ActiveCall>,
+    pub(super) waiting: BTreeSet<CallId>,
+    pub(super) budgets: HashMap<ServiceName, RepeatBudget>,
+    pub(super) sessions: HashMap<CompactString, (CompactString, TimeMs)>,
+    pub(super) refuse_from: Option<TimeMs>,
+    records: BTreeMap<ServiceName, RolloutRecord>,
+    gateways: Vec<HostId>,
+    peers: HashMap<HostId, (u64, u64)>,
+    sequence: u64,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    pub fn new(settings: GatewaySettings) -> Self {
+        let gateways = vec![settings.host.clone()];
+        Self {
+            settings,
+            catalog: None,
+            pool: UpstreamPool::default(),
+            speeds: SpeedTable::default(),
+            freshness: Freshness::default(),
+            rollouts: BTreeMap::new(),
+            closed_data_centres: BTreeSet::new(),
+            calls: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            budgets: HashMap::new(),
+            sessions: HashMap::new(),
+            refuse_from: None,
+            records: BTreeMap::new(),
+            gateways,
+            peers: HashMap::new(),
+            sequence: 0,
+        }
+    }
+
+    /// Takes in an event and returns what is to be done.
+    pub fn apply(&mut self, event: GatewayEvent, now: TimeMs) -> Vec<GatewayEffect> {
+        let mut effects = Vec::new();
+        match event {
+            GatewayEvent::Tick => self.on_tick(now, &mut effects),
+            GatewayEvent::Configured(catalog) => self.on_configured(*catalog),
+            GatewayEvent::Registered(registration) => self.on_registered(*registration, now),
+            GatewayEvent::Deregistered(upstream) => {
+                let unsettled = self.is_unsettled(now);
+                self.pool.deregister(&upstream, unsettled, now);
+            }
+            GatewayEvent::RegisteredOnly(present) => {
+                let present: BTreeSet<_> = present.into_iter().collect();
+                let unsettled = self.is_unsettled(now);
+                self.pool.retain(&|id| present.contains(id), unsettled, now);
+            }
+            GatewayEvent::RolloutOrdered(order) => self.on_rollout_ordered(order, now),
+            GatewayEvent::RolloutWithdrawn(_service) => {
+                // The record stays in force: a version that was rolled back gets nothing.
+            }
+            GatewayEvent::RolloutRecorded(record) => self.on_rollout_recorded(record, now),
+            GatewayEvent::DataCentreOut(id) => {
+                self.closed_data_centres.insert(id);
+            }
+            GatewayEvent::DataCentreIn(id) => self.on_data_centre_in(&id, now),
+            GatewayEvent::Gateways(gateways) => self.on_gateways(gateways),
+            GatewayEvent::StoreProven { proven_at } => self.freshness.prove(proven_at, now),
+            GatewayEvent::StoreLost => self.freshness.lose(now),
+            GatewayEvent::Digest(digest) => self.on_digest(*digest, now),
+            GatewayEvent::Arrived { call, request } => {
+                self.on_arrived(call, *request, now, &mut effects);
+            }
+            GatewayEvent::FirstEvent { call } => self.on_first_event(call, now),
+            GatewayEvent::AttemptEnded { call, outcome, last_event, delivered } => {
+                if let Some(known) = self.calls.get_mut(&call) {
+                    known.last_event = last_event;
+                    known.delivered = delivered;
+                }
+                self.on_attempt_ended(call, outcome, now, &mut effects);
+            }
+            GatewayEvent::CallerGone { call } => self.on_caller_gone(call, now),
+            GatewayEvent::Stop => {
+                // Callers are still sent here until the platform has seen that it is not ready.
+                self.refuse_from.get_or_insert(now + self.settings.stop_notice_ms);
+            }
+        }
+        self.dispatch_waiting(now, &mut effects);
+        effects
+    }
+
+    /// Whether the gateway can serve new connections.
+    pub fn is_ready(&self, now: TimeMs) -> bool {
+        self.refuse_from.is_none()
+            && self.catalog.is_some()
+            && self.pool.iter().next().is_some()
+            && self.freshness.is_within(self.settings.max_configuration_age_ms, now)
+    }
+
+    /// The configuration in force.
+    pub const fn catalog(&self) -> Option<&Catalog> {
+        self.catalog.as_ref()
+    }
+
+    /// Requests that have not ended.
+    pub fn open_calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Age of the configuration.
+    pub fn configuration_age_ms(&self, now: TimeMs) -> Option<DurationMs> {
+        self.freshness.age_ms(now)
+    }
+
+    /// The report for the other gateways.
+    pub fn digest(&mut self) -> PeerDigest {
+        self.sequence += 1;
+        let evidence = self.rollouts.values().map(|rollout| DigestEvidence {
+            service: rollout.order().service.clone(),
+            order_revision: rollout.order().revision,
+            evidence: *rollout.own_evidence(),
+        });
+        PeerDigest {
+            host: self.settings.host.clone(),
+            incarnation: self.settings.incarnation,
+            sequence: self.sequence,
+            loads: self.pool.own_loads(),
+            evidence: evidence.collect(),
+        }
+    }
+
+    pub(super) fn gateway_count(&self) -> usize {
+        self.gateways.len()
+    }
+
+    pub(super) fn gateways(&self) -> &[HostId] {
+        &self.gateways
+    }
+
+    fn is_unsettled(&self, now: TimeMs) -> bool {
+        self.freshness.is_unsettled(self.settings.return_grace_ms, now)
+    }
+
+    fn on_tick(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
+        if self.pool.has_missing() && !self.is_unsettled(now) {
+            self.pool.drop_missing();
+        }
+        self.pool.sum_peers(now);
+        self.expire_calls(now, effects);
+        self.step_rollouts(now, effects);
+        let kept_ms = self.settings.session_ms;
+        self.sessions.retain(|_, (_, used_at)| now.since(*used_at) <= kept_ms);
+    }
+
+    fn on_configured(&mut self, catalog: Catalog) {
+        let known = self.catalog.as_ref().map(Catalog::version);
+        if known.is_none_or(|known| known < catalog.version()) {
+            self.catalog = Some(catalog);
+        }
+    }
+
+    fn on_registered(&mut self, registration: Registration, now: TimeMs) {
+        self.pool.register(registration, now);
+    }
+
+    fn on_data_centre_in(&mut self, id: &DataCentreId, now: TimeMs) {
+        if self.closed_data_centres.remove(id) {
+            self.pool.suspect_data_centre(id, RETURN_COLD_MS, now);
+        }
+    }
+
+    fn on_gateways(&mut self, mut gateways: Vec<HostId>) {
+        if !gateways.contains(&self.settings.host) {
+            gateways.push(self.settings.host.clone());
+        }
+        gateways.sort();
+        self.gateways = gateways;
+    }
+
+    fn on_rollout_ordered(&mut self, order: RolloutOrder, now: TimeMs) {
+        let known = self.rollouts.get(&order.service).map(|rollout| rollout.order().revision);
+        if known.is_some_and(|known| known >= order.revision) {
+            return;
+        }
+        let record = self.records.get(&order.service).cloned();
+        self.rollouts.insert(order.service.clone(), Rollout::new(order, record, now));
+    }
+
+    fn on_rollout_recorded(&mut self, record: RolloutRecord, now: TimeMs) {
+        if let Some(rollout) = self.rollouts.get_mut(&record.service) {
+            rollout.set_record(record.clone(), now);
+        }
+        self.records.insert(record.service.clone(), record);
+    }
+
+    fn on_digest(&mut self, digest: PeerDigest, now: TimeMs) {
+        if digest.host == self.settings.host {
+            return;
+        }
+        let newest = (digest.incarnation, digest.sequence);
+        if self.peers.get(&digest.host).is_some_and(|known| *known >= newest) {
+            return;
+        }
+        self.peers.insert(digest.host.clone(), newest);
+        for known in digest.evidence {
+            if let Some(rollout) = self.rollouts.get_mut(&known.service)
+                && rollout.order().revision == known.order_revision
+            {
+                rollout.set_peer(digest.host.clone(), known.evidence);
+            }
+        }
+        self.pool.set_peer(digest.host, digest.loads, now);
+    }
+
+    fn step_rollouts(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
+        let host = &self.settings.host;
+        let rank = self.gateways.iter().position(|known| known == host).unwrap_or_default();
+        for (service, rollout) in &mut self.rollouts {
+            rollout.judge(now);
+            let target = rollout.order().target.clone();
+            let old_is_idle = self
+                .pool
+                .iter()
+                .filter(|upstream| upstream.registration.service == *service)
+                .filter(|upstream| upstream.registration.version != target)
+                .all(|upstream| upstream.total_in_flight() == 0);
+            if let Some(step) = rollout.step(rank, old_is_idle, now) {
+                effects.push(GatewayEffect::WriteRollout(step));
+            }
+        }
+    }
+
+    pub(super) fn remember_session(
+        &mut self,
+        session: &CompactString,
+        version: &CompactString,
+        now: TimeMs,
+    ) {
+        if self.sessions.len() < MAX_SESSIONS || self.sessions.contains_key(session) {
+            self.sessions.insert(session.clone(), (version.clone(), now));
+        }
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/gateway/rollout.rs
@@ -0,0 +1,284 @@
+//! One rollout of a new version of a service, advanced by gateways that keep nothing.
+//!
+//! The phase of a rollout is a record in the store that any gateway may advance with a
+//! compare-and-swap; a delay by rank keeps them from writing all at once. A bounded share of the
+//! sessions goes to the new version first. Sessions keep their version through the first half; in
+//! the second half all of them move, and the rollout completes once the old version is idle. Each
+//! gateway stops sending to the new version as soon as the evidence, summed over all gateways,
+//! says that it is worse.
+
+use std::collections::BTreeMap;
+
+use compact_str::CompactString;
+
+use crate::evidence::Evidence;
+use crate::id::HostId;
+use crate::id::ServiceName;
+use crate::quantity::Share;
+use crate::sequential_test::SequentialTest;
+use crate::time::DurationMs;
+use crate::time::TimeMs;
+
+/// Chance at which a version that is not worse is rolled back.
+const FALSE_ALARM_RATE: f64 = 0.002;
+/// Share of the sessions on the new version in the first phase.
+const CANARY_SHARE: Share = Share::from_percent(8);
+/// Share in the second phase.
+const PARTIAL_SHARE: Share = Share::from_percent(35);
+/// Ends of the phases, in percent of the duration of the rollout.
+const CANARY_END_PERCENT: u64 = 53;
+const PARTIAL_END_PERCENT: u64 = 62;
+const FULL_END_PERCENT: u64 = 78;
+/// Point at which the rollout completes even if the old version still works.
+const LATEST_END_PERCENT: u64 = 92;
+/// Delay of the gateway that is next in rank.
+const RANK_DELAY_MS: u64 = 600;
+
+/// An operator's order to move a service to another version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutOrder {
+    /// The service.
+    pub service: ServiceName,
+    /// The new version.
+    pub target: CompactString,
+    /// Time until the rollout is to be done.
+    pub duration_ms: DurationMs,
+    /// Store revision of the order.
+    pub revision: u64,
+}
+
+/// How far a rollout is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RolloutPhase {
+    /// A small share of the sessions is on the new version.
+    Canary,
+    /// A third of the sessions is.
+    Partial,
+    /// All new work goes to the new version.
+    Full,
+    /// The old version is done.
+    Completed,
+    /// The new version was worse.
+    RolledBack,
+}
+
+/// The record of a rollout in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutRecord {
+    /// The service.
+    pub service: ServiceName,
+    /// Version that the order names.
+    pub target: CompactString,
+    /// Store revision of the order.
+    pub order_revision: u64,
+    /// The phase.
+    pub phase: RolloutPhase,
+    /// Store revision of the record.
+    pub revision: u64,
+}
+
+/// What gateways counted about both versions.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RolloutEvidence {
+    /// About the new version.
+    pub target: Evidence,
+    /// About the others.
+    pub baseline: Evidence,
+}
+
+/// What is to be written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutStep {
+    /// The new record.
+    pub record: RolloutRecord,
+    /// Store revision of the record that it replaces; 0 if there is none.
+    pub replaces: u64,
+}
+
+/// A rollout as one gateway sees it.
+#[derive(Clone, Debug)]
+pub struct Rollout {
+    order: RolloutOrder,
+    ordered_at: TimeMs,
+    record: Option<RolloutRecord>,
+    /// Store revision of the record in the store, which may belong to an earlier order.
+    stored_revision: u64,
+    own: RolloutEvidence,
+    peers: BTreeMap<HostId, RolloutEvidence>,
+    judged: RolloutEvidence,
+    test: SequentialTest,
+    worse_since: Option<TimeMs>,
+    written_at: Option<TimeMs>,
+}
+
+impl Rollout {
+    /// A rollout that was ordered.
+    pub fn new(order: RolloutOrder, record: Option<RolloutRecord>, now: TimeMs) -> Self {
+        let mut rollout = Self {
+            order,
+            ordered_at: now,
+            record: None,
+            stored_revision: 0,
+            own: RolloutEvidence::default(),
+            peers: BTreeMap::new(),
+            judged: RolloutEvidence::default(),
+            test: SequentialTest::new(),
+            worse_since: None,
+            written_at: None,
+        };
+        if let Some(record) = record {
+            rollout.set_record(record, now);
+        }
+        rollout
+    }
+
+    /// The order.
+    pub const fn order(&self) -> &RolloutOrder {
+        &self.order
+    }
+
+    /// Own evidence.
+    pub const fn own_evidence(&self) -> &RolloutEvidence {
+        &self.own
+    }
+
+    /// The phase in force; `None` before the first record.
+    pub fn phase(&self) -> Option<RolloutPhase> {
+        let recorded = self.record.as_ref().map(|record| record.phase);
+        match recorded {
+            Some(RolloutPhase::Completed) => recorded,
+            _ if self.worse_since.is_some() => Some(RolloutPhase::RolledBack),
+            _ => recorded,
+        }
+    }
+
+    /// Takes in a record from the store.
+    pub fn set_record(&mut self, record: RolloutRecord, now: TimeMs) {
+        self.stored_revision = self.stored_revision.max(record.revision);
+        if record.order_revision != self.order.revision {
+            return;
+        }
+        if record.phase == RolloutPhase::RolledBack {
+            self.worse_since.get_or_insert(now);
+        }
+        if self.record.as_ref().is_none_or(|known| known.revision < record.revision) {
+            if self.record.is_none() {
+                self.resume_at(record.phase, now);
+            }
+            self.record = Some(record);
+            self.written_at = None;
+        }
+    }
+
+    /// Sets the start so that a gateway that joins late follows the phases.
+    fn resume_at(&mut self, phase: RolloutPhase, now: TimeMs) {
+        let percent = match phase {
+            RolloutPhase::Canary => 0,
+            RolloutPhase::Partial => CANARY_END_PERCENT,
+            RolloutPhase::Full => PARTIAL_END_PERCENT,
+            RolloutPhase::Completed | RolloutPhase::RolledBack => FULL_END_PERCENT,
+        };
+        let passed_ms = DurationMs::new(self.order.duration_ms.get() * percent / 100);
+        self.ordered_at = self.ordered_at.min(now - passed_ms);
+    }
+
+    /// Share of the sessions that go to the new version.
+    pub fn target_share(&self) -> Share {
+        match self.phase() {
+            None | Some(RolloutPhase::RolledBack) => Share::ZERO,
+            Some(RolloutPhase::Canary) => CANARY_SHARE,
+            Some(RolloutPhase::Partial) => PARTIAL_SHARE,
+            Some(RolloutPhase::Full | RolloutPhase::Completed) => Share::ONE,
+        }
+    }
+
+    /// Whether sessions keep the version that they had.
+    pub fn keeps_sessions(&self) -> bool {
+        matches!(self.phase(), None | Some(RolloutPhase::Canary))
+    }
+
+    /// Whether this version may get work.
+    pub fn allows(&self, version: &str) -> bool {
+        match self.phase() {
+            None | Some(RolloutPhase::RolledBack) => version != self.order.target,
+            Some(RolloutPhase::Completed) => version == self.order.target,
+            Some(_) => true,
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn count(&mut self, version: &str, failed: bool, slow: bool) {
+        let evidence = match version == self.order.target {
+            true => &mut self.own.target,
+            false => &mut self.own.baseline,
+        };
+        evidence.attempts += 1;
+        evidence.errors += u64::from(failed);
+        evidence.slow += u64::from(slow);
+    }
+
+    /// Takes in what another gateway counted.
+    pub fn set_peer(&mut self, peer: HostId, evidence: RolloutEvidence) {
+        self.peers.insert(peer, evidence);
+    }
+
+    /// Judges what was counted since the last call.
+    pub fn judge(&mut self, now: TimeMs) {
+        let mut total = self.own;
+        for peer in self.peers.values() {
+            total.target.merge(&peer.target);
+            total.baseline.merge(&peer.baseline);
+        }
+        let target = total.target.since(&self.judged.target);
+        let baseline = total.baseline.since(&self.judged.baseline);
+        if target.attempts == 0 || baseline.attempts == 0 {
+            return;
+        }
+        self.judged = total;
+        self.test.add_batch(&target, &baseline);
+        if self.test.is_worse(FALSE_ALARM_RATE) {
+            self.worse_since.get_or_insert(now);
+        }
+    }
+
+    /// The step to write now, if any, for the gateway with this rank among all.
+    pub fn step(&mut self, rank: usize, old_is_idle: bool, now: TimeMs) -> Option<RolloutStep> {
+        let (phase, due_at) = self.due(old_is_idle, now)?;
+        let delay_ms = DurationMs::new(rank as u64 * RANK_DELAY_MS);
+        if now < due_at + delay_ms {
+            return None;
+        }
+        if self.written_at.is_some_and(|at| now.since(at).get() < RANK_DELAY_MS) {
+            return None;
+        }
+        self.written_at = Some(now);
+        let record = RolloutRecord {
+            service: self.order.service.clone(),
+            target: self.order.target.clone(),
+            order_revision: self.order.revision,
+            phase,
+            revision: 0,
+        };
+        Some(RolloutStep { record, replaces: self.stored_revision })
+    }
+
+    fn due(&self, old_is_idle: bool, now: TimeMs) -> Option<(RolloutPhase, TimeMs)> {
+        let at = |percent: u64| {
+            self.ordered_at + DurationMs::new(self.order.duration_ms.get() * percent / 100)
+        };
+        let Some(record) = &self.record else {
+            return Some((RolloutPhase::Canary, self.ordered_at));
+        };
+        let (phase, due_at) = match (record.phase, self.worse_since) {
+            (RolloutPhase::Completed | RolloutPhase::RolledBack, _) => return None,
+            (_, Some(since)) => (RolloutPhase::RolledBack, since),
+            (RolloutPhase::Canary, None) => (RolloutPhase::Partial, at(CANARY_END_PERCENT)),
+            (RolloutPhase::Partial, None) => (RolloutPhase::Full, at(PARTIAL_END_PERCENT)),
+            (RolloutPhase::Full, None) if old_is_idle => {
+                (RolloutPhase::Completed, at(FULL_END_PERCENT))
+            }
+            (RolloutPhase::Full, None) => (RolloutPhase::Completed, at(LATEST_END_PERCENT)),
+        };
+        (now >= due_at).then_some((phase, due_at))
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/gateway/speed_table.rs
@@ -0,0 +1,45 @@
+//! How fast models read prompts, learned from the first events of streams.
+
+use std::collections::HashMap;
+
+use crate::id::ModelId;
+
+/// Time to the first event that does not depend on the prompt, before any was observed.
+const FIRST_EVENT_MS: f64 = 80.0;
+/// Time to read a token, before any was observed.
+const TOKEN_MS: f64 = 0.04;
+/// Weight of a new observation.
+const GAIN: f64 = 0.1;
+/// Prompts shorter than this say little about the time for each token.
+const MIN_TOKENS: f64 = 400.0;
+/// Bounds of one observation of the time for each token.
+const TOKEN_MS_RANGE: (f64, f64) = (0.002, 0.5);
+
+/// Learned reading speeds, one for each model.
+#[derive(Clone, Debug, Default)]
+pub struct SpeedTable {
+    token_ms: HashMap<ModelId, f64>,
+}
+
+impl SpeedTable {
+    /// Expected time to read `tokens` on an idle engine, in ms.
+    pub fn reading_ms(&self, model: &ModelId, tokens: f64) -> f64 {
+        FIRST_EVENT_MS + tokens * self.token_ms(model)
+    }
+
+    /// Expected time for each token, in ms.
+    pub fn token_ms(&self, model: &ModelId) -> f64 {
+        self.token_ms.get(model).copied().unwrap_or(TOKEN_MS)
+    }
+
+    /// Takes in the time to the first event on an engine that had no other prompt to read.
+    pub fn observe(&mut self, model: &ModelId, tokens: f64, first_event_ms: f64) {
+        if tokens < MIN_TOKENS {
+            return;
+        }
+        let (least, most) = TOKEN_MS_RANGE;
+        let sample = ((first_event_ms - FIRST_EVENT_MS) / tokens).clamp(least, most);
+        let known = self.token_ms.entry(model.clone()).or_insert(sample);
+        *known += GAIN * (sample - *known);
+    }
+}
--- a/crates/hickorydoor/src/lib.rs
+++ b/crates/hickorydoor/src/lib.rs
@@ -92,6 +92,7 @@
 pub mod evidence;
 pub mod exception;
 pub mod fair_queue;
+pub mod gateway;
 pub mod head;
 pub mod host_record;
 pub mod id;
