Tell the other gateways which prompts were sent

Cause: a gateway took the home engine of a prompt to keep its shared parts, which no one had read yet; 1.6 to 2.0 M of 5.3 M shared tokens were found kept.

--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -16,10 +16,12 @@
 use hickorydoor::gateway::catalog::CallerLimits;
 use hickorydoor::gateway::catalog::Catalog;
 use hickorydoor::gateway::effect::Dispatch;
+use hickorydoor::gateway::effect::FirstEventFigures;
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::peer_digest::PeerDigest;
 use hickorydoor::gateway::refusal::CallRefusal;
 use hickorydoor::gateway::rollout::RolloutStep;
+use hickorydoor::id::CustomerId;
 use log::info;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -157,7 +159,7 @@
 
     /// The report for the other gateways.
     pub(super) fn digest(&self) -> PeerDigest {
-        self.gateway.borrow_mut().digest()
+        self.gateway.borrow_mut().digest(self.now())
     }
 
     /// All metrics as text.
@@ -222,6 +224,7 @@
             }
             GatewayEffect::Deliver { call } => self.direct(call, Directive::Deliver, true),
             GatewayEffect::Abort { call } => self.direct(call, Directive::Abort, true),
+            GatewayEffect::FirstEvent { call, figures } => self.on_first_event(call, &figures),
             GatewayEffect::WriteRollout(step) => {
                 info!(
                     service:% = step.record.service, version = step.record.target.as_str(),
@@ -234,6 +237,22 @@
         }
     }
 
+    fn on_first_event(&self, call: CallId, figures: &FirstEventFigures) {
+        let customer = figures.customer.as_ref().map_or("", CustomerId::as_str);
+        self.metrics.on_first_event(customer, &figures.route, figures.since_arrival_ms);
+        if let Some(known) = self.calls.borrow().get(&call) {
+            info!(
+                request = known.client_attempt.as_str(), route = figures.route.as_str(),
+                since_arrival_ms = figures.since_arrival_ms.get(),
+                since_dispatch_ms = figures.since_dispatch_ms.get(),
+                expected_ms = figures.expected_ms.get(), backlog_ms = figures.backlog_ms.get(),
+                unread_tokens = figures.unread_tokens, prompt_tokens = figures.prompt_tokens,
+                in_flight = figures.in_flight;
+                "first event"
+            );
+        }
+    }
+
     fn direct(&self, call: CallId, directive: Directive, last: bool) {
         let known = match last {
             true => self.calls.borrow_mut().remove(&call),
--- a/crates/hickorydoor/src/gateway/active_call.rs
+++ b/crates/hickorydoor/src/gateway/active_call.rs
@@ -33,6 +33,8 @@
     pub unread_tokens: f64,
     /// Prompts that the engine had to read before, in ms.
     pub backlog_ms: f64,
+    /// Requests that the engine worked on.
+    pub in_flight: u32,
     /// Expected time to the first event, in ms.
     pub expected_ms: f64,
     /// Whether the first event came much later than expected.
--- a/crates/hickorydoor/src/gateway/calls.rs
+++ b/crates/hickorydoor/src/gateway/calls.rs
@@ -9,13 +9,16 @@
 use crate::gateway::call::CallId;
 use crate::gateway::cold_share::cold_share;
 use crate::gateway::effect::Dispatch;
+use crate::gateway::effect::FirstEventFigures;
 use crate::gateway::effect::GatewayEffect;
 use crate::gateway::event::AttemptOutcome;
 use crate::gateway::event::Break;
 use crate::gateway::event::NotRun;
 use crate::gateway::placement::Choice;
 use crate::gateway::placement::Demand;
+use crate::gateway::peer_digest::PromptRead;
 use crate::gateway::placement::place;
+use crate::gateway::prompt_cache::chains;
 use crate::gateway::reducer::Gateway;
 use crate::gateway::refusal::CallRefusal;
 use crate::gateway::refusal::RefusalReason;
@@ -145,11 +148,21 @@
         let may_repeat = self.may_repeat(id, now);
         let active = self.calls.get_mut(&id)?;
         let upstream = self.pool.get_mut(&choice.upstream)?;
+        let memory_tokens = self.catalog.as_ref().map_or(0, |catalog| {
+            catalog.service(&active.service).map_or(0, |spec| spec.memory_tokens)
+        });
         let backlog_ms = upstream.backlog_ms();
+        let in_flight = upstream.total_in_flight();
         upstream.on_send(now);
         upstream.reading_ms += choice.reading_ms;
         if let Some(model) = &choice.model {
-            upstream.cache.note(model, &active.call.prompt, now);
+            let prompt = &active.call.prompt;
+            let parts = chains(model, prompt);
+            let shared: u32 = parts.iter().map(|part| part.tokens).sum();
+            let own_tokens = prompt.tokens.saturating_sub(shared);
+            upstream.cache.note(&parts, own_tokens, memory_tokens, now);
+            let upstream = choice.upstream.clone();
+            self.reads.push_back((now, PromptRead { upstream, parts: parts.into_vec() }));
         }
         let registration = upstream.registration.clone();
         active.attempts += 1;
@@ -164,6 +177,7 @@
             reading_ms: choice.reading_ms,
             unread_tokens: choice.unread_tokens,
             backlog_ms,
+            in_flight,
             expected_ms: choice.expected_ms,
             slow: false,
         });
@@ -244,7 +258,7 @@
             size_kb: active.call.body_bytes as f64 / 1_024.0 + ANSWER_KB,
             data_centre: &self.settings.data_centre,
         };
-        place(&demand, &candidates, &self.speeds, &self.settings.costs, now)
+        place(&demand, &candidates, &self.speeds, &self.settings.costs)
     }
 
     /// Counts which cold upstreams of a service have room for one more request.
@@ -320,7 +334,12 @@
         Some(WantedVersion { target, on_target, may_fall_back: on_target })
     }
 
-    pub(super) fn on_first_event(&mut self, id: CallId, now: TimeMs) {
+    pub(super) fn on_first_event(
+        &mut self,
+        id: CallId,
+        now: TimeMs,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
         let Some(active) = self.calls.get_mut(&id) else {
             return;
         };
@@ -329,6 +348,18 @@
         };
         let took_ms = now.since(attempt.sent_at).as_f64();
         attempt.slow = took_ms > attempt.expected_ms * SLOW_FACTOR + SLOW_SLACK_MS;
+        let figures = FirstEventFigures {
+            route: active.route.name.clone(),
+            customer: active.account.as_ref().map(|account| account.customer.clone()),
+            since_arrival_ms: now.since(active.arrived_at),
+            since_dispatch_ms: now.since(attempt.sent_at),
+            expected_ms: DurationMs::new(attempt.expected_ms as u64),
+            backlog_ms: DurationMs::new(attempt.backlog_ms as u64),
+            unread_tokens: attempt.unread_tokens as u32,
+            prompt_tokens: active.call.prompt.tokens,
+            in_flight: attempt.in_flight,
+        };
+        effects.push(GatewayEffect::FirstEvent { call: id, figures: Box::new(figures) });
         let reading_ms = std::mem::take(&mut attempt.reading_ms);
         if let Some(upstream) = self.pool.get_mut(&attempt.upstream)
             && upstream.registration.started_unix_ms == attempt.started_unix_ms
--- a/crates/hickorydoor/src/gateway/catalog.rs
+++ b/crates/hickorydoor/src/gateway/catalog.rs
@@ -43,6 +43,8 @@
     pub cold_per_s: f64,
     /// How long an upstream is cold after its start.
     pub cold_ms: DurationMs,
+    /// Tokens that the memory of one engine holds; 0 for plain services.
+    pub memory_tokens: u64,
     /// Models of its engines; empty for plain services.
     pub models: Vec<OfferedModel>,
 }
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use compact_str::CompactString;
+
 use crate::gateway::call::CallId;
 use crate::gateway::refusal::CallRefusal;
 use crate::gateway::rollout::RolloutStep;
@@ -42,7 +44,30 @@
     /// Expected time to the first event.
     pub expected_ms: DurationMs,
     /// Version of the upstream.
-    pub version: compact_str::CompactString,
+    pub version: CompactString,
+}
+
+/// Figures about the first event of a stream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FirstEventFigures {
+    /// Name of the route.
+    pub route: CompactString,
+    /// The customer, if the request has one.
+    pub customer: Option<CustomerId>,
+    /// Time since the request arrived.
+    pub since_arrival_ms: DurationMs,
+    /// Time since the attempt was sent.
+    pub since_dispatch_ms: DurationMs,
+    /// Time that was expected.
+    pub expected_ms: DurationMs,
+    /// Prompts that the engine had to read before.
+    pub backlog_ms: DurationMs,
+    /// Tokens that the engine was taken to read.
+    pub unread_tokens: u32,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Requests that the engine worked on.
+    pub in_flight: u32,
 }
 
 /// Something to do.
@@ -72,6 +97,13 @@
         /// The request.
         call: CallId,
     },
+    /// Record that a stream has begun.
+    FirstEvent {
+        /// The request.
+        call: CallId,
+        /// Its figures.
+        figures: Box<FirstEventFigures>,
+    },
     /// Write the record of a rollout.
     WriteRollout(RolloutStep),
 }
--- a/crates/hickorydoor/src/gateway/peer_digest.rs
+++ b/crates/hickorydoor/src/gateway/peer_digest.rs
@@ -5,6 +5,7 @@
 use prost::Message;
 
 use crate::evidence::Evidence;
+use crate::gateway::prompt_cache::ChainPart;
 use crate::gateway::rollout::RolloutEvidence;
 use crate::gateway::upstream::PeerLoad;
 use crate::id::HostId;
@@ -23,6 +24,15 @@
     pub evidence: RolloutEvidence,
 }
 
+/// A prompt that an upstream was given to read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PromptRead {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// The shared parts.
+    pub parts: Vec<ChainPart>,
+}
+
 /// One gateway's load and evidence.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeerDigest {
@@ -36,6 +46,8 @@
     pub loads: Vec<(UpstreamId, PeerLoad)>,
     /// What it counted about rollouts.
     pub evidence: Vec<DigestEvidence>,
+    /// Prompts that it sent lately; the same ones stand in several reports.
+    pub reads: Vec<PromptRead>,
 }
 
 /// A datagram that is not a digest.
@@ -87,6 +99,17 @@
     counters: Vec<u64>,
 }
 
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct WireRead {
+    #[prost(string, tag = "1")]
+    upstream: String,
+    #[prost(fixed64, repeated, tag = "2")]
+    chains: Vec<u64>,
+    #[prost(uint32, repeated, tag = "3")]
+    tokens: Vec<u32>,
+}
+
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
 struct WireDigest {
@@ -100,6 +123,8 @@
     loads: Vec<WireLoad>,
     #[prost(message, repeated, tag = "5")]
     evidence: Vec<WireEvidence>,
+    #[prost(message, repeated, tag = "6")]
+    reads: Vec<WireRead>,
 }
 
 impl PeerDigest {
@@ -138,6 +163,7 @@
             sequence: digest.sequence,
             loads: digest.loads.iter().map(load).collect(),
             evidence: digest.evidence.iter().map(evidence).collect(),
+            reads: digest.reads.iter().map(WireRead::from).collect(),
         }
     }
 }
@@ -158,16 +184,41 @@
         for known in wire.evidence {
             evidence.push(DigestEvidence::try_from(known)?);
         }
+        let mut reads = Vec::with_capacity(wire.reads.len());
+        for read in wire.reads {
+            reads.push(PromptRead::try_from(read)?);
+        }
         Ok(Self {
             host: wire.host.parse()?,
             incarnation: wire.incarnation,
             sequence: wire.sequence,
             loads,
             evidence,
+            reads,
         })
     }
 }
 
+impl From<&PromptRead> for WireRead {
+    fn from(read: &PromptRead) -> Self {
+        Self {
+            upstream: read.upstream.to_string(),
+            chains: read.parts.iter().map(|part| part.chain).collect(),
+            tokens: read.parts.iter().map(|part| part.tokens).collect(),
+        }
+    }
+}
+
+impl TryFrom<WireRead> for PromptRead {
+    type Error = DigestError;
+
+    fn try_from(wire: WireRead) -> Result<Self, DigestError> {
+        let parts = wire.chains.into_iter().zip(wire.tokens);
+        let parts = parts.map(|(chain, tokens)| ChainPart { chain, tokens }).collect();
+        Ok(Self { upstream: wire.upstream.parse()?, parts })
+    }
+}
+
 impl TryFrom<WireEvidence> for DigestEvidence {
     type Error = DigestError;
 
--- a/crates/hickorydoor/src/gateway/placement.rs
+++ b/crates/hickorydoor/src/gateway/placement.rs
@@ -1,22 +1,20 @@
 //! Which upstream, and which model, serves a request.
 //!
 //! The expected time to the first event is the time for the prompts that the engine has yet to
-//! read plus the time for the part of this prompt that it does not keep. Requests that share a
-//! prompt have a home engine by rendezvous hashing, which is taken to keep the shared parts; they
-//! leave it when its backlog costs more than reading the parts again. Bytes between data centres
-//! and recent failures count as time. The largest model whose expected time meets the objective
-//! is used, and a smaller one rather than a late answer.
+//! read plus the time for the part of this prompt that it does not keep. Bytes between data centres
+//! and recent failures count as time. Rendezvous hashing breaks ties, so that gateways that see
+//! the same load read a shared prompt on the same engine. The largest model whose expected time
+//! meets the objective is used, and a smaller one rather than a late answer.
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::gateway::call::Prompt;
-use crate::gateway::prompt_cache::chain_hash;
+use crate::gateway::prompt_cache::chains;
 use crate::gateway::speed_table::SpeedTable;
 use crate::gateway::upstream::Upstream;
 use crate::id::DataCentreId;
 use crate::id::ModelId;
 use crate::id::UpstreamId;
-use crate::time::TimeMs;
 
 /// Share of the objective that the expected time to the first event may take.
 const OBJECTIVE_SHARE: f64 = 0.75;
@@ -24,6 +22,10 @@
 const RUNNING_MS: f64 = 2.0;
 /// Time that an upstream that always fails would add.
 const FAILURE_MS: f64 = 1_500.0;
+/// Most time that rendezvous hashing adds, so that it decides between equals.
+const TIE_MS: f64 = 60.0;
+/// Resolution of the rank.
+const RANKS: u64 = 1 << 16;
 /// Time that a request at a plain service adds to the next one, in slots.
 const PLAIN_SLOT_MS: f64 = 60.0;
 
@@ -72,14 +74,13 @@
     candidates: &[&Upstream],
     speeds: &SpeedTable,
     costs: &PlacementCosts,
-    now: TimeMs,
 ) -> Option<Choice> {
     if demand.models.is_empty() {
         return place_plain(demand, candidates, costs);
     }
     let mut best: Option<Choice> = None;
     for model in demand.models.iter().rev() {
-        let choice = place_model(demand, model, candidates, speeds, costs, now)?;
+        let choice = place_model(demand, model, candidates, speeds, costs)?;
         if choice.expected_ms <= demand.objective_ms * OBJECTIVE_SHARE {
             return Some(choice);
         }
@@ -96,26 +97,22 @@
     candidates: &[&Upstream],
     speeds: &SpeedTable,
     costs: &PlacementCosts,
-    now: TimeMs,
 ) -> Option<Choice> {
-    let chain = chain_hash(model, demand.prompt);
-    let rank = |upstream: &Upstream| {
-        xxh3_64_with_seed(upstream.registration.upstream.as_str().as_bytes(), chain)
+    let parts = chains(model, demand.prompt);
+    let chain = parts.last().map_or(0, |part| part.chain);
+    let rank_ms = |upstream: &Upstream| {
+        let id = upstream.registration.upstream.as_str();
+        (xxh3_64_with_seed(id.as_bytes(), chain) % RANKS) as f64 / RANKS as f64 * TIE_MS
     };
-    let home = candidates.iter().map(|upstream| rank(upstream)).max()?;
-    let shared: u32 = demand.prompt.shared_parts().iter().map(|part| part.tokens).sum();
     let mut best: Option<(f64, Choice)> = None;
     for upstream in candidates {
-        let kept = match rank(upstream) == home {
-            true => shared,
-            false => upstream.cache.kept_tokens(model, demand.prompt, now),
-        };
+        let kept = upstream.cache.kept_tokens(&parts);
         let unread_tokens = f64::from(demand.prompt.tokens.saturating_sub(kept));
         let reading_ms = unread_tokens * speeds.token_ms(model);
         let running_ms = f64::from(upstream.total_in_flight()) * RUNNING_MS;
         let expected_ms =
             upstream.backlog_ms() + running_ms + speeds.reading_ms(model, unread_tokens);
-        let score_ms = expected_ms + penalty_ms(demand, upstream, costs);
+        let score_ms = expected_ms + penalty_ms(demand, upstream, costs) + rank_ms(upstream);
         if best.as_ref().is_none_or(|(least_ms, _)| score_ms < *least_ms) {
             let choice = Choice {
                 upstream: upstream.registration.upstream.clone(),
--- a/crates/hickorydoor/src/gateway/prompt_cache.rs
+++ b/crates/hickorydoor/src/gateway/prompt_cache.rs
@@ -1,62 +1,98 @@
-//! Which prompt parts an engine keeps, as far as this gateway knows from its own sends.
+//! Which prompt parts an engine keeps, as far as the gateways know from their sends.
+//!
+//! A part is kept together with all parts before it and for one model, so it is named by a hash
+//! over the model and the chain of parts. The least recently used parts yield when the engine's
+//! memory is full.
+
+use std::collections::HashMap;
+
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::gateway::call::Prompt;
 use crate::id::ModelId;
-use crate::recent_map::RecentMap;
-use crate::time::DurationMs;
 use crate::time::TimeMs;
 
-/// Parts that are remembered for each engine.
-const CAPACITY: usize = 512;
-/// Time after which a part is taken as evicted.
-const KEPT_MS: DurationMs = DurationMs::from_secs(60);
+/// Share of the engine's memory that kept parts may take; running requests take the rest.
+const MEMORY_SHARE: f64 = 0.7;
 
-/// Parts that were sent to one engine.
-#[derive(Clone, Debug)]
-pub struct PromptCache {
-    parts: RecentMap<u64, TimeMs>,
+/// A chain of prompt parts for one model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ChainPart {
+    /// Hash of the model and the parts up to this one.
+    pub chain: u64,
+    /// Tokens of the last part.
+    pub tokens: u32,
 }
 
-impl Default for PromptCache {
-    fn default() -> Self {
-        Self { parts: RecentMap::new(CAPACITY) }
-    }
+/// The shared parts of a prompt as chains.
+pub fn chains(model: &ModelId, prompt: &Prompt) -> SmallVec<[ChainPart; 4]> {
+    let mut chain = xxh3_64(model.as_str().as_bytes());
+    let extend = |part: &crate::gateway::call::PromptPart| {
+        chain = xxh3_64_with_seed(&part.id.to_le_bytes(), chain);
+        ChainPart { chain, tokens: part.tokens }
+    };
+    prompt.shared_parts().iter().map(extend).collect()
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    tokens: u32,
+    used_at: TimeMs,
+}
+
+/// Parts that one engine keeps.
+#[derive(Clone, Debug, Default)]
+pub struct PromptCache {
+    parts: HashMap<u64, Kept>,
+    tokens: u64,
 }
 
 impl PromptCache {
-    /// Notes that the engine has read this prompt with this model.
-    pub fn note(&mut self, model: &ModelId, prompt: &Prompt, now: TimeMs) {
-        let mut chain = seed(model);
-        for part in prompt.shared_parts() {
-            chain = extend(chain, part.id);
-            self.parts.insert(chain, now);
+    /// Notes that the engine reads these parts, and `own_tokens` that no other request shares.
+    /// `memory_tokens` is its whole memory; 0 means that it is not known.
+    pub fn note(
+        &mut self,
+        parts: &[ChainPart],
+        own_tokens: u32,
+        memory_tokens: u64,
+        now: TimeMs,
+    ) {
+        for part in parts {
+            self.insert(part.chain, part.tokens, now);
+        }
+        if own_tokens > 0 {
+            // The own part of a request takes memory until it yields; no request asks for it.
+            let name = xxh3_64_with_seed(&now.get().to_le_bytes(), u64::from(own_tokens));
+            self.insert(name, own_tokens, now);
+        }
+        let limit = (memory_tokens as f64 * MEMORY_SHARE) as u64;
+        while limit > 0 && self.tokens > limit {
+            self.evict_oldest();
         }
     }
 
     /// Tokens at the start of the prompt that the engine does not have to read.
-    pub fn kept_tokens(&self, model: &ModelId, prompt: &Prompt, now: TimeMs) -> u32 {
-        let mut chain = seed(model);
-        let mut kept = 0;
-        for part in prompt.shared_parts() {
-            chain = extend(chain, part.id);
-            match self.parts.peek(chain) {
-                Some(at) if now.since(*at) < KEPT_MS => kept += part.tokens,
-                _ => break,
-            }
-        }
-        kept
+    pub fn kept_tokens(&self, parts: &[ChainPart]) -> u32 {
+        let kept = parts.iter().take_while(|part| self.parts.contains_key(&part.chain));
+        kept.map(|part| part.tokens).sum()
     }
-}
-
-/// Hash that names the chain of shared parts of a prompt for one model.
-pub fn chain_hash(model: &ModelId, prompt: &Prompt) -> u64 {
-    prompt.shared_parts().iter().fold(seed(model), |chain, part| extend(chain, part.id))
-}
 
-fn seed(model: &ModelId) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(model.as_str().as_bytes())
-}
+    fn insert(&mut self, chain: u64, tokens: u32, used_at: TimeMs) {
+        let known = self.parts.insert(chain, Kept { tokens, used_at });
+        if known.is_none() {
+            self.tokens += u64::from(tokens);
+        }
+    }
 
-fn extend(chain: u64, part: u64) -> u64 {
-    xxhash_rust::xxh3::xxh3_64_with_seed(&part.to_le_bytes(), chain)
+    fn evict_oldest(&mut self) {
+        let oldest = self.parts.iter().min_by_key(|(_, kept)| kept.used_at);
+        let Some((chain, tokens)) = oldest.map(|(chain, kept)| (*chain, kept.tokens)) else {
+            self.tokens = 0;
+            return;
+        };
+        self.parts.remove(&chain);
+        self.tokens -= u64::from(tokens);
+    }
 }
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 
 use compact_str::CompactString;
 
@@ -14,6 +15,7 @@
 use crate::gateway::freshness::Freshness;
 use crate::gateway::peer_digest::DigestEvidence;
 use crate::gateway::peer_digest::PeerDigest;
+use crate::gateway::peer_digest::PromptRead;
 use crate::gateway::repeat_budget::RepeatBudget;
 use crate::gateway::rollout::Rollout;
 use crate::gateway::rollout::RolloutOrder;
@@ -30,6 +32,8 @@
 
 /// Time for which an upstream counts as cold after its data centre is taken back.
 const RETURN_COLD_MS: DurationMs = DurationMs::new(1_500);
+/// Time for which a prompt that was sent stands in reports.
+const READ_REPORTED_MS: DurationMs = DurationMs::new(700);
 /// Sessions whose version is remembered.
 const MAX_SESSIONS: usize = 4_096;
 
@@ -52,6 +56,7 @@
     gateways: Vec<HostId>,
     peers: HashMap<HostId, (u64, u64)>,
     sequence: u64,
+    pub(super) reads: VecDeque<(TimeMs, PromptRead)>,
 }
 
 impl Gateway {
@@ -75,6 +80,7 @@
             gateways,
             peers: HashMap::new(),
             sequence: 0,
+            reads: VecDeque::new(),
         }
     }
 
@@ -110,7 +116,7 @@
             GatewayEvent::Arrived { call, request } => {
                 self.on_arrived(call, *request, now, &mut effects);
             }
-            GatewayEvent::FirstEvent { call } => self.on_first_event(call, now),
+            GatewayEvent::FirstEvent { call } => self.on_first_event(call, now, &mut effects),
             GatewayEvent::AttemptEnded { call, outcome, last_event, delivered } => {
                 if let Some(known) = self.calls.get_mut(&call) {
                     known.last_event = last_event;
@@ -152,8 +158,9 @@
     }
 
     /// The report for the other gateways.
-    pub fn digest(&mut self) -> PeerDigest {
+    pub fn digest(&mut self, now: TimeMs) -> PeerDigest {
         self.sequence += 1;
+        self.reads.retain(|(sent_at, _)| now.since(*sent_at) <= READ_REPORTED_MS);
         let evidence = self.rollouts.values().map(|rollout| DigestEvidence {
             service: rollout.order().service.clone(),
             order_revision: rollout.order().revision,
@@ -165,6 +172,7 @@
             sequence: self.sequence,
             loads: self.pool.own_loads(),
             evidence: evidence.collect(),
+            reads: self.reads.iter().map(|(_, read)| read.clone()).collect(),
         }
     }
 
@@ -248,6 +256,14 @@
                 rollout.set_peer(digest.host.clone(), known.evidence);
             }
         }
+        for read in &digest.reads {
+            if let Some(upstream) = self.pool.get_mut(&read.upstream) {
+                let service = &upstream.registration.service;
+                let spec = self.catalog.as_ref().and_then(|catalog| catalog.service(service));
+                let memory_tokens = spec.map_or(0, |spec| spec.memory_tokens);
+                upstream.cache.note(&read.parts, 0, memory_tokens, now);
+            }
+        }
         self.pool.set_peer(digest.host, digest.loads, now);
     }
 
--- a/crates/hickorydoor/src/gateway/speed_table.rs
+++ b/crates/hickorydoor/src/gateway/speed_table.rs
@@ -5,9 +5,9 @@
 use crate::id::ModelId;
 
 /// Time to the first event that does not depend on the prompt, before any was observed.
-const FIRST_EVENT_MS: f64 = 80.0;
+const FIRST_EVENT_MS: f64 = 60.0;
 /// Time to read a token, before any was observed.
-const TOKEN_MS: f64 = 0.04;
+const TOKEN_MS: f64 = 0.07;
 /// Weight of a new observation.
 const GAIN: f64 = 0.1;
 /// Prompts shorter than this say little about the time for each token.
