Keep sessions that began before a rollout on the old version across gateways

The memory of a session also ended while its request still ran. Ruled out: fall-back to the old version. Reports now name such sessions; the memory starts when a request ends.

--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -53,6 +53,7 @@
 struct OpenCall {
     directives: mpsc::UnboundedSender<Directive>,
     client_attempt: CompactString,
+    session: Option<CompactString>,
     opened_at: TimeMs,
 }
 
@@ -174,7 +175,8 @@
         self.next_call.set(call.0 + 1);
         let (directives, receiver) = mpsc::unbounded_channel();
         let client_attempt = request.client_attempt.clone();
-        let known = OpenCall { directives, client_attempt, opened_at: self.now() };
+        let session = request.session.clone();
+        let known = OpenCall { directives, client_attempt, session, opened_at: self.now() };
         self.calls.borrow_mut().insert(call, known);
         self.apply(GatewayEvent::Arrived { call, request: Box::new(request) });
         (call, receiver)
@@ -273,7 +275,7 @@
         match directive {
             Directive::Dispatch(dispatch) => info!(
                 request = request, attempt = dispatch.attempt, upstream:% = dispatch.upstream,
-                version = dispatch.version.as_str(),
+                version = dispatch.version.as_str(), session = open.session.as_deref(),
                 model = dispatch.model.as_ref().map(hickorydoor::id::ModelId::as_str),
                 waited_ms = took_ms, expected_ms = dispatch.expected_ms.get(),
                 remaining_ms = dispatch.remaining_ms.get();
--- a/crates/hickorydoor/src/gateway/calls.rs
+++ b/crates/hickorydoor/src/gateway/calls.rs
@@ -20,6 +20,7 @@
 use crate::gateway::placement::place;
 use crate::gateway::prompt_cache::chains;
 use crate::gateway::reducer::Gateway;
+use crate::gateway::reducer::session_hash;
 use crate::gateway::refusal::CallRefusal;
 use crate::gateway::refusal::RefusalReason;
 use crate::gateway::route::CallKind;
@@ -51,6 +52,8 @@
 const RETRY_AFTER_MS: DurationMs = DurationMs::new(400);
 /// Requests beyond its slots that an upstream is given.
 const QUEUE_SHARE: f64 = 0.25;
+/// Part of the objective for which a session waits for an upstream of its version.
+const FALL_BACK_OBJECTIVES: u64 = 4;
 /// A first event this much later than expected counts against a version.
 const SLOW_FACTOR: f64 = 2.5;
 /// Delay that never counts as slow.
@@ -208,9 +211,10 @@
             expected_ms: DurationMs::new(choice.expected_ms as u64),
             version: registration.version.clone(),
         };
+        let used_until = active.deadline_at;
         let session = active.call.session.clone();
         if let Some(session) = session {
-            self.remember_session(&session, &registration.version, now);
+            self.remember_session(&session, &registration.version, used_until);
         }
         Some(dispatch)
     }
@@ -318,20 +322,26 @@
     fn wanted_version(&self, active: &ActiveCall, now: TimeMs) -> Option<WantedVersion> {
         let rollout = self.rollouts.get(&active.service)?;
         let target = rollout.order().target.clone();
-        let hash = match &active.call.session {
-            Some(session) => xxh3_64(session.as_bytes()),
-            None => xxh3_64(active.call.client_attempt.as_bytes()),
+        let Some(session) = &active.call.session else {
+            let hash = xxh3_64(active.call.client_attempt.as_bytes());
+            let on_target = rollout.target_share().contains_hash(hash);
+            return Some(WantedVersion { target, on_target, may_fall_back: on_target });
         };
+        let hash = session_hash(session);
+        let known = self.sessions.get(session);
+        let known = known.filter(|(_, until)| now.since(*until) <= self.settings.session_ms);
         let mut on_target = rollout.target_share().contains_hash(hash);
-        if let Some(session) = &active.call.session
-            && rollout.keeps_sessions()
-            && let Some((version, used_at)) = self.sessions.get(session)
-            && now.since(*used_at) <= self.settings.session_ms
-        {
-            on_target = *version == target && rollout.allows(&target);
+        if rollout.keeps_sessions() {
+            match known {
+                Some((version, _)) => on_target &= *version == target,
+                None => on_target &= !rollout.is_kept_by_peer(hash, now),
+            }
         }
+        let was_on_target = known.is_some_and(|(version, _)| *version == target);
+        let patience_ms = active.route.objective_ms.get() / FALL_BACK_OBJECTIVES;
+        let is_patient = was_on_target && now.since(active.arrived_at).get() < patience_ms;
         // Without an upstream of the new version the old one serves, never the other way round.
-        Some(WantedVersion { target, on_target, may_fall_back: on_target })
+        Some(WantedVersion { target, on_target, may_fall_back: on_target && !is_patient })
     }
 
     pub(super) fn on_first_event(
@@ -440,6 +450,10 @@
             return;
         };
         let service = active.service.clone();
+        let session = active.call.session.clone();
+        if let Some(session) = session {
+            self.remember_session(&session, &attempt.version, now);
+        }
         if let Some(upstream) = self.pool.get_mut(&attempt.upstream)
             && upstream.registration.started_unix_ms == attempt.started_unix_ms
         {
@@ -447,14 +461,15 @@
             upstream.reading_ms = (upstream.reading_ms - attempt.reading_ms).max(0.0);
             note_outcome(upstream, outcome, now);
         }
-        let failed = match outcome {
+        let (failed, silent) = match outcome {
             None | Some(AttemptOutcome::NotRun(_)) => return,
-            Some(AttemptOutcome::Served) => false,
-            Some(AttemptOutcome::Failed { status }) => status >= 500,
-            Some(AttemptOutcome::Unknown(_)) => true,
+            Some(AttemptOutcome::Served) => (false, false),
+            Some(AttemptOutcome::Failed { status }) => (status >= 500, false),
+            Some(AttemptOutcome::Unknown(Break::Closed | Break::Garbled)) => (true, false),
+            Some(AttemptOutcome::Unknown(Break::Silent | Break::TimedOut)) => (false, true),
         };
         if let Some(rollout) = self.rollouts.get_mut(&service) {
-            rollout.count(&attempt.version, failed, attempt.slow);
+            rollout.count(&attempt.version, failed, attempt.slow || silent);
         }
     }
 
--- a/crates/hickorydoor/src/gateway/peer_digest.rs
+++ b/crates/hickorydoor/src/gateway/peer_digest.rs
@@ -22,6 +22,8 @@
     pub order_revision: u64,
     /// The counters.
     pub evidence: RolloutEvidence,
+    /// Hashes of the sessions that the gateway keeps on the old version.
+    pub kept_sessions: Vec<u64>,
 }
 
 /// A prompt that an upstream was given to read.
@@ -97,6 +99,8 @@
     /// Attempts, errors and slow answers of the target, then of the baseline.
     #[prost(uint64, repeated, tag = "3")]
     counters: Vec<u64>,
+    #[prost(fixed64, repeated, tag = "4")]
+    kept_sessions: Vec<u64>,
 }
 
 #[derive(Clone, PartialEq)]
@@ -156,6 +160,7 @@
                 .iter()
                 .flat_map(|counted| [counted.attempts, counted.errors, counted.slow])
                 .collect(),
+            kept_sessions: known.kept_sessions.clone(),
         };
         Self {
             host: digest.host.to_string(),
@@ -234,6 +239,7 @@
             service: wire.service.parse()?,
             order_revision: wire.order_revision,
             evidence: RolloutEvidence { target: counted(0), baseline: counted(3) },
+            kept_sessions: wire.kept_sessions,
         })
     }
 }
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 
 use compact_str::CompactString;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::active_call::ActiveCall;
 use crate::gateway::call::CallId;
@@ -34,6 +35,8 @@
 const RETURN_COLD_MS: DurationMs = DurationMs::new(1_500);
 /// Time for which a prompt that was sent stands in reports.
 const READ_REPORTED_MS: DurationMs = DurationMs::new(700);
+/// Sessions in a report at most.
+const MAX_KEPT_SESSIONS: usize = 256;
 /// Sessions whose version is remembered.
 const MAX_SESSIONS: usize = 4_096;
 
@@ -165,6 +168,7 @@
             service: rollout.order().service.clone(),
             order_revision: rollout.order().revision,
             evidence: *rollout.own_evidence(),
+            kept_sessions: self.kept_sessions(rollout),
         });
         PeerDigest {
             host: self.settings.host.clone(),
@@ -176,6 +180,14 @@
         }
     }
 
+    /// Sessions of the first share that began on the old version here.
+    fn kept_sessions(&self, rollout: &Rollout) -> Vec<u64> {
+        let target = &rollout.order().target;
+        let old = self.sessions.iter().filter(|(_, (version, _))| version != target);
+        let hashes = old.map(|(session, _)| session_hash(session));
+        hashes.filter(|hash| rollout.may_be_kept(*hash)).take(MAX_KEPT_SESSIONS).collect()
+    }
+
     pub(super) fn gateway_count(&self) -> usize {
         self.gateways.len()
     }
@@ -254,6 +266,7 @@
                 && rollout.order().revision == known.order_revision
             {
                 rollout.set_peer(digest.host.clone(), known.evidence);
+                rollout.set_kept_sessions(&known.kept_sessions, now);
             }
         }
         for read in &digest.reads {
@@ -285,14 +298,20 @@
         }
     }
 
+    /// Notes that a session uses a version until this time.
     pub(super) fn remember_session(
         &mut self,
         session: &CompactString,
         version: &CompactString,
-        now: TimeMs,
+        used_until: TimeMs,
     ) {
         if self.sessions.len() < MAX_SESSIONS || self.sessions.contains_key(session) {
-            self.sessions.insert(session.clone(), (version.clone(), now));
+            self.sessions.insert(session.clone(), (version.clone(), used_until));
         }
     }
 }
+
+/// Uniformly distributed hash of a session.
+pub(super) fn session_hash(session: &str) -> u64 {
+    xxh3_64(session.as_bytes())
+}
--- a/crates/hickorydoor/src/gateway/rollout.rs
+++ b/crates/hickorydoor/src/gateway/rollout.rs
@@ -8,6 +8,7 @@
 //! says that it is worse.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 
 use compact_str::CompactString;
 
@@ -31,6 +32,12 @@
 const FULL_END_PERCENT: u64 = 78;
 /// Point at which the rollout completes even if the old version still works.
 const LATEST_END_PERCENT: u64 = 92;
+/// Time for which a session is kept for another gateway after its last report.
+const PEER_SESSION_MS: DurationMs = DurationMs::new(1_500);
+/// Share of failures at which a version is worse whatever the other one did.
+const SURGE_SHARE: f64 = 0.3;
+/// Requests over which that share is taken.
+const SURGE_ATTEMPTS: u64 = 20;
 /// Delay of the gateway that is next in rank.
 const RANK_DELAY_MS: u64 = 600;
 
@@ -106,7 +113,10 @@
     own: RolloutEvidence,
     peers: BTreeMap<HostId, RolloutEvidence>,
     judged: RolloutEvidence,
+    surge_from: Evidence,
     test: SequentialTest,
+    /// Sessions that other gateways keep on the old version, with the time until which they do.
+    kept_by_peers: HashMap<u64, TimeMs>,
     worse_since: Option<TimeMs>,
     written_at: Option<TimeMs>,
 }
@@ -122,7 +132,9 @@
             own: RolloutEvidence::default(),
             peers: BTreeMap::new(),
             judged: RolloutEvidence::default(),
+            surge_from: Evidence::default(),
             test: SequentialTest::new(),
+            kept_by_peers: HashMap::new(),
             worse_since: None,
             written_at: None,
         };
@@ -206,6 +218,25 @@
         }
     }
 
+    /// Whether a session stays on the old version though its hash is in the first share, since it
+    /// had begun before the rollout.
+    pub fn may_be_kept(&self, session: u64) -> bool {
+        self.keeps_sessions() && CANARY_SHARE.contains_hash(session)
+    }
+
+    /// Whether another gateway keeps this session on the old version.
+    pub fn is_kept_by_peer(&self, session: u64, now: TimeMs) -> bool {
+        self.kept_by_peers.get(&session).is_some_and(|until| now < *until)
+    }
+
+    /// Takes in the sessions that another gateway keeps on the old version.
+    pub fn set_kept_sessions(&mut self, sessions: &[u64], now: TimeMs) {
+        self.kept_by_peers.retain(|_, until| now < *until);
+        for session in sessions {
+            self.kept_by_peers.insert(*session, now + PEER_SESSION_MS);
+        }
+    }
+
     /// Counts the end of a request.
     pub fn count(&mut self, version: &str, failed: bool, slow: bool) {
         let evidence = match version == self.order.target {
@@ -229,8 +260,13 @@
             total.target.merge(&peer.target);
             total.baseline.merge(&peer.baseline);
         }
+        self.judge_surge(&total.target, now);
         let target = total.target.since(&self.judged.target);
         let baseline = total.baseline.since(&self.judged.baseline);
+        if self.phase() == Some(RolloutPhase::Full) {
+            // What ends on the old version now is what took longest, which is no fair baseline.
+            return;
+        }
         if target.attempts == 0 || baseline.attempts == 0 {
             return;
         }
@@ -241,6 +277,18 @@
         }
     }
 
+    /// Finds a version that fails only under the load of all traffic.
+    fn judge_surge(&mut self, target: &Evidence, now: TimeMs) {
+        let recent = target.since(&self.surge_from);
+        if recent.attempts < SURGE_ATTEMPTS {
+            return;
+        }
+        self.surge_from = *target;
+        if recent.errors as f64 >= recent.attempts as f64 * SURGE_SHARE {
+            self.worse_since.get_or_insert(now);
+        }
+    }
+
     /// The step to write now, if any, for the gateway with this rank among all.
     pub fn step(&mut self, rank: usize, old_is_idle: bool, now: TimeMs) -> Option<RolloutStep> {
         let (phase, due_at) = self.due(old_is_idle, now)?;
