--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -76,19 +76,22 @@
             };
             match directive {
                 Directive::Dispatch(dispatch) => {
-                    let Some(outcome) = self.attempt(&dispatch).await else {
+                    let attempt = self.attempt(&dispatch, &mut directives);
+                    let Some(outcome) = attempt.await else {
                         self.core.close(self.call);
                         return;
                     };
                     let delivered = self.events.is_some();
                     self.core.end_attempt(self.call, outcome, self.last_event, delivered);
                 }
+                // The attempt has ended meanwhile.
+                Directive::Abandon => {}
                 Directive::Refuse(refusal) => return self.answer(refusal_response(&refusal)),
                 Directive::Deliver => {
                     if let Some(answer) = self.answer.take() {
                         self.answer(answer.into_response());
                     }
-                    return;
+                    return self.break_off().await;
                 }
                 Directive::Abort => return self.break_off().await,
             }
@@ -102,6 +105,7 @@
         }
     }
 
+    /// Breaks off a stream that has not ended.
     async fn break_off(&mut self) {
         if let Some(events) = self.events.take() {
             drop(events.send(Err(BrokenAnswer)).await);
@@ -109,16 +113,20 @@
     }
 
     /// Runs one attempt; `None` if the caller has left.
-    async fn attempt(&mut self, dispatch: &Dispatch) -> Option<AttemptOutcome> {
+    async fn attempt(
+        &mut self,
+        dispatch: &Dispatch,
+        directives: &mut mpsc::UnboundedReceiver<Directive>,
+    ) -> Option<AttemptOutcome> {
         self.answer = None;
         let now = Instant::now();
         let over = now + Duration::from(dispatch.remaining_ms);
-        let first_byte = now + Duration::from(dispatch.first_byte_timeout_ms);
-        let limits = Limits { first_byte, over, pause: dispatch.pause_timeout_ms.into() };
+        let limits = Limits { over, pause: dispatch.pause_timeout_ms.into() };
         let events = self.events.clone();
         let outcome = tokio::select! {
             outcome = self.exchange(dispatch, &limits) => outcome,
             () = closed(events.as_ref()) => return None,
+            () = abandoned(directives) => broken(Break::Silent),
         };
         match outcome {
             Exchange::CallerGone => None,
@@ -131,7 +139,7 @@
 
     async fn exchange(&mut self, dispatch: &Dispatch, limits: &Limits) -> Exchange {
         let names = Rc::clone(&self.names);
-        let open = match send(&self.template, dispatch, &names, limits.first_byte).await {
+        let open = match send(&self.template, dispatch, &names, limits.over).await {
             Ok(open) => open,
             Err(outcome) => return Exchange::Ended(outcome),
         };
@@ -166,7 +174,7 @@
         let (parts, mut body) = upstream.into_parts();
         let mut splitter = EventSplitter::default();
         let mut head = Some((parts.status, parts.headers));
-        let mut until = limits.first_byte;
+        let mut until = limits.over;
         loop {
             let read = tokio::select! {
                 read = next_bytes(&mut body, until.min(limits.over)) => read,
@@ -241,7 +249,6 @@
 /// When an attempt gives up.
 #[derive(Debug)]
 struct Limits {
-    first_byte: Instant,
     over: Instant,
     pause: Duration,
 }
@@ -257,6 +264,16 @@
     Exchange::Ended(AttemptOutcome::Unknown(reason))
 }
 
+/// Waits for the directive to break off the attempt, the only one that comes during an attempt.
+async fn abandoned(directives: &mut mpsc::UnboundedReceiver<Directive>) {
+    while let Some(directive) = directives.recv().await {
+        if matches!(directive, Directive::Abandon) {
+            return;
+        }
+    }
+    std::future::pending().await
+}
+
 async fn closed(events: Option<&mpsc::Sender<Result<Bytes, BrokenAnswer>>>) {
     match events {
         Some(events) => events.closed().await,
--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -34,6 +34,8 @@
 pub enum Directive {
     /// Send the request to an upstream.
     Dispatch(Box<Dispatch>),
+    /// Break off the attempt under way.
+    Abandon,
     /// Answer without an upstream.
     Refuse(CallRefusal),
     /// Pass on the answer of the last attempt.
@@ -221,6 +223,7 @@
             GatewayEffect::Dispatch { call, dispatch } => {
                 self.direct(call, Directive::Dispatch(dispatch), false);
             }
+            GatewayEffect::Abandon { call } => self.direct(call, Directive::Abandon, false),
             GatewayEffect::Refuse { call, refusal } => {
                 self.direct(call, Directive::Refuse(refusal), true);
             }
@@ -281,6 +284,9 @@
                 remaining_ms = dispatch.remaining_ms.get();
                 "request dispatched"
             ),
+            Directive::Abandon => {
+                info!(request = request, took_ms = took_ms; "attempt abandoned");
+            }
             Directive::Refuse(refusal) => {
                 let gateway = self.gateway.borrow();
                 info!(
--- a/crates/hickorydoor/src/gateway/active_call.rs
+++ b/crates/hickorydoor/src/gateway/active_call.rs
@@ -39,6 +39,10 @@
     pub expected_ms: f64,
     /// Whether the first event came much later than expected.
     pub slow: bool,
+    /// Whether the first event has come.
+    pub begun: bool,
+    /// Whether it was abandoned.
+    pub abandoned: bool,
 }
 
 /// A request that has not ended.
--- a/crates/hickorydoor/src/gateway/calls.rs
+++ b/crates/hickorydoor/src/gateway/calls.rs
@@ -39,13 +39,19 @@
 const SUSPECT_MS: DurationMs = DurationMs::new(2_000);
 /// Attempts that did not run, besides those that the route allows to run.
 const MAX_REFUSED_ATTEMPTS: u32 = 4;
-/// Least time for the first byte of an answer that may be repeated elsewhere.
-const LEAST_FIRST_BYTE_MS: f64 = 900.0;
+/// Least time that a stream which may go on elsewhere is given for its first event.
+const LEAST_PATIENCE_MS: f64 = 900.0;
 /// The same for plain services, as a multiple of the objective.
-const PLAIN_FIRST_BYTE_OBJECTIVES: u64 = 2;
+const PLAIN_PATIENCE_OBJECTIVES: f64 = 2.0;
+/// The same as a multiple of the expected time.
+const SILENCE_FACTOR: f64 = 1.5;
+/// Silence of an engine after which it is taken as dead, as a multiple of the expected time.
+const DEAD_FACTOR: f64 = 2.0;
+/// Least silence of an engine after which it is taken as dead.
+const LEAST_DEAD_MS: f64 = 1_300.0;
 /// Pauses of a stream, as a multiple of the longest one that is on time, after which it goes on
 /// elsewhere.
-const PAUSE_TIMEOUT_PERCENT: u64 = 130;
+const PAUSE_TIMEOUT_PERCENT: u64 = 200;
 /// Answer size that is assumed for the cost of distance, in KB.
 const ANSWER_KB: f64 = 3.0;
 /// Time to come back when no upstream is known to free up earlier.
@@ -70,6 +76,7 @@
         match self.admit(call, now) {
             Ok(active) => {
                 self.budgets.entry(active.service.clone()).or_default().on_first(now);
+                self.sizes.observe(&active.route.name, &active.call.prompt);
                 self.calls.insert(id, active);
                 self.waiting.insert(id);
             }
@@ -148,7 +155,6 @@
 
     fn try_dispatch(&mut self, id: CallId, now: TimeMs) -> Option<Dispatch> {
         let choice = self.choose(id, now)?;
-        let may_repeat = self.may_repeat(id, now);
         let active = self.calls.get_mut(&id)?;
         let upstream = self.pool.get_mut(&choice.upstream)?;
         let memory_tokens = self.catalog.as_ref().map_or(0, |catalog| {
@@ -183,12 +189,10 @@
             in_flight,
             expected_ms: choice.expected_ms,
             slow: false,
+            begun: false,
+            abandoned: false,
         });
         let remaining_ms = active.remaining_ms(now);
-        let first_byte_ms = match may_repeat {
-            true => first_byte_timeout(active, &choice),
-            false => remaining_ms,
-        };
         let pause_ms = match active.route.pause_ms.get() {
             0 => remaining_ms,
             ms => DurationMs::new(ms * PAUSE_TIMEOUT_PERCENT / 100),
@@ -204,7 +208,6 @@
             remaining_ms,
             upstream_deadline_ms: remaining_ms,
             connect_timeout_ms: CONNECT_TIMEOUT_MS.min(remaining_ms),
-            first_byte_timeout_ms: first_byte_ms.min(remaining_ms),
             pause_timeout_ms: pause_ms,
             last_event: active.last_event,
             streaming: active.route.kind == CallKind::Streaming,
@@ -257,6 +260,7 @@
         let models = self.models_of(active);
         let demand = Demand {
             prompt: &active.call.prompt,
+            weight: self.sizes.weight(&active.route.name, &active.call.prompt),
             models: &models,
             objective_ms: self.objective_left_ms(active, now),
             size_kb: active.call.body_bytes as f64 / 1_024.0 + ANSWER_KB,
@@ -344,6 +348,49 @@
         Some(WantedVersion { target, on_target, may_fall_back: on_target && !is_patient })
     }
 
+    /// Breaks off attempts whose upstream is silent, if they may run elsewhere.
+    pub(super) fn abandon_silent(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
+        let ids: Vec<CallId> = self.calls.keys().copied().collect();
+        for id in ids {
+            if self.is_silent(id, now) && self.may_repeat(id, now) {
+                if let Some(attempt) = self.calls.get_mut(&id).and_then(|c| c.attempt.as_mut()) {
+                    attempt.abandoned = true;
+                }
+                effects.push(GatewayEffect::Abandon { call: id });
+            }
+        }
+    }
+
+    /// Whether the attempt of a request looks lost: later ones have their answer, or the engine
+    /// has answered nothing since.
+    fn is_silent(&self, id: CallId, now: TimeMs) -> bool {
+        let Some(active) = self.calls.get(&id) else {
+            return false;
+        };
+        let Some(attempt) = active.attempt.as_ref().filter(|a| !a.begun && !a.abandoned) else {
+            return false;
+        };
+        let waited_ms = now.since(attempt.sent_at).as_f64();
+        if waited_ms < patience_ms(active, attempt) {
+            return false;
+        }
+        if active.route.kind != CallKind::Streaming {
+            return true;
+        }
+        let Some(upstream) = self.pool.get(&attempt.upstream) else {
+            return true;
+        };
+        if upstream.failures.is_on_trial() {
+            return true;
+        }
+        // Prompts that others sent at the same moment are read first.
+        let others_ms = (upstream.backlog_ms() - attempt.reading_ms).max(0.0);
+        let dead_ms = (attempt.expected_ms * DEAD_FACTOR).max(LEAST_DEAD_MS) + others_ms;
+        let is_dead = upstream.answered_at.is_none_or(|at| at < attempt.sent_at)
+            && waited_ms > dead_ms;
+        upstream.has_overtaken(active.priority(), attempt.sent_at) || is_dead
+    }
+
     pub(super) fn on_first_event(
         &mut self,
         id: CallId,
@@ -353,9 +400,11 @@
         let Some(active) = self.calls.get_mut(&id) else {
             return;
         };
+        let priority = active.priority();
         let Some(attempt) = &mut active.attempt else {
             return;
         };
+        attempt.begun = true;
         let took_ms = now.since(attempt.sent_at).as_f64();
         attempt.slow = took_ms > attempt.expected_ms * SLOW_FACTOR + SLOW_SLACK_MS;
         let figures = FirstEventFigures {
@@ -375,6 +424,7 @@
             && upstream.registration.started_unix_ms == attempt.started_unix_ms
         {
             upstream.reading_ms = (upstream.reading_ms - reading_ms).max(0.0);
+            upstream.on_answer(priority, attempt.sent_at, now);
         }
         if let Some(model) = &attempt.model
             && attempt.backlog_ms < reading_ms / 4.0
@@ -401,8 +451,14 @@
             AttemptOutcome::Served => self.finish(id, GatewayEffect::Deliver { call: id }, effects),
             AttemptOutcome::Failed { status } => {
                 let permanent = (400..500).contains(&status);
+                let begun = active.delivered;
                 if permanent || !self.repeat(id, now) {
-                    self.finish(id, GatewayEffect::Deliver { call: id }, effects);
+                    // A failure cannot follow the part of an answer that the caller has.
+                    let effect = match begun {
+                        true => GatewayEffect::Abort { call: id },
+                        false => GatewayEffect::Deliver { call: id },
+                    };
+                    self.finish(id, effect, effects);
                 }
             }
             AttemptOutcome::NotRun(reason) => {
@@ -577,13 +633,12 @@
     }
 }
 
-fn first_byte_timeout(active: &ActiveCall, choice: &Choice) -> DurationMs {
+/// Time after which an attempt without a sign of an answer is looked at.
+fn patience_ms(active: &ActiveCall, attempt: &Attempt) -> f64 {
     if active.route.kind != CallKind::Streaming {
-        let objective_ms = active.route.objective_ms.get().max(1);
-        return DurationMs::new(objective_ms * PLAIN_FIRST_BYTE_OBJECTIVES);
+        return active.route.objective_ms.as_f64() * PLAIN_PATIENCE_OBJECTIVES;
     }
-    let expected_ms = choice.expected_ms * 2.0 + LEAST_FIRST_BYTE_MS / 2.0;
-    DurationMs::new(expected_ms.max(LEAST_FIRST_BYTE_MS) as u64)
+    (attempt.expected_ms * SILENCE_FACTOR).max(LEAST_PATIENCE_MS)
 }
 
 fn note_outcome(upstream: &mut Upstream, outcome: Option<AttemptOutcome>, now: TimeMs) {
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -33,8 +33,6 @@
     pub upstream_deadline_ms: DurationMs,
     /// Time for the connection.
     pub connect_timeout_ms: DurationMs,
-    /// Time for the head of the answer or the first event.
-    pub first_byte_timeout_ms: DurationMs,
     /// Time between events of a stream.
     pub pause_timeout_ms: DurationMs,
     /// Last event that the caller has.
@@ -80,6 +78,11 @@
         /// The attempt.
         dispatch: Box<Dispatch>,
     },
+    /// Break off the attempt of a request, whose upstream is silent.
+    Abandon {
+        /// The request.
+        call: CallId,
+    },
     /// Answer a request without an upstream.
     Refuse {
         /// The request.
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 pub mod rollout;
 pub mod route;
 pub mod settings;
+pub mod size_table;
 pub mod speed_table;
 pub mod upstream;
 pub mod upstream_pool;
--- a/crates/hickorydoor/src/gateway/placement.rs
+++ b/crates/hickorydoor/src/gateway/placement.rs
@@ -1,14 +1,18 @@
 //! Which upstream, and which model, serves a request.
 //!
 //! The expected time to the first event is the time for the prompts that the engine has yet to
-//! read plus the time for the part of this prompt that it does not keep. Bytes between data centres
-//! and recent failures count as time. Rendezvous hashing breaks ties, so that gateways that see
-//! the same load read a shared prompt on the same engine. The largest model whose expected time
-//! meets the objective is used, and a smaller one rather than a late answer.
+//! read plus the time for the part of this prompt that it does not keep. What an answer is worth
+//! falls when it is expected after the objective, and a smaller model's answer is worth less. Time
+//! on an engine costs the requests behind, the more the longer its backlog is, so that models step
+//! down before answers are late. Bytes between data centres and recent failures count as time.
+//! Rendezvous hashing breaks ties, so that gateways that see the same load read a shared prompt on
+//! the same engine. The load that this answers is a steady stream with bursts, and a fleet that
+//! has just lost engines or its caches.
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::gateway::call::Prompt;
+use crate::gateway::prompt_cache::ChainPart;
 use crate::gateway::prompt_cache::chains;
 use crate::gateway::speed_table::SpeedTable;
 use crate::gateway::upstream::Upstream;
@@ -16,8 +20,24 @@
 use crate::id::ModelId;
 use crate::id::UpstreamId;
 
-/// Share of the objective that the expected time to the first event may take.
-const OBJECTIVE_SHARE: f64 = 0.75;
+/// What an answer of a model is worth, largest model first.
+const QUALITIES: [f64; 3] = [1.0, 0.66, 0.56];
+/// Share of the objective up to which an answer is as good as in time.
+const EARLY_SHARE: f64 = 0.65;
+/// Share of the objective from which on an answer is as good as late.
+const LATE_SHARE: f64 = 1.1;
+/// Worth of a late answer.
+const LATE_WORTH: f64 = 0.2;
+/// What an early answer loses for each objective that it takes.
+const SLOPE_EARLY: f64 = 0.1;
+/// Objective by which the time of engines is valued.
+const FULL_OBJECTIVE_MS: f64 = 2_500.0;
+/// Cost of one objective of reading behind a backlog of one objective.
+const DELAY_COST: f64 = 1.5;
+/// Cost of one objective of reading on an idle engine.
+const READING_COST: f64 = 0.15;
+/// Cost of one objective of penalties.
+const PENALTY_COST: f64 = 0.3;
 /// Time that each running request adds to the first event.
 const RUNNING_MS: f64 = 2.0;
 /// Time that an upstream that always fails would add.
@@ -43,6 +63,8 @@
 pub struct Demand<'a> {
     /// Its prompt.
     pub prompt: &'a Prompt,
+    /// What it is worth beside the mean request of its route.
+    pub weight: f64,
     /// Models that may answer, smallest first; empty for plain services.
     pub models: &'a [ModelId],
     /// Time to the first event that is still on time, in ms.
@@ -78,53 +100,73 @@
     if demand.models.is_empty() {
         return place_plain(demand, candidates, costs);
     }
-    let mut best: Option<Choice> = None;
-    for model in demand.models.iter().rev() {
-        let choice = place_model(demand, model, candidates, speeds, costs)?;
-        if choice.expected_ms <= demand.objective_ms * OBJECTIVE_SHARE {
-            return Some(choice);
-        }
-        if best.as_ref().is_none_or(|best| choice.expected_ms < best.expected_ms) {
-            best = Some(choice);
+    let mut best: Option<(f64, Choice)> = None;
+    for (step, model) in demand.models.iter().rev().enumerate() {
+        let quality = QUALITIES[step.min(QUALITIES.len() - 1)];
+        let parts = chains(model, demand.prompt);
+        for upstream in candidates {
+            let choice = expect(demand, model, &parts, upstream, speeds);
+            let value = value(demand, upstream, &choice, quality, costs)
+                - tie(upstream, &parts) * TIE_MS / demand.objective_ms;
+            if best.as_ref().is_none_or(|(most, _)| value > *most) {
+                best = Some((value, choice));
+            }
         }
     }
-    best
+    best.map(|(_, choice)| choice)
 }
 
-fn place_model(
+fn expect(
     demand: &Demand<'_>,
     model: &ModelId,
-    candidates: &[&Upstream],
+    parts: &[ChainPart],
+    upstream: &Upstream,
     speeds: &SpeedTable,
+) -> Choice {
+    let kept = upstream.cache.kept_tokens(parts);
+    let unread_tokens = f64::from(demand.prompt.tokens.saturating_sub(kept));
+    let running_ms = f64::from(upstream.total_in_flight()) * RUNNING_MS;
+    Choice {
+        upstream: upstream.registration.upstream.clone(),
+        model: Some(model.clone()),
+        expected_ms: upstream.backlog_ms() + running_ms + speeds.reading_ms(model, unread_tokens),
+        reading_ms: unread_tokens * speeds.token_ms(model),
+        unread_tokens,
+    }
+}
+
+/// What the choice is worth: 1 for an answer of the largest model in time.
+fn value(
+    demand: &Demand<'_>,
+    upstream: &Upstream,
+    choice: &Choice,
+    quality: f64,
     costs: &PlacementCosts,
-) -> Option<Choice> {
-    let parts = chains(model, demand.prompt);
-    let chain = parts.last().map_or(0, |part| part.chain);
-    let rank_ms = |upstream: &Upstream| {
-        let id = upstream.registration.upstream.as_str();
-        (xxh3_64_with_seed(id.as_bytes(), chain) % RANKS) as f64 / RANKS as f64 * TIE_MS
-    };
-    let mut best: Option<(f64, Choice)> = None;
-    for upstream in candidates {
-        let kept = upstream.cache.kept_tokens(&parts);
-        let unread_tokens = f64::from(demand.prompt.tokens.saturating_sub(kept));
-        let reading_ms = unread_tokens * speeds.token_ms(model);
-        let running_ms = f64::from(upstream.total_in_flight()) * RUNNING_MS;
-        let expected_ms =
-            upstream.backlog_ms() + running_ms + speeds.reading_ms(model, unread_tokens);
-        let score_ms = expected_ms + penalty_ms(demand, upstream, costs) + rank_ms(upstream);
-        if best.as_ref().is_none_or(|(least_ms, _)| score_ms < *least_ms) {
-            let choice = Choice {
-                upstream: upstream.registration.upstream.clone(),
-                model: Some(model.clone()),
-                expected_ms,
-                reading_ms,
-                unread_tokens,
-            };
-            best = Some((score_ms, choice));
+) -> f64 {
+    let penalty_ms = penalty_ms(demand, upstream, costs);
+    let share = (choice.expected_ms + penalty_ms) / demand.objective_ms;
+    let delay = choice.reading_ms / FULL_OBJECTIVE_MS * upstream.backlog_ms() / FULL_OBJECTIVE_MS;
+    demand.weight * quality * on_time(share) - delay * DELAY_COST - penalty_ms / FULL_OBJECTIVE_MS * PENALTY_COST
+        - choice.reading_ms / FULL_OBJECTIVE_MS * READING_COST
+}
+
+/// Share of its worth that an answer keeps when it is expected after `share` of the objective.
+fn on_time(share: f64) -> f64 {
+    match share {
+        ..EARLY_SHARE => 1.0 - SLOPE_EARLY * share,
+        ..LATE_SHARE => {
+            let early = 1.0 - SLOPE_EARLY * EARLY_SHARE;
+            early - (early - LATE_WORTH) * (share - EARLY_SHARE) / (LATE_SHARE - EARLY_SHARE)
         }
+        _ => LATE_WORTH * LATE_SHARE / share,
     }
-    best.map(|(_, choice)| choice)
+}
+
+/// Between 0 and 1, different for each upstream and prompt.
+fn tie(upstream: &Upstream, parts: &[ChainPart]) -> f64 {
+    let chain = parts.last().map_or(0, |part| part.chain);
+    let id = upstream.registration.upstream.as_str();
+    (xxh3_64_with_seed(id.as_bytes(), chain) % RANKS) as f64 / RANKS as f64
 }
 
 fn place_plain(
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -22,6 +22,7 @@
 use crate::gateway::rollout::RolloutOrder;
 use crate::gateway::rollout::RolloutRecord;
 use crate::gateway::settings::GatewaySettings;
+use crate::gateway::size_table::SizeTable;
 use crate::gateway::speed_table::SpeedTable;
 use crate::gateway::upstream::Registration;
 use crate::gateway::upstream_pool::UpstreamPool;
@@ -47,6 +48,7 @@
     pub(super) catalog: Option<Catalog>,
     pub(super) pool: UpstreamPool,
     pub(super) speeds: SpeedTable,
+    pub(super) sizes: SizeTable,
     pub(super) freshness: Freshness,
     pub(super) rollouts: BTreeMap<ServiceName, Rollout>,
     pub(super) closed_data_centres: BTreeSet<DataCentreId>,
@@ -71,6 +73,7 @@
             catalog: None,
             pool: UpstreamPool::default(),
             speeds: SpeedTable::default(),
+            sizes: SizeTable::default(),
             freshness: Freshness::default(),
             rollouts: BTreeMap::new(),
             closed_data_centres: BTreeSet::new(),
@@ -206,6 +209,7 @@
         }
         self.pool.sum_peers(now);
         self.expire_calls(now, effects);
+        self.abandon_silent(now, effects);
         self.step_rollouts(now, effects);
         let kept_ms = self.settings.session_ms;
         self.sessions.retain(|_, (_, used_at)| now.since(*used_at) <= kept_ms);
--- a/crates/hickorydoor/src/gateway/upstream.rs
+++ b/crates/hickorydoor/src/gateway/upstream.rs
@@ -1,5 +1,6 @@
 //! One upstream as a gateway knows it.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
@@ -71,6 +72,10 @@
     pub peers: PeerLoad,
     /// Recent outcomes.
     pub failures: FailureScore,
+    /// When the newest request was sent of those whose answer has begun, for each rank.
+    pub answered_sent_at: BTreeMap<u8, TimeMs>,
+    /// When an answer began last.
+    pub answered_at: Option<TimeMs>,
     /// Prompt parts that it keeps.
     pub cache: PromptCache,
     /// Whether one more request may be sent if it is cold.
@@ -90,6 +95,8 @@
             reading_ms: 0.0,
             peers: PeerLoad::default(),
             failures: FailureScore::default(),
+            answered_sent_at: BTreeMap::new(),
+            answered_at: None,
             cache: PromptCache::default(),
             cold_room: false,
             cold_sends: VecDeque::new(),
@@ -144,6 +151,18 @@
         self.cold_sends.push_back(now);
     }
 
+    /// Notes that the answer to a request of this rank has begun.
+    pub fn on_answer(&mut self, priority: u8, sent_at: TimeMs, now: TimeMs) {
+        let newest = self.answered_sent_at.entry(priority).or_insert(sent_at);
+        *newest = (*newest).max(sent_at);
+        self.answered_at = Some(now);
+    }
+
+    /// Whether a request of this rank or a less urgent one that was sent later has its answer.
+    pub fn has_overtaken(&self, priority: u8, sent_at: TimeMs) -> bool {
+        self.answered_sent_at.range(priority..).any(|(_, newest)| *newest > sent_at)
+    }
+
     /// Requests of all gateways that it works on.
     pub const fn total_in_flight(&self) -> u32 {
         self.in_flight + self.peers.in_flight
