Expect speeds of models from their prices until they are observed

Cause of the overload after a restart: a model that was never observed was taken to read as slowly as the largest, so it was never tried (185 of 185 sends went to the largest model while the backlog was 3 s).

--- a/crates/hickorydoor/src/gateway/catalog.rs
+++ b/crates/hickorydoor/src/gateway/catalog.rs
@@ -138,6 +138,11 @@
         self.has_accounts
     }
 
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
+        self.services.values()
+    }
+
     /// A service.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
         self.services.get(name)
--- a/crates/hickorydoor/src/gateway/placement.rs
+++ b/crates/hickorydoor/src/gateway/placement.rs
@@ -32,8 +32,9 @@
 const SLOPE_EARLY: f64 = 0.1;
 /// Objective by which the time of engines is valued.
 const FULL_OBJECTIVE_MS: f64 = 2_500.0;
-/// Cost of one objective of reading behind a backlog of one objective.
-const DELAY_COST: f64 = 1.5;
+/// Cost of one objective of reading behind a backlog of one objective; it grows with the square
+/// of the backlog.
+const DELAY_COST: f64 = 6.0;
 /// Cost of one objective of reading on an idle engine.
 const READING_COST: f64 = 0.15;
 /// Cost of one objective of penalties.
@@ -145,7 +146,8 @@
 ) -> f64 {
     let penalty_ms = penalty_ms(demand, upstream, costs);
     let share = (choice.expected_ms + penalty_ms) / demand.objective_ms;
-    let delay = choice.reading_ms / FULL_OBJECTIVE_MS * upstream.backlog_ms() / FULL_OBJECTIVE_MS;
+    let backlog = upstream.backlog_ms() / FULL_OBJECTIVE_MS;
+    let delay = choice.reading_ms / FULL_OBJECTIVE_MS * backlog * backlog;
     demand.weight * quality * on_time(share) - delay * DELAY_COST - penalty_ms / FULL_OBJECTIVE_MS * PENALTY_COST
         - choice.reading_ms / FULL_OBJECTIVE_MS * READING_COST
 }
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -218,6 +218,9 @@
     fn on_configured(&mut self, catalog: Catalog) {
         let known = self.catalog.as_ref().map(Catalog::version);
         if known.is_none_or(|known| known < catalog.version()) {
+            for spec in catalog.services() {
+                self.speeds.set_prices(&spec.models);
+            }
             self.catalog = Some(catalog);
         }
     }
--- a/crates/hickorydoor/src/gateway/speed_table.rs
+++ b/crates/hickorydoor/src/gateway/speed_table.rs
@@ -2,12 +2,16 @@
 
 use std::collections::HashMap;
 
+use crate::gateway::catalog::OfferedModel;
 use crate::id::ModelId;
 
 /// Time to the first event that does not depend on the prompt, before any was observed.
 const FIRST_EVENT_MS: f64 = 60.0;
-/// Time to read a token, before any was observed.
+/// Time to read a token with the dearest model, before any was observed.
 const TOKEN_MS: f64 = 0.07;
+/// How the time grows with the price, before any was observed: models that cost less are faster,
+/// by a little less than their price.
+const PRICE_EXPONENT: f64 = 0.8;
 /// Weight of a new observation.
 const GAIN: f64 = 0.1;
 /// Prompts shorter than this say little about the time for each token.
@@ -19,6 +23,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct SpeedTable {
     token_ms: HashMap<ModelId, f64>,
+    /// Times expected from prices, for models that were not observed.
+    prior_ms: HashMap<ModelId, f64>,
 }
 
 impl SpeedTable {
@@ -29,7 +35,17 @@
 
     /// Expected time for each token, in ms.
     pub fn token_ms(&self, model: &ModelId) -> f64 {
-        self.token_ms.get(model).copied().unwrap_or(TOKEN_MS)
+        let known = self.token_ms.get(model).or_else(|| self.prior_ms.get(model));
+        known.copied().unwrap_or(TOKEN_MS)
+    }
+
+    /// Takes in the prices of the models of a service.
+    pub fn set_prices(&mut self, models: &[OfferedModel]) {
+        let dearest = models.iter().map(|offered| offered.cost).fold(0.0, f64::max);
+        for offered in models.iter().filter(|offered| offered.cost > 0.0) {
+            let share = (offered.cost / dearest).powf(PRICE_EXPONENT);
+            self.prior_ms.insert(offered.model.clone(), TOKEN_MS * share);
+        }
     }
 
     /// Takes in the time to the first event on an engine that had no other prompt to read.
