Try the smallest model first and keep its answer if it is sure of it

The answer is kept when the opinion exceeds the worth of the best other choice less what is saved, so fewer answers are dropped under load. Repeats for this stay within three quarters of the shared ratio.

--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -145,6 +145,9 @@
         };
         let is_stream = dispatch.streaming && open.response.status().is_success();
         if is_stream {
+            if is_weak(&open, dispatch, &names) {
+                return Exchange::Ended(AttemptOutcome::Weak);
+            }
             return self.relay(open, limits).await;
         }
         Exchange::Ended(self.collect(open, limits).await)
@@ -260,6 +263,16 @@
     CallerGone,
 }
 
+/// Whether the model thinks too little of its answer.
+fn is_weak(open: &OpenAnswer, dispatch: &Dispatch, names: &HeaderNames) -> bool {
+    let confidence = open.response.headers().get(&names.confidence);
+    let confidence = confidence.and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
+    match (confidence, dispatch.min_confidence) {
+        (Some(confidence), Some(least)) => confidence < f64::from(least),
+        _ => false,
+    }
+}
+
 const fn broken(reason: Break) -> Exchange {
     Exchange::Ended(AttemptOutcome::Unknown(reason))
 }
--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -280,6 +280,7 @@
                 request = request, attempt = dispatch.attempt, upstream:% = dispatch.upstream,
                 version = dispatch.version.as_str(), session = open.session.as_deref(),
                 model = dispatch.model.as_ref().map(hickorydoor::id::ModelId::as_str),
+                min_confidence = dispatch.min_confidence,
                 waited_ms = took_ms, expected_ms = dispatch.expected_ms.get(),
                 remaining_ms = dispatch.remaining_ms.get();
                 "request dispatched"
@@ -324,6 +325,7 @@
 const fn attempt_label(outcome: AttemptOutcome) -> &'static str {
     match outcome {
         AttemptOutcome::Served => "served",
+        AttemptOutcome::Weak => "weak",
         AttemptOutcome::Failed { .. } => "failed",
         AttemptOutcome::NotRun(_) => "not_run",
         AttemptOutcome::Unknown(_) => "unknown",
--- a/crates/hickoryd/src/gateway/header_names.rs
+++ b/crates/hickoryd/src/gateway/header_names.rs
@@ -29,6 +29,8 @@
     pub priority: HeaderName,
     /// Signature of the upstream under its answer.
     pub signature: HeaderName,
+    /// The model's own opinion of its answer, from 0 to 100.
+    pub confidence: HeaderName,
     /// Statement of the upstream that the request did not run.
     pub not_run: HeaderName,
     /// Headers that only a gateway may set; those of clients are dropped.
@@ -51,6 +53,7 @@
             expected_upstream: name("x-hickorydoor-upstream"),
             priority: name("x-hickorydoor-priority"),
             signature: name("x-hickorydoor-signature"),
+            confidence: name("x-hickorydoor-answer-confidence"),
             not_run: name("x-hickorydoor-run"),
             reserved: Vec::new(),
         }
--- a/crates/hickorydoor/src/gateway/calls.rs
+++ b/crates/hickorydoor/src/gateway/calls.rs
@@ -56,6 +56,12 @@
 const ANSWER_KB: f64 = 3.0;
 /// Time to come back when no upstream is known to free up earlier.
 const RETRY_AFTER_MS: DurationMs = DurationMs::new(400);
+/// Part of the objective within which the smallest model has to begin to be tried first.
+const SMALL_OBJECTIVE_SHARE: f64 = 0.25;
+/// What an answer of the smallest model saves, as a part of the worth of an answer.
+const SMALL_ADVANTAGE: f64 = 0.08;
+/// Confidence that is always enough.
+const MAX_CONFIDENCE: f64 = 95.0;
 /// Requests beyond its slots that an upstream is given.
 const QUEUE_SHARE: f64 = 0.25;
 /// Part of the objective for which a session waits for an upstream of its version.
@@ -154,7 +160,7 @@
     }
 
     fn try_dispatch(&mut self, id: CallId, now: TimeMs) -> Option<Dispatch> {
-        let choice = self.choose(id, now)?;
+        let Plan { choice, min_confidence } = self.choose(id, now)?;
         let active = self.calls.get_mut(&id)?;
         let upstream = self.pool.get_mut(&choice.upstream)?;
         let memory_tokens = self.catalog.as_ref().map_or(0, |catalog| {
@@ -209,6 +215,7 @@
             upstream_deadline_ms: remaining_ms,
             connect_timeout_ms: CONNECT_TIMEOUT_MS.min(remaining_ms),
             pause_timeout_ms: pause_ms,
+            min_confidence,
             last_event: active.last_event,
             streaming: active.route.kind == CallKind::Streaming,
             expected_ms: DurationMs::new(choice.expected_ms as u64),
@@ -222,13 +229,14 @@
         Some(dispatch)
     }
 
-    fn choose(&mut self, id: CallId, now: TimeMs) -> Option<Choice> {
+    fn choose(&mut self, id: CallId, now: TimeMs) -> Option<Plan> {
         let active = self.calls.get(&id)?;
         if active.remaining_ms(now) < LEAST_ATTEMPT_MS {
             return None;
         }
         let service = active.service.clone();
         self.refresh_cold_room(&service, now);
+        let may_try_small = self.may_try_small(id, now);
         let active = self.calls.get(&id)?;
         let wanted = self.wanted_version(active, now);
         let usable = |upstream: &&Upstream| self.is_usable(active, upstream, now);
@@ -266,7 +274,29 @@
             size_kb: active.call.body_bytes as f64 / 1_024.0 + ANSWER_KB,
             data_centre: &self.settings.data_centre,
         };
-        place(&demand, &candidates, &self.speeds, &self.settings.costs)
+        let choice = place(&demand, &candidates, &self.speeds, &self.settings.costs)?;
+        if !may_try_small {
+            return Some(Plan { choice, min_confidence: None });
+        }
+        let demand = Demand { models: &models[..1], ..demand };
+        let small = place(&demand, &candidates, &self.speeds, &self.settings.costs)?;
+        Some(plan_cascade(choice, small, demand.objective_ms))
+    }
+
+    /// Whether the smallest model may be tried first: the first attempt of a stream whose models
+    /// the gateway chooses, while repeats are left.
+    fn may_try_small(&mut self, id: CallId, now: TimeMs) -> bool {
+        let count = self.gateway_count();
+        let Some(active) = self.calls.get(&id) else {
+            return false;
+        };
+        let budget = self.budgets.entry(active.service.clone()).or_default();
+        active.attempts == 0
+            && active.last_event.is_none()
+            && active.route.models.len() > 1
+            && active.route.max_attempts > 1
+            && active.route.is_repeatable()
+            && budget.has_spare(&self.settings.repeats, count, now)
     }
 
     /// Counts which cold upstreams of a service have room for one more request.
@@ -449,6 +479,11 @@
         }
         match outcome {
             AttemptOutcome::Served => self.finish(id, GatewayEffect::Deliver { call: id }, effects),
+            AttemptOutcome::Weak => {
+                if !self.repeat(id, now) {
+                    self.give_up(id, RefusalReason::OutcomeUnknown, now, effects);
+                }
+            }
             AttemptOutcome::Failed { status } => {
                 let permanent = (400..500).contains(&status);
                 let begun = active.delivered;
@@ -519,7 +554,7 @@
         }
         let (failed, silent) = match outcome {
             None | Some(AttemptOutcome::NotRun(_)) => return,
-            Some(AttemptOutcome::Served) => (false, false),
+            Some(AttemptOutcome::Served | AttemptOutcome::Weak) => (false, false),
             Some(AttemptOutcome::Failed { status }) => (status >= 500, false),
             Some(AttemptOutcome::Unknown(Break::Closed | Break::Garbled)) => (true, false),
             Some(AttemptOutcome::Unknown(Break::Silent | Break::TimedOut)) => (false, true),
@@ -619,6 +654,24 @@
     }
 }
 
+/// An attempt that is about to be made.
+#[derive(Clone, Debug)]
+struct Plan {
+    choice: Choice,
+    min_confidence: Option<u8>,
+}
+
+/// Tries the smallest model first if it answers early. Its answer is kept if the model is about
+/// as sure of it as the best other choice is worth, so fewer answers are dropped under load.
+fn plan_cascade(choice: Choice, small: Choice, objective_ms: f64) -> Plan {
+    let is_early = small.expected_ms <= objective_ms * SMALL_OBJECTIVE_SHARE;
+    if choice.model == small.model || !is_early {
+        return Plan { choice, min_confidence: None };
+    }
+    let least = ((choice.value - SMALL_ADVANTAGE) * 100.0).clamp(0.0, MAX_CONFIDENCE);
+    Plan { choice: small, min_confidence: Some(least as u8) }
+}
+
 /// The version that a request is to run on while a rollout is known.
 #[derive(Clone, Debug)]
 struct WantedVersion {
@@ -644,7 +697,7 @@
 fn note_outcome(upstream: &mut Upstream, outcome: Option<AttemptOutcome>, now: TimeMs) {
     match outcome {
         None | Some(AttemptOutcome::Unknown(Break::TimedOut)) => {}
-        Some(AttemptOutcome::Served) => upstream.failures.succeed(),
+        Some(AttemptOutcome::Served | AttemptOutcome::Weak) => upstream.failures.succeed(),
         Some(AttemptOutcome::Failed { status }) if status < 500 => upstream.failures.succeed(),
         // A failure that the upstream itself answers says less than one that breaks.
         Some(AttemptOutcome::Failed { .. }) => upstream.failures.note_error(),
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -35,6 +35,8 @@
     pub connect_timeout_ms: DurationMs,
     /// Time between events of a stream.
     pub pause_timeout_ms: DurationMs,
+    /// Opinion of the model of its answer, from 0 to 100, below which the answer is dropped.
+    pub min_confidence: Option<u8>,
     /// Last event that the caller has.
     pub last_event: Option<u64>,
     /// Whether the answer is a stream of events.
--- a/crates/hickorydoor/src/gateway/event.rs
+++ b/crates/hickorydoor/src/gateway/event.rs
@@ -18,6 +18,8 @@
 pub enum AttemptOutcome {
     /// The whole answer has arrived, and it is a success.
     Served,
+    /// The model itself thinks little of its answer, none of which the caller has got.
+    Weak,
     /// The whole answer has arrived, and it is the upstream's own failure.
     Failed {
         /// Its status code.
--- a/crates/hickorydoor/src/gateway/placement.rs
+++ b/crates/hickorydoor/src/gateway/placement.rs
@@ -22,6 +22,8 @@
 
 /// What an answer of a model is worth, largest model first.
 const QUALITIES: [f64; 3] = [1.0, 0.66, 0.56];
+/// Least weight by which a value is divided.
+const LEAST_WEIGHT: f64 = 0.1;
 /// Share of the objective up to which an answer is as good as in time.
 const EARLY_SHARE: f64 = 0.65;
 /// Share of the objective from which on an answer is as good as late.
@@ -89,6 +91,8 @@
     pub reading_ms: f64,
     /// Tokens of that part.
     pub unread_tokens: f64,
+    /// What it is worth: 1 for an answer of the largest model in time.
+    pub value: f64,
 }
 
 /// Picks among `candidates`, all of which may serve the request.
@@ -106,9 +110,10 @@
         let quality = QUALITIES[step.min(QUALITIES.len() - 1)];
         let parts = chains(model, demand.prompt);
         for upstream in candidates {
-            let choice = expect(demand, model, &parts, upstream, speeds);
+            let mut choice = expect(demand, model, &parts, upstream, speeds);
             let value = value(demand, upstream, &choice, quality, costs)
                 - tie(upstream, &parts) * TIE_MS / demand.objective_ms;
+            choice.value = value / demand.weight.max(LEAST_WEIGHT);
             if best.as_ref().is_none_or(|(most, _)| value > *most) {
                 best = Some((value, choice));
             }
@@ -133,6 +138,7 @@
         expected_ms: upstream.backlog_ms() + running_ms + speeds.reading_ms(model, unread_tokens),
         reading_ms: unread_tokens * speeds.token_ms(model),
         unread_tokens,
+        value: 0.0,
     }
 }
 
@@ -188,6 +194,7 @@
         expected_ms: score_ms(best),
         reading_ms: 0.0,
         unread_tokens: 0.0,
+        value: 1.0,
     })
 }
 
--- a/crates/hickorydoor/src/gateway/repeat_budget.rs
+++ b/crates/hickorydoor/src/gateway/repeat_budget.rs
@@ -10,7 +10,9 @@
 use crate::time::TimeMs;
 
 /// The share of the ratio that one gateway uses; the rest covers windows that move apart.
-const RATIO_SHARE: f64 = 0.6;
+const RATIO_SHARE: f64 = 0.92;
+/// The share of the ratio that is used for repeats that are not needed.
+const SPARE_SHARE: f64 = 0.75;
 /// The share of the fixed allowance that all gateways use together.
 const EXTRA_SHARE: f64 = 0.6;
 
@@ -49,10 +51,25 @@
 
     /// Whether a repeat is left.
     pub fn can_spend(&mut self, bound: &RepeatBound, gateways: usize, now: TimeMs) -> bool {
+        self.has_left(bound, RATIO_SHARE, gateways, now)
+    }
+
+    /// Whether a repeat is left that is not needed, so that failures find some later.
+    pub fn has_spare(&mut self, bound: &RepeatBound, gateways: usize, now: TimeMs) -> bool {
+        self.has_left(bound, SPARE_SHARE, gateways, now)
+    }
+
+    fn has_left(
+        &mut self,
+        bound: &RepeatBound,
+        ratio_share: f64,
+        gateways: usize,
+        now: TimeMs,
+    ) -> bool {
         drop_older(&mut self.firsts, bound.window_ms, now);
         drop_older(&mut self.repeats, bound.window_ms, now);
         let share = bound.extra * EXTRA_SHARE / gateways.max(1) as f64;
-        let allowed = bound.ratio * RATIO_SHARE * self.firsts.len() as f64 + share;
+        let allowed = bound.ratio * ratio_share * self.firsts.len() as f64 + share;
         (self.repeats.len() + 1) as f64 <= allowed
     }
 }
