--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -281,6 +281,7 @@
                 version = dispatch.version.as_str(), session = open.session.as_deref(),
                 model = dispatch.model.as_ref().map(hickorydoor::id::ModelId::as_str),
                 min_confidence = dispatch.min_confidence,
+                fetch_from = dispatch.fetch_from.map(|source| source.to_string()).as_deref(),
                 waited_ms = took_ms, expected_ms = dispatch.expected_ms.get(),
                 remaining_ms = dispatch.remaining_ms.get();
                 "request dispatched"
--- a/crates/hickoryd/src/gateway/header_names.rs
+++ b/crates/hickoryd/src/gateway/header_names.rs
@@ -27,6 +27,8 @@
     pub expected_upstream: HeaderName,
     /// Rank, set for the upstream.
     pub priority: HeaderName,
+    /// Engine from which kept prompt parts are to be fetched.
+    pub fetch_from: HeaderName,
     /// Signature of the upstream under its answer.
     pub signature: HeaderName,
     /// The model's own opinion of its answer, from 0 to 100.
@@ -52,6 +54,7 @@
             customer: name("x-hickorydoor-customer"),
             expected_upstream: name("x-hickorydoor-upstream"),
             priority: name("x-hickorydoor-priority"),
+            fetch_from: name("x-hickorydoor-fetch-from"),
             signature: name("x-hickorydoor-signature"),
             confidence: name("x-hickorydoor-answer-confidence"),
             not_run: name("x-hickorydoor-run"),
--- a/crates/hickoryd/src/gateway/upstream_request.rs
+++ b/crates/hickoryd/src/gateway/upstream_request.rs
@@ -76,6 +76,7 @@
             &names.priority,
             &names.deadline_ms,
             &names.last_event,
+            &names.fetch_from,
         ] {
             headers.remove(name);
         }
@@ -108,6 +109,9 @@
         if let Some(model) = &dispatch.model {
             set(&names.model, model.to_string());
         }
+        if let Some(source) = &dispatch.fetch_from {
+            set(&names.fetch_from, source.to_string());
+        }
         if dispatch.streaming {
             set(&names.priority, dispatch.priority.min(9).to_string());
         }
--- a/crates/hickorydoor/src/gateway/call.rs
+++ b/crates/hickorydoor/src/gateway/call.rs
@@ -36,6 +36,12 @@
 }
 
 impl Prompt {
+    /// Tokens that no other request shares.
+    pub fn own_tokens(&self) -> u32 {
+        let shared: u32 = self.shared_parts().iter().map(|part| part.tokens).sum();
+        self.tokens.saturating_sub(shared)
+    }
+
     /// Parts that other requests may share.
     pub fn shared_parts(&self) -> &[PromptPart] {
         match self.parts.split_last() {
--- a/crates/hickorydoor/src/gateway/calls.rs
+++ b/crates/hickorydoor/src/gateway/calls.rs
@@ -26,6 +26,7 @@
 use crate::gateway::route::CallKind;
 use crate::gateway::upstream::Upstream;
 use crate::id::ModelId;
+use crate::id::ServiceName;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
@@ -173,9 +174,7 @@
         if let Some(model) = &choice.model {
             let prompt = &active.call.prompt;
             let parts = chains(model, prompt);
-            let shared: u32 = parts.iter().map(|part| part.tokens).sum();
-            let own_tokens = prompt.tokens.saturating_sub(shared);
-            upstream.cache.note(&parts, own_tokens, memory_tokens, now);
+            upstream.cache.note(&parts, prompt.own_tokens(), memory_tokens, now);
             let upstream = choice.upstream.clone();
             self.reads.push_back((now, PromptRead { upstream, parts: parts.into_vec() }));
         }
@@ -210,6 +209,7 @@
             address: registration.address,
             customer: active.account.as_ref().map(|account| account.customer.clone()),
             model: choice.model.filter(|_| chooses_model),
+            fetch_from: choice.fetch_from,
             priority: active.priority(),
             remaining_ms,
             upstream_deadline_ms: remaining_ms,
@@ -271,15 +271,16 @@
             weight: self.sizes.weight(&active.route.name, &active.call.prompt),
             models: &models,
             objective_ms: self.objective_left_ms(active, now),
+            transfer_ms_per_token: self.transfer_ms_per_token(&active.service),
             size_kb: active.call.body_bytes as f64 / 1_024.0 + ANSWER_KB,
             data_centre: &self.settings.data_centre,
         };
-        let choice = place(&demand, &candidates, &self.speeds, &self.settings.costs)?;
+        let choice = place(&demand, &candidates, &self.model_table, &self.settings.costs)?;
         if !may_try_small {
             return Some(Plan { choice, min_confidence: None });
         }
         let demand = Demand { models: &models[..1], ..demand };
-        let small = place(&demand, &candidates, &self.speeds, &self.settings.costs)?;
+        let small = place(&demand, &candidates, &self.model_table, &self.settings.costs)?;
         Some(plan_cascade(choice, small, demand.objective_ms))
     }
 
@@ -300,7 +301,7 @@
     }
 
     /// Counts which cold upstreams of a service have room for one more request.
-    fn refresh_cold_room(&mut self, service: &crate::id::ServiceName, now: TimeMs) {
+    fn refresh_cold_room(&mut self, service: &ServiceName, now: TimeMs) {
         let per_s = self
             .catalog
             .as_ref()
@@ -339,6 +340,11 @@
             && (!upstream.is_cold(now) || upstream.cold_room)
     }
 
+    fn transfer_ms_per_token(&self, service: &ServiceName) -> f64 {
+        let spec = self.catalog.as_ref().and_then(|catalog| catalog.service(service));
+        spec.map_or(0.0, |spec| spec.transfer_ms_per_token)
+    }
+
     fn models_of(&self, active: &ActiveCall) -> Vec<ModelId> {
         if !active.route.models.is_empty() {
             return active.route.models.clone();
@@ -459,7 +465,7 @@
         if let Some(model) = &attempt.model
             && attempt.backlog_ms < reading_ms / 4.0
         {
-            self.speeds.observe(model, attempt.unread_tokens, took_ms);
+            self.model_table.observe(model, attempt.unread_tokens, took_ms);
         }
     }
 
--- a/crates/hickorydoor/src/gateway/catalog.rs
+++ b/crates/hickorydoor/src/gateway/catalog.rs
@@ -45,6 +45,8 @@
     pub cold_ms: DurationMs,
     /// Tokens that the memory of one engine holds; 0 for plain services.
     pub memory_tokens: u64,
+    /// Time to move a token of a kept prompt to another engine, in ms; 0 if that cannot be done.
+    pub transfer_ms_per_token: f64,
     /// Models of its engines; empty for plain services.
     pub models: Vec<OfferedModel>,
 }
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -25,6 +25,8 @@
     pub customer: Option<CustomerId>,
     /// The model that is to answer, if the gateway chose it.
     pub model: Option<ModelId>,
+    /// Engine from which kept parts of the prompt are to be fetched.
+    pub fetch_from: Option<SocketAddr>,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
     /// Time left for the request.
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -27,7 +27,7 @@
 pub mod route;
 pub mod settings;
 pub mod size_table;
-pub mod speed_table;
+pub mod model_table;
 pub mod upstream;
 pub mod upstream_pool;
 
--- a/crates/hickorydoor/src/gateway/speed_table.rs
+++ b/crates/hickorydoor/src/gateway/model_table.rs
@@ -1,4 +1,4 @@
-//! How fast models read prompts, learned from the first events of streams.
+//! How fast models read prompts, learned from the first events of streams, and their prices.
 
 use std::collections::HashMap;
 
@@ -9,6 +9,10 @@
 const FIRST_EVENT_MS: f64 = 60.0;
 /// Time to read a token with the dearest model, before any was observed.
 const TOKEN_MS: f64 = 0.07;
+/// Tokens to which a price applies.
+const PRICED_TOKENS: f64 = 1_000.0;
+/// Price of reading a token beside that of generating one.
+const READ_PRICE_SHARE: f64 = 0.25;
 /// How the time grows with the price, before any was observed: models that cost less are faster,
 /// by a little less than their price.
 const PRICE_EXPONENT: f64 = 0.8;
@@ -19,15 +23,16 @@
 /// Bounds of one observation of the time for each token.
 const TOKEN_MS_RANGE: (f64, f64) = (0.002, 0.5);
 
-/// Learned reading speeds, one for each model.
+/// Speeds and prices, one for each model.
 #[derive(Clone, Debug, Default)]
-pub struct SpeedTable {
+pub struct ModelTable {
     token_ms: HashMap<ModelId, f64>,
     /// Times expected from prices, for models that were not observed.
     prior_ms: HashMap<ModelId, f64>,
+    price: HashMap<ModelId, f64>,
 }
 
-impl SpeedTable {
+impl ModelTable {
     /// Expected time to read `tokens` on an idle engine, in ms.
     pub fn reading_ms(&self, model: &ModelId, tokens: f64) -> f64 {
         FIRST_EVENT_MS + tokens * self.token_ms(model)
@@ -39,12 +44,19 @@
         known.copied().unwrap_or(TOKEN_MS)
     }
 
+    /// Price of reading and generating this many tokens.
+    pub fn price(&self, model: &ModelId, read_tokens: f64, answer_tokens: f64) -> f64 {
+        let price = self.price.get(model).copied().unwrap_or_default();
+        price * (read_tokens * READ_PRICE_SHARE + answer_tokens) / PRICED_TOKENS
+    }
+
     /// Takes in the prices of the models of a service.
     pub fn set_prices(&mut self, models: &[OfferedModel]) {
         let dearest = models.iter().map(|offered| offered.cost).fold(0.0, f64::max);
         for offered in models.iter().filter(|offered| offered.cost > 0.0) {
             let share = (offered.cost / dearest).powf(PRICE_EXPONENT);
             self.prior_ms.insert(offered.model.clone(), TOKEN_MS * share);
+            self.price.insert(offered.model.clone(), offered.cost);
         }
     }
 
--- a/crates/hickorydoor/src/gateway/placement.rs
+++ b/crates/hickorydoor/src/gateway/placement.rs
@@ -9,12 +9,14 @@
 //! the same engine. The load that this answers is a steady stream with bursts, and a fleet that
 //! has just lost engines or its caches.
 
+use std::net::SocketAddr;
+
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::gateway::call::Prompt;
 use crate::gateway::prompt_cache::ChainPart;
 use crate::gateway::prompt_cache::chains;
-use crate::gateway::speed_table::SpeedTable;
+use crate::gateway::model_table::ModelTable;
 use crate::gateway::upstream::Upstream;
 use crate::id::DataCentreId;
 use crate::id::ModelId;
@@ -22,6 +24,10 @@
 
 /// What an answer of a model is worth, largest model first.
 const QUALITIES: [f64; 3] = [1.0, 0.66, 0.56];
+/// Time to begin a transfer between engines.
+const TRANSFER_MS: f64 = 12.0;
+/// Part of the reading time that a transfer may take.
+const FETCH_SHARE: f64 = 0.6;
 /// Least weight by which a value is divided.
 const LEAST_WEIGHT: f64 = 0.1;
 /// Share of the objective up to which an answer is as good as in time.
@@ -59,6 +65,12 @@
     pub cross_ms_per_kb: f64,
     /// For a request that leaves the data centre at all, in ms.
     pub cross_ms: f64,
+    /// Worth of a mean answer, in the unit of the models' prices.
+    pub answer_worth: f64,
+    /// For each token of a kept prompt that moves between engines, in that unit.
+    pub fetch_per_token: f64,
+    /// For each shared token that an engine reads though another one keeps it, in that unit.
+    pub reread_per_token: f64,
 }
 
 /// What a request needs.
@@ -74,6 +86,8 @@
     pub objective_ms: f64,
     /// Bytes of the request and its answer, in KB.
     pub size_kb: f64,
+    /// Time to move a token of a kept prompt between engines, in ms; 0 if that cannot be done.
+    pub transfer_ms_per_token: f64,
     /// Data centre of this gateway.
     pub data_centre: &'a DataCentreId,
 }
@@ -91,6 +105,10 @@
     pub reading_ms: f64,
     /// Tokens of that part.
     pub unread_tokens: f64,
+    /// Tokens that are fetched from another engine.
+    pub fetched_tokens: f64,
+    /// Engine from which kept parts of the prompt are to be fetched.
+    pub fetch_from: Option<SocketAddr>,
     /// What it is worth: 1 for an answer of the largest model in time.
     pub value: f64,
 }
@@ -99,7 +117,7 @@
 pub fn place(
     demand: &Demand<'_>,
     candidates: &[&Upstream],
-    speeds: &SpeedTable,
+    model_table: &ModelTable,
     costs: &PlacementCosts,
 ) -> Option<Choice> {
     if demand.models.is_empty() {
@@ -110,8 +128,10 @@
         let quality = QUALITIES[step.min(QUALITIES.len() - 1)];
         let parts = chains(model, demand.prompt);
         for upstream in candidates {
-            let mut choice = expect(demand, model, &parts, upstream, speeds);
+            let source = source(demand, &parts, upstream, candidates);
+            let mut choice = expect(demand, model, &parts, upstream, source, model_table);
             let value = value(demand, upstream, &choice, quality, costs)
+                - price(demand, model, &choice, model_table, costs) / costs.answer_worth
                 - tie(upstream, &parts) * TIE_MS / demand.objective_ms;
             choice.value = value / demand.weight.max(LEAST_WEIGHT);
             if best.as_ref().is_none_or(|(most, _)| value > *most) {
@@ -127,21 +147,66 @@
     model: &ModelId,
     parts: &[ChainPart],
     upstream: &Upstream,
-    speeds: &SpeedTable,
+    source: Option<Source>,
+    model_table: &ModelTable,
 ) -> Choice {
     let kept = upstream.cache.kept_tokens(parts);
-    let unread_tokens = f64::from(demand.prompt.tokens.saturating_sub(kept));
+    let token_ms = model_table.token_ms(model);
+    let fetch = source
+        .map(|source| (source, f64::from(source.kept_tokens.saturating_sub(kept))))
+        .map(|(source, tokens)| (source, tokens, transfer_ms(demand, tokens)))
+        .filter(|(_, tokens, transfer_ms)| *transfer_ms < tokens * token_ms * FETCH_SHARE);
+    let fetched_tokens = fetch.map_or(0.0, |(_, tokens, _)| tokens);
+    let fetch_ms = fetch.map_or(0.0, |(_, _, transfer_ms)| transfer_ms);
+    let unread_tokens = f64::from(demand.prompt.tokens.saturating_sub(kept)) - fetched_tokens;
     let running_ms = f64::from(upstream.total_in_flight()) * RUNNING_MS;
     Choice {
         upstream: upstream.registration.upstream.clone(),
         model: Some(model.clone()),
-        expected_ms: upstream.backlog_ms() + running_ms + speeds.reading_ms(model, unread_tokens),
-        reading_ms: unread_tokens * speeds.token_ms(model),
+        expected_ms: upstream.backlog_ms()
+            + running_ms
+            + fetch_ms
+            + model_table.reading_ms(model, unread_tokens),
+        reading_ms: unread_tokens * token_ms,
         unread_tokens,
+        fetched_tokens,
+        fetch_from: fetch.map(|(source, _, _)| source.address),
         value: 0.0,
     }
 }
 
+/// An engine that keeps parts of a prompt.
+#[derive(Clone, Copy, Debug)]
+struct Source {
+    address: SocketAddr,
+    kept_tokens: u32,
+}
+
+/// The other engine of the same version that keeps most of the prompt.
+fn source(
+    demand: &Demand<'_>,
+    parts: &[ChainPart],
+    upstream: &Upstream,
+    candidates: &[&Upstream],
+) -> Option<Source> {
+    if demand.transfer_ms_per_token <= 0.0 || parts.is_empty() {
+        return None;
+    }
+    let others = candidates.iter().filter(|other| {
+        other.registration.version == upstream.registration.version
+            && other.registration.upstream != upstream.registration.upstream
+    });
+    let sources = others.map(|other| Source {
+        address: other.registration.address,
+        kept_tokens: other.cache.kept_tokens(parts),
+    });
+    sources.filter(|source| source.kept_tokens > 0).max_by_key(|source| source.kept_tokens)
+}
+
+fn transfer_ms(demand: &Demand<'_>, tokens: f64) -> f64 {
+    TRANSFER_MS + tokens * demand.transfer_ms_per_token
+}
+
 /// What the choice is worth: 1 for an answer of the largest model in time.
 fn value(
     demand: &Demand<'_>,
@@ -158,6 +223,22 @@
         - choice.reading_ms / FULL_OBJECTIVE_MS * READING_COST
 }
 
+/// Price of the tokens that the choice reads, fetches and generates.
+fn price(
+    demand: &Demand<'_>,
+    model: &ModelId,
+    choice: &Choice,
+    model_table: &ModelTable,
+    costs: &PlacementCosts,
+) -> f64 {
+    let own_tokens = f64::from(demand.prompt.own_tokens());
+    let shared_tokens = (choice.unread_tokens - own_tokens).max(0.0);
+    let answer_tokens = f64::from(demand.prompt.max_answer_tokens);
+    model_table.price(model, choice.unread_tokens, answer_tokens)
+        + choice.fetched_tokens * costs.fetch_per_token
+        + shared_tokens * costs.reread_per_token
+}
+
 /// Share of its worth that an answer keeps when it is expected after `share` of the objective.
 fn on_time(share: f64) -> f64 {
     match share {
@@ -194,6 +275,8 @@
         expected_ms: score_ms(best),
         reading_ms: 0.0,
         unread_tokens: 0.0,
+        fetched_tokens: 0.0,
+        fetch_from: None,
         value: 1.0,
     })
 }
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -23,7 +23,7 @@
 use crate::gateway::rollout::RolloutRecord;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::size_table::SizeTable;
-use crate::gateway::speed_table::SpeedTable;
+use crate::gateway::model_table::ModelTable;
 use crate::gateway::upstream::Registration;
 use crate::gateway::upstream_pool::UpstreamPool;
 use crate::id::DataCentreId;
@@ -47,7 +47,7 @@
     pub(super) settings: GatewaySettings,
     pub(super) catalog: Option<Catalog>,
     pub(super) pool: UpstreamPool,
-    pub(super) speeds: SpeedTable,
+    pub(super) model_table: ModelTable,
     pub(super) sizes: SizeTable,
     pub(super) freshness: Freshness,
     pub(super) rollouts: BTreeMap<ServiceName, Rollout>,
@@ -72,7 +72,7 @@
             settings,
             catalog: None,
             pool: UpstreamPool::default(),
-            speeds: SpeedTable::default(),
+            model_table: ModelTable::default(),
             sizes: SizeTable::default(),
             freshness: Freshness::default(),
             rollouts: BTreeMap::new(),
@@ -219,7 +219,7 @@
         let known = self.catalog.as_ref().map(Catalog::version);
         if known.is_none_or(|known| known < catalog.version()) {
             for spec in catalog.services() {
-                self.speeds.set_prices(&spec.models);
+                self.model_table.set_prices(&spec.models);
             }
             self.catalog = Some(catalog);
         }
