Value requests by the size of their route

Cause: the price of a request's tokens was set against one worth for all, so the largest requests got small models.

--- a/crates/hickorydoor/src/gateway/calls.rs
+++ b/crates/hickorydoor/src/gateway/calls.rs
@@ -60,7 +60,7 @@
 /// Part of the objective within which the smallest model has to begin to be tried first.
 const SMALL_OBJECTIVE_SHARE: f64 = 0.25;
 /// What an answer of the smallest model saves, as a part of the worth of an answer.
-const SMALL_ADVANTAGE: f64 = 0.08;
+const SMALL_ADVANTAGE: f64 = 0.05;
 /// Confidence that is always enough.
 const MAX_CONFIDENCE: f64 = 95.0;
 /// Requests beyond its slots that an upstream is given.
@@ -269,6 +269,7 @@
         let demand = Demand {
             prompt: &active.call.prompt,
             weight: self.sizes.weight(&active.route.name, &active.call.prompt),
+            worth: self.sizes.mean(&active.route.name) * self.settings.costs.worth_per_token,
             models: &models,
             objective_ms: self.objective_left_ms(active, now),
             transfer_ms_per_token: self.transfer_ms_per_token(&active.service),
--- a/crates/hickorydoor/src/gateway/placement.rs
+++ b/crates/hickorydoor/src/gateway/placement.rs
@@ -65,8 +65,9 @@
     pub cross_ms_per_kb: f64,
     /// For a request that leaves the data centre at all, in ms.
     pub cross_ms: f64,
-    /// Worth of a mean answer, in the unit of the models' prices.
-    pub answer_worth: f64,
+    /// Worth of a request for each token, of which generated ones count tenfold, in the unit of
+    /// the models' prices.
+    pub worth_per_token: f64,
     /// For each token of a kept prompt that moves between engines, in that unit.
     pub fetch_per_token: f64,
     /// For each shared token that an engine reads though another one keeps it, in that unit.
@@ -80,6 +81,8 @@
     pub prompt: &'a Prompt,
     /// What it is worth beside the mean request of its route.
     pub weight: f64,
+    /// Worth of the mean request of its route, in the unit of the models' prices.
+    pub worth: f64,
     /// Models that may answer, smallest first; empty for plain services.
     pub models: &'a [ModelId],
     /// Time to the first event that is still on time, in ms.
@@ -131,7 +134,7 @@
             let source = source(demand, &parts, upstream, candidates);
             let mut choice = expect(demand, model, &parts, upstream, source, model_table);
             let value = value(demand, upstream, &choice, quality, costs)
-                - price(demand, model, &choice, model_table, costs) / costs.answer_worth
+                - price(demand, model, &choice, model_table, costs) / demand.worth
                 - tie(upstream, &parts) * TIE_MS / demand.objective_ms;
             choice.value = value / demand.weight.max(LEAST_WEIGHT);
             if best.as_ref().is_none_or(|(most, _)| value > *most) {
--- a/crates/hickorydoor/src/gateway/size_table.rs
+++ b/crates/hickorydoor/src/gateway/size_table.rs
@@ -14,6 +14,8 @@
 const FIXED_WORTH: f64 = 0.3;
 /// Largest weight.
 const MAX_WEIGHT: f64 = 4.0;
+/// Least mean size.
+const LEAST_MEAN: f64 = 500.0;
 /// Weight of a new observation.
 const GAIN: f64 = 0.02;
 
@@ -31,6 +33,11 @@
         *mean += GAIN * (size - *mean);
     }
 
+    /// Mean size of the requests of a route in tokens, of which generated ones count tenfold.
+    pub fn mean(&self, route: &CompactString) -> f64 {
+        self.mean.get(route).copied().unwrap_or_default().max(LEAST_MEAN)
+    }
+
     /// What a request is worth beside the mean one of its route.
     pub fn weight(&self, route: &CompactString, prompt: &Prompt) -> f64 {
         let mean = self.mean.get(route).copied().unwrap_or_default();
