--- a/crates/hickoryd/src/gateway/answer_body.rs
+++ b/crates/hickoryd/src/gateway/answer_body.rs
@@ -43,9 +43,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
         match self.get_mut() {
-            Self::Whole(body) => Pin::new(body)
-                .poll_frame(cx)
-                .map_err(|never: Infallible| match never {}),
+            Self::Whole(body) => {
+                Pin::new(body).poll_frame(cx).map_err(|never: Infallible| match never {})
+            }
             Self::Stream(receiver) => {
                 receiver.poll_recv(cx).map(|piece| piece.map(|piece| piece.map(Frame::data)))
             }
--- a/crates/hickoryd/src/gateway/front.rs
+++ b/crates/hickoryd/src/gateway/front.rs
@@ -153,7 +153,8 @@
     let (id, directives) = core.open(call);
     let driver = CallDriver::new(Rc::clone(core), id, names, template, last_event, reply);
     let task = spawn_local(driver.run(directives));
-    let mut guard = CallerGuard { core: Rc::clone(core), call: id, task: Some(task.abort_handle()) };
+    let mut guard =
+        CallerGuard { core: Rc::clone(core), call: id, task: Some(task.abort_handle()) };
     let response = answered.await;
     guard.task = None;
     response.unwrap_or_else(|_closed| plain(502, "the request was not answered".to_owned()))
@@ -202,10 +203,7 @@
     let parts = text(headers, &names.prompt_parts).unwrap_or_default();
     let part = |part: &str| {
         let (id, tokens) = part.trim().split_once(':')?;
-        Some(PromptPart {
-            id: u64::from_str_radix(id, 16).ok()?,
-            tokens: tokens.parse().ok()?,
-        })
+        Some(PromptPart { id: u64::from_str_radix(id, 16).ok()?, tokens: tokens.parse().ok()? })
     };
     Prompt {
         tokens: counts.next().unwrap_or_default(),
--- a/crates/hickoryd/src/gateway/log_writer.rs
+++ b/crates/hickoryd/src/gateway/log_writer.rs
@@ -89,7 +89,10 @@
         };
         let mut line = Vec::with_capacity(256);
         if dropped > 0 {
-            writeln!(line, "{{\"level\":\"warn\",\"message\":\"log lines dropped\",\"count\":{dropped}}}")?;
+            writeln!(
+                line,
+                "{{\"level\":\"warn\",\"message\":\"log lines dropped\",\"count\":{dropped}}}"
+            )?;
         }
         json_line(&mut line, now, record)?;
         line.push(b'\n');
--- a/crates/hickoryd/src/gateway/metrics.rs
+++ b/crates/hickoryd/src/gateway/metrics.rs
@@ -11,8 +11,7 @@
 use prometheus::TextEncoder;
 
 /// Upper bounds of the latency histograms, in seconds.
-const BUCKETS_S: [f64; 12] =
-    [0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 5.0, 8.0, 12.0, 20.0];
+const BUCKETS_S: [f64; 12] = [0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 5.0, 8.0, 12.0, 20.0];
 
 /// Metrics of a gateway.
 #[derive(Debug)]
--- a/crates/hickoryd/src/gateway/upstream_request.rs
+++ b/crates/hickoryd/src/gateway/upstream_request.rs
@@ -93,13 +93,11 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         let mut headers = self.headers.clone();
-        let mut set = |name: &http::HeaderName, value: String| {
-            match HeaderValue::try_from(value) {
-                Ok(value) => {
-                    headers.insert(name.clone(), value);
-                }
-                Err(error) => debug!(header:% = name, reason:% = error; "header left out"),
+        let mut set = |name: &http::HeaderName, value: String| match HeaderValue::try_from(value) {
+            Ok(value) => {
+                headers.insert(name.clone(), value);
             }
+            Err(error) => debug!(header:% = name, reason:% = error; "header left out"),
         };
         set(&names.deadline_ms, dispatch.upstream_deadline_ms.get().to_string());
         set(&names.expected_upstream, dispatch.upstream.to_string());
--- a/crates/hickorydoor/src/gateway/calls.rs
+++ b/crates/hickorydoor/src/gateway/calls.rs
@@ -14,9 +14,9 @@
 use crate::gateway::event::AttemptOutcome;
 use crate::gateway::event::Break;
 use crate::gateway::event::NotRun;
+use crate::gateway::peer_digest::PromptRead;
 use crate::gateway::placement::Choice;
 use crate::gateway::placement::Demand;
-use crate::gateway::peer_digest::PromptRead;
 use crate::gateway::placement::place;
 use crate::gateway::prompt_cache::chains;
 use crate::gateway::reducer::Gateway;
@@ -423,8 +423,8 @@
         // Prompts that others sent at the same moment are read first.
         let others_ms = (upstream.backlog_ms() - attempt.reading_ms).max(0.0);
         let dead_ms = (attempt.expected_ms * DEAD_FACTOR).max(LEAST_DEAD_MS) + others_ms;
-        let is_dead = upstream.answered_at.is_none_or(|at| at < attempt.sent_at)
-            && waited_ms > dead_ms;
+        let is_dead =
+            upstream.answered_at.is_none_or(|at| at < attempt.sent_at) && waited_ms > dead_ms;
         upstream.has_overtaken(active.priority(), attempt.sent_at) || is_dead
     }
 
--- a/crates/hickorydoor/src/gateway/freshness.rs
+++ b/crates/hickorydoor/src/gateway/freshness.rs
@@ -39,7 +39,6 @@
 
     /// Whether the store is away, or came back less than `grace_ms` ago.
     pub fn is_unsettled(&self, grace_ms: DurationMs, now: TimeMs) -> bool {
-        self.lost_at.is_some()
-            || self.regained_at.is_some_and(|at| now.since(at) < grace_ms)
+        self.lost_at.is_some() || self.regained_at.is_some_and(|at| now.since(at) < grace_ms)
     }
 }
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod event;
 pub mod failure_score;
 pub mod freshness;
+pub mod model_table;
 pub mod peer_digest;
 pub mod placement;
 pub mod prompt_cache;
@@ -27,7 +28,6 @@
 pub mod route;
 pub mod settings;
 pub mod size_table;
-pub mod model_table;
 pub mod upstream;
 pub mod upstream_pool;
 
--- a/crates/hickorydoor/src/gateway/peer_digest.rs
+++ b/crates/hickorydoor/src/gateway/peer_digest.rs
@@ -179,10 +179,8 @@
     fn try_from(wire: WireDigest) -> Result<Self, DigestError> {
         let mut loads = Vec::with_capacity(wire.loads.len());
         for load in wire.loads {
-            let known = PeerLoad {
-                in_flight: load.in_flight,
-                reading_ms: f64::from(load.reading_ms),
-            };
+            let known =
+                PeerLoad { in_flight: load.in_flight, reading_ms: f64::from(load.reading_ms) };
             loads.push((load.upstream.parse()?, known));
         }
         let mut evidence = Vec::with_capacity(wire.evidence.len());
--- a/crates/hickorydoor/src/gateway/placement.rs
+++ b/crates/hickorydoor/src/gateway/placement.rs
@@ -14,9 +14,9 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::gateway::call::Prompt;
+use crate::gateway::model_table::ModelTable;
 use crate::gateway::prompt_cache::ChainPart;
 use crate::gateway::prompt_cache::chains;
-use crate::gateway::model_table::ModelTable;
 use crate::gateway::upstream::Upstream;
 use crate::id::DataCentreId;
 use crate::id::ModelId;
@@ -222,7 +222,9 @@
     let share = (choice.expected_ms + penalty_ms) / demand.objective_ms;
     let backlog = upstream.backlog_ms() / FULL_OBJECTIVE_MS;
     let delay = choice.reading_ms / FULL_OBJECTIVE_MS * backlog * backlog;
-    demand.weight * quality * on_time(share) - delay * DELAY_COST - penalty_ms / FULL_OBJECTIVE_MS * PENALTY_COST
+    demand.weight * quality * on_time(share)
+        - delay * DELAY_COST
+        - penalty_ms / FULL_OBJECTIVE_MS * PENALTY_COST
         - choice.reading_ms / FULL_OBJECTIVE_MS * READING_COST
 }
 
--- a/crates/hickorydoor/src/gateway/prompt_cache.rs
+++ b/crates/hickorydoor/src/gateway/prompt_cache.rs
@@ -52,13 +52,7 @@
 impl PromptCache {
     /// Notes that the engine reads these parts, and `own_tokens` that no other request shares.
     /// `memory_tokens` is its whole memory; 0 means that it is not known.
-    pub fn note(
-        &mut self,
-        parts: &[ChainPart],
-        own_tokens: u32,
-        memory_tokens: u64,
-        now: TimeMs,
-    ) {
+    pub fn note(&mut self, parts: &[ChainPart], own_tokens: u32, memory_tokens: u64, now: TimeMs) {
         for part in parts {
             self.insert(part.chain, part.tokens, now);
         }
--- a/crates/hickorydoor/tests/gateway/fleet.rs
+++ b/crates/hickorydoor/tests/gateway/fleet.rs
@@ -193,8 +193,7 @@
 
     /// Sends the reports of all gateways to the others.
     fn exchange(&mut self) {
-        let digests: Vec<_> =
-            self.rigs.iter_mut().map(|rig| rig.gateway.digest(rig.now)).collect();
+        let digests: Vec<_> = self.rigs.iter_mut().map(|rig| rig.gateway.digest(rig.now)).collect();
         for gateway in 0..self.rigs.len() {
             for digest in &digests {
                 let event = GatewayEvent::Digest(Box::new(digest.clone()));
@@ -262,11 +261,8 @@
             self.begin(&job);
         }
         for job in ended.iter().filter(|job| !job.weak) {
-            let effects = self.rigs[job.gateway].end_after(
-                job.call,
-                AttemptOutcome::Served,
-                Some(30),
-            );
+            let effects =
+                self.rigs[job.gateway].end_after(job.call, AttemptOutcome::Served, Some(30));
             self.carry_out(job.gateway, effects);
         }
     }
--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -88,10 +88,9 @@
 
 pub fn catalog(version: u64, keys: &[&str]) -> Catalog {
     let costs = [("small", 0.0085), ("middle", 0.064), ("large", 0.13)];
-    let models = costs.iter().map(|(model, cost)| OfferedModel {
-        model: model.parse().unwrap(),
-        cost: *cost,
-    });
+    let models = costs
+        .iter()
+        .map(|(model, cost)| OfferedModel { model: model.parse().unwrap(), cost: *cost });
     let service = |name: &str, cold_per_s, models| ServiceSpec {
         name: name.parse().unwrap(),
         max_connections: 370,
