Split the way of a request by step, and satisfy the linter

arrival, dispatching and attempt_end hold what calls held; ended requests are timed for each customer and route.

--- a/crates/hickoryd/src/gateway/answer.rs
+++ b/crates/hickoryd/src/gateway/answer.rs
@@ -1,7 +1,5 @@
 //! Answers to callers.
 
-use std::fmt::Write;
-
 use bytes::Bytes;
 use hickorydoor::gateway::refusal::CallRefusal;
 use http::HeaderMap;
@@ -52,9 +50,7 @@
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if let Some(retry_after_ms) = refusal.retry_after_ms {
-        let mut seconds = String::new();
-        // Writing to a string does not fail.
-        drop(write!(seconds, "{:.3}", retry_after_ms.as_f64() / 1_000.0));
+        let seconds = format!("{:.3}", retry_after_ms.as_f64() / 1_000.0);
         if let Ok(value) = HeaderValue::try_from(seconds) {
             headers.insert(header::RETRY_AFTER, value);
         }
@@ -74,8 +70,8 @@
 pub fn remove_connection_headers(headers: &mut HeaderMap) {
     let mut named = Vec::new();
     for value in headers.get_all(header::CONNECTION) {
-        let names = value.to_str().unwrap_or_default().split(',');
-        named.extend(names.filter_map(|name| name.trim().parse::<header::HeaderName>().ok()));
+        let listed = value.to_str().unwrap_or_default().split(',');
+        named.extend(listed.filter_map(|name| name.trim().parse::<header::HeaderName>().ok()));
     }
     for name in named {
         headers.remove(name);
--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -165,9 +165,10 @@
         };
         let status = parts.status;
         self.answer = Some(UpstreamAnswer { status, headers: parts.headers, body });
-        match status.is_success() {
-            true => AttemptOutcome::Served,
-            false => AttemptOutcome::Failed { status: status.as_u16() },
+        if status.is_success() {
+            AttemptOutcome::Served
+        } else {
+            AttemptOutcome::Failed { status: status.as_u16() }
         }
     }
 
@@ -284,7 +285,7 @@
             return;
         }
     }
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
 
 async fn closed(events: Option<&mpsc::Sender<Result<Bytes, BrokenAnswer>>>) {
--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -230,6 +230,10 @@
             GatewayEffect::Deliver { call } => self.direct(call, Directive::Deliver, true),
             GatewayEffect::Abort { call } => self.direct(call, Directive::Abort, true),
             GatewayEffect::FirstEvent { call, figures } => self.on_first_event(call, &figures),
+            GatewayEffect::Ended { figures } => {
+                let customer = figures.customer.as_ref().map_or("", CustomerId::as_str);
+                self.metrics.on_end(customer, &figures.route, figures.took_ms);
+            }
             GatewayEffect::WriteRollout(step) => {
                 info!(
                     service:% = step.record.service, version = step.record.target.as_str(),
@@ -259,10 +263,7 @@
     }
 
     fn direct(&self, call: CallId, directive: Directive, last: bool) {
-        let known = match last {
-            true => self.calls.borrow_mut().remove(&call),
-            false => None,
-        };
+        let known = if last { self.calls.borrow_mut().remove(&call) } else { None };
         let calls = self.calls.borrow();
         let Some(open) = known.as_ref().or_else(|| calls.get(&call)) else {
             return;
--- a/crates/hickoryd/src/gateway/metrics.rs
+++ b/crates/hickoryd/src/gateway/metrics.rs
@@ -43,7 +43,7 @@
             calls: counter("hickorydoor_calls_total", "ended requests", &["outcome"])?,
             attempts: counter("hickorydoor_attempts_total", "ended attempts", &["outcome"])?,
             first_event: histogram("hickorydoor_first_event_seconds", "time to the first event")?,
-            total: histogram("hickorydoor_call_seconds", "time to the end of the answer")?,
+            total: histogram("hickorydoor_call_seconds", "time to the end of the request")?,
             open_calls: IntGauge::new("hickorydoor_open_calls", "requests that have not ended")?,
             configuration_age: IntGauge::new(
                 "hickorydoor_configuration_age_ms",
@@ -75,16 +75,16 @@
         self.first_event.with_label_values(&[customer, route]).observe(seconds);
     }
 
-    /// Takes in the time to the end of an answer.
-    pub fn on_answer(&self, customer: &str, route: &str, took_ms: DurationMs) {
+    /// Takes in the time to the end of a request.
+    pub fn on_end(&self, customer: &str, route: &str, took_ms: DurationMs) {
         let seconds = took_ms.as_f64() / 1_000.0;
         self.total.with_label_values(&[customer, route]).observe(seconds);
     }
 
     /// All metrics as text.
     pub fn text(&self, open_calls: usize, configuration_age_ms: Option<DurationMs>) -> String {
-        self.open_calls.set(open_calls as i64);
-        let age_ms = configuration_age_ms.map_or(-1, |age_ms| age_ms.get() as i64);
+        self.open_calls.set(open_calls.cast_signed() as i64);
+        let age_ms = configuration_age_ms.map_or(-1, |age_ms| age_ms.get().cast_signed());
         self.configuration_age.set(age_ms);
         match TextEncoder::new().encode_to_string(&self.registry.gather()) {
             Ok(text) => text,
--- /dev/null
+++ b/crates/hickorydoor/src/gateway/arrival.rs
@@ -0,0 +1,87 @@
+//! How a request is taken in: configuration, key, route, deadlines.
+
+use std::sync::Arc;
+
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::gateway::active_call::ActiveCall;
+use crate::gateway::call::Call;
+use crate::gateway::call::CallId;
+use crate::gateway::effect::GatewayEffect;
+use crate::gateway::reducer::Gateway;
+use crate::gateway::refusal::CallRefusal;
+use crate::gateway::refusal::RefusalReason;
+use crate::time::DurationMs;
+use crate::time::TimeMs;
+
+/// Time for a request without a deadline on a route without a timeout.
+const DEFAULT_DEADLINE_MS: DurationMs = DurationMs::from_secs(30);
+/// Time to come back when no upstream is known to free up earlier.
+const RETRY_AFTER_MS: DurationMs = DurationMs::new(400);
+
+impl Gateway {
+    pub(super) fn on_arrived(
+        &mut self,
+        id: CallId,
+        call: Call,
+        now: TimeMs,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        match self.admit(call, now) {
+            Ok(active) => {
+                self.budgets.entry(active.service.clone()).or_default().on_first(now);
+                self.sizes.observe(&active.route.name, &active.call.prompt);
+                self.calls.insert(id, active);
+                self.waiting.insert(id);
+            }
+            Err(reason) => {
+                let retry_after_ms = (reason.status() == 503).then_some(RETRY_AFTER_MS);
+                let refusal = CallRefusal { reason, retry_after_ms };
+                effects.push(GatewayEffect::Refuse { call: id, refusal });
+            }
+        }
+    }
+
+    fn admit(&self, call: Call, now: TimeMs) -> Result<ActiveCall, RefusalReason> {
+        if self.refuse_from.is_some_and(|from| now >= from) {
+            return Err(RefusalReason::Stopping);
+        }
+        let catalog = self.catalog.as_ref().ok_or(RefusalReason::NoConfiguration)?;
+        if !self.freshness.is_within(self.settings.max_configuration_age_ms, now) {
+            return Err(RefusalReason::StaleConfiguration);
+        }
+        let route = catalog.route(&call.host, &call.path).ok_or(RefusalReason::NoRoute)?;
+        let needs_key = catalog.has_accounts() && !route.public;
+        let key = call.key.as_ref().filter(|_| needs_key);
+        let account = key.and_then(|key| catalog.account(key));
+        if needs_key && account.is_none() {
+            return Err(RefusalReason::UnknownKey);
+        }
+        let hash = xxh3_64(call.client_attempt.as_bytes());
+        let service = route.backend(hash).ok_or(RefusalReason::NoRoute)?.clone();
+        let limit_ms = match route.timeout_ms.get() {
+            0 => DEFAULT_DEADLINE_MS,
+            _ => route.timeout_ms,
+        };
+        let deadline_ms = call.deadline_ms.map_or(limit_ms, |own| own.min(limit_ms));
+        let wait_ms = DurationMs::new(route.objective_ms.get() / 2).min(deadline_ms);
+        let last_event = call.last_event;
+        Ok(ActiveCall {
+            route: Arc::clone(route),
+            account: account.cloned(),
+            service,
+            arrived_at: now,
+            deadline_at: now + deadline_ms,
+            wait_until: now + wait_ms,
+            attempt: None,
+            attempts: 0,
+            runs: 0,
+            tried: SmallVec::new(),
+            last_event,
+            delivered: false,
+            version: None,
+            call,
+        })
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -0,0 +1,325 @@
+//! Which waiting request is sent where: usable upstreams, versions, models.
+
+use compact_str::CompactString;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::gateway::active_call::ActiveCall;
+use crate::gateway::active_call::Attempt;
+use crate::gateway::call::CallId;
+use crate::gateway::cold_share::cold_share;
+use crate::gateway::effect::Dispatch;
+use crate::gateway::effect::GatewayEffect;
+use crate::gateway::peer_digest::PromptRead;
+use crate::gateway::placement::Choice;
+use crate::gateway::placement::Demand;
+use crate::gateway::placement::place;
+use crate::gateway::prompt_cache::chains;
+use crate::gateway::reducer::Gateway;
+use crate::gateway::reducer::session_hash;
+use crate::gateway::route::CallKind;
+use crate::gateway::upstream::Upstream;
+use crate::id::ModelId;
+use crate::id::ServiceName;
+use crate::time::DurationMs;
+use crate::time::TimeMs;
+
+/// Time to open a connection to an upstream.
+const CONNECT_TIMEOUT_MS: DurationMs = DurationMs::new(300);
+/// Least time left that is worth an attempt.
+const LEAST_ATTEMPT_MS: DurationMs = DurationMs::new(20);
+/// Pauses of a stream, as a multiple of the longest one that is on time, after which it goes on
+/// elsewhere.
+const PAUSE_TIMEOUT_PERCENT: u64 = 200;
+/// Answer size that is assumed for the cost of distance, in KB.
+const ANSWER_KB: f64 = 3.0;
+/// Part of the objective within which the smallest model has to begin to be tried first.
+const SMALL_OBJECTIVE_SHARE: f64 = 0.25;
+/// What an answer of the smallest model saves, as a part of the worth of an answer.
+const SMALL_ADVANTAGE: f64 = 0.05;
+/// Confidence that is always enough.
+const MAX_CONFIDENCE: f64 = 95.0;
+/// Requests beyond its slots that an upstream is given.
+const QUEUE_SHARE: f64 = 0.25;
+/// Part of the objective for which a session waits for an upstream of its version.
+const FALL_BACK_OBJECTIVES: u64 = 4;
+
+impl Gateway {
+    /// Sends what waits, the most urgent and oldest first.
+    pub(super) fn dispatch_waiting(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let mut order: Vec<(u8, CallId)> = Vec::with_capacity(self.waiting.len());
+        for id in &self.waiting {
+            if let Some(active) = self.calls.get(id) {
+                order.push((active.priority(), *id));
+            }
+        }
+        order.sort_unstable();
+        for (_, id) in order {
+            if let Some(dispatch) = self.try_dispatch(id, now) {
+                self.waiting.remove(&id);
+                let dispatch = Box::new(dispatch);
+                effects.push(GatewayEffect::Dispatch { call: id, dispatch });
+            }
+        }
+    }
+
+    fn try_dispatch(&mut self, id: CallId, now: TimeMs) -> Option<Dispatch> {
+        let Plan { choice, min_confidence } = self.choose(id, now)?;
+        let active = self.calls.get_mut(&id)?;
+        let upstream = self.pool.get_mut(&choice.upstream)?;
+        let memory_tokens = self.catalog.as_ref().map_or(0, |catalog| {
+            catalog.service(&active.service).map_or(0, |spec| spec.memory_tokens)
+        });
+        let backlog_ms = upstream.backlog_ms();
+        let in_flight = upstream.total_in_flight();
+        upstream.on_send(now);
+        upstream.reading_ms += choice.reading_ms;
+        if let Some(model) = &choice.model {
+            let prompt = &active.call.prompt;
+            let parts = chains(model, prompt);
+            upstream.cache.note(&parts, prompt.own_tokens(), memory_tokens, now);
+            let upstream = choice.upstream.clone();
+            self.reads.push_back((now, PromptRead { upstream, parts: parts.into_vec() }));
+        }
+        let registration = upstream.registration.clone();
+        active.attempts += 1;
+        active.tried.push(choice.upstream.clone());
+        active.version.get_or_insert_with(|| registration.version.clone());
+        active.attempt = Some(Attempt {
+            upstream: choice.upstream.clone(),
+            started_unix_ms: registration.started_unix_ms,
+            version: registration.version.clone(),
+            model: choice.model.clone(),
+            sent_at: now,
+            reading_ms: choice.reading_ms,
+            unread_tokens: choice.unread_tokens,
+            backlog_ms,
+            in_flight,
+            expected_ms: choice.expected_ms,
+            slow: false,
+            begun: false,
+            abandoned: false,
+        });
+        let remaining_ms = active.remaining_ms(now);
+        let pause_ms = match active.route.pause_ms.get() {
+            0 => remaining_ms,
+            ms => DurationMs::new(ms * PAUSE_TIMEOUT_PERCENT / 100),
+        };
+        let chooses_model = !active.route.models.is_empty();
+        let dispatch = Dispatch {
+            attempt: active.attempts,
+            upstream: choice.upstream,
+            address: registration.address,
+            customer: active.account.as_ref().map(|account| account.customer.clone()),
+            model: choice.model.filter(|_| chooses_model),
+            fetch_from: choice.fetch_from,
+            priority: active.priority(),
+            remaining_ms,
+            upstream_deadline_ms: remaining_ms,
+            connect_timeout_ms: CONNECT_TIMEOUT_MS.min(remaining_ms),
+            pause_timeout_ms: pause_ms,
+            min_confidence,
+            last_event: active.last_event,
+            streaming: active.route.kind == CallKind::Streaming,
+            expected_ms: DurationMs::new(choice.expected_ms as u64),
+            version: registration.version.clone(),
+        };
+        let used_until = active.deadline_at;
+        let session = active.call.session.clone();
+        if let Some(session) = session {
+            self.remember_session(&session, &registration.version, used_until);
+        }
+        Some(dispatch)
+    }
+
+    fn choose(&mut self, id: CallId, now: TimeMs) -> Option<Plan> {
+        let active = self.calls.get(&id)?;
+        if active.remaining_ms(now) < LEAST_ATTEMPT_MS {
+            return None;
+        }
+        let service = active.service.clone();
+        self.refresh_cold_room(&service, now);
+        let may_try_small = self.may_try_small(id, now);
+        let active = self.calls.get(&id)?;
+        let wanted = self.wanted_version(active, now);
+        let usable = |upstream: &&Upstream| self.is_usable(active, upstream, now);
+        let matches = |upstream: &&Upstream| {
+            wanted.as_ref().is_none_or(|version| version.matches(&upstream.registration.version))
+        };
+        let all: Vec<&Upstream> = self.pool.iter().filter(usable).collect();
+        let mut candidates: Vec<&Upstream> = all.iter().copied().filter(|u| matches(u)).collect();
+        if candidates.is_empty() && wanted.as_ref().is_some_and(|version| version.may_fall_back) {
+            candidates = all;
+        }
+        let fresh: Vec<&Upstream> = candidates
+            .iter()
+            .copied()
+            .filter(|upstream| !active.tried.contains(&upstream.registration.upstream))
+            .collect();
+        if !fresh.is_empty() {
+            candidates = fresh;
+        }
+        let healthy: Vec<&Upstream> = candidates
+            .iter()
+            .copied()
+            .filter(|upstream| !upstream.failures.is_paused(now))
+            .filter(|upstream| !upstream.failures.is_on_trial() || upstream.in_flight == 0)
+            .collect();
+        if !healthy.is_empty() {
+            candidates = healthy;
+        }
+        let models = models_of(active);
+        let demand = Demand {
+            prompt: &active.call.prompt,
+            weight: self.sizes.weight(&active.route.name, &active.call.prompt),
+            worth: self.sizes.mean(&active.route.name) * self.settings.costs.worth_per_token,
+            models: &models,
+            objective_ms: objective_left_ms(active, now),
+            transfer_ms_per_token: self.transfer_ms_per_token(&active.service),
+            size_kb: active.call.body_bytes as f64 / 1_024.0 + ANSWER_KB,
+            data_centre: &self.settings.data_centre,
+        };
+        let choice = place(&demand, &candidates, &self.model_table, &self.settings.costs)?;
+        if !may_try_small {
+            return Some(Plan { choice, min_confidence: None });
+        }
+        let demand = Demand { models: &models[..1], ..demand };
+        let small = place(&demand, &candidates, &self.model_table, &self.settings.costs)?;
+        Some(plan_cascade(choice, small, demand.objective_ms))
+    }
+
+    /// Whether the smallest model may be tried first: the first attempt of a stream whose models
+    /// the gateway chooses, while repeats are left.
+    fn may_try_small(&mut self, id: CallId, now: TimeMs) -> bool {
+        let count = self.gateway_count();
+        let Some(active) = self.calls.get(&id) else {
+            return false;
+        };
+        let budget = self.budgets.entry(active.service.clone()).or_default();
+        active.attempts == 0
+            && active.last_event.is_none()
+            && active.route.models.len() > 1
+            && active.route.max_attempts > 1
+            && active.route.is_repeatable()
+            && budget.has_spare(&self.settings.repeats, count, now)
+    }
+
+    /// Counts which cold upstreams of a service have room for one more request.
+    fn refresh_cold_room(&mut self, service: &ServiceName, now: TimeMs) {
+        let per_s = self
+            .catalog
+            .as_ref()
+            .and_then(|catalog| catalog.service(service))
+            .map_or(0.0, |spec| spec.cold_per_s * self.settings.cold_share);
+        let gateways = self.gateways().to_vec();
+        let own = self.settings.host.clone();
+        for upstream in self.pool.of_service_mut(service) {
+            if !upstream.is_cold(now) {
+                upstream.cold_room = true;
+                continue;
+            }
+            let share = if per_s > 0.0 {
+                cold_share(&upstream.registration.upstream, &own, &gateways, per_s)
+            } else {
+                usize::MAX
+            };
+            upstream.cold_room = upstream.has_cold_room(share, now);
+        }
+    }
+
+    fn is_usable(&self, active: &ActiveCall, upstream: &Upstream, now: TimeMs) -> bool {
+        let registration = &upstream.registration;
+        let regions = &active.route.regions;
+        let in_region = regions.is_empty()
+            || registration.region.as_ref().is_some_and(|region| regions.contains(region));
+        let rollout = self.rollouts.get(&active.service);
+        let allowed = rollout.is_none_or(|rollout| rollout.allows(&registration.version));
+        let slots = f64::from(registration.slots.max(1));
+        let room = f64::from(upstream.total_in_flight()) < slots * (1.0 + QUEUE_SHARE);
+        registration.service == active.service
+            && !registration.draining
+            && !self.closed_data_centres.contains(&registration.data_centre)
+            && in_region
+            && allowed
+            && room
+            && (!upstream.is_cold(now) || upstream.cold_room)
+    }
+
+    fn transfer_ms_per_token(&self, service: &ServiceName) -> f64 {
+        let spec = self.catalog.as_ref().and_then(|catalog| catalog.service(service));
+        spec.map_or(0.0, |spec| spec.transfer_ms_per_token)
+    }
+
+    fn wanted_version(&self, active: &ActiveCall, now: TimeMs) -> Option<WantedVersion> {
+        let rollout = self.rollouts.get(&active.service)?;
+        let target = rollout.order().target.clone();
+        let Some(session) = &active.call.session else {
+            let hash = xxh3_64(active.call.client_attempt.as_bytes());
+            let on_target = rollout.target_share().contains_hash(hash);
+            return Some(WantedVersion { target, on_target, may_fall_back: on_target });
+        };
+        let hash = session_hash(session);
+        let known = self.sessions.get(session);
+        let known = known.filter(|(_, until)| now.since(*until) <= self.settings.session_ms);
+        let mut on_target = rollout.target_share().contains_hash(hash);
+        if rollout.keeps_sessions() {
+            match known {
+                Some((version, _)) => on_target &= *version == target,
+                None => on_target &= !rollout.is_kept_by_peer(hash, now),
+            }
+        }
+        let was_on_target = known.is_some_and(|(version, _)| *version == target);
+        let patience_ms = active.route.objective_ms.get() / FALL_BACK_OBJECTIVES;
+        let is_patient = was_on_target && now.since(active.arrived_at).get() < patience_ms;
+        // Without an upstream of the new version the old one serves, never the other way round.
+        Some(WantedVersion { target, on_target, may_fall_back: on_target && !is_patient })
+    }
+}
+
+/// An attempt that is about to be made.
+#[derive(Clone, Debug)]
+struct Plan {
+    choice: Choice,
+    min_confidence: Option<u8>,
+}
+
+/// Tries the smallest model first if it answers early. Its answer is kept if the model is about
+/// as sure of it as the best other choice is worth, so fewer answers are dropped under load.
+fn plan_cascade(choice: Choice, small: Choice, objective_ms: f64) -> Plan {
+    let is_early = small.expected_ms <= objective_ms * SMALL_OBJECTIVE_SHARE;
+    if choice.model == small.model || !is_early {
+        return Plan { choice, min_confidence: None };
+    }
+    let least = ((choice.value - SMALL_ADVANTAGE) * 100.0).clamp(0.0, MAX_CONFIDENCE);
+    Plan { choice: small, min_confidence: Some(least as u8) }
+}
+
+/// The version that a request is to run on while a rollout is known.
+#[derive(Clone, Debug)]
+struct WantedVersion {
+    target: CompactString,
+    on_target: bool,
+    may_fall_back: bool,
+}
+
+impl WantedVersion {
+    fn matches(&self, version: &str) -> bool {
+        (version == self.target) == self.on_target
+    }
+}
+
+fn models_of(active: &ActiveCall) -> Vec<ModelId> {
+    if !active.route.models.is_empty() {
+        return active.route.models.clone();
+    }
+    let asked = active.call.model.as_ref();
+    let asked = asked.and_then(|model| ModelId::try_from(model.clone()).ok());
+    asked.into_iter().collect()
+}
+
+fn objective_left_ms(active: &ActiveCall, now: TimeMs) -> f64 {
+    let waited_ms = now.since(active.arrived_at).as_f64();
+    (active.route.objective_ms.as_f64() - waited_ms).max(1.0)
+}
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -72,6 +72,17 @@
     pub in_flight: u32,
 }
 
+/// Figures about a request that has ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallFigures {
+    /// Name of the route.
+    pub route: CompactString,
+    /// The customer, if the request has one.
+    pub customer: Option<CustomerId>,
+    /// Time since the request arrived.
+    pub took_ms: DurationMs,
+}
+
 /// Something to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum GatewayEffect {
@@ -111,6 +122,11 @@
         /// Its figures.
         figures: Box<FirstEventFigures>,
     },
+    /// Record that a request has ended.
+    Ended {
+        /// Its figures.
+        figures: Box<CallFigures>,
+    },
     /// Write the record of a rollout.
     WriteRollout(RolloutStep),
 }
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -2,17 +2,20 @@
 //!
 //! It serves routes by host and path in front of plain services and model engines that register
 //! themselves in a store. [`Gateway`] is the reducer over all [`GatewayEvent`]s; what it decides
-//! comes back as [`GatewayEffect`]s. The way of a request is in `calls`, and the decisions are in
+//! comes back as [`GatewayEffect`]s. The way of a request is in `arrival`,
+//! `dispatching` and `attempt_end`, and the decisions are in
 //! modules of their own: [`placement`] picks upstream and model, [`rollout`] moves a service to a
 //! new version, [`freshness`] knows how old the configuration is, [`repeat_budget`] and
 //! [`cold_share`] divide fleet-wide bounds among gateways without a message, and
 //! [`peer_digest`] is what gateways tell each other.
 
 mod active_call;
+mod arrival;
+mod attempt_end;
 pub mod call;
-mod calls;
 pub mod catalog;
 pub mod cold_share;
+mod dispatching;
 pub mod effect;
 pub mod event;
 pub mod failure_score;
--- a/crates/hickorydoor/src/gateway/peer_digest.rs
+++ b/crates/hickorydoor/src/gateway/peer_digest.rs
@@ -227,7 +227,7 @@
 
     fn try_from(wire: WireEvidence) -> Result<Self, DigestError> {
         let counter = |index: usize| wire.counters.get(index).copied().unwrap_or_default();
-        let counted = |first: usize| Evidence {
+        let evidence_from = |first: usize| Evidence {
             attempts: counter(first),
             errors: counter(first + 1),
             slow: counter(first + 2),
@@ -236,7 +236,7 @@
         Ok(Self {
             service: wire.service.parse()?,
             order_revision: wire.order_revision,
-            evidence: RolloutEvidence { target: counted(0), baseline: counted(3) },
+            evidence: RolloutEvidence { target: evidence_from(0), baseline: evidence_from(3) },
             kept_sessions: wire.kept_sessions,
         })
     }
--- a/crates/hickorydoor/src/gateway/rollout.rs
+++ b/crates/hickorydoor/src/gateway/rollout.rs
@@ -239,10 +239,8 @@
 
     /// Counts the end of a request.
     pub fn count(&mut self, version: &str, failed: bool, slow: bool) {
-        let evidence = match version == self.order.target {
-            true => &mut self.own.target,
-            false => &mut self.own.baseline,
-        };
+        let is_target = version == self.order.target;
+        let evidence = if is_target { &mut self.own.target } else { &mut self.own.baseline };
         evidence.attempts += 1;
         evidence.errors += u64::from(failed);
         evidence.slow += u64::from(slow);
--- a/crates/hickorydoor/src/gateway/upstream_pool.rs
+++ b/crates/hickorydoor/src/gateway/upstream_pool.rs
@@ -32,13 +32,11 @@
 impl UpstreamPool {
     /// Takes in a registration.
     pub fn register(&mut self, registration: Registration, now: TimeMs) {
-        match self.upstreams.get_mut(&registration.upstream) {
-            Some(known) => known.update(registration, now),
-            None => {
-                let id = registration.upstream.clone();
-                self.upstreams.insert(id, Upstream::new(registration, now));
-            }
+        if let Some(known) = self.upstreams.get_mut(&registration.upstream) {
+            return known.update(registration, now);
         }
+        let id = registration.upstream.clone();
+        self.upstreams.insert(id, Upstream::new(registration, now));
     }
 
     /// Takes in that a registration has gone. While the store is unsettled the upstream is kept
