Keep a bad version within its share even if it never shows that it is bad

Causes: all traffic moved at 62% of the rollout, so a version that looked good got 648 of 1389 requests; first events counted as slow only beyond 2.5 times what was expected and 400 ms. All traffic now moves when the rest of the time fits the bounded share.

--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -36,9 +36,9 @@
 /// Time to come back when no upstream is known to free up earlier.
 const RETRY_AFTER_MS: DurationMs = DurationMs::new(400);
 /// A first event this much later than expected counts against a version.
-const SLOW_FACTOR: f64 = 2.5;
+const SLOW_FACTOR: f64 = 1.7;
 /// Delay that never counts as slow.
-const SLOW_SLACK_MS: f64 = 400.0;
+const SLOW_SLACK_MS: f64 = 60.0;
 
 impl Gateway {
     pub(super) fn on_first_event(
@@ -56,7 +56,7 @@
         };
         attempt.begun = true;
         let took_ms = now.since(attempt.sent_at).as_f64();
-        attempt.slow = took_ms > attempt.expected_ms * SLOW_FACTOR + SLOW_SLACK_MS;
+        attempt.slow = is_slow(attempt, now);
         let figures = FirstEventFigures {
             route: active.route.name.clone(),
             customer: active.account.as_ref().map(|account| account.customer.clone()),
@@ -215,7 +215,8 @@
         }
         let (failed, silent) = match outcome {
             None | Some(AttemptOutcome::NotRun(_)) => return,
-            Some(AttemptOutcome::Served | AttemptOutcome::Weak) => (false, false),
+            Some(AttemptOutcome::Served) => (false, false),
+            Some(AttemptOutcome::Weak) => (false, is_slow(&attempt, now)),
             Some(AttemptOutcome::Failed { status }) => (status >= 500, false),
             Some(AttemptOutcome::Unknown(Break::Closed | Break::Garbled)) => (true, false),
             Some(AttemptOutcome::Unknown(Break::Silent | Break::TimedOut)) => (false, true),
@@ -336,6 +337,12 @@
     (attempt.expected_ms * SILENCE_FACTOR).max(LEAST_PATIENCE_MS)
 }
 
+/// Whether the first event of an attempt, if it comes now, comes much later than expected.
+fn is_slow(attempt: &Attempt, now: TimeMs) -> bool {
+    let took_ms = now.since(attempt.sent_at).as_f64();
+    took_ms > attempt.expected_ms * SLOW_FACTOR + SLOW_SLACK_MS
+}
+
 fn note_outcome(upstream: &mut Upstream, outcome: Option<AttemptOutcome>, now: TimeMs) {
     match outcome {
         None
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -2,6 +2,7 @@
 
 use compact_str::CompactString;
 use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::gateway::active_call::ActiveCall;
 use crate::gateway::active_call::Attempt;
@@ -153,6 +154,9 @@
         if candidates.is_empty() && wanted.as_ref().is_some_and(|version| version.may_fall_back) {
             candidates = all;
         }
+        if wanted.as_ref().is_some_and(|version| version.on_target) {
+            self.concentrate(&active.service, &mut candidates);
+        }
         let fresh: Vec<&Upstream> = candidates
             .iter()
             .copied()
@@ -190,6 +194,29 @@
         Some(plan_cascade(choice, small, demand.objective_ms))
     }
 
+    /// Leaves as many upstreams of a new version as its share of the traffic loads as much as all
+    /// traffic will load all of them, so that a version that fails under load shows it early.
+    fn concentrate(&self, service: &ServiceName, candidates: &mut Vec<&Upstream>) {
+        let Some(rollout) = self.rollouts.get(service) else {
+            return;
+        };
+        let share = rollout.target_share().as_f64();
+        if share >= 1.0 {
+            return;
+        }
+        let target = &rollout.order().target;
+        let of_target = |upstream: &&Upstream| {
+            upstream.registration.service == *service && upstream.registration.version == *target
+        };
+        let count = self.pool.iter().filter(of_target).count();
+        let wanted = (share * count as f64).ceil().max(1.0) as usize;
+        candidates.sort_by_key(|upstream| {
+            let id = upstream.registration.upstream.as_str();
+            xxh3_64_with_seed(id.as_bytes(), rollout.order().revision)
+        });
+        candidates.truncate(wanted);
+    }
+
     /// Whether the smallest model may be tried first: the first attempt of a stream whose models
     /// the gateway chooses, while repeats are left.
     fn may_try_small(&mut self, id: CallId, now: TimeMs) -> bool {
--- a/crates/hickorydoor/src/gateway/rollout.rs
+++ b/crates/hickorydoor/src/gateway/rollout.rs
@@ -1,11 +1,11 @@
 //! One rollout of a new version of a service, advanced by gateways that keep nothing.
 //!
 //! The phase of a rollout is a record in the store that any gateway may advance with a
-//! compare-and-swap; a delay by rank keeps them from writing all at once. A bounded share of the
-//! sessions goes to the new version first. Sessions keep their version through the first half; in
-//! the second half all of them move, and the rollout completes once the old version is idle. Each
-//! gateway stops sending to the new version as soon as the evidence, summed over all gateways,
-//! says that it is worse.
+//! compare-and-swap; a delay by rank keeps them from writing all at once. A small share of the
+//! sessions goes to the new version first, and a session keeps its version. All traffic moves so
+//! late that even a version which never shows that it is bad gets no more than its bounded share
+//! of the requests until the deadline. Each gateway stops sending to the new version as soon as
+//! the evidence, summed over all gateways, says that it is worse.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -23,15 +23,15 @@
 /// Chance at which a version that is not worse is rolled back.
 const FALSE_ALARM_RATE: f64 = 0.002;
 /// Share of the sessions on the new version in the first phase.
-const CANARY_SHARE: Share = Share::from_percent(8);
-/// Share in the second phase.
-const PARTIAL_SHARE: Share = Share::from_percent(35);
-/// Ends of the phases, in percent of the duration of the rollout.
-const CANARY_END_PERCENT: u64 = 53;
-const PARTIAL_END_PERCENT: u64 = 62;
-const FULL_END_PERCENT: u64 = 78;
-/// Point at which the rollout completes even if the old version still works.
-const LATEST_END_PERCENT: u64 = 92;
+const CANARY_SHARE: Share = Share::from_percent(5);
+/// Part of the bounded share that is planned for; the rest covers traffic that is uneven.
+const PLANNED_SHARE: f64 = 0.95;
+/// Least part of the duration that is left for all traffic on the new version.
+const LEAST_LAST_PART: f64 = 0.05;
+/// Part of the time from the move of all traffic to the deadline at which the rollout completes.
+const COMPLETION_SHARE: f64 = 0.7;
+/// The same if the old version is idle.
+const IDLE_COMPLETION_SHARE: f64 = 0.3;
 /// Time for which a session is kept for another gateway after its last report.
 const PEER_SESSION_MS: DurationMs = DurationMs::new(1_500);
 /// Share of failures at which a version is worse whatever the other one did.
@@ -50,6 +50,8 @@
     pub target: CompactString,
     /// Time until the rollout is to be done.
     pub duration_ms: DurationMs,
+    /// Share of the requests that a bad version may get until the deadline.
+    pub exposure: Share,
     /// Store revision of the order.
     pub revision: u64,
 }
@@ -59,8 +61,6 @@
 pub enum RolloutPhase {
     /// A small share of the sessions is on the new version.
     Canary,
-    /// A third of the sessions is.
-    Partial,
     /// All new work goes to the new version.
     Full,
     /// The old version is done.
@@ -184,14 +184,18 @@
 
     /// Sets the start so that a gateway that joins late follows the phases.
     fn resume_at(&mut self, phase: RolloutPhase, now: TimeMs) {
-        let percent = match phase {
-            RolloutPhase::Canary => 0,
-            RolloutPhase::Partial => CANARY_END_PERCENT,
-            RolloutPhase::Full => PARTIAL_END_PERCENT,
-            RolloutPhase::Completed | RolloutPhase::RolledBack => FULL_END_PERCENT,
-        };
-        let passed_ms = DurationMs::new(self.order.duration_ms.get() * percent / 100);
-        self.ordered_at = self.ordered_at.min(now - passed_ms);
+        if phase >= RolloutPhase::Full {
+            let passed_ms = self.full_at_ms();
+            self.ordered_at = self.ordered_at.min(now - passed_ms);
+        }
+    }
+
+    /// Time from the order to the move of all traffic.
+    fn full_at_ms(&self) -> DurationMs {
+        let canary = CANARY_SHARE.as_f64();
+        let planned = self.order.exposure.as_f64() * PLANNED_SHARE;
+        let last_part = ((planned - canary) / (1.0 - canary)).clamp(LEAST_LAST_PART, 0.5);
+        DurationMs::new((self.order.duration_ms.as_f64() * (1.0 - last_part)) as u64)
     }
 
     /// Share of the sessions that go to the new version.
@@ -199,7 +203,6 @@
         match self.phase() {
             None | Some(RolloutPhase::RolledBack) => Share::ZERO,
             Some(RolloutPhase::Canary) => CANARY_SHARE,
-            Some(RolloutPhase::Partial) => PARTIAL_SHARE,
             Some(RolloutPhase::Full | RolloutPhase::Completed) => Share::ONE,
         }
     }
@@ -309,21 +312,21 @@
     }
 
     fn due(&self, old_is_idle: bool, now: TimeMs) -> Option<(RolloutPhase, TimeMs)> {
-        let at = |percent: u64| {
-            self.ordered_at + DurationMs::new(self.order.duration_ms.get() * percent / 100)
-        };
+        let full_ms = self.full_at_ms();
+        let left_ms = self.order.duration_ms.get().saturating_sub(full_ms.get()) as f64;
+        let after_full =
+            |share: f64| self.ordered_at + full_ms + DurationMs::new((left_ms * share) as u64);
         let Some(record) = &self.record else {
             return Some((RolloutPhase::Canary, self.ordered_at));
         };
         let (phase, due_at) = match (record.phase, self.worse_since) {
             (RolloutPhase::Completed | RolloutPhase::RolledBack, _) => return None,
             (_, Some(since)) => (RolloutPhase::RolledBack, since),
-            (RolloutPhase::Canary, None) => (RolloutPhase::Partial, at(CANARY_END_PERCENT)),
-            (RolloutPhase::Partial, None) => (RolloutPhase::Full, at(PARTIAL_END_PERCENT)),
+            (RolloutPhase::Canary, None) => (RolloutPhase::Full, after_full(0.0)),
             (RolloutPhase::Full, None) if old_is_idle => {
-                (RolloutPhase::Completed, at(FULL_END_PERCENT))
+                (RolloutPhase::Completed, after_full(IDLE_COMPLETION_SHARE))
             }
-            (RolloutPhase::Full, None) => (RolloutPhase::Completed, at(LATEST_END_PERCENT)),
+            (RolloutPhase::Full, None) => (RolloutPhase::Completed, after_full(COMPLETION_SHARE)),
         };
         (now >= due_at).then_some((phase, due_at))
     }
--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -27,6 +27,7 @@
 use hickorydoor::gateway::route::CallKind;
 use hickorydoor::gateway::route::Route;
 use hickorydoor::gateway::upstream::Registration;
+use hickorydoor::quantity::Share;
 
 pub mod fleet;
 
@@ -138,6 +139,7 @@
         service: ENGINES.parse().unwrap(),
         target: "v2".into(),
         duration_ms: DurationMs::from_secs(24),
+        exposure: Share::from_percent(15),
         revision,
     }
 }
