--- /dev/null
+++ b/crates/hickorydoor/tests/gateway_rollouts.rs
@@ -0,0 +1,171 @@
+//! A rollout moves a service within its time, and a worse version gets little.
+
+mod gateway;
+
+use hickorydoor::gateway::GatewayEffect;
+use hickorydoor::gateway::GatewayEvent;
+use hickorydoor::gateway::event::AttemptOutcome;
+use hickorydoor::gateway::rollout::RolloutPhase;
+use hickorydoor::gateway::rollout::RolloutRecord;
+
+use crate::gateway::ENGINES;
+use crate::gateway::Rig;
+use crate::gateway::call;
+use crate::gateway::dispatch;
+use crate::gateway::order;
+use crate::gateway::registration;
+
+/// Revision of the order.
+const ORDER: u64 = 10;
+
+fn rig() -> Rig {
+    let mut rig = Rig::with_upstreams("gw-1", 4, 0);
+    for index in 0..4 {
+        let mut new = registration(&format!("n-{index}"), ENGINES);
+        new.version = "v2".into();
+        rig.register(new);
+    }
+    rig.apply(GatewayEvent::RolloutOrdered(order(ORDER)));
+    rig
+}
+
+fn steps(effects: &[GatewayEffect]) -> Vec<RolloutPhase> {
+    let step = |effect: &GatewayEffect| match effect {
+        GatewayEffect::WriteRollout(step) => Some(step.record.phase),
+        _ => None,
+    };
+    effects.iter().filter_map(step).collect()
+}
+
+fn record(rig: &mut Rig, phase: RolloutPhase, revision: u64) {
+    rig.apply(GatewayEvent::RolloutRecorded(RolloutRecord {
+        service: ENGINES.parse().unwrap(),
+        target: "v2".into(),
+        order_revision: ORDER,
+        phase,
+        revision,
+    }));
+}
+
+/// Plays a rollout with 30 requests a second; writes take effect at once unless `loses` says so.
+/// Returns the requests on both versions and the phases with their times.
+fn play(
+    rig: &mut Rig,
+    bad: impl Fn(&str, u64) -> bool,
+    loses: impl Fn(usize) -> bool,
+) -> ((u64, u64), Vec<(u64, RolloutPhase)>) {
+    let (mut old, mut new, mut revision, mut writes) = (0, 0, ORDER, 0);
+    let mut phases = Vec::new();
+    for tick in 0..24 * 20_u64 {
+        let effects = rig.pass(50);
+        for phase in steps(&effects) {
+            writes += 1;
+            if loses(writes) {
+                continue;
+            }
+            revision += 1;
+            record(rig, phase, revision);
+            phases.push((tick * 50, phase));
+        }
+        for number in 0..(1 + tick % 2) {
+            let (id, effects) = rig.send(call("/draft/1", &format!("r-{tick}-{number}")));
+            let Some(version) = dispatch(&effects).map(|dispatch| dispatch.version.clone()) else {
+                continue;
+            };
+            if version == "v2" {
+                new += 1;
+            } else {
+                old += 1;
+            }
+            rig.apply(GatewayEvent::FirstEvent { call: id });
+            let outcome = if bad(&version, tick) {
+                AttemptOutcome::Failed { status: 500 }
+            } else {
+                AttemptOutcome::Served
+            };
+            rig.end(id, outcome);
+            rig.apply(GatewayEvent::CallerGone { call: id });
+        }
+    }
+    ((old, new), phases)
+}
+
+#[test]
+fn good_version_is_completed_in_time() {
+    let mut rig = rig();
+    let (_, phases) = play(&mut rig, |_, _| false, |_| false);
+    let wanted = [RolloutPhase::Canary, RolloutPhase::Full, RolloutPhase::Completed];
+    assert_eq!(phases.iter().map(|(_, phase)| *phase).collect::<Vec<_>>(), wanted);
+    assert!(phases[2].0 < 24_000);
+}
+
+#[test]
+fn version_that_never_shows_that_it_is_bad_stays_within_its_share() {
+    let mut rig = rig();
+    let ((old, new), _) = play(&mut rig, |_, _| false, |_| false);
+    // 15% of all and 30 more.
+    assert!(new * 100 <= (old + new) * 15 + 3_000, "{new} of {}", old + new);
+}
+
+#[test]
+fn failing_version_is_rolled_back_soon() {
+    let mut rig = rig();
+    let ((_, new), phases) =
+        play(&mut rig, |version, tick| version == "v2" && tick % 2 == 0, |_| false);
+    assert!(phases.iter().any(|(_, phase)| *phase == RolloutPhase::RolledBack), "{phases:?}");
+    assert!(!phases.iter().any(|(_, phase)| *phase == RolloutPhase::Completed));
+    assert!(new <= 50, "{new} requests on the bad version");
+}
+
+#[test]
+fn failures_of_both_versions_do_not_roll_back() {
+    let mut rig = rig();
+    let (_, phases) = play(&mut rig, |_, tick| tick % 5 == 0, |_| false);
+    assert!(phases.iter().any(|(_, phase)| *phase == RolloutPhase::Completed), "{phases:?}");
+}
+
+#[test]
+fn lost_writes_are_written_again() {
+    let mut rig = rig();
+    let (_, phases) = play(&mut rig, |_, _| false, |write| write % 2 == 1);
+    assert!(phases.iter().any(|(_, phase)| *phase == RolloutPhase::Completed), "{phases:?}");
+}
+
+#[test]
+fn gateway_that_starts_in_the_middle_follows_the_phase() {
+    let mut rig = rig();
+    record(&mut rig, RolloutPhase::RolledBack, 20);
+    for index in 0..50 {
+        let (id, effects) = rig.send(call("/draft/1", &format!("r-{index}")));
+        assert_eq!(dispatch(&effects).unwrap().version, "v1");
+        rig.apply(GatewayEvent::CallerGone { call: id });
+    }
+}
+
+#[test]
+fn record_of_an_earlier_order_is_replaced() {
+    let mut rig = Rig::with_upstreams("gw-1", 2, 0);
+    rig.apply(GatewayEvent::RolloutOrdered(order(ORDER)));
+    record(&mut rig, RolloutPhase::Completed, 12);
+    let mut next = order(30);
+    next.target = "v3".into();
+    rig.apply(GatewayEvent::RolloutOrdered(next));
+    let effects = rig.pass(100);
+    let step = effects.iter().find_map(|effect| match effect {
+        GatewayEffect::WriteRollout(step) => Some(step.clone()),
+        _ => None,
+    });
+    let step = step.expect("the new rollout is begun");
+    assert_eq!((step.replaces, step.record.order_revision), (12, 30));
+}
+
+#[test]
+fn old_version_gets_nothing_once_the_rollout_is_completed() {
+    let mut rig = rig();
+    record(&mut rig, RolloutPhase::Completed, 20);
+    for index in 0..50 {
+        let (id, effects) = rig.send(call("/draft/1", &format!("r-{index}")));
+        assert_eq!(dispatch(&effects).unwrap().version, "v2");
+        rig.apply(GatewayEvent::CallerGone { call: id });
+    }
+}
