Ask again for an answer whose head was lost

Cause: the message that an answer has started is lost with its link; its first piece comes over the next link before the entry asks to resume and is taken for the expected one, so bytes reach the caller before the head. Ruled out: a piece of an earlier attempt (the attempt id is checked). A piece before the head now counts as a gap.

--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -152,8 +152,8 @@
         let Some(current) = self.attempt_mut(serial) else {
             return;
         };
-        if offset > current.received {
-            // Bytes are missing in between; ask for them again.
+        if offset > current.received || current.started.is_none() {
+            // The head or bytes in between were lost with a link; ask for them again.
             let offset = current.received;
             self.send(agent, EntryMessage::Resume { attempt: attempt.clone(), offset });
             return;
