--- a/crates/hickorydoor/benches/reducer.rs
+++ b/crates/hickorydoor/benches/reducer.rs
@@ -195,6 +195,7 @@
 
 fn report(received_from_entry: u64) -> LoadReport {
     LoadReport {
+        leaving: false,
         revision: Revision::new(1),
         admission_limit: 64,
         warm_limit: 64,
--- a/crates/hickorydoor/examples/state_size.rs
+++ b/crates/hickorydoor/examples/state_size.rs
@@ -136,6 +136,7 @@
         let update = AgentMessage::ConfigUpdate(snapshot.clone());
         entry.apply(EntryEvent::Message { agent: agent.clone(), message: update }, START);
         let load = AgentMessage::Load(Box::new(LoadReport {
+            leaving: false,
             versions: vec!["model-0-1".parse().expect("the id is valid")],
             admission_limit: 64,
             warm_limit: 64,
--- a/crates/hickorydoor/src/agent_config.rs
+++ b/crates/hickorydoor/src/agent_config.rs
@@ -207,6 +207,7 @@
         let received_from_entry = self.links.get(entry).map_or(0, |link| link.received);
         let running = self.running() as u32;
         let report = LoadReport {
+            leaving: self.is_leaving(),
             observed_at_ms: now,
             revision: self.revision(),
             running,
--- a/crates/hickorydoor/src/entry_config.rs
+++ b/crates/hickorydoor/src/entry_config.rs
@@ -68,6 +68,12 @@
 
     pub(crate) fn on_load(&mut self, agent: &HostId, report: LoadReport, now: TimeMs) {
         let revision = report.revision;
+        if let Some(member) = self.members.get_mut(agent)
+            && report.observed_at_ms >= member.load.observed_at_ms
+        {
+            // A doubled notice may arrive after the agent has taken it back.
+            member.draining = report.leaving;
+        }
         self.members.apply_load(agent, report, now);
         self.room_freed = true;
         self.on_peer_revision(agent, revision, now);
--- a/crates/hickorydoor/src/load_report.rs
+++ b/crates/hickorydoor/src/load_report.rs
@@ -13,6 +13,8 @@
     pub observed_at_ms: TimeMs,
     /// The configuration in force at the agent.
     pub revision: Revision,
+    /// Whether the agent is leaving and takes no new work.
+    pub leaving: bool,
     /// Attempts admitted and not yet ended.
     pub running: u32,
     /// Attempts that wait in the engine's queue.
--- a/crates/hickorydoor/src/wire_load.rs
+++ b/crates/hickorydoor/src/wire_load.rs
@@ -51,6 +51,9 @@
     /// Attempts received from the addressed entry.
     #[prost(uint64, tag = "12")]
     pub received_from_entry: u64,
+    /// Whether the agent is leaving.
+    #[prost(bool, tag = "13")]
+    pub leaving: bool,
 }
 
 impl From<LoadReport> for WireLoad {
@@ -68,6 +71,7 @@
             first_token_ms: report.first_token_ms.get(),
             versions: version_texts(&report.versions),
             received_from_entry: report.received_from_entry,
+            leaving: report.leaving,
         }
     }
 }
@@ -89,6 +93,7 @@
             first_token_ms: DurationMs::new(wire.first_token_ms),
             versions: version_ids(wire.versions)?,
             received_from_entry: wire.received_from_entry,
+            leaving: wire.leaving,
         })
     }
 }
--- a/crates/hickorydoor/tests/wire.rs
+++ b/crates/hickorydoor/tests/wire.rs
@@ -181,6 +181,7 @@
         |(observed, running, rate, versions)| {
             let rate = if rate.is_finite() { f64::from(rate) } else { 0.0 };
             AgentMessage::Load(Box::new(LoadReport {
+                leaving: true,
                 observed_at_ms: TimeMs::new(observed),
                 running,
                 prefill_tokens_per_s: rate,
