--- a/crates/hickorydoor/src/gateway/active_call.rs
+++ b/crates/hickorydoor/src/gateway/active_call.rs
@@ -39,8 +39,10 @@
     pub expected_ms: f64,
     /// Whether the first event came much later than expected.
     pub slow: bool,
-    /// Whether the first event has come.
-    pub begun: bool,
+    /// When the first event came.
+    pub begun_at: Option<TimeMs>,
+    /// Last event that the caller had when it was sent.
+    pub events_before: u64,
     /// Whether it was abandoned.
     pub abandoned: bool,
 }
--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -35,6 +35,12 @@
 const LEAST_DEAD_MS: f64 = 1_300.0;
 /// Time to come back when no upstream is known to free up earlier.
 const RETRY_AFTER_MS: DurationMs = DurationMs::new(400);
+/// Events from which on the pace of a stream is judged.
+const LEAST_PACED_EVENTS: u64 = 4;
+/// Events this much slower than usual count against a version.
+const SLOW_PACE_FACTOR: f64 = 2.5;
+/// Time between events that never counts as slow.
+const SLOW_PACE_SLACK_MS: f64 = 30.0;
 /// A first event this much later than expected counts against a version.
 const SLOW_FACTOR: f64 = 1.7;
 /// Delay that never counts as slow.
@@ -54,7 +60,7 @@
         let Some(attempt) = &mut active.attempt else {
             return;
         };
-        attempt.begun = true;
+        attempt.begun_at = Some(now);
         let took_ms = now.since(attempt.sent_at).as_f64();
         attempt.slow = is_slow(attempt, now);
         let figures = FirstEventFigures {
@@ -102,7 +108,9 @@
         let Some(active) = self.calls.get(&id) else {
             return false;
         };
-        let Some(attempt) = active.attempt.as_ref().filter(|a| !a.begun && !a.abandoned) else {
+        let Some(attempt) =
+            active.attempt.as_ref().filter(|a| a.begun_at.is_none() && !a.abandoned)
+        else {
             return false;
         };
         let waited_ms = now.since(attempt.sent_at).as_f64();
@@ -202,6 +210,7 @@
             return;
         };
         let service = active.service.clone();
+        let last_event = active.last_event;
         let session = active.call.session.clone();
         if let Some(session) = session {
             self.remember_session(&session, &attempt.version, now);
@@ -215,7 +224,7 @@
         }
         let (failed, silent) = match outcome {
             None | Some(AttemptOutcome::NotRun(_)) => return,
-            Some(AttemptOutcome::Served) => (false, false),
+            Some(AttemptOutcome::Served) => (false, self.has_slow_pace(&attempt, last_event, now)),
             Some(AttemptOutcome::Weak) => (false, is_slow(&attempt, now)),
             Some(AttemptOutcome::Failed { status }) => (status >= 500, false),
             Some(AttemptOutcome::Unknown(Break::Closed | Break::Garbled)) => (true, false),
@@ -226,6 +235,20 @@
         }
     }
 
+    /// Whether the events of a stream that has ended came much slower than is usual.
+    fn has_slow_pace(&mut self, attempt: &Attempt, last_event: Option<u64>, now: TimeMs) -> bool {
+        let (Some(model), Some(begun_at)) = (&attempt.model, attempt.begun_at) else {
+            return false;
+        };
+        let events = last_event.unwrap_or_default().saturating_sub(attempt.events_before);
+        if events < LEAST_PACED_EVENTS {
+            return false;
+        }
+        let event_ms = now.since(begun_at).as_f64() / (events - 1) as f64;
+        let usual_ms = self.model_table.observe_pace(model, event_ms);
+        event_ms > usual_ms * SLOW_PACE_FACTOR + SLOW_PACE_SLACK_MS
+    }
+
     fn may_repeat(&mut self, id: CallId, now: TimeMs) -> bool {
         let count = self.gateway_count();
         let Some(active) = self.calls.get(&id) else {
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -100,7 +100,8 @@
             in_flight,
             expected_ms: choice.expected_ms,
             slow: false,
-            begun: false,
+            begun_at: None,
+            events_before: active.last_event.unwrap_or_default(),
             abandoned: false,
         });
         let remaining_ms = active.remaining_ms(now);
--- a/crates/hickorydoor/src/gateway/model_table.rs
+++ b/crates/hickorydoor/src/gateway/model_table.rs
@@ -16,6 +16,10 @@
 /// How the time grows with the price, before any was observed: models that cost less are faster,
 /// by a little less than their price.
 const PRICE_EXPONENT: f64 = 0.8;
+/// Weight of a new observation of the pace.
+const PACE_GAIN: f64 = 0.05;
+/// Most growth of the pace that one observation stands for.
+const MOST_PACE_GROWTH: f64 = 2.0;
 /// Weight of a new observation.
 const GAIN: f64 = 0.1;
 /// Prompts shorter than this say little about the time for each token.
@@ -30,6 +34,7 @@
     /// Times expected from prices, for models that were not observed.
     prior_ms: HashMap<ModelId, f64>,
     price: HashMap<ModelId, f64>,
+    event_ms: HashMap<ModelId, f64>,
 }
 
 impl ModelTable {
@@ -60,6 +65,15 @@
         }
     }
 
+    /// Takes in the time between events of a stream; returns what was usual before, in ms.
+    pub fn observe_pace(&mut self, model: &ModelId, event_ms: f64) -> f64 {
+        let known = self.event_ms.entry(model.clone()).or_insert(event_ms);
+        let usual_ms = *known;
+        // One stream that is held up says little about the others.
+        *known += PACE_GAIN * (event_ms.min(usual_ms * MOST_PACE_GROWTH) - usual_ms);
+        usual_ms
+    }
+
     /// Takes in the time to the first event on an engine that had no other prompt to read.
     pub fn observe(&mut self, model: &ModelId, tokens: f64, first_event_ms: f64) {
         if tokens < MIN_TOKENS {
--- a/crates/hickorydoor/src/gateway/rollout.rs
+++ b/crates/hickorydoor/src/gateway/rollout.rs
@@ -23,7 +23,7 @@
 /// Chance at which a version that is not worse is rolled back.
 const FALSE_ALARM_RATE: f64 = 0.002;
 /// Share of the sessions on the new version in the first phase.
-const CANARY_SHARE: Share = Share::from_percent(5);
+const CANARY_SHARE: Share = Share::from_percent(7);
 /// Part of the bounded share that is planned for; the rest covers traffic that is uneven.
 const PLANNED_SHARE: f64 = 0.95;
 /// Least part of the duration that is left for all traffic on the new version.
