--- a/crates/hickorydoor/tests/gateway_rollouts.rs
+++ b/crates/hickorydoor/tests/gateway_rollouts.rs
@@ -67,7 +67,7 @@
             record(rig, phase, revision);
             phases.push((tick * 50, phase));
         }
-        for number in 0..(1 + tick % 2) {
+        for number in 0..=(tick % 2) {
             let (id, effects) = rig.send(call("/draft/1", &format!("r-{tick}-{number}")));
             let Some(version) = dispatch(&effects).map(|dispatch| dispatch.version.clone()) else {
                 continue;
