--- a/crates/hickorydoor/src/gateway/placement.rs
+++ b/crates/hickorydoor/src/gateway/placement.rs
@@ -9,6 +9,7 @@
 //! the same engine. The load that this answers is a steady stream with bursts, and a fleet that
 //! has just lost engines or its caches.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -130,8 +131,9 @@
     for (step, model) in demand.models.iter().rev().enumerate() {
         let quality = QUALITIES[step.min(QUALITIES.len() - 1)];
         let parts = chains(model, demand.prompt);
+        let sources = sources(demand, &parts, candidates);
         for upstream in candidates {
-            let source = source(demand, &parts, upstream, candidates);
+            let source = sources.get(upstream.registration.version.as_str()).copied();
             let mut choice = expect(demand, model, &parts, upstream, source, model_table);
             let value = value(demand, upstream, &choice, quality, costs)
                 - price(demand, model, &choice, model_table, costs) / demand.worth
@@ -185,25 +187,26 @@
     kept_tokens: u32,
 }
 
-/// The other engine of the same version that keeps most of the prompt.
-fn source(
+/// The engine of each version that keeps most of the prompt.
+fn sources<'a>(
     demand: &Demand<'_>,
     parts: &[ChainPart],
-    upstream: &Upstream,
-    candidates: &[&Upstream],
-) -> Option<Source> {
+    candidates: &[&'a Upstream],
+) -> BTreeMap<&'a str, Source> {
+    let mut sources: BTreeMap<&str, Source> = BTreeMap::new();
     if demand.transfer_ms_per_token <= 0.0 || parts.is_empty() {
-        return None;
+        return sources;
+    }
+    for upstream in candidates {
+        let kept_tokens = upstream.cache.kept_tokens(parts);
+        let version = upstream.registration.version.as_str();
+        let known = sources.get(version).map_or(0, |source| source.kept_tokens);
+        if kept_tokens > known {
+            let address = upstream.registration.address;
+            sources.insert(version, Source { address, kept_tokens });
+        }
     }
-    let others = candidates.iter().filter(|other| {
-        other.registration.version == upstream.registration.version
-            && other.registration.upstream != upstream.registration.upstream
-    });
-    let sources = others.map(|other| Source {
-        address: other.registration.address,
-        kept_tokens: other.cache.kept_tokens(parts),
-    });
-    sources.filter(|source| source.kept_tokens > 0).max_by_key(|source| source.kept_tokens)
+    sources
 }
 
 fn transfer_ms(demand: &Demand<'_>, tokens: f64) -> f64 {
