Ask once for a lost head

Cause: asking again for every piece that came before the head made the agent repeat all pieces each time, and with doubled messages their number grew without bound: the configuration suite with 1,000 cases was killed for its memory.

--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry_answer.rs
@@ -152,8 +152,17 @@
         let Some(current) = self.attempt_mut(serial) else {
             return;
         };
-        if offset > current.received || current.started.is_none() {
-            // The head or bytes in between were lost with a link; ask for them again.
+        if current.started.is_none() {
+            // The head was lost with a link. It is asked for once, since every answer to that
+            // repeats all pieces.
+            if !std::mem::replace(&mut current.head_asked, true) {
+                let offset = current.received;
+                self.send(agent, EntryMessage::Resume { attempt: attempt.clone(), offset });
+            }
+            return;
+        }
+        if offset > current.received {
+            // Bytes are missing in between; ask for them again.
             let offset = current.received;
             self.send(agent, EntryMessage::Resume { attempt: attempt.clone(), offset });
             return;
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry_request.rs
@@ -313,6 +313,7 @@
             read: ByteCount::default(),
             tokens: Tokens::default(),
             link_lost_at_ms: None,
+            head_asked: false,
             complete: false,
             rating_asked_at_ms: None,
             sample: sampled.then(Vec::new),
--- a/crates/hickorydoor/src/request_state.rs
+++ b/crates/hickorydoor/src/request_state.rs
@@ -50,6 +50,8 @@
     pub tokens: Tokens,
     /// When the link was lost, if it is.
     pub link_lost_at_ms: Option<TimeMs>,
+    /// Whether a head that was lost has been asked for.
+    pub head_asked: bool,
     /// Set when the whole answer has arrived and waits for its rating.
     pub complete: bool,
     /// When the rating of the held answer was asked for.
