Use the existing error of a cut answer, and drop what nothing reads

Found in a read-through: the gateway's body had an error type of its own beside AnswerCut, an open request kept a version that nothing read, and the window of sends to a cold upstream was cleaned in two places.

--- a/crates/hickoryd/src/gateway/answer_body.rs
+++ b/crates/hickoryd/src/gateway/answer_body.rs
@@ -1,7 +1,6 @@
 //! The body of an answer to a caller: whole, or a stream that may break off.
 
 use std::convert::Infallible;
-use std::fmt;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
@@ -13,17 +12,7 @@
 use hyper::body::SizeHint;
 use tokio::sync::mpsc;
 
-/// An answer that broke off; the caller's connection ends without the end of the body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BrokenAnswer;
-
-impl fmt::Display for BrokenAnswer {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the answer broke off")
-    }
-}
-
-impl std::error::Error for BrokenAnswer {}
+use crate::caller_body::AnswerCut;
 
 /// Body of an answer.
 #[derive(Debug)]
@@ -31,17 +20,17 @@
     /// All bytes are there.
     Whole(Full<Bytes>),
     /// Bytes arrive one by one.
-    Stream(mpsc::Receiver<Result<Bytes, BrokenAnswer>>),
+    Stream(mpsc::Receiver<Result<Bytes, AnswerCut>>),
 }
 
 impl Body for AnswerBody {
     type Data = Bytes;
-    type Error = BrokenAnswer;
+    type Error = AnswerCut;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
         match self.get_mut() {
             Self::Whole(body) => {
                 Pin::new(body).poll_frame(cx).map_err(|never: Infallible| match never {})
--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -18,11 +18,11 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::caller_body::AnswerCut;
 use crate::gateway::answer::UpstreamAnswer;
 use crate::gateway::answer::refusal_response;
 use crate::gateway::answer::response;
 use crate::gateway::answer_body::AnswerBody;
-use crate::gateway::answer_body::BrokenAnswer;
 use crate::gateway::core::Core;
 use crate::gateway::core::Directive;
 use crate::gateway::event_splitter::Event;
@@ -45,7 +45,7 @@
     names: Rc<HeaderNames>,
     template: RequestTemplate,
     reply: Option<oneshot::Sender<Response<AnswerBody>>>,
-    events: Option<mpsc::Sender<Result<Bytes, BrokenAnswer>>>,
+    events: Option<mpsc::Sender<Result<Bytes, AnswerCut>>>,
     answer: Option<UpstreamAnswer>,
     last_event: Option<u64>,
 }
@@ -108,7 +108,7 @@
     /// Breaks off a stream that has not ended.
     async fn break_off(&mut self) {
         if let Some(events) = self.events.take() {
-            drop(events.send(Err(BrokenAnswer)).await);
+            drop(events.send(Err(AnswerCut)).await);
         }
     }
 
@@ -288,7 +288,7 @@
     std::future::pending::<()>().await;
 }
 
-async fn closed(events: Option<&mpsc::Sender<Result<Bytes, BrokenAnswer>>>) {
+async fn closed(events: Option<&mpsc::Sender<Result<Bytes, AnswerCut>>>) {
     match events {
         Some(events) => events.closed().await,
         None => std::future::pending().await,
--- a/crates/hickorydoor/src/gateway/active_call.rs
+++ b/crates/hickorydoor/src/gateway/active_call.rs
@@ -76,8 +76,6 @@
     pub last_event: Option<u64>,
     /// Whether the caller has got a part of the answer.
     pub delivered: bool,
-    /// Version on which it started.
-    pub version: Option<CompactString>,
 }
 
 impl ActiveCall {
--- a/crates/hickorydoor/src/gateway/arrival.rs
+++ b/crates/hickorydoor/src/gateway/arrival.rs
@@ -80,7 +80,6 @@
             tried: SmallVec::new(),
             last_event,
             delivered: false,
-            version: None,
             call,
         })
     }
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -87,7 +87,6 @@
         let registration = upstream.registration.clone();
         active.attempts += 1;
         active.tried.push(choice.upstream.clone());
-        active.version.get_or_insert_with(|| registration.version.clone());
         active.attempt = Some(Attempt {
             upstream: choice.upstream.clone(),
             started_unix_ms: registration.started_unix_ms,
--- a/crates/hickorydoor/src/gateway/upstream.rs
+++ b/crates/hickorydoor/src/gateway/upstream.rs
@@ -136,19 +136,21 @@
 
     /// Whether one more request may be sent while it is cold.
     pub fn has_cold_room(&mut self, share: usize, now: TimeMs) -> bool {
-        while self.cold_sends.front().is_some_and(|at| now.since(*at) > COLD_WINDOW_MS) {
-            self.cold_sends.pop_front();
-        }
+        self.drop_old_sends(now);
         self.cold_sends.len() < share
     }
 
     /// Counts a request that is sent.
     pub fn on_send(&mut self, now: TimeMs) {
         self.in_flight += 1;
+        self.drop_old_sends(now);
+        self.cold_sends.push_back(now);
+    }
+
+    fn drop_old_sends(&mut self, now: TimeMs) {
         while self.cold_sends.front().is_some_and(|at| now.since(*at) > COLD_WINDOW_MS) {
             self.cold_sends.pop_front();
         }
-        self.cold_sends.push_back(now);
     }
 
     /// Notes that the answer to a request of this rank has begun.
