Keep the order of a connection over overlapping pauses in the tests' fleet

Cause: a trace of the request shows the agent's reducer receiving pieces 3, 4, 5 and the end before pieces 1 and 2, at one instant. The agent was paused twice, the second pause beginning inside the first. The fleet put off an event of a paused process under a new number; pieces 1 and 2 were put off twice and so fell behind those put off once. A real agent reads its engine's connection in order, so the fleet broke a promise that the product relies on.

Ruled out: the entry (it asks for missing bytes by offset, and the offsets it was sent had no gap) and the agent's resume path (no resume in the trace).

The fleet now keeps an event's number while it waits.

Before: regression_missing_pieces fails. After: it passes, and 1,000 cases of `configuration` pass in release.

--- a/crates/hickorydoor/tests/support/fleet.rs
+++ b/crates/hickorydoor/tests/support/fleet.rs
@@ -290,7 +290,7 @@
             }
             self.now_ms = at;
             let happening = self.queue.remove(&(at, number)).expect("first event");
-            self.happen(happening);
+            self.happen(number, happening);
         }
         self.now_ms = end;
     }
@@ -299,7 +299,9 @@
         self.run_until(self.now_ms - START_MS + ms);
     }
 
-    fn happen(&mut self, happening: Happening) {
+    /// Events of a paused process wait for its end under their own numbers, so that what one
+    /// connection delivers stays in order over several pauses.
+    fn happen(&mut self, number: u64, happening: Happening) {
         match happening {
             Happening::Tick(Node::Entry(index)) => {
                 self.push(TICK_MS, Happening::Tick(Node::Entry(index)));
@@ -312,7 +314,7 @@
             Happening::Entry(index, life, event) if self.entries[index].life == life => {
                 let until = self.entries[index].paused_until;
                 if self.now_ms < until {
-                    self.push(until - self.now_ms, Happening::Entry(index, life, event));
+                    self.queue.insert((until, number), Happening::Entry(index, life, event));
                 } else {
                     self.at_entry(index, *event);
                 }
@@ -320,7 +322,7 @@
             Happening::Agent(index, life, event) if self.agents[index].life == life => {
                 let until = self.agents[index].paused_until;
                 if self.now_ms < until {
-                    self.push(until - self.now_ms, Happening::Agent(index, life, event));
+                    self.queue.insert((until, number), Happening::Agent(index, life, event));
                 } else {
                     self.at_agent(index, *event);
                 }
