Wait for agents that slept before checking the bills

Cause: the key-value service is away for 61 s, so the entry cannot store its bill; it stops and nothing starts it again once the load has ended. Its agent sleeps for 284 s. The trace of the agent's unsettled copies: present until 402 s, written by 423 s, which is 120 s after it wakes at 290 s. An agent that wakes cannot tell how long an entry was silent, so it waits for the whole ENTRY_LOST_MS, as documented. The suite looked at 373 s.

Ruled out: a copy dropped at the agent (it is held throughout) and the loss that docs allow (both ends lost within one interval).

The suite's window now follows from the stated times: longest pause, the time after which an entry is lost, and room for writes. The check stays.

--- a/crates/hickorydoor/tests/support/schedule.rs
+++ b/crates/hickorydoor/tests/support/schedule.rs
@@ -10,6 +10,9 @@
 /// Variable that raises the number of generated cases.
 const CASES_VARIABLE: &str = "HICKORY_PROPTEST_CASES";
 
+/// Longest pause of a process and longest outage of the key-value service.
+pub const LONGEST_PAUSE_MS: u64 = 30_000 + u8::MAX as u64 * 1_000;
+
 /// A fault of the fleet's surroundings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
