--- a/crates/hickory-kv/src/call_error.rs
+++ b/crates/hickory-kv/src/call_error.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 use hickorydoor::Category;
-use hickorydoor::kv_call::KvFault;
+use hickorydoor::store::kv_call::KvFault;
 
 /// Reasons why a call has no reply.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/hickory-kv/src/client.rs
+++ b/crates/hickory-kv/src/client.rs
@@ -7,10 +7,10 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use hickorydoor::kv_call::KvCall;
-use hickorydoor::kv_call::KvOutcome;
-use hickorydoor::kv_call::KvPair;
-use hickorydoor::kv_call::KvReply;
+use hickorydoor::store::kv_call::KvCall;
+use hickorydoor::store::kv_call::KvOutcome;
+use hickorydoor::store::kv_call::KvPair;
+use hickorydoor::store::kv_call::KvReply;
 use http::Request;
 use http::Response;
 use http::StatusCode;
--- a/crates/hickory-kv/src/lib.rs
+++ b/crates/hickory-kv/src/lib.rs
@@ -1,13 +1,13 @@
 //! Client for the key-value service.
 //!
 //! The service speaks etcd v3's JSON gateway. [`Client`] carries out the operations that
-//! [`hickorydoor::kv_call`] describes as data:
+//! [`hickorydoor::store::kv_call`] describes as data:
 //!
 //! ```no_run
 //! use hickory_kv::Client;
 //! use hickory_kv::ClientSettings;
-//! use hickorydoor::kv_call::KvCall;
-//! use hickorydoor::kv_call::KvOutcome;
+//! use hickorydoor::store::kv_call::KvCall;
+//! use hickorydoor::store::kv_call::KvOutcome;
 //! use hickorydoor::time::DurationMs;
 //!
 //! # async fn grant() -> Result<(), hickory_kv::SettingsError> {
--- a/crates/hickory-kv/src/reply_wire.rs
+++ b/crates/hickory-kv/src/reply_wire.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use hickorydoor::kv_call::KvCall;
-use hickorydoor::kv_call::KvOutcome;
-use hickorydoor::kv_call::KvPair;
-use hickorydoor::kv_call::KvReply;
+use hickorydoor::store::kv_call::KvCall;
+use hickorydoor::store::kv_call::KvOutcome;
+use hickorydoor::store::kv_call::KvPair;
+use hickorydoor::store::kv_call::KvReply;
 use hickorydoor::time::DurationMs;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
--- a/crates/hickory-kv/src/request_wire.rs
+++ b/crates/hickory-kv/src/request_wire.rs
@@ -1,9 +1,9 @@
 //! Requests in the gateway's JSON form.
 
 use bytes::Bytes;
-use hickorydoor::kv_call::KvCall;
-use hickorydoor::kv_call::KvCompare;
-use hickorydoor::kv_call::KvOperation;
+use hickorydoor::store::kv_call::KvCall;
+use hickorydoor::store::kv_call::KvCompare;
+use hickorydoor::store::kv_call::KvOperation;
 use serde::Serialize;
 
 use crate::base64_text;
--- a/crates/hickory-kv/src/watch.rs
+++ b/crates/hickory-kv/src/watch.rs
@@ -1,8 +1,8 @@
 //! A running watch.
 
 use bytes::BytesMut;
-use hickorydoor::kv_call::KvFault;
-use hickorydoor::kv_call::KvOutcome;
+use hickorydoor::store::kv_call::KvFault;
+use hickorydoor::store::kv_call::KvOutcome;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
--- a/crates/hickory-kv/tests/calls.rs
+++ b/crates/hickory-kv/tests/calls.rs
@@ -7,12 +7,12 @@
 use hickory_kv::Client;
 use hickory_kv::ClientSettings;
 use hickory_standins::Kv;
-use hickorydoor::kv_call::KvCall;
-use hickorydoor::kv_call::KvCompare;
-use hickorydoor::kv_call::KvFault;
-use hickorydoor::kv_call::KvOperation;
-use hickorydoor::kv_call::KvOutcome;
-use hickorydoor::kv_call::KvReply;
+use hickorydoor::store::kv_call::KvCall;
+use hickorydoor::store::kv_call::KvCompare;
+use hickorydoor::store::kv_call::KvFault;
+use hickorydoor::store::kv_call::KvOperation;
+use hickorydoor::store::kv_call::KvOutcome;
+use hickorydoor::store::kv_call::KvReply;
 use hickorydoor::time::DurationMs;
 
 fn client(kv: &Kv) -> Client {
--- a/crates/hickory-kv/tests/watches.rs
+++ b/crates/hickory-kv/tests/watches.rs
@@ -4,10 +4,10 @@
 use hickory_kv::Client;
 use hickory_kv::ClientSettings;
 use hickory_standins::Kv;
-use hickorydoor::kv_call::KvCall;
-use hickorydoor::kv_call::KvFault;
-use hickorydoor::kv_call::KvOperation;
-use hickorydoor::kv_call::KvOutcome;
+use hickorydoor::store::kv_call::KvCall;
+use hickorydoor::store::kv_call::KvFault;
+use hickorydoor::store::kv_call::KvOperation;
+use hickorydoor::store::kv_call::KvOutcome;
 
 fn client(kv: &Kv) -> Client {
     Client::new(ClientSettings::new([kv.url()]).expect("the URL is valid"))
--- a/crates/hickoryctl/src/arguments.rs
+++ b/crates/hickoryctl/src/arguments.rs
@@ -6,11 +6,11 @@
 use getopts::Matches;
 use getopts::Options;
 use hickorydoor::TimeMs;
+use hickorydoor::configuration::operator_action::OperatorAction;
 use hickorydoor::id::DataCentreId;
 use hickorydoor::id::ModelId;
 use hickorydoor::id::OperatorId;
 use hickorydoor::id::VersionId;
-use hickorydoor::operator_action::OperatorAction;
 use hickorydoor::quantity::Share;
 
 use crate::cli_error::CliError;
--- a/crates/hickoryctl/src/bill_report.rs
+++ b/crates/hickoryctl/src/bill_report.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 
 use compact_str::CompactString;
-use hickorydoor::bill::BillSum;
+use hickorydoor::billing::bill::BillSum;
+use hickorydoor::billing::ledger::Batch;
+use hickorydoor::configuration::stored::StoredError;
 use hickorydoor::id::CustomerId;
-use hickorydoor::keys;
-use hickorydoor::kv_call::KvPair;
-use hickorydoor::ledger::Batch;
-use hickorydoor::stored_configuration::StoredError;
+use hickorydoor::store::keys;
+use hickorydoor::store::kv_call::KvPair;
 use serde_json::json;
 
 use crate::cli_error::CliError;
--- a/crates/hickoryctl/src/change_report.rs
+++ b/crates/hickoryctl/src/change_report.rs
@@ -1,8 +1,8 @@
 //! Reports on changes.
 
 use hickorydoor::Configuration;
-use hickorydoor::change_outcome::ChangeOutcome;
-use hickorydoor::config_diff::ConfigDiff;
+use hickorydoor::configuration::change_outcome::ChangeOutcome;
+use hickorydoor::configuration::diff::ConfigDiff;
 use serde_json::json;
 
 use crate::cli_error::CliError;
--- a/crates/hickoryctl/src/cli_error.rs
+++ b/crates/hickoryctl/src/cli_error.rs
@@ -6,10 +6,10 @@
 use hickory_kv::CallError;
 use hickory_kv::SettingsError;
 use hickorydoor::Category;
-use hickorydoor::action_error::ActionError;
 use hickorydoor::configuration::ConfigurationError;
-use hickorydoor::raw_configuration::RawConfigurationError;
-use hickorydoor::stored_configuration::StoredError;
+use hickorydoor::configuration::action_error::ActionError;
+use hickorydoor::configuration::raw::RawConfigurationError;
+use hickorydoor::configuration::stored::StoredError;
 
 use crate::exit_status::ExitStatus;
 
--- a/crates/hickoryctl/src/command.rs
+++ b/crates/hickoryctl/src/command.rs
@@ -3,12 +3,12 @@
 use compact_str::CompactString;
 use hickorydoor::Configuration;
 use hickorydoor::TimeMs;
+use hickorydoor::configuration::operator_action::OperatorAction;
 use hickorydoor::id::ChangeId;
 use hickorydoor::id::CustomerId;
 use hickorydoor::id::HostId;
 use hickorydoor::id::OperatorId;
 use hickorydoor::id::Revision;
-use hickorydoor::operator_action::OperatorAction;
 
 /// A change that an operator asks for.
 #[derive(Clone, Debug)]
--- a/crates/hickoryctl/src/config_file.rs
+++ b/crates/hickoryctl/src/config_file.rs
@@ -4,10 +4,10 @@
 use hickorydoor::Configuration;
 use hickorydoor::RawConfiguration;
 use hickorydoor::configuration::ConfigurationError;
-use hickorydoor::item::Item;
-use hickorydoor::item::ItemKey;
-use hickorydoor::item::ItemKind;
-use hickorydoor::raw_configuration::RawConfigurationError;
+use hickorydoor::configuration::item::Item;
+use hickorydoor::configuration::item::ItemKey;
+use hickorydoor::configuration::item::ItemKind;
+use hickorydoor::configuration::raw::RawConfigurationError;
 
 use crate::cli_error::CliError;
 use crate::line_finder;
--- a/crates/hickoryctl/src/customer_arguments.rs
+++ b/crates/hickoryctl/src/customer_arguments.rs
@@ -3,10 +3,10 @@
 use getopts::Matches;
 use getopts::Options;
 use hickorydoor::KeyDigest;
-use hickorydoor::customer::Customer;
-use hickorydoor::operator_action::OperatorAction;
-use hickorydoor::raw_configuration::RawCustomer;
-use hickorydoor::raw_configuration::RawCustomerLimits;
+use hickorydoor::configuration::customer::Customer;
+use hickorydoor::configuration::operator_action::OperatorAction;
+use hickorydoor::configuration::raw::RawCustomer;
+use hickorydoor::configuration::raw::RawCustomerLimits;
 
 use crate::arguments::argument;
 use crate::arguments::change;
--- a/crates/hickoryctl/src/exception_arguments.rs
+++ b/crates/hickoryctl/src/exception_arguments.rs
@@ -2,11 +2,11 @@
 
 use getopts::Matches;
 use getopts::Options;
-use hickorydoor::exception::Exception;
-use hickorydoor::operator_action::OperatorAction;
+use hickorydoor::configuration::exception::Exception;
+use hickorydoor::configuration::operator_action::OperatorAction;
+use hickorydoor::configuration::raw::RawException;
+use hickorydoor::configuration::raw::RawOverride;
 use hickorydoor::quantity::Share;
-use hickorydoor::raw_configuration::RawException;
-use hickorydoor::raw_configuration::RawOverride;
 
 use crate::arguments::argument;
 use crate::arguments::change;
--- a/crates/hickoryctl/src/line_finder.rs
+++ b/crates/hickoryctl/src/line_finder.rs
@@ -4,8 +4,8 @@
 //! looked up by its path: section, id of the item, and field names.
 
 use hickorydoor::configuration::ConfigurationError;
-use hickorydoor::item::ItemKey;
-use hickorydoor::item::ItemKind;
+use hickorydoor::configuration::item::ItemKey;
+use hickorydoor::configuration::item::ItemKind;
 
 /// The line of a field, from 1; the line of the nearest part of its path if it is not written.
 pub fn line_of_field(text: &str, path: &str) -> Option<usize> {
--- a/crates/hickoryctl/src/run.rs
+++ b/crates/hickoryctl/src/run.rs
@@ -6,7 +6,7 @@
 use getopts::Matches;
 use hickory_kv::Client;
 use hickory_kv::ClientSettings;
-use hickorydoor::change_attempt::ChangeDraft;
+use hickorydoor::configuration::change_attempt::ChangeDraft;
 use hickorydoor::id::Revision;
 use tokio::time::Instant;
 
--- a/crates/hickoryctl/src/stored_reports.rs
+++ b/crates/hickoryctl/src/stored_reports.rs
@@ -2,12 +2,12 @@
 
 use hickorydoor::Configuration;
 use hickorydoor::RawConfiguration;
-use hickorydoor::change::ChangeRecord;
-use hickorydoor::change::Operation;
-use hickorydoor::config_diff::ConfigDiff;
-use hickorydoor::raw_configuration::RawChangeRecord;
-use hickorydoor::raw_configuration::RawException;
-use hickorydoor::raw_configuration::RawOverride;
+use hickorydoor::configuration::change::ChangeRecord;
+use hickorydoor::configuration::change::Operation;
+use hickorydoor::configuration::diff::ConfigDiff;
+use hickorydoor::configuration::raw::RawChangeRecord;
+use hickorydoor::configuration::raw::RawException;
+use hickorydoor::configuration::raw::RawOverride;
 use serde::Serialize;
 use serde_json::Value;
 use serde_json::json;
@@ -52,7 +52,7 @@
 
 /// A difference as JSON.
 pub fn diff_json(diff: &ConfigDiff) -> Value {
-    let change = |change: &hickorydoor::item_change::ItemChange| {
+    let change = |change: &hickorydoor::configuration::item_change::ItemChange| {
         let fields: Vec<Value> = change
             .fields()
             .iter()
@@ -80,7 +80,7 @@
     for model in configuration.models.values() {
         for version in &model.versions {
             let share = version.canary_share;
-            let canary = version.state == hickorydoor::model::VersionState::Canary;
+            let canary = version.state == hickorydoor::configuration::model::VersionState::Canary;
             let shown = if canary { share.to_string() } else { "-".to_owned() };
             table.row([&model.id, &version.id, &version.state, &shown]);
             list.push(json!({
--- a/crates/hickoryd/examples/failover/bills.rs
+++ b/crates/hickoryd/examples/failover/bills.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use hickory_standins::Kv;
-use hickorydoor::keys;
+use hickorydoor::store::keys;
 use serde_json::Value;
 
 use crate::tally::Tally;
--- a/crates/hickoryd/src/answer_response.rs
+++ b/crates/hickoryd/src/answer_response.rs
@@ -4,7 +4,7 @@
 use axum::response::Response;
 use bytes::Bytes;
 use hickorydoor::Refusal;
-use hickorydoor::entry_effect::ResponseHead;
+use hickorydoor::entry::effect::ResponseHead;
 use http::HeaderValue;
 use http::StatusCode;
 use http::header::CACHE_CONTROL;
--- a/crates/hickoryd/src/caller_answer.rs
+++ b/crates/hickoryd/src/caller_answer.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use hickorydoor::Refusal;
-use hickorydoor::entry_effect::ResponseHead;
+use hickorydoor::entry::effect::ResponseHead;
 use hickorydoor::id::RequestId;
 use tokio::sync::mpsc;
 
--- a/crates/hickoryd/src/caller_table.rs
+++ b/crates/hickoryd/src/caller_table.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hickorydoor::Refusal;
-use hickorydoor::entry_effect::ResponseHead;
+use hickorydoor::entry::effect::ResponseHead;
 use hickorydoor::id::CallerId;
 use hickorydoor::id::RequestId;
 use tokio::sync::mpsc;
--- a/crates/hickoryd/src/chat_body.rs
+++ b/crates/hickoryd/src/chat_body.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use hickorydoor::caller_request::ChatRequest;
+use hickorydoor::entry::caller_request::ChatRequest;
 use hickorydoor::id::SessionId;
 use hickorydoor::quantity::Tokens;
 use serde::Deserialize;
--- a/crates/hickoryd/src/event_stream.rs
+++ b/crates/hickoryd/src/event_stream.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use hickorydoor::billing::usage::Usage;
 use hickorydoor::quantity::Tokens;
-use hickorydoor::usage::Usage;
 use serde::Deserialize;
 
 /// Longest event; engines send a few hundred bytes.
--- a/crates/hickoryd/src/kv_port.rs
+++ b/crates/hickoryd/src/kv_port.rs
@@ -5,8 +5,8 @@
 
 use hickory_kv::Client;
 use hickorydoor::id::KvCallId;
-use hickorydoor::kv_call::KvCall;
-use hickorydoor::kv_call::KvOutcome;
+use hickorydoor::store::kv_call::KvCall;
+use hickorydoor::store::kv_call::KvOutcome;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
--- a/crates/hickoryd/src/platform.rs
+++ b/crates/hickoryd/src/platform.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use hickorydoor::EntryEvent;
-use hickorydoor::entry_event::RatingFault;
+use hickorydoor::entry::event::RatingFault;
 use hickorydoor::host_record::HostRecord;
 use hickorydoor::host_record::HostRole;
 use hickorydoor::host_record::HostState;
--- a/crates/hickorydoor/examples/apply_cost.rs
+++ b/crates/hickorydoor/examples/apply_cost.rs
@@ -7,13 +7,13 @@
 use hickorydoor::Configuration;
 use hickorydoor::KeyDigest;
 use hickorydoor::TimeMs;
-use hickorydoor::change::ChangeRecord;
-use hickorydoor::change::Operation;
-use hickorydoor::customer::Customer;
-use hickorydoor::customer::CustomerLimits;
+use hickorydoor::configuration::change::ChangeRecord;
+use hickorydoor::configuration::change::Operation;
+use hickorydoor::configuration::customer::Customer;
+use hickorydoor::configuration::customer::CustomerLimits;
+use hickorydoor::configuration::item::Item;
 use hickorydoor::id::IdError;
 use hickorydoor::id::Revision;
-use hickorydoor::item::Item;
 
 const CHANGES: u64 = 200;
 
--- a/crates/hickorydoor/examples/cascade.rs
+++ b/crates/hickorydoor/examples/cascade.rs
@@ -8,8 +8,8 @@
 use hickorydoor::Class;
 use hickorydoor::DurationMs;
 use hickorydoor::TimeMs;
-use hickorydoor::cascade_policy::CascadePolicy;
-use hickorydoor::cascade_policy::CascadeRequest;
+use hickorydoor::cascades::policy::CascadePolicy;
+use hickorydoor::cascades::policy::CascadeRequest;
 use hickorydoor::id::CascadeId;
 use hickorydoor::id::CustomerId;
 use hickorydoor::quantity::Tokens;
@@ -241,7 +241,7 @@
         &mut self,
         job: &Job,
         fault: Fault,
-        key: hickorydoor::cascade_policy::StepKey,
+        key: hickorydoor::cascades::policy::StepKey,
         judged: bool,
         now: TimeMs,
     ) -> (bool, u64) {
--- a/crates/hickorydoor/examples/policy/engine.rs
+++ b/crates/hickorydoor/examples/policy/engine.rs
@@ -8,7 +8,7 @@
 use std::collections::VecDeque;
 
 use hickorydoor::Class;
-use hickorydoor::agent_event::UpstreamReport;
+use hickorydoor::agent::event::UpstreamReport;
 use hickorydoor::id::AttemptId;
 use hickorydoor::id::VersionId;
 use hickorydoor::quantity::Tokens;
--- a/crates/hickorydoor/examples/policy/limit_error.rs
+++ b/crates/hickorydoor/examples/policy/limit_error.rs
@@ -2,9 +2,9 @@
 
 use hickorydoor::DurationMs;
 use hickorydoor::TimeMs;
-use hickorydoor::customer::CustomerLimits;
+use hickorydoor::configuration::customer::CustomerLimits;
+use hickorydoor::entry::customer_limits::LimitTable;
 use hickorydoor::id::CustomerId;
-use hickorydoor::limits::LimitTable;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
--- a/crates/hickorydoor/examples/rollout.rs
+++ b/crates/hickorydoor/examples/rollout.rs
@@ -6,9 +6,9 @@
 
 use std::fmt::Write;
 
-use hickorydoor::evidence::Evidence;
-use hickorydoor::rollout_guard::FLEET_FALSE_ALARM_RATE;
-use hickorydoor::sequential_test::SequentialTest;
+use hickorydoor::rollouts::evidence::Evidence;
+use hickorydoor::rollouts::guard::FLEET_FALSE_ALARM_RATE;
+use hickorydoor::rollouts::sequential_test::SequentialTest;
 use rand::Rng;
 use rand::RngExt;
 use rand::SeedableRng;
--- a/crates/hickorydoor/examples/state_size.rs
+++ b/crates/hickorydoor/examples/state_size.rs
@@ -23,6 +23,9 @@
 use hickorydoor::KeyDigest;
 use hickorydoor::RawConfiguration;
 use hickorydoor::TimeMs;
+use hickorydoor::agent::usage_store::UsageCopy;
+use hickorydoor::agent::usage_store::UsageStore;
+use hickorydoor::billing::usage::Usage;
 use hickorydoor::host_record::HostRecord;
 use hickorydoor::host_record::HostRole;
 use hickorydoor::host_record::HostState;
@@ -37,9 +40,6 @@
 use hickorydoor::message::ConfigUpdate;
 use hickorydoor::message::Offer;
 use hickorydoor::quantity::Tokens;
-use hickorydoor::usage::Usage;
-use hickorydoor::usage_store::UsageCopy;
-use hickorydoor::usage_store::UsageStore;
 
 const START: TimeMs = TimeMs::new(1_000_000);
 
--- a/crates/hickorydoor/src/admission.rs
+++ b/crates/hickorydoor/src/agent/admission_limit.rs
@@ -4,8 +4,8 @@
 //! first token in time as far as the engine's speed shows that it is warm, and falls to the cold
 //! limit at once when the speed falls away, output stops, or the engine restarts.
 
-use crate::cold_start::ColdStart;
-use crate::speed_estimate::growth;
+use crate::agent::cold_start::ColdStart;
+use crate::agent::speed_estimate::growth;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
--- a/crates/hickorydoor/src/agent_attempt.rs
+++ b/crates/hickorydoor/src/agent/attempt.rs
@@ -9,12 +9,14 @@
 use compact_str::CompactString;
 
 use crate::agent::Agent;
-use crate::agent_effect::AgentEffect;
-use crate::agent_event::UpstreamFault;
-use crate::claim::MAX_RESPONSE_BYTES;
-use crate::claim::StoredResponse;
+use crate::agent::claim::MAX_RESPONSE_BYTES;
+use crate::agent::claim::StoredResponse;
+use crate::agent::dispatch_fence::Seen;
+use crate::agent::effect::AgentEffect;
+use crate::agent::event::UpstreamFault;
+use crate::agent::usage_store::UsageCopy;
+use crate::billing::usage::Usage;
 use crate::class::Class;
-use crate::dispatch_fence::Seen;
 use crate::id::AttemptId;
 use crate::id::CustomerId;
 use crate::id::HostId;
@@ -28,8 +30,6 @@
 use crate::quantity::Tokens;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
-use crate::usage::Usage;
-use crate::usage_store::UsageCopy;
 
 /// When an entry may try again after a refusal at the limit.
 const RETRY_AFTER_MS: DurationMs = DurationMs::new(200);
--- a/crates/hickorydoor/src/claim_verdict.rs
+++ b/crates/hickorydoor/src/agent/claim_verdict.rs
@@ -1,6 +1,6 @@
 //! Decisions on claims of idempotency keys.
 
-use crate::claim::StoredResponse;
+use crate::agent::claim::StoredResponse;
 use crate::id::AttemptId;
 use crate::message::AttemptFault;
 use crate::time::DurationMs;
--- a/crates/hickorydoor/src/agent_claims.rs
+++ b/crates/hickorydoor/src/agent/claims.rs
@@ -2,20 +2,20 @@
 
 use crate::agent::Agent;
 use crate::agent::AgentKvPurpose;
-use crate::claim;
-use crate::claim::Claim;
-use crate::claim::StoredResponse;
-use crate::claim_verdict::ClaimVerdict;
-use crate::dispatch_fence::Seen;
+use crate::agent::claim;
+use crate::agent::claim::Claim;
+use crate::agent::claim::StoredResponse;
+use crate::agent::claim_verdict::ClaimVerdict;
+use crate::agent::dispatch_fence::Seen;
+use crate::billing::usage::Usage;
 use crate::id::AttemptId;
-use crate::keys;
-use crate::kv_call::KvOutcome;
 use crate::message::AgentRefusal;
 use crate::message::Call;
 use crate::message::Dispatch;
 use crate::quantity::Tokens;
+use crate::store::keys;
+use crate::store::kv_call::KvOutcome;
 use crate::time::TimeMs;
-use crate::usage::Usage;
 
 impl Agent {
     /// Asks for the claim of a keyed call that must not be repeated. Returns whether the call has
--- a/crates/hickorydoor/src/agent_config.rs
+++ b/crates/hickorydoor/src/agent/config.rs
@@ -4,8 +4,8 @@
 
 use crate::agent::Agent;
 use crate::agent::EntryLink;
-use crate::agent_event::UpstreamReport;
-use crate::exception::Override;
+use crate::agent::event::UpstreamReport;
+use crate::configuration::exception::Override;
 use crate::id::HostId;
 use crate::id::Revision;
 use crate::id::VersionId;
--- a/crates/hickorydoor/src/agent_effect.rs
+++ b/crates/hickorydoor/src/agent/effect.rs
@@ -5,11 +5,11 @@
 use crate::id::HostId;
 use crate::id::KvCallId;
 use crate::id::VersionId;
-use crate::kv_call::KvCall;
 use crate::message::AgentMessage;
 use crate::message::Call;
 use crate::observation::Observation;
 use crate::quantity::ByteCount;
+use crate::store::kv_call::KvCall;
 use crate::time::DurationMs;
 
 /// An order to the engine.
--- a/crates/hickorydoor/src/agent_event.rs
+++ b/crates/hickorydoor/src/agent/event.rs
@@ -3,14 +3,14 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 
+use crate::billing::usage::Usage;
 use crate::id::AttemptId;
 use crate::id::HostId;
 use crate::id::KvCallId;
 use crate::id::VersionId;
-use crate::kv_call::KvOutcome;
 use crate::message::EntryMessage;
 use crate::quantity::Tokens;
-use crate::usage::Usage;
+use crate::store::kv_call::KvOutcome;
 
 /// How a call to the upstream failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/hickorydoor/src/agent_evidence.rs
+++ b/crates/hickorydoor/src/agent/evidence.rs
@@ -4,16 +4,16 @@
 
 use crate::agent::Agent;
 use crate::class::Class;
-use crate::evidence::Evidence;
+use crate::configuration::model::Version;
 use crate::id::HostId;
 use crate::id::VersionId;
 use crate::message::AgentMessage;
 use crate::message::AttemptFault;
 use crate::message::Verdict;
-use crate::model::Version;
+use crate::rollouts::evidence::Evidence;
+use crate::rollouts::version_judge::is_compared;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
-use crate::version_judge::is_compared;
 
 /// Time between two digests on a link; a digest takes 95 bytes for a version with a 20-byte id.
 const EVIDENCE_INTERVAL_MS: DurationMs = DurationMs::from_secs(10);
--- a/crates/hickorydoor/src/agent.rs
+++ b/crates/hickorydoor/src/agent/mod.rs
@@ -6,6 +6,28 @@
 //! links, `agent_billing` writes what lost entries left behind, `agent_claims` runs keyed calls
 //! at most once.
 
+mod admission;
+pub mod admission_limit;
+mod attempt;
+mod billing;
+pub mod claim;
+pub mod claim_table;
+pub mod claim_verdict;
+mod claims;
+pub mod cold_start;
+mod config;
+pub mod dispatch_fence;
+pub mod effect;
+pub mod event;
+mod evidence;
+pub mod lease;
+mod orders;
+mod pin;
+mod resume;
+pub mod settings;
+pub mod speed_estimate;
+pub mod usage_store;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::hash::Hasher;
@@ -14,40 +36,40 @@
 use rand_pcg::Pcg64Mcg;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::admission::Admission;
-use crate::agent_attempt::AttemptState;
-use crate::agent_effect::AgentEffect;
-use crate::agent_effect::EngineOrder;
-use crate::agent_event::AgentEvent;
-use crate::agent_event::UpstreamReport;
-use crate::agent_settings::AgentSettings;
+use crate::agent::admission_limit::Admission;
+use crate::agent::attempt::AttemptState;
+use crate::agent::claim_table::ClaimTable;
+use crate::agent::dispatch_fence::DispatchFence;
+use crate::agent::effect::AgentEffect;
+use crate::agent::effect::EngineOrder;
+use crate::agent::event::AgentEvent;
+use crate::agent::event::UpstreamReport;
+use crate::agent::lease::LeaseHolder;
+use crate::agent::settings::AgentSettings;
+use crate::agent::speed_estimate::SpeedEstimate;
+use crate::agent::usage_store::IncarnationKey;
+use crate::agent::usage_store::UsageStore;
 use crate::backoff::Backoff;
-use crate::claim_table::ClaimTable;
-use crate::config_log::ConfigLog;
-use crate::config_pull::ConfigPull;
 use crate::configuration::Configuration;
-use crate::dispatch_fence::DispatchFence;
-use crate::evidence::Evidence;
+use crate::configuration::log::ConfigLog;
+use crate::configuration::pull::ConfigPull;
 use crate::id::AttemptId;
 use crate::id::HostId;
 use crate::id::Incarnation;
 use crate::id::KvCallId;
 use crate::id::Revision;
 use crate::id::VersionId;
-use crate::kv_call::KvCall;
-use crate::kv_call::KvOutcome;
-use crate::lease::LeaseHolder;
 use crate::message::AgentMessage;
 use crate::message::Offer;
 use crate::observation::Observation;
 use crate::recent_map::RecentMap;
-use crate::session_pin::Pin;
-use crate::session_pin::PinKey;
-use crate::speed_estimate::SpeedEstimate;
+use crate::rollouts::evidence::Evidence;
+use crate::rollouts::session_pin::Pin;
+use crate::rollouts::session_pin::PinKey;
+use crate::store::kv_call::KvCall;
+use crate::store::kv_call::KvOutcome;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
-use crate::usage_store::IncarnationKey;
-use crate::usage_store::UsageStore;
 
 /// Pins that an agent holds at least; with two homes, 12,000 agents hold 780 million sessions. Both
 /// halves take up to 2 x 262,144 buckets of 65 bytes, 34 MB.
--- a/crates/hickorydoor/src/agent_orders.rs
+++ b/crates/hickorydoor/src/agent/orders.rs
@@ -6,13 +6,13 @@
 
 use crate::agent::Agent;
 use crate::agent::AgentKvPurpose;
-use crate::agent_effect::AgentEffect;
-use crate::agent_effect::EngineOrder;
-use crate::exception::Override;
+use crate::agent::effect::AgentEffect;
+use crate::agent::effect::EngineOrder;
+use crate::configuration::exception::Override;
+use crate::configuration::model::VersionState;
 use crate::id::VersionId;
-use crate::kv_call::KvOutcome;
 use crate::message::Offer;
-use crate::model::VersionState;
+use crate::store::kv_call::KvOutcome;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
--- a/crates/hickorydoor/src/agent_pin.rs
+++ b/crates/hickorydoor/src/agent/pin.rs
@@ -3,8 +3,8 @@
 use crate::agent::Agent;
 use crate::id::HostId;
 use crate::message::AgentMessage;
-use crate::session_pin::Pin;
-use crate::session_pin::PinKey;
+use crate::rollouts::session_pin::Pin;
+use crate::rollouts::session_pin::PinKey;
 
 impl Agent {
     /// Stores a proposed pin if there is none or a move of the session, and replies what is held.
--- a/crates/hickorydoor/src/agent_resume.rs
+++ b/crates/hickorydoor/src/agent/resume.rs
@@ -4,9 +4,10 @@
 //! lacks. An attempt whose entry stays away for the resume window is cancelled.
 
 use crate::agent::Agent;
-use crate::agent_attempt::Piece;
-use crate::agent_effect::AgentEffect;
-use crate::dispatch_fence::Seen;
+use crate::agent::attempt::Piece;
+use crate::agent::dispatch_fence::Seen;
+use crate::agent::effect::AgentEffect;
+use crate::billing::usage::Usage;
 use crate::id::AttemptId;
 use crate::id::HostId;
 use crate::message::AgentMessage;
@@ -14,7 +15,6 @@
 use crate::message::AttemptFault;
 use crate::quantity::ByteCount;
 use crate::time::TimeMs;
-use crate::usage::Usage;
 
 impl Agent {
     pub(crate) fn on_credit(&mut self, attempt: &AttemptId, read_bytes: ByteCount) {
--- a/crates/hickorydoor/src/speed_estimate.rs
+++ b/crates/hickorydoor/src/agent/speed_estimate.rs
@@ -4,7 +4,7 @@
 //! read in it. Entries that place work by such values all choose the engine that looked fast for
 //! one step, so the agent smooths them and takes the batch out.
 
-use crate::agent_event::UpstreamReport;
+use crate::agent::event::UpstreamReport;
 
 /// Relative growth of the token interval from an idle engine to one at its warm limit.
 const INTERVAL_GROWTH: f64 = 1.0;
--- a/crates/hickorydoor/src/usage_store.rs
+++ b/crates/hickorydoor/src/agent/usage_store.rs
@@ -6,8 +6,11 @@
 
 use std::collections::BTreeMap;
 
-use crate::bill::Bill;
-use crate::bill::BillLine;
+use crate::billing::bill::Bill;
+use crate::billing::bill::BillLine;
+use crate::billing::ledger::Batch;
+use crate::billing::serial_set::SerialSet;
+use crate::billing::usage::Usage;
 use crate::class::Class;
 use crate::configuration::Configuration;
 use crate::id::AttemptId;
@@ -17,10 +20,7 @@
 use crate::id::Sequence;
 use crate::id::Serial;
 use crate::id::VersionId;
-use crate::ledger::Batch;
-use crate::serial_set::SerialSet;
 use crate::time::TimeMs;
-use crate::usage::Usage;
 
 /// Usage of one finished attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/hickorydoor/src/bill.rs
+++ b/crates/hickorydoor/src/billing/bill.rs
@@ -3,13 +3,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::billing::usage::Usage;
 use crate::class::Class;
 use crate::id::CustomerId;
 use crate::id::Serial;
 use crate::id::VersionId;
 use crate::quantity::CostMicros;
 use crate::quantity::Tokens;
-use crate::usage::Usage;
 
 /// Tokens and price that a request used on one version.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/hickorydoor/src/ledger.rs
+++ b/crates/hickorydoor/src/billing/ledger.rs
@@ -13,19 +13,19 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::bill::Bill;
-use crate::bill::BillSum;
+use crate::billing::bill::Bill;
+use crate::billing::bill::BillSum;
+use crate::billing::serial_set::SerialSet;
 use crate::id::HostId;
 use crate::id::Incarnation;
 use crate::id::Sequence;
 use crate::id::Serial;
-use crate::keys;
-use crate::kv_call::KvCall;
-use crate::kv_call::KvCompare;
-use crate::kv_call::KvOperation;
 use crate::quantity::CostMicros;
 use crate::quantity::Tokens;
-use crate::serial_set::SerialSet;
+use crate::store::keys;
+use crate::store::kv_call::KvCall;
+use crate::store::kv_call::KvCompare;
+use crate::store::kv_call::KvOperation;
 use crate::time::TimeMs;
 
 /// Sums in a batch at most. A sum is stored in at most 600 bytes (three ids of 128 bytes and the
--- a/crates/hickorydoor/src/cascade_policy.rs
+++ b/crates/hickorydoor/src/cascades/policy.rs
@@ -12,14 +12,14 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::cascades::pass_rate::PassRate;
+use crate::cascades::rating_drift::RatingDrift;
+use crate::cascades::rating_health::RatingHealth;
 use crate::class::Class;
 use crate::id::CascadeId;
 use crate::id::CustomerId;
 use crate::moving_time::MovingTime;
-use crate::pass_rate::PassRate;
 use crate::quantity::Tokens;
-use crate::rating_drift::RatingDrift;
-use crate::rating_health::RatingHealth;
 use crate::recent_map::RecentMap;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
--- a/crates/hickorydoor/src/action_error.rs
+++ b/crates/hickorydoor/src/configuration/action_error.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use crate::configuration::model::VersionState;
 use crate::error::Category;
 use crate::id::CustomerId;
 use crate::id::DataCentreId;
@@ -9,7 +10,6 @@
 use crate::id::ModelId;
 use crate::id::Revision;
 use crate::id::VersionId;
-use crate::model::VersionState;
 
 /// Reasons why an operator's action does not fit the configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/hickorydoor/src/change.rs
+++ b/crates/hickorydoor/src/configuration/change.rs
@@ -2,11 +2,11 @@
 
 use compact_str::CompactString;
 
+use crate::configuration::item::Item;
+use crate::configuration::item::ItemKey;
 use crate::id::ChangeId;
 use crate::id::OperatorId;
 use crate::id::Revision;
-use crate::item::Item;
-use crate::item::ItemKey;
 use crate::time::TimeMs;
 
 /// One step of a change.
--- a/crates/hickorydoor/src/change_outcome.rs
+++ b/crates/hickorydoor/src/configuration/change_outcome.rs
@@ -2,13 +2,13 @@
 
 use std::fmt;
 
-use crate::action_error::ActionError;
-use crate::change::ChangeRecord;
 use crate::configuration::ConfigurationError;
+use crate::configuration::action_error::ActionError;
+use crate::configuration::change::ChangeRecord;
+use crate::configuration::stored::StoredError;
 use crate::error::Category;
 use crate::id::ChangeId;
 use crate::id::Revision;
-use crate::stored_configuration::StoredError;
 
 /// How an attempt to change the configuration ended.
 ///
--- a/crates/hickorydoor/src/customer.rs
+++ b/crates/hickorydoor/src/configuration/customer.rs
@@ -1,13 +1,13 @@
 //! Customers, their keys, permissions and limits.
 
+use crate::configuration::model::Model;
+use crate::configuration::model::Version;
 use crate::id::CascadeId;
 use crate::id::CustomerId;
 use crate::id::ModelId;
 use crate::id::ServiceName;
 use crate::id::VersionId;
 use crate::key_digest::KeyDigest;
-use crate::model::Model;
-use crate::model::Version;
 
 /// Fleet-wide limits of a customer; absent values mean no limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/hickorydoor/src/config_diff.rs
+++ b/crates/hickorydoor/src/configuration/diff.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use crate::change::Operation;
 use crate::configuration::Configuration;
-use crate::item::Item;
-use crate::item::ItemKey;
-use crate::item_change::ItemChange;
+use crate::configuration::change::Operation;
+use crate::configuration::item::Item;
+use crate::configuration::item::ItemKey;
+use crate::configuration::item_change::ItemChange;
 
 /// The items in which two configurations differ, in the order in which a change applies them.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/crates/hickorydoor/src/configuration_edit.rs
+++ b/crates/hickorydoor/src/configuration/edit.rs
@@ -6,11 +6,11 @@
 
 use std::collections::BTreeMap;
 
-use crate::change::Operation;
 use crate::configuration::Configuration;
 use crate::configuration::ConfigurationError;
-use crate::item::Item;
-use crate::item::ItemKey;
+use crate::configuration::change::Operation;
+use crate::configuration::item::Item;
+use crate::configuration::item::ItemKey;
 
 /// Items before a change, by key; `None` for items that did not exist.
 type Previous = BTreeMap<ItemKey, Option<Item>>;
--- a/crates/hickorydoor/src/exception.rs
+++ b/crates/hickorydoor/src/configuration/exception.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 
-use crate::customer::CustomerLimits;
+use crate::configuration::customer::CustomerLimits;
 use crate::id::CustomerId;
 use crate::id::ExceptionId;
 use crate::id::UpstreamId;
--- a/crates/hickorydoor/src/item.rs
+++ b/crates/hickorydoor/src/configuration/item.rs
@@ -4,13 +4,13 @@
 
 use compact_str::CompactString;
 
-use crate::cascade::Cascade;
-use crate::customer::Customer;
-use crate::data_centre::DataCentre;
-use crate::defaults::Defaults;
-use crate::exception::Exception;
-use crate::model::Model;
-use crate::service::Service;
+use crate::configuration::cascade::Cascade;
+use crate::configuration::customer::Customer;
+use crate::configuration::data_centre::DataCentre;
+use crate::configuration::defaults::Defaults;
+use crate::configuration::exception::Exception;
+use crate::configuration::model::Model;
+use crate::configuration::service::Service;
 
 /// Kinds of items.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/crates/hickorydoor/src/item_change.rs
+++ b/crates/hickorydoor/src/configuration/item_change.rs
@@ -6,9 +6,9 @@
 use compact_str::format_compact;
 use serde_json::Value;
 
-use crate::item::Item;
-use crate::item::ItemKey;
-use crate::raw_configuration::RawItem;
+use crate::configuration::item::Item;
+use crate::configuration::item::ItemKey;
+use crate::configuration::raw::RawItem;
 
 /// A field that differs; an absent side means that the field is not set there.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/hickorydoor/src/config_log.rs
+++ b/crates/hickorydoor/src/configuration/log.rs
@@ -6,9 +6,9 @@
 
 use std::collections::VecDeque;
 
-use crate::change::ChangeRecord;
 use crate::configuration::Configuration;
 use crate::configuration::ConfigurationError;
+use crate::configuration::change::ChangeRecord;
 use crate::id::Revision;
 use crate::message::ConfigUpdate;
 
--- a/crates/hickorydoor/src/configuration.rs
+++ b/crates/hickorydoor/src/configuration/mod.rs
@@ -3,18 +3,46 @@
 //! A [`Configuration`] is only built by applying operations that passed the checks below, so the
 //! references between its items always resolve.
 
+pub mod action_error;
+pub mod cascade;
+pub mod change;
+pub mod change_attempt;
+pub mod change_outcome;
+pub mod customer;
+pub mod data_centre;
+pub mod defaults;
+pub mod diff;
+mod edit;
+pub mod exception;
+pub mod head;
+pub mod item;
+pub mod item_change;
+pub mod log;
+pub mod model;
+pub mod operator_action;
+pub mod pull;
+pub mod raw;
+pub mod service;
+pub mod stored;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::fmt;
 
-use crate::cascade::Cascade;
-use crate::change::ChangeRecord;
-use crate::customer::Customer;
-use crate::data_centre::DataCentre;
-use crate::defaults::Defaults;
+use crate::configuration::cascade::Cascade;
+use crate::configuration::change::ChangeRecord;
+use crate::configuration::customer::Customer;
+use crate::configuration::data_centre::DataCentre;
+use crate::configuration::defaults::Defaults;
+use crate::configuration::exception::Exception;
+use crate::configuration::exception::Override;
+use crate::configuration::item::Item;
+use crate::configuration::item::ItemKey;
+use crate::configuration::item::ItemKind;
+use crate::configuration::model::Model;
+use crate::configuration::model::Version;
+use crate::configuration::service::Service;
 use crate::error::Category;
-use crate::exception::Exception;
-use crate::exception::Override;
 use crate::id::CascadeId;
 use crate::id::CustomerId;
 use crate::id::DataCentreId;
@@ -23,13 +51,7 @@
 use crate::id::Revision;
 use crate::id::ServiceName;
 use crate::id::VersionId;
-use crate::item::Item;
-use crate::item::ItemKey;
-use crate::item::ItemKind;
 use crate::key_digest::KeyDigest;
-use crate::model::Model;
-use crate::model::Version;
-use crate::service::Service;
 use crate::time::TimeMs;
 
 /// Configuration of the fleet at one revision.
--- a/crates/hickorydoor/src/model.rs
+++ b/crates/hickorydoor/src/configuration/model.rs
@@ -6,11 +6,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::billing::usage::Usage;
 use crate::id::ModelId;
 use crate::id::VersionId;
 use crate::quantity::CostMicros;
 use crate::quantity::Share;
-use crate::usage::Usage;
 
 /// State of a version in its rollout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/hickorydoor/src/operator_action.rs
+++ b/crates/hickorydoor/src/configuration/operator_action.rs
@@ -3,24 +3,24 @@
 //! An action is planned against the configuration that it meets, so it can be planned again when
 //! another operator's change came first.
 
-use crate::action_error::ActionError;
-use crate::change::Operation;
-use crate::config_diff::ConfigDiff;
 use crate::configuration::Configuration;
-use crate::customer::Customer;
-use crate::exception::Exception;
+use crate::configuration::action_error::ActionError;
+use crate::configuration::change::Operation;
+use crate::configuration::customer::Customer;
+use crate::configuration::diff::ConfigDiff;
+use crate::configuration::exception::Exception;
+use crate::configuration::item::Item;
+use crate::configuration::item::ItemKey;
+use crate::configuration::item::ItemKind;
+use crate::configuration::model::Model;
+use crate::configuration::model::Version;
+use crate::configuration::model::VersionState;
 use crate::id::CustomerId;
 use crate::id::DataCentreId;
 use crate::id::ExceptionId;
 use crate::id::ModelId;
 use crate::id::VersionId;
-use crate::item::Item;
-use crate::item::ItemKey;
-use crate::item::ItemKind;
 use crate::key_digest::KeyDigest;
-use crate::model::Model;
-use crate::model::Version;
-use crate::model::VersionState;
 use crate::quantity::Share;
 
 /// What an operator wants to do.
--- a/crates/hickorydoor/src/raw_cascade.rs
+++ b/crates/hickorydoor/src/configuration/raw/cascade.rs
@@ -3,10 +3,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::cascade::Cascade;
+use crate::configuration::cascade::Cascade;
+use crate::configuration::raw::error::RawConfigurationError;
 use crate::id::CascadeId;
 use crate::id::ModelId;
-use crate::raw_configuration_error::RawConfigurationError;
 
 /// A cascade.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/hickorydoor/src/raw_change_record.rs
+++ b/crates/hickorydoor/src/configuration/raw/change_record.rs
@@ -4,13 +4,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::change::ChangeRecord;
-use crate::change::Operation;
+use crate::configuration::change::ChangeRecord;
+use crate::configuration::change::Operation;
+use crate::configuration::raw::error::RawConfigurationError;
+use crate::configuration::raw::operation::RawOperation;
 use crate::id::ChangeId;
 use crate::id::OperatorId;
 use crate::id::Revision;
-use crate::raw_configuration_error::RawConfigurationError;
-use crate::raw_operation::RawOperation;
 use crate::time::TimeMs;
 
 /// A change record as it is stored.
--- a/crates/hickorydoor/src/raw_customer.rs
+++ b/crates/hickorydoor/src/configuration/raw/customer.rs
@@ -3,16 +3,16 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::customer::Customer;
+use crate::configuration::customer::Customer;
+use crate::configuration::raw::customer_limits::RawCustomerLimits;
+use crate::configuration::raw::customer_limits::checked_limits;
+use crate::configuration::raw::error::RawConfigurationError;
 use crate::id::CascadeId;
 use crate::id::CustomerId;
 use crate::id::ModelId;
 use crate::id::ServiceName;
 use crate::id::VersionId;
 use crate::key_digest::KeyDigest;
-use crate::raw_configuration_error::RawConfigurationError;
-use crate::raw_customer_limits::RawCustomerLimits;
-use crate::raw_customer_limits::checked_limits;
 
 const DEFAULT_WEIGHT: u32 = 10;
 
--- a/crates/hickorydoor/src/raw_customer_limits.rs
+++ b/crates/hickorydoor/src/configuration/raw/customer_limits.rs
@@ -3,8 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::customer::CustomerLimits;
-use crate::raw_configuration_error::RawConfigurationError;
+use crate::configuration::customer::CustomerLimits;
+use crate::configuration::raw::error::RawConfigurationError;
 
 /// Limits of a customer; a field that is left out means no limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/hickorydoor/src/raw_data_centre.rs
+++ b/crates/hickorydoor/src/configuration/raw/data_centre.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::data_centre::DataCentre;
+use crate::configuration::data_centre::DataCentre;
 use crate::id::DataCentreId;
 use crate::id::RegionId;
 
--- a/crates/hickorydoor/src/raw_defaults.rs
+++ b/crates/hickorydoor/src/configuration/raw/defaults.rs
@@ -3,10 +3,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::defaults::Defaults;
+use crate::configuration::defaults::Defaults;
+use crate::configuration::raw::error::RawConfigurationError;
+use crate::configuration::raw::share::share;
 use crate::quantity::ByteCount;
-use crate::raw_configuration_error::RawConfigurationError;
-use crate::raw_share::share;
 use crate::time::DurationMs;
 
 /// Fleet-wide defaults; every field may be left out.
--- a/crates/hickorydoor/src/raw_exception.rs
+++ b/crates/hickorydoor/src/configuration/raw/exception.rs
@@ -4,14 +4,14 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::exception::Exception;
-use crate::exception::Override;
+use crate::configuration::exception::Exception;
+use crate::configuration::exception::Override;
+use crate::configuration::raw::customer_limits::RawCustomerLimits;
+use crate::configuration::raw::customer_limits::checked_limits;
+use crate::configuration::raw::error::RawConfigurationError;
+use crate::configuration::raw::exception_override::RawOverride;
+use crate::configuration::raw::share::share;
 use crate::id::ExceptionId;
-use crate::raw_configuration_error::RawConfigurationError;
-use crate::raw_customer_limits::RawCustomerLimits;
-use crate::raw_customer_limits::checked_limits;
-use crate::raw_override::RawOverride;
-use crate::raw_share::share;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
--- a/crates/hickorydoor/src/raw_override.rs
+++ b/crates/hickorydoor/src/configuration/raw/exception_override.rs
@@ -3,9 +3,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::configuration::raw::customer_limits::RawCustomerLimits;
 use crate::id::CustomerId;
 use crate::id::UpstreamId;
-use crate::raw_customer_limits::RawCustomerLimits;
 
 /// What an exception changes.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/hickorydoor/src/raw_item.rs
+++ b/crates/hickorydoor/src/configuration/raw/item.rs
@@ -3,15 +3,15 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::item::Item;
-use crate::raw_cascade::RawCascade;
-use crate::raw_configuration_error::RawConfigurationError;
-use crate::raw_customer::RawCustomer;
-use crate::raw_data_centre::RawDataCentre;
-use crate::raw_defaults::RawDefaults;
-use crate::raw_exception::RawException;
-use crate::raw_model::RawModel;
-use crate::raw_service::RawService;
+use crate::configuration::item::Item;
+use crate::configuration::raw::cascade::RawCascade;
+use crate::configuration::raw::customer::RawCustomer;
+use crate::configuration::raw::data_centre::RawDataCentre;
+use crate::configuration::raw::defaults::RawDefaults;
+use crate::configuration::raw::error::RawConfigurationError;
+use crate::configuration::raw::exception::RawException;
+use crate::configuration::raw::model::RawModel;
+use crate::configuration::raw::service::RawService;
 
 /// An item as it is stored under its key.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/hickorydoor/src/raw_configuration.rs
+++ b/crates/hickorydoor/src/configuration/raw/mod.rs
@@ -3,30 +3,46 @@
 //! The raw types mirror YAML and JSON text. Unknown fields are refused. `TryFrom` turns them into
 //! checked items, and `From` turns checked items back for storage and display.
 
+mod cascade;
+mod change_record;
+mod customer;
+mod customer_limits;
+mod data_centre;
+mod defaults;
+mod error;
+mod exception;
+mod exception_override;
+mod item;
+mod model;
+mod operation;
+mod service;
+mod share;
+mod version;
+
 use std::collections::HashSet;
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::configuration::Configuration;
+use crate::configuration::item::Item;
+use crate::configuration::item::ItemKind;
 use crate::id::Revision;
-use crate::item::Item;
-use crate::item::ItemKind;
 
-pub use crate::raw_cascade::RawCascade;
-pub use crate::raw_change_record::RawChangeRecord;
-pub use crate::raw_configuration_error::RawConfigurationError;
-pub use crate::raw_customer::RawCustomer;
-pub use crate::raw_customer_limits::RawCustomerLimits;
-pub use crate::raw_data_centre::RawDataCentre;
-pub use crate::raw_defaults::RawDefaults;
-pub use crate::raw_exception::RawException;
-pub use crate::raw_item::RawItem;
-pub use crate::raw_model::RawModel;
-pub use crate::raw_operation::RawOperation;
-pub use crate::raw_override::RawOverride;
-pub use crate::raw_service::RawService;
-pub use crate::raw_version::RawVersion;
+pub use crate::configuration::raw::cascade::RawCascade;
+pub use crate::configuration::raw::change_record::RawChangeRecord;
+pub use crate::configuration::raw::customer::RawCustomer;
+pub use crate::configuration::raw::customer_limits::RawCustomerLimits;
+pub use crate::configuration::raw::data_centre::RawDataCentre;
+pub use crate::configuration::raw::defaults::RawDefaults;
+pub use crate::configuration::raw::error::RawConfigurationError;
+pub use crate::configuration::raw::exception::RawException;
+pub use crate::configuration::raw::exception_override::RawOverride;
+pub use crate::configuration::raw::item::RawItem;
+pub use crate::configuration::raw::model::RawModel;
+pub use crate::configuration::raw::operation::RawOperation;
+pub use crate::configuration::raw::service::RawService;
+pub use crate::configuration::raw::version::RawVersion;
 
 /// A whole configuration in YAML or JSON.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/crates/hickorydoor/src/raw_model.rs
+++ b/crates/hickorydoor/src/configuration/raw/model.rs
@@ -3,15 +3,15 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::configuration::model::Model;
+use crate::configuration::model::Version;
+use crate::configuration::model::VersionState;
+use crate::configuration::raw::error::RawConfigurationError;
+use crate::configuration::raw::share::share;
+use crate::configuration::raw::version::RawVersion;
 use crate::id::ModelId;
-use crate::model::Model;
-use crate::model::Version;
-use crate::model::VersionState;
 use crate::quantity::CostMicros;
 use crate::quantity::Share;
-use crate::raw_configuration_error::RawConfigurationError;
-use crate::raw_share::share;
-use crate::raw_version::RawVersion;
 
 /// A model.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/hickorydoor/src/raw_operation.rs
+++ b/crates/hickorydoor/src/configuration/raw/operation.rs
@@ -4,11 +4,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::change::Operation;
-use crate::item::ItemKey;
-use crate::item::ItemKind;
-use crate::raw_configuration_error::RawConfigurationError;
-use crate::raw_item::RawItem;
+use crate::configuration::change::Operation;
+use crate::configuration::item::ItemKey;
+use crate::configuration::item::ItemKind;
+use crate::configuration::raw::error::RawConfigurationError;
+use crate::configuration::raw::item::RawItem;
 
 /// One step of a change as it is stored.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/hickorydoor/src/raw_service.rs
+++ b/crates/hickorydoor/src/configuration/raw/service.rs
@@ -4,8 +4,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::configuration::service::Service;
 use crate::id::ServiceName;
-use crate::service::Service;
 
 /// A plain service.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/hickorydoor/src/raw_share.rs
+++ b/crates/hickorydoor/src/configuration/raw/share.rs
@@ -1,7 +1,7 @@
 //! Shares as operators write them.
 
+use crate::configuration::raw::error::RawConfigurationError;
 use crate::quantity::Share;
-use crate::raw_configuration_error::RawConfigurationError;
 
 /// Checks a share.
 pub fn share(field: &str, value: f64) -> Result<Share, RawConfigurationError> {
--- a/crates/hickorydoor/src/raw_version.rs
+++ b/crates/hickorydoor/src/configuration/raw/version.rs
@@ -3,8 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::configuration::model::VersionState;
 use crate::id::VersionId;
-use crate::model::VersionState;
 
 /// A version of a model.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/hickorydoor/src/stored_configuration.rs
+++ b/crates/hickorydoor/src/configuration/stored.rs
@@ -4,19 +4,19 @@
 
 use compact_str::CompactString;
 
-use crate::change::ChangeRecord;
 use crate::configuration::Configuration;
+use crate::configuration::change::ChangeRecord;
+use crate::configuration::head::Head;
+use crate::configuration::item::Item;
+use crate::configuration::raw::RawChangeRecord;
+use crate::configuration::raw::RawConfigurationError;
+use crate::configuration::raw::RawItem;
 use crate::error::Category;
-use crate::head::Head;
 use crate::id::Revision;
-use crate::item::Item;
-use crate::keys;
-use crate::kv_call::KvCall;
-use crate::kv_call::KvOperation;
-use crate::kv_call::KvPair;
-use crate::raw_configuration::RawChangeRecord;
-use crate::raw_configuration::RawConfigurationError;
-use crate::raw_configuration::RawItem;
+use crate::store::keys;
+use crate::store::kv_call::KvCall;
+use crate::store::kv_call::KvOperation;
+use crate::store::kv_call::KvPair;
 
 /// Reasons why stored data cannot be read.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/hickorydoor/src/entry_answer.rs
+++ b/crates/hickorydoor/src/entry/answer.rs
@@ -3,11 +3,13 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 
+use crate::billing::usage::Usage;
 use crate::entry::Entry;
-use crate::entry_effect::EntryEffect;
-use crate::entry_effect::ResponseHead;
-use crate::entry_event::RatingFault;
-use crate::entry_resume::after_unknown;
+use crate::entry::effect::EntryEffect;
+use crate::entry::effect::ResponseHead;
+use crate::entry::event::RatingFault;
+use crate::entry::request_state::Attempt;
+use crate::entry::resume::after_unknown;
 use crate::id::AttemptId;
 use crate::id::CallerId;
 use crate::id::HostId;
@@ -23,10 +25,8 @@
 use crate::quantity::Tokens;
 use crate::refusal::RefusalReason;
 use crate::refusal::RunState;
-use crate::request_state::Attempt;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
-use crate::usage::Usage;
 
 /// Answers up to this size are held until they are complete, so that a failed attempt can be
 /// repeated without the caller noticing.
--- a/crates/hickorydoor/src/entry_billing.rs
+++ b/crates/hickorydoor/src/entry/billing.rs
@@ -3,20 +3,20 @@
 //! If an agent has closed the ledger, the entry goes on under a new incarnation. Requests in
 //! flight keep their ids and run on; their usage is left to the agents, which hold copies of it.
 
-use crate::bill::Bill;
+use crate::billing::bill::Bill;
+use crate::billing::ledger::Ledger;
 use crate::entry::Entry;
 use crate::entry::KvPurpose;
+use crate::entry::request_state::RequestState;
 use crate::id::HostId;
 use crate::id::Incarnation;
 use crate::id::Serial;
-use crate::kv_call::KvOutcome;
-use crate::kv_call::KvPair;
-use crate::kv_call::KvReply;
-use crate::ledger::Ledger;
 use crate::message::EntryMessage;
 use crate::message::Settlement;
 use crate::observation::Observation;
-use crate::request_state::RequestState;
+use crate::store::kv_call::KvOutcome;
+use crate::store::kv_call::KvPair;
+use crate::store::kv_call::KvReply;
 use crate::time::TimeMs;
 
 impl Entry {
--- a/crates/hickorydoor/src/entry_cascade.rs
+++ b/crates/hickorydoor/src/entry/cascade.rs
@@ -5,14 +5,17 @@
 
 use smallvec::SmallVec;
 
-use crate::caller_request::Ask;
-use crate::caller_request::ChatRequest;
-use crate::cascade_policy::CascadeRequest;
-use crate::cascade_policy::StepChoice;
-use crate::cascade_policy::StepKey;
+use crate::billing::usage::Usage;
+use crate::cascades::policy::CascadeRequest;
+use crate::cascades::policy::StepChoice;
+use crate::cascades::policy::StepKey;
 use crate::entry::Entry;
-use crate::entry_effect::EntryEffect;
-use crate::entry_event::RatingFault;
+use crate::entry::caller_request::Ask;
+use crate::entry::caller_request::ChatRequest;
+use crate::entry::effect::EntryEffect;
+use crate::entry::event::RatingFault;
+use crate::entry::request_state::Plan;
+use crate::entry::request_state::RequestState;
 use crate::id::CascadeId;
 use crate::id::RequestId;
 use crate::id::Serial;
@@ -22,11 +25,8 @@
 use crate::quantity::CostMicros;
 use crate::quantity::Tokens;
 use crate::refusal::RefusalReason;
-use crate::request_state::Plan;
-use crate::request_state::RequestState;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
-use crate::usage::Usage;
 
 /// A held answer costs the caller's time, so a rating is not waited for longer.
 const RATING_TIMEOUT_MS: DurationMs = DurationMs::from_secs(2);
--- a/crates/hickorydoor/src/entry_config.rs
+++ b/crates/hickorydoor/src/entry/config.rs
@@ -5,11 +5,11 @@
 use crate::id::HostId;
 use crate::id::KvCallId;
 use crate::id::Revision;
-use crate::kv_call::KvOutcome;
 use crate::load_report::LoadReport;
 use crate::message::AgentHello;
 use crate::message::EntryMessage;
 use crate::observation::Observation;
+use crate::store::kv_call::KvOutcome;
 use crate::time::TimeMs;
 
 impl Entry {
--- a/crates/hickorydoor/src/limits.rs
+++ b/crates/hickorydoor/src/entry/customer_limits.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 
-use crate::customer::CustomerLimits;
+use crate::configuration::customer::CustomerLimits;
 use crate::id::CustomerId;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
--- a/crates/hickorydoor/src/entry_effect.rs
+++ b/crates/hickorydoor/src/entry/effect.rs
@@ -10,10 +10,10 @@
 use crate::id::KvCallId;
 use crate::id::RequestId;
 use crate::id::VersionId;
-use crate::kv_call::KvCall;
 use crate::message::EntryMessage;
 use crate::observation::Observation;
 use crate::refusal::Refusal;
+use crate::store::kv_call::KvCall;
 
 /// Head of an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/hickorydoor/src/entry_event.rs
+++ b/crates/hickorydoor/src/entry/event.rs
@@ -1,14 +1,14 @@
 //! Events that the daemon feeds to the entry reducer.
 
-use crate::caller_request::CallerRequest;
+use crate::entry::caller_request::CallerRequest;
 use crate::host_record::HostRecord;
 use crate::id::CallerId;
 use crate::id::HostId;
 use crate::id::KvCallId;
 use crate::id::RequestId;
-use crate::kv_call::KvOutcome;
 use crate::message::AgentMessage;
 use crate::quantity::ByteCount;
+use crate::store::kv_call::KvOutcome;
 
 /// Why an answer could not be rated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/hickorydoor/src/entry_guard.rs
+++ b/crates/hickorydoor/src/entry/guard.rs
@@ -3,20 +3,20 @@
 use std::collections::BTreeSet;
 
 use crate::class::Class;
+use crate::configuration::model::Model;
+use crate::configuration::model::VersionState;
 use crate::entry::Entry;
-use crate::evidence::Evidence;
 use crate::id::HostId;
 use crate::id::ModelId;
 use crate::id::Serial;
 use crate::id::VersionId;
 use crate::message::AttemptFault;
-use crate::model::Model;
-use crate::model::VersionState;
 use crate::observation::Observation;
+use crate::rollouts::evidence::Evidence;
+use crate::rollouts::version_judge::Finding;
+use crate::rollouts::version_judge::is_compared;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
-use crate::version_judge::Finding;
-use crate::version_judge::is_compared;
 
 /// Time between two evaluations of what this entry has seen itself.
 const OWN_INTERVAL_MS: DurationMs = DurationMs::from_secs(1);
--- a/crates/hickorydoor/src/entry_limits.rs
+++ b/crates/hickorydoor/src/entry/limits.rs
@@ -1,9 +1,10 @@
 //! How an entry applies limits and retry budgets, with the exceptions in force.
 
 use crate::class::Class;
-use crate::customer::CustomerLimits;
+use crate::configuration::customer::CustomerLimits;
+use crate::configuration::exception::Override;
 use crate::entry::Entry;
-use crate::exception::Override;
+use crate::entry::request_state::RequestState;
 use crate::host_record::HostRecord;
 use crate::host_record::HostRole;
 use crate::host_record::HostState;
@@ -12,7 +13,6 @@
 use crate::quantity::Share;
 use crate::refusal::Refusal;
 use crate::refusal::RefusalReason;
-use crate::request_state::RequestState;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
--- a/crates/hickorydoor/src/link_plan.rs
+++ b/crates/hickorydoor/src/entry/link_plan.rs
@@ -8,7 +8,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::entry_settings::EntrySettings;
+use crate::entry::settings::EntrySettings;
 use crate::host_record::HostRecord;
 use crate::host_record::HostRole;
 use crate::host_record::HostState;
--- a/crates/hickorydoor/src/entry_links.rs
+++ b/crates/hickorydoor/src/entry/links.rs
@@ -6,12 +6,12 @@
 use std::collections::BTreeSet;
 
 use crate::entry::Entry;
-use crate::entry_effect::EntryEffect;
+use crate::entry::effect::EntryEffect;
+use crate::entry::member_table::Member;
 use crate::host_record::HostRecord;
 use crate::id::HostId;
 use crate::id::ServiceName;
 use crate::id::VersionId;
-use crate::member_table::Member;
 use crate::message::EntryHello;
 use crate::message::EntryMessage;
 use crate::observation::Observation;
--- a/crates/hickorydoor/src/member_table.rs
+++ b/crates/hickorydoor/src/entry/member_table.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexMap;
 
 use crate::configuration::Configuration;
+use crate::entry::link_plan::LinkPlan;
 use crate::host_record::HostRecord;
 use crate::host_record::HostRole;
 use crate::host_record::HostState;
@@ -18,7 +19,6 @@
 use crate::id::Serial;
 use crate::id::ServiceName;
 use crate::id::VersionId;
-use crate::link_plan::LinkPlan;
 use crate::load_report::LoadReport;
 use crate::message::AgentHello;
 use crate::message::Offer;
--- a/crates/hickorydoor/src/placement.rs
+++ b/crates/hickorydoor/src/entry/placement/mod.rs
@@ -4,28 +4,32 @@
 //! ones. Random sampling keeps entries that hold the same reports from choosing the same upstream;
 //! the decision and its figures are in `docs/placement.md`.
 
+pub mod answer_lengths;
+pub mod prefix_memory;
+pub mod upstream_score;
+
 use std::collections::HashMap;
 
 use rand::Rng;
 use rand::RngExt;
 use smallvec::SmallVec;
 
-use crate::answer_lengths::AnswerLengths;
 use crate::configuration::Configuration;
+use crate::entry::member_table::Member;
+use crate::entry::member_table::MemberTable;
+use crate::entry::placement::answer_lengths::AnswerLengths;
+use crate::entry::placement::prefix_memory::PrefixMemory;
+use crate::entry::placement::prefix_memory::home_weight;
+use crate::entry::placement::upstream_score::Distance;
+use crate::entry::placement::upstream_score::UpstreamScore;
+use crate::entry::placement::upstream_score::Work;
 use crate::id::DataCentreId;
 use crate::id::HostId;
 use crate::id::RegionId;
 use crate::id::ServiceName;
 use crate::id::VersionId;
-use crate::member_table::Member;
-use crate::member_table::MemberTable;
-use crate::prefix_memory::PrefixMemory;
-use crate::prefix_memory::home_weight;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
-use crate::upstream_score::Distance;
-use crate::upstream_score::UpstreamScore;
-use crate::upstream_score::Work;
 
 /// Random candidates beside the ones that probably hold the prefix.
 const RANDOM_CANDIDATES: usize = 2;
--- a/crates/hickorydoor/src/upstream_score.rs
+++ b/crates/hickorydoor/src/entry/placement/upstream_score.rs
@@ -1,9 +1,9 @@
 //! Expected times of a request on one upstream.
 
+use crate::agent::speed_estimate::growth;
 use crate::class::Class;
-use crate::member_table::Member;
+use crate::entry::member_table::Member;
 use crate::quantity::Tokens;
-use crate::speed_estimate::growth;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
--- a/crates/hickorydoor/src/entry_queue.rs
+++ b/crates/hickorydoor/src/entry/queue.rs
@@ -3,14 +3,14 @@
 use compact_str::CompactString;
 use compact_str::format_compact;
 
-use crate::caller_request::Ask;
 use crate::class::Class;
 use crate::entry::Entry;
-use crate::fair_queue::FairQueue;
-use crate::fair_queue::Waiting;
+use crate::entry::caller_request::Ask;
+use crate::entry::fair_queue::FairQueue;
+use crate::entry::fair_queue::Waiting;
+use crate::entry::request_state::RequestState;
 use crate::id::Serial;
 use crate::refusal::RefusalReason;
-use crate::request_state::RequestState;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
--- a/crates/hickorydoor/src/entry_rating.rs
+++ b/crates/hickorydoor/src/entry/rating.rs
@@ -8,11 +8,14 @@
 
 use bytes::Bytes;
 
-use crate::caller_request::Ask;
+use crate::cascades::rating_sampler::RatingSampler;
+use crate::configuration::model::VersionState;
 use crate::entry::Entry;
-use crate::entry_cascade::cascade_of;
-use crate::entry_effect::EntryEffect;
-use crate::entry_event::RatingFault;
+use crate::entry::caller_request::Ask;
+use crate::entry::cascade::cascade_of;
+use crate::entry::effect::EntryEffect;
+use crate::entry::event::RatingFault;
+use crate::entry::request_state::RequestState;
 use crate::id::CascadeId;
 use crate::id::HostId;
 use crate::id::RequestId;
@@ -20,10 +23,7 @@
 use crate::id::VersionId;
 use crate::message::EntryMessage;
 use crate::message::Verdict;
-use crate::model::VersionState;
 use crate::quantity::ByteCount;
-use crate::rating_sampler::RatingSampler;
-use crate::request_state::RequestState;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
--- a/crates/hickorydoor/src/entry_request.rs
+++ b/crates/hickorydoor/src/entry/request.rs
@@ -2,15 +2,23 @@
 
 use smallvec::SmallVec;
 
-use crate::bill::BillLine;
-use crate::caller_request::Ask;
-use crate::caller_request::CallerRequest;
-use crate::caller_request::ChatRequest;
-use crate::caller_request::ServiceRequest;
-use crate::customer::Customer;
+use crate::billing::bill::BillLine;
+use crate::billing::usage::Usage;
+use crate::configuration::customer::Customer;
 use crate::entry::Entry;
-use crate::entry_effect::EntryEffect;
-use crate::entry_resume::after_unknown;
+use crate::entry::caller_request::Ask;
+use crate::entry::caller_request::CallerRequest;
+use crate::entry::caller_request::ChatRequest;
+use crate::entry::caller_request::ServiceRequest;
+use crate::entry::effect::EntryEffect;
+use crate::entry::placement::Need;
+use crate::entry::placement::Placed;
+use crate::entry::placement::PlacementRequest;
+use crate::entry::placement::upstream_score::Work;
+use crate::entry::request_state::Attempt;
+use crate::entry::request_state::Plan;
+use crate::entry::request_state::RequestState;
+use crate::entry::resume::after_unknown;
 use crate::id::ModelId;
 use crate::id::RequestId;
 use crate::id::Revision;
@@ -24,21 +32,13 @@
 use crate::observation::Observation;
 use crate::observation::RequestOutcome;
 use crate::observation::RequestRecord;
-use crate::placement::Need;
-use crate::placement::Placed;
-use crate::placement::PlacementRequest;
 use crate::quantity::ByteCount;
 use crate::quantity::Tokens;
 use crate::refusal::Refusal;
 use crate::refusal::RefusalReason;
 use crate::refusal::RunState;
-use crate::request_state::Attempt;
-use crate::request_state::Plan;
-use crate::request_state::RequestState;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
-use crate::upstream_score::Work;
-use crate::usage::Usage;
 
 /// When callers may retry after a refusal for lack of upstreams.
 const RETRY_AFTER_MS: DurationMs = DurationMs::from_secs(1);
--- a/crates/hickorydoor/src/request_state.rs
+++ b/crates/hickorydoor/src/entry/request_state.rs
@@ -4,10 +4,10 @@
 use compact_str::CompactString;
 use smallvec::SmallVec;
 
-use crate::bill::BillLine;
-use crate::caller_request::Ask;
-use crate::caller_request::CallerRequest;
+use crate::billing::bill::BillLine;
 use crate::class::Class;
+use crate::entry::caller_request::Ask;
+use crate::entry::caller_request::CallerRequest;
 use crate::id::AttemptId;
 use crate::id::CallerId;
 use crate::id::CascadeId;
--- a/crates/hickorydoor/src/entry_resume.rs
+++ b/crates/hickorydoor/src/entry/resume.rs
@@ -5,6 +5,7 @@
 //! that the entry lacks, or ends with an explicit error.
 
 use crate::entry::Entry;
+use crate::entry::request_state::RequestState;
 use crate::id::AttemptId;
 use crate::id::HostId;
 use crate::id::Incarnation;
@@ -14,7 +15,6 @@
 use crate::observation::Observation;
 use crate::quantity::ByteCount;
 use crate::refusal::RunState;
-use crate::request_state::RequestState;
 use crate::time::TimeMs;
 
 impl Entry {
--- a/crates/hickorydoor/src/entry_rollout.rs
+++ b/crates/hickorydoor/src/entry/rollout.rs
@@ -2,15 +2,15 @@
 
 use xxhash_rust::xxh3::xxh3_128;
 
+use crate::configuration::model::Version;
+use crate::configuration::model::VersionState;
 use crate::entry::Entry;
+use crate::entry::request_state::RequestState;
 use crate::id::CustomerId;
 use crate::id::ModelId;
 use crate::id::RequestId;
 use crate::id::VersionId;
-use crate::model::Version;
-use crate::model::VersionState;
-use crate::request_state::RequestState;
-use crate::session_pin::share_hash;
+use crate::rollouts::session_pin::share_hash;
 
 impl Entry {
     /// The version on which a request runs: the pinned one of its session, else one by its share.
--- a/crates/hickorydoor/src/entry_session.rs
+++ b/crates/hickorydoor/src/entry/session.rs
@@ -3,6 +3,8 @@
 use smallvec::SmallVec;
 
 use crate::entry::Entry;
+use crate::entry::request_state::Plan;
+use crate::entry::request_state::RequestState;
 use crate::id::CustomerId;
 use crate::id::HostId;
 use crate::id::Incarnation;
@@ -13,18 +15,16 @@
 use crate::message::EntryMessage;
 use crate::observation::Observation;
 use crate::refusal::RefusalReason;
-use crate::request_state::Plan;
-use crate::request_state::RequestState;
-use crate::session_pin::CachedPin;
-use crate::session_pin::HOMES;
-use crate::session_pin::HOMES_LINKED;
-use crate::session_pin::HomeReply;
-use crate::session_pin::PIN_TIMEOUT_MS;
-use crate::session_pin::Pin;
-use crate::session_pin::PinKey;
-use crate::session_pin::PinLookup;
-use crate::session_pin::home_fingerprint;
-use crate::session_pin::rank_homes;
+use crate::rollouts::session_pin::CachedPin;
+use crate::rollouts::session_pin::HOMES;
+use crate::rollouts::session_pin::HOMES_LINKED;
+use crate::rollouts::session_pin::HomeReply;
+use crate::rollouts::session_pin::PIN_TIMEOUT_MS;
+use crate::rollouts::session_pin::Pin;
+use crate::rollouts::session_pin::PinKey;
+use crate::rollouts::session_pin::PinLookup;
+use crate::rollouts::session_pin::home_fingerprint;
+use crate::rollouts::session_pin::rank_homes;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
--- a/crates/hickorydoor/src/entry_settings.rs
+++ b/crates/hickorydoor/src/entry/settings.rs
@@ -1,10 +1,10 @@
 //! Settings of the entry reducer.
 
+use crate::entry::placement::PlacementRule;
 use crate::id::DataCentreId;
 use crate::id::HostId;
 use crate::id::Incarnation;
 use crate::id::RegionId;
-use crate::placement::PlacementRule;
 use crate::time::DurationMs;
 
 /// Settings of one entry.
--- a/crates/hickorydoor/src/entry_watch.rs
+++ b/crates/hickorydoor/src/entry/watch.rs
@@ -1,21 +1,21 @@
 //! How an entry reads and watches the configuration in the key-value service.
 
 use crate::configuration::ConfigurationError;
+use crate::configuration::stored::StoredConfiguration;
+use crate::configuration::stored::decode_change;
+use crate::configuration::stored::decode_head;
 use crate::entry::Entry;
 use crate::entry::KvPurpose;
-use crate::entry_effect::EntryEffect;
+use crate::entry::effect::EntryEffect;
 use crate::id::KvCallId;
-use crate::keys;
-use crate::kv_call::KvCall;
-use crate::kv_call::KvOperation;
-use crate::kv_call::KvOutcome;
-use crate::kv_call::KvReply;
 use crate::message::ConfigUpdate;
 use crate::message::EntryMessage;
 use crate::observation::Observation;
-use crate::stored_configuration::StoredConfiguration;
-use crate::stored_configuration::decode_change;
-use crate::stored_configuration::decode_head;
+use crate::store::keys;
+use crate::store::kv_call::KvCall;
+use crate::store::kv_call::KvOperation;
+use crate::store::kv_call::KvOutcome;
+use crate::store::kv_call::KvReply;
 use crate::time::TimeMs;
 
 impl Entry {
--- a/crates/hickorydoor/src/gateway/peer_digest.rs
+++ b/crates/hickorydoor/src/gateway/peer_digest.rs
@@ -4,7 +4,6 @@
 
 use prost::Message;
 
-use crate::evidence::Evidence;
 use crate::gateway::prompt_cache::ChainPart;
 use crate::gateway::rollout::RolloutEvidence;
 use crate::gateway::upstream::PeerLoad;
@@ -12,6 +11,7 @@
 use crate::id::IdError;
 use crate::id::ServiceName;
 use crate::id::UpstreamId;
+use crate::rollouts::evidence::Evidence;
 
 /// Evidence about the rollout that one order started.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/hickorydoor/src/gateway/rollout.rs
+++ b/crates/hickorydoor/src/gateway/rollout.rs
@@ -12,11 +12,11 @@
 
 use compact_str::CompactString;
 
-use crate::evidence::Evidence;
 use crate::id::HostId;
 use crate::id::ServiceName;
 use crate::quantity::Share;
-use crate::sequential_test::SequentialTest;
+use crate::rollouts::evidence::Evidence;
+use crate::rollouts::sequential_test::SequentialTest;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
--- a/crates/hickorydoor/src/message.rs
+++ b/crates/hickorydoor/src/message.rs
@@ -7,10 +7,10 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 
-use crate::change::ChangeRecord;
+use crate::billing::usage::Usage;
 use crate::class::Class;
 use crate::configuration::Configuration;
-use crate::evidence::Evidence;
+use crate::configuration::change::ChangeRecord;
 use crate::id::AttemptId;
 use crate::id::CustomerId;
 use crate::id::DataCentreId;
@@ -27,10 +27,10 @@
 use crate::load_report::LoadReport;
 use crate::quantity::ByteCount;
 use crate::quantity::Tokens;
-use crate::session_pin::Pin;
-use crate::session_pin::PinKey;
+use crate::rollouts::evidence::Evidence;
+use crate::rollouts::session_pin::Pin;
+use crate::rollouts::session_pin::PinKey;
 use crate::time::DurationMs;
-use crate::usage::Usage;
 
 /// First message of an entry on a link.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/hickorydoor/src/observation.rs
+++ b/crates/hickorydoor/src/observation.rs
@@ -2,8 +2,8 @@
 //!
 //! Observations hold ids and figures only, never prompts, answers or keys.
 
+use crate::billing::usage::Usage;
 use crate::class::Class;
-use crate::evidence::Evidence;
 use crate::id::AttemptId;
 use crate::id::CascadeId;
 use crate::id::CustomerId;
@@ -15,8 +15,8 @@
 use crate::message::AgentRefusal;
 use crate::message::AttemptFault;
 use crate::quantity::CostMicros;
+use crate::rollouts::evidence::Evidence;
 use crate::time::DurationMs;
-use crate::usage::Usage;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/hickorydoor/src/rollout_guard.rs
+++ b/crates/hickorydoor/src/rollouts/guard.rs
@@ -15,15 +15,15 @@
 use compact_str::format_compact;
 
 use crate::configuration::Configuration;
-use crate::evidence::Evidence;
+use crate::configuration::model::VersionState;
 use crate::id::HostId;
 use crate::id::Incarnation;
 use crate::id::ModelId;
 use crate::id::VersionId;
-use crate::model::VersionState;
+use crate::rollouts::evidence::Evidence;
+use crate::rollouts::version_judge::Finding;
+use crate::rollouts::version_judge::VersionJudge;
 use crate::time::TimeMs;
-use crate::version_judge::Finding;
-use crate::version_judge::VersionJudge;
 
 /// False-alarm rate of the test at the lease holder, for one rollout.
 pub const FLEET_FALSE_ALARM_RATE: f64 = 0.008;
--- a/crates/hickorydoor/src/sequential_test.rs
+++ b/crates/hickorydoor/src/rollouts/sequential_test.rs
@@ -17,8 +17,8 @@
 //! The values are averaged over effect sizes, over the three signals and over the batch at which
 //! the version turned bad, so that a regression late in service is found as well.
 
-use crate::evidence::Evidence;
-use crate::evidence::TILTS;
+use crate::rollouts::evidence::Evidence;
+use crate::rollouts::evidence::TILTS;
 
 /// Odds of the version's errors or slow answers against the baseline's that are looked for.
 const ODDS: [f64; 5] = [1.5, 2.5, 4.5, 10.0, 30.0];
--- a/crates/hickorydoor/src/version_judge.rs
+++ b/crates/hickorydoor/src/rollouts/version_judge.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 
 use crate::configuration::Configuration;
-use crate::evidence::Evidence;
+use crate::configuration::model::Model;
+use crate::configuration::model::Version;
+use crate::configuration::model::VersionState;
 use crate::id::VersionId;
-use crate::model::Model;
-use crate::model::Version;
-use crate::model::VersionState;
-use crate::sequential_test::SequentialTest;
+use crate::rollouts::evidence::Evidence;
+use crate::rollouts::sequential_test::SequentialTest;
 
 /// The comparison of one version.
 #[derive(Clone, Debug)]
--- a/crates/hickorydoor/src/keys.rs
+++ b/crates/hickorydoor/src/store/keys.rs
@@ -3,6 +3,7 @@
 use compact_str::CompactString;
 use compact_str::format_compact;
 
+use crate::configuration::item::ItemKey;
 use crate::id::HostId;
 use crate::id::Incarnation;
 use crate::id::ModelId;
@@ -10,7 +11,6 @@
 use crate::id::Sequence;
 use crate::id::ServiceName;
 use crate::id::UpstreamId;
-use crate::item::ItemKey;
 
 /// Prefix of all configuration items.
 pub const CONFIG_PREFIX: &str = "/hickorydoor/config/";
--- /dev/null
+++ b/crates/hickorydoor/src/store/mod.rs
@@ -0,0 +1,4 @@
+//! Keys of the key-value service and calls to it, as data.
+
+pub mod keys;
+pub mod kv_call;
--- a/crates/hickorydoor/src/wire_agent.rs
+++ b/crates/hickorydoor/src/wire/agent.rs
@@ -10,17 +10,17 @@
 use crate::quantity::ByteCount;
 use crate::quantity::Tokens;
 use crate::time::DurationMs;
-use crate::wire_attempt::WireAttempt;
-use crate::wire_attempt::WireUsage;
-use crate::wire_attempt::attempt;
-use crate::wire_config::WireConfigUpdate;
-use crate::wire_entry::WireEmpty;
-use crate::wire_error::WireError;
-use crate::wire_hello::WireAgentHello;
-use crate::wire_load::WireEvidence;
-use crate::wire_load::WireEvidenceList;
-use crate::wire_load::WireLoad;
-use crate::wire_pin::WirePin;
+use crate::wire::attempt::WireAttempt;
+use crate::wire::attempt::WireUsage;
+use crate::wire::attempt::attempt;
+use crate::wire::config::WireConfigUpdate;
+use crate::wire::entry::WireEmpty;
+use crate::wire::error::WireError;
+use crate::wire::hello::WireAgentHello;
+use crate::wire::load::WireEvidence;
+use crate::wire::load::WireEvidenceList;
+use crate::wire::load::WireLoad;
+use crate::wire::pin::WirePin;
 
 /// Encoded [`AgentMessage::Refused`].
 #[derive(Clone, PartialEq, Eq, Hash)]
--- a/crates/hickorydoor/src/wire_attempt.rs
+++ b/crates/hickorydoor/src/wire/attempt.rs
@@ -1,13 +1,13 @@
 //! Encoded attempts and what is said of them.
 
+use crate::billing::usage::Usage;
 use crate::id::AttemptId;
 use crate::id::Incarnation;
 use crate::id::RequestId;
 use crate::id::Serial;
 use crate::quantity::ByteCount;
 use crate::quantity::Tokens;
-use crate::usage::Usage;
-use crate::wire_error::WireError;
+use crate::wire::error::WireError;
 
 /// Encoded attempt id.
 #[derive(Clone, PartialEq, Eq, Hash)]
--- a/crates/hickorydoor/src/wire_config.rs
+++ b/crates/hickorydoor/src/wire/config.rs
@@ -2,13 +2,13 @@
 
 use bytes::Bytes;
 
-use crate::change::ChangeRecord;
 use crate::configuration::Configuration;
+use crate::configuration::change::ChangeRecord;
+use crate::configuration::raw::RawChangeRecord;
+use crate::configuration::raw::RawConfiguration;
+use crate::configuration::raw::RawConfigurationError;
 use crate::message::ConfigUpdate;
-use crate::raw_configuration::RawChangeRecord;
-use crate::raw_configuration::RawConfiguration;
-use crate::raw_configuration::RawConfigurationError;
-use crate::wire_error::WireError;
+use crate::wire::error::WireError;
 
 /// Encoded [`ConfigUpdate`]. Configurations travel as JSON, the form in which they are stored.
 #[derive(Clone, PartialEq, Eq, Hash)]
--- a/crates/hickorydoor/src/wire_dispatch.rs
+++ b/crates/hickorydoor/src/wire/dispatch.rs
@@ -11,9 +11,9 @@
 use crate::message::ServiceCall;
 use crate::quantity::Tokens;
 use crate::time::DurationMs;
-use crate::wire_attempt::WireAttempt;
-use crate::wire_attempt::attempt;
-use crate::wire_error::WireError;
+use crate::wire::attempt::WireAttempt;
+use crate::wire::attempt::attempt;
+use crate::wire::error::WireError;
 
 /// Encoded [`ModelCall`].
 #[derive(Clone, PartialEq, Eq, Hash)]
--- a/crates/hickorydoor/src/wire_entry.rs
+++ b/crates/hickorydoor/src/wire/entry.rs
@@ -7,15 +7,15 @@
 use crate::message::Settlement;
 use crate::message::Verdict;
 use crate::quantity::ByteCount;
-use crate::wire_attempt::WireAttempt;
-use crate::wire_attempt::WirePosition;
-use crate::wire_attempt::attempt;
-use crate::wire_attempt::position;
-use crate::wire_config::WireConfigUpdate;
-use crate::wire_dispatch::WireDispatch;
-use crate::wire_error::WireError;
-use crate::wire_hello::WireEntryHello;
-use crate::wire_pin::WirePin;
+use crate::wire::attempt::WireAttempt;
+use crate::wire::attempt::WirePosition;
+use crate::wire::attempt::attempt;
+use crate::wire::attempt::position;
+use crate::wire::config::WireConfigUpdate;
+use crate::wire::dispatch::WireDispatch;
+use crate::wire::error::WireError;
+use crate::wire::hello::WireEntryHello;
+use crate::wire::pin::WirePin;
 
 /// Requests whose bills are stored, all of one entry incarnation.
 #[derive(Clone, PartialEq, Eq, Hash)]
--- a/crates/hickorydoor/src/wire_error.rs
+++ b/crates/hickorydoor/src/wire/error.rs
@@ -2,8 +2,8 @@
 
 use std::fmt;
 
+use crate::configuration::raw::RawConfigurationError;
 use crate::id::IdError;
-use crate::raw_configuration::RawConfigurationError;
 
 /// Reasons why a frame is refused.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/hickorydoor/src/wire_hello.rs
+++ b/crates/hickorydoor/src/wire/hello.rs
@@ -8,7 +8,7 @@
 use crate::message::EntryHello;
 use crate::message::Offer;
 use crate::time::DurationMs;
-use crate::wire_error::WireError;
+use crate::wire::error::WireError;
 
 /// Encoded [`EntryHello`].
 #[derive(Clone, PartialEq, Eq, Hash)]
--- a/crates/hickorydoor/src/wire_load.rs
+++ b/crates/hickorydoor/src/wire/load.rs
@@ -1,15 +1,15 @@
 //! Encoded load reports and evidence.
 
-use crate::evidence::Evidence;
 use crate::id::Revision;
 use crate::id::VersionId;
 use crate::load_report::LoadReport;
 use crate::quantity::Tokens;
+use crate::rollouts::evidence::Evidence;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
-use crate::wire_error::WireError;
-use crate::wire_hello::version_ids;
-use crate::wire_hello::version_texts;
+use crate::wire::error::WireError;
+use crate::wire::hello::version_ids;
+use crate::wire::hello::version_texts;
 
 /// Encoded [`LoadReport`].
 #[derive(Clone, PartialEq)]
--- a/crates/hickorydoor/src/wire_pin.rs
+++ b/crates/hickorydoor/src/wire/pin.rs
@@ -1,8 +1,8 @@
 //! Encoded form of pins.
 
 use crate::id::Revision;
-use crate::session_pin::Pin;
-use crate::session_pin::PinKey;
+use crate::rollouts::session_pin::Pin;
+use crate::rollouts::session_pin::PinKey;
 use crate::time::TimeMs;
 use crate::wire::WireError;
 
--- a/crates/hickorydoor/tests/admission.rs
+++ b/crates/hickorydoor/tests/admission.rs
@@ -2,7 +2,7 @@
 
 use hickorydoor::DurationMs;
 use hickorydoor::TimeMs;
-use hickorydoor::admission::Admission;
+use hickorydoor::agent::admission_limit::Admission;
 use proptest::prelude::Strategy;
 use proptest::prop_assert;
 use proptest::prop_assert_eq;
--- a/crates/hickorydoor/tests/at_most_once.rs
+++ b/crates/hickorydoor/tests/at_most_once.rs
@@ -5,9 +5,9 @@
 mod support;
 
 use hickorydoor::Refusal;
-use hickorydoor::keys;
 use hickorydoor::refusal::RefusalReason;
 use hickorydoor::refusal::RunState;
+use hickorydoor::store::keys;
 use proptest::prelude::any;
 use proptest::prelude::proptest;
 
--- a/crates/hickorydoor/tests/billing.rs
+++ b/crates/hickorydoor/tests/billing.rs
@@ -2,17 +2,17 @@
 
 use hickorydoor::Class;
 use hickorydoor::TimeMs;
-use hickorydoor::bill::Bill;
-use hickorydoor::bill::BillLine;
+use hickorydoor::billing::bill::Bill;
+use hickorydoor::billing::bill::BillLine;
+use hickorydoor::billing::ledger::Ledger;
+use hickorydoor::billing::serial_set::SerialSet;
+use hickorydoor::billing::usage::Usage;
 use hickorydoor::id::Incarnation;
 use hickorydoor::id::Serial;
-use hickorydoor::kv_call::KvCall;
-use hickorydoor::kv_call::KvOperation;
-use hickorydoor::ledger::Ledger;
 use hickorydoor::quantity::CostMicros;
 use hickorydoor::quantity::Tokens;
-use hickorydoor::serial_set::SerialSet;
-use hickorydoor::usage::Usage;
+use hickorydoor::store::kv_call::KvCall;
+use hickorydoor::store::kv_call::KvOperation;
 use proptest::prelude::proptest;
 
 mod property;
--- a/crates/hickorydoor/tests/configuration.rs
+++ b/crates/hickorydoor/tests/configuration.rs
@@ -5,9 +5,9 @@
 
 mod support;
 
-use hickorydoor::data_centre::DataCentre;
-use hickorydoor::item::Item;
-use hickorydoor::model::VersionState;
+use hickorydoor::configuration::data_centre::DataCentre;
+use hickorydoor::configuration::item::Item;
+use hickorydoor::configuration::model::VersionState;
 use proptest::prelude::any;
 use proptest::prelude::proptest;
 
--- a/crates/hickorydoor/tests/fleet/mod.rs
+++ b/crates/hickorydoor/tests/fleet/mod.rs
@@ -26,11 +26,12 @@
 use hickorydoor::KeyDigest;
 use hickorydoor::RawConfiguration;
 use hickorydoor::TimeMs;
-use hickorydoor::agent_event::UpstreamFault;
-use hickorydoor::caller_request::Ask;
-use hickorydoor::caller_request::ChatRequest;
-use hickorydoor::entry_effect::ResponseHead;
-use hickorydoor::entry_event::RatingFault;
+use hickorydoor::agent::event::UpstreamFault;
+use hickorydoor::billing::usage::Usage;
+use hickorydoor::entry::caller_request::Ask;
+use hickorydoor::entry::caller_request::ChatRequest;
+use hickorydoor::entry::effect::ResponseHead;
+use hickorydoor::entry::event::RatingFault;
 use hickorydoor::host_record::HostRecord;
 use hickorydoor::host_record::HostRole;
 use hickorydoor::host_record::HostState;
@@ -46,7 +47,6 @@
 use hickorydoor::observation::Observation;
 use hickorydoor::quantity::Tokens;
 use hickorydoor::refusal::Refusal;
-use hickorydoor::usage::Usage;
 
 use self::store::Store;
 
--- a/crates/hickorydoor/tests/leases.rs
+++ b/crates/hickorydoor/tests/leases.rs
@@ -8,13 +8,13 @@
 use std::collections::BTreeMap;
 
 use hickorydoor::TimeMs;
+use hickorydoor::agent::lease::LeaseHolder;
 use hickorydoor::id::HostId;
 use hickorydoor::id::Incarnation;
 use hickorydoor::id::UpstreamId;
-use hickorydoor::kv_call::KvCall;
-use hickorydoor::kv_call::KvFault;
-use hickorydoor::kv_call::KvOutcome;
-use hickorydoor::lease::LeaseHolder;
+use hickorydoor::store::kv_call::KvCall;
+use hickorydoor::store::kv_call::KvFault;
+use hickorydoor::store::kv_call::KvOutcome;
 use proptest::prelude::Strategy;
 use proptest::prelude::any;
 use proptest::prelude::proptest;
--- a/crates/hickorydoor/tests/limits.rs
+++ b/crates/hickorydoor/tests/limits.rs
@@ -2,11 +2,11 @@
 
 use hickorydoor::DurationMs;
 use hickorydoor::TimeMs;
-use hickorydoor::customer::CustomerLimits;
+use hickorydoor::configuration::customer::CustomerLimits;
+use hickorydoor::entry::customer_limits::LimitTable;
+use hickorydoor::entry::retry_budget::RetryBudget;
 use hickorydoor::id::CustomerId;
-use hickorydoor::limits::LimitTable;
 use hickorydoor::quantity::Share;
-use hickorydoor::retry_budget::RetryBudget;
 use proptest::prop_assert;
 use proptest::proptest;
 
--- a/crates/hickorydoor/tests/membership.rs
+++ b/crates/hickorydoor/tests/membership.rs
@@ -9,12 +9,12 @@
 use std::collections::BTreeSet;
 
 use hickorydoor::EntrySettings;
+use hickorydoor::entry::link_plan::LinkPlan;
 use hickorydoor::host_record::HostRecord;
 use hickorydoor::host_record::HostRole;
 use hickorydoor::host_record::HostState;
 use hickorydoor::id::HostId;
 use hickorydoor::id::Incarnation;
-use hickorydoor::link_plan::LinkPlan;
 use hickorydoor::refusal::RefusalReason;
 use proptest::prelude::any;
 use proptest::prelude::proptest;
--- a/crates/hickorydoor/tests/memory_kv/mod.rs
+++ b/crates/hickorydoor/tests/memory_kv/mod.rs
@@ -8,13 +8,13 @@
 use compact_str::CompactString;
 use hickorydoor::Configuration;
 use hickorydoor::RawConfiguration;
-use hickorydoor::kv_call::KvCall;
-use hickorydoor::kv_call::KvCompare;
-use hickorydoor::kv_call::KvFault;
-use hickorydoor::kv_call::KvOperation;
-use hickorydoor::kv_call::KvOutcome;
-use hickorydoor::kv_call::KvPair;
-use hickorydoor::kv_call::KvReply;
+use hickorydoor::store::kv_call::KvCall;
+use hickorydoor::store::kv_call::KvCompare;
+use hickorydoor::store::kv_call::KvFault;
+use hickorydoor::store::kv_call::KvOperation;
+use hickorydoor::store::kv_call::KvOutcome;
+use hickorydoor::store::kv_call::KvPair;
+use hickorydoor::store::kv_call::KvReply;
 
 #[derive(Debug, Default)]
 pub struct MemoryKv {
--- a/crates/hickorydoor/tests/operator_changes.rs
+++ b/crates/hickorydoor/tests/operator_changes.rs
@@ -5,21 +5,21 @@
 use hickorydoor::Configuration;
 use hickorydoor::KeyDigest;
 use hickorydoor::TimeMs;
-use hickorydoor::change::ChangeRecord;
-use hickorydoor::change_attempt::ChangeAttempt;
-use hickorydoor::change_attempt::ChangeDraft;
-use hickorydoor::change_attempt::ChangeStep;
-use hickorydoor::change_outcome::ChangeOutcome;
-use hickorydoor::config_diff::ConfigDiff;
+use hickorydoor::configuration::change::ChangeRecord;
+use hickorydoor::configuration::change_attempt::ChangeAttempt;
+use hickorydoor::configuration::change_attempt::ChangeDraft;
+use hickorydoor::configuration::change_attempt::ChangeStep;
+use hickorydoor::configuration::change_outcome::ChangeOutcome;
+use hickorydoor::configuration::diff::ConfigDiff;
+use hickorydoor::configuration::operator_action::OperatorAction;
+use hickorydoor::configuration::stored::StoredConfiguration;
+use hickorydoor::configuration::stored::decode_change;
 use hickorydoor::id::ChangeId;
-use hickorydoor::keys;
-use hickorydoor::kv_call::KvCall;
-use hickorydoor::kv_call::KvFault;
-use hickorydoor::kv_call::KvOutcome;
-use hickorydoor::operator_action::OperatorAction;
 use hickorydoor::quantity::Share;
-use hickorydoor::stored_configuration::StoredConfiguration;
-use hickorydoor::stored_configuration::decode_change;
+use hickorydoor::store::keys;
+use hickorydoor::store::kv_call::KvCall;
+use hickorydoor::store::kv_call::KvFault;
+use hickorydoor::store::kv_call::KvOutcome;
 use memory_kv::MemoryKv;
 use memory_kv::configuration;
 use proptest::prelude::*;
@@ -110,7 +110,7 @@
     let KvOutcome::Reply(reply) = kv.call(&StoredConfiguration::read_call()) else {
         panic!("the read succeeds");
     };
-    let hickorydoor::kv_call::KvReply::Transaction { results, .. } = reply else {
+    let hickorydoor::store::kv_call::KvReply::Transaction { results, .. } = reply else {
         panic!("the read is a transaction");
     };
     StoredConfiguration::decode(&results).expect("the configuration is valid").configuration
--- a/crates/hickorydoor/tests/orders.rs
+++ b/crates/hickorydoor/tests/orders.rs
@@ -6,10 +6,10 @@
 mod support;
 
 use hickorydoor::AgentEvent;
-use hickorydoor::agent_event::UpstreamReport;
-use hickorydoor::item::Item;
-use hickorydoor::keys;
-use hickorydoor::model::VersionState;
+use hickorydoor::agent::event::UpstreamReport;
+use hickorydoor::configuration::item::Item;
+use hickorydoor::configuration::model::VersionState;
+use hickorydoor::store::keys;
 
 use crate::support::fleet::Fleet;
 use crate::support::fleet::Setup;
--- a/crates/hickorydoor/tests/regression_service_output.rs
+++ b/crates/hickorydoor/tests/regression_service_output.rs
@@ -5,7 +5,7 @@
 
 use hickorydoor::DurationMs;
 use hickorydoor::TimeMs;
-use hickorydoor::admission::Admission;
+use hickorydoor::agent::admission_limit::Admission;
 
 const COLD_LIMIT: u32 = 4;
 const WARM_LIMIT: u32 = 64;
--- a/crates/hickorydoor/tests/support/bills.rs
+++ b/crates/hickorydoor/tests/support/bills.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use hickorydoor::billing::ledger::Batch;
 use hickorydoor::id::RequestId;
 use hickorydoor::id::Serial;
-use hickorydoor::keys;
-use hickorydoor::ledger::Batch;
+use hickorydoor::store::keys;
 
 use super::callers::Kind;
 use super::callers::Outcome;
--- a/crates/hickorydoor/tests/support/kv.rs
+++ b/crates/hickorydoor/tests/support/kv.rs
@@ -5,11 +5,11 @@
 use compact_str::CompactString;
 use hickorydoor::DurationMs;
 use hickorydoor::TimeMs;
-use hickorydoor::kv_call::KvCall;
-use hickorydoor::kv_call::KvCompare;
-use hickorydoor::kv_call::KvOperation;
-use hickorydoor::kv_call::KvPair;
-use hickorydoor::kv_call::KvReply;
+use hickorydoor::store::kv_call::KvCall;
+use hickorydoor::store::kv_call::KvCompare;
+use hickorydoor::store::kv_call::KvOperation;
+use hickorydoor::store::kv_call::KvPair;
+use hickorydoor::store::kv_call::KvReply;
 
 /// A lease with its time to live and its end.
 #[derive(Clone, Copy, Debug)]
--- a/crates/hickorydoor/tests/support/store.rs
+++ b/crates/hickorydoor/tests/support/store.rs
@@ -3,9 +3,9 @@
 use hickorydoor::AgentEvent;
 use hickorydoor::EntryEvent;
 use hickorydoor::id::KvCallId;
-use hickorydoor::kv_call::KvCall;
-use hickorydoor::kv_call::KvFault;
-use hickorydoor::kv_call::KvOutcome;
+use hickorydoor::store::kv_call::KvCall;
+use hickorydoor::store::kv_call::KvFault;
+use hickorydoor::store::kv_call::KvOutcome;
 use rand::RngExt;
 
 use super::fleet::Fleet;
--- a/crates/hickorydoor/tests/support/upstreams.rs
+++ b/crates/hickorydoor/tests/support/upstreams.rs
@@ -3,11 +3,11 @@
 use bytes::Bytes;
 use hickorydoor::AgentEvent;
 use hickorydoor::DurationMs;
-use hickorydoor::agent_event::UpstreamFault;
+use hickorydoor::agent::event::UpstreamFault;
+use hickorydoor::billing::usage::Usage;
 use hickorydoor::id::AttemptId;
 use hickorydoor::message::Call;
 use hickorydoor::quantity::Tokens;
-use hickorydoor::usage::Usage;
 use rand::RngExt;
 
 use super::callers;
