Undo the three circles of imports between the reducers and their parts

`agent` and `agent/attempt`, `entry` and its `halt`, `rating` and `cascade`, and the settings, link plan, member table, placement and scores of an entry each imported one another: the state that a reducer holds stood in the file of the behaviour that needs the reducer. `AttemptState`, `RolloutLease` and `Ratings` stand in files of their own now, and the placement rule beside the placement. Code only moves.

--- a/crates/hickorydoor/examples/policy/fleet.rs
+++ b/crates/hickorydoor/examples/policy/fleet.rs
@@ -17,7 +17,7 @@
 use hickorydoor::configuration::model::Model;
 use hickorydoor::configuration::model::Version;
 use hickorydoor::configuration::model::VersionState;
-use hickorydoor::entry::placement::PlacementRule;
+use hickorydoor::entry::placement::rule::PlacementRule;
 use hickorydoor::host_record::HostRecord;
 use hickorydoor::host_record::HostRole;
 use hickorydoor::host_record::HostState;
--- a/crates/hickorydoor/src/agent/attempt.rs
+++ b/crates/hickorydoor/src/agent/attempt.rs
@@ -9,6 +9,9 @@
 use compact_str::CompactString;
 
 use crate::agent::Agent;
+use crate::agent::attempt_state::AttemptState;
+use crate::agent::attempt_state::Ending;
+use crate::agent::attempt_state::Piece;
 use crate::agent::claim::MAX_RESPONSE_BYTES;
 use crate::agent::claim::StoredResponse;
 use crate::agent::dispatch_fence::Seen;
@@ -16,7 +19,6 @@
 use crate::agent::event::UpstreamFault;
 use crate::agent::usage_store::UsageCopy;
 use crate::billing::usage::Usage;
-use crate::class::Class;
 use crate::id::AttemptId;
 use crate::id::CustomerId;
 use crate::id::HostId;
@@ -36,90 +38,6 @@
 /// Weight of the newest sample in the moving average of the first-token time.
 const FIRST_TOKEN_WEIGHT: f64 = 0.2;
 
-/// A piece of an answer that the entry has not credited.
-#[derive(Clone, Debug)]
-pub(crate) struct Piece {
-    /// Position of the first byte.
-    pub offset: ByteCount,
-    /// Tokens in it.
-    pub tokens: Tokens,
-    /// The bytes.
-    pub data: Bytes,
-}
-
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Ending {
-    /// The answer is complete.
-    Complete(Usage),
-    /// The attempt failed.
-    Failed(AttemptFault, Usage),
-}
-
-impl Ending {
-    /// The message that tells the entry.
-    pub(crate) fn message(self, attempt: &AttemptId, length: ByteCount) -> AgentMessage {
-        let attempt = attempt.clone();
-        match self {
-            Self::Complete(usage) => AgentMessage::Ended { attempt, length, usage },
-            Self::Failed(fault, usage) => AgentMessage::Failed { attempt, fault, usage },
-        }
-    }
-}
-
-/// An attempt at an agent.
-#[derive(Clone, Debug)]
-pub(crate) struct AttemptState {
-    /// The entry that sent it.
-    pub entry: HostId,
-    customer: CustomerId,
-    pub(crate) class: Class,
-    version: Option<VersionId>,
-    prompt_tokens: Tokens,
-    pub(crate) admitted_at_ms: TimeMs,
-    deadline_ms: TimeMs,
-    /// Status and content type, once the upstream began to answer.
-    pub started: Option<(u16, CompactString)>,
-    pub(crate) first_token_at_ms: Option<TimeMs>,
-    last_piece_at_ms: TimeMs,
-    /// Pieces that the entry has not credited.
-    pub pieces: VecDeque<Piece>,
-    /// Bytes sent to the entry.
-    pub sent: ByteCount,
-    /// Bytes that the caller has read.
-    pub credited: ByteCount,
-    tokens: Tokens,
-    /// How it ended.
-    pub ending: Option<Ending>,
-    /// The call, until it is passed on.
-    call: Option<Call>,
-    /// Body of the answer to a claimed call, as far as a claim can hold it.
-    claimed_body: Vec<u8>,
-    /// When the link was lost, until the entry resumes the attempt.
-    pub lost_at_ms: Option<TimeMs>,
-}
-
-impl AttemptState {
-    /// Shifts the resume window by a pause of this process.
-    pub(crate) fn exclude_pause(&mut self, gap_ms: DurationMs) {
-        self.lost_at_ms = self.lost_at_ms.map(|at| at + gap_ms);
-    }
-
-    /// Whether the upstream is done with the attempt.
-    pub(crate) const fn is_over(&self) -> bool {
-        self.ending.is_some()
-    }
-
-    /// Tokens of the answer so far, with those of the prompt once it began.
-    pub(crate) const fn usage_so_far(&self) -> Usage {
-        let prompt_tokens = match self.tokens.get() {
-            0 => Tokens::new(0),
-            _ => self.prompt_tokens,
-        };
-        Usage { prompt_tokens, answer_tokens: self.tokens }
-    }
-}
-
 impl Agent {
     /// Attempts that the agent admits at the same time.
     pub(crate) const fn admission_limit(&self) -> u32 {
--- a/crates/hickorydoor/src/agent/mod.rs
+++ b/crates/hickorydoor/src/agent/mod.rs
@@ -9,6 +9,7 @@
 mod admission;
 pub mod admission_limit;
 mod attempt;
+mod attempt_state;
 mod billing;
 pub mod claim;
 pub mod claim_table;
@@ -37,7 +38,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::agent::admission_limit::Admission;
-use crate::agent::attempt::AttemptState;
+use crate::agent::attempt_state::AttemptState;
 use crate::agent::claim_table::ClaimTable;
 use crate::agent::dispatch_fence::DispatchFence;
 use crate::agent::effect::AgentEffect;
--- a/crates/hickorydoor/src/agent/resume.rs
+++ b/crates/hickorydoor/src/agent/resume.rs
@@ -4,7 +4,7 @@
 //! lacks. An attempt whose entry stays away for the resume window is cancelled.
 
 use crate::agent::Agent;
-use crate::agent::attempt::Piece;
+use crate::agent::attempt_state::Piece;
 use crate::agent::dispatch_fence::Seen;
 use crate::agent::effect::AgentEffect;
 use crate::billing::usage::Usage;
--- a/crates/hickorydoor/src/entry/halt.rs
+++ b/crates/hickorydoor/src/entry/halt.rs
@@ -50,20 +50,6 @@
 /// Longest time that entries without the lease leave to its holder.
 const HALT_DELAY_MS: u64 = 5_000;
 
-/// Lease of an entry and its next steps.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct RolloutLease {
-    lease: Option<u64>,
-    next_claim_at_ms: Option<TimeMs>,
-    next_keep_alive_at_ms: TimeMs,
-    next_halt_at_ms: TimeMs,
-    /// The model whose lease is asked for.
-    claiming: Option<ModelId>,
-    /// The version whose halt is under way.
-    halting: Option<VersionId>,
-    halts: u64,
-}
-
 impl Entry {
     pub(crate) fn tick_rollout_lease(&mut self, now: TimeMs) {
         let models = self.compared_models();
--- a/crates/hickorydoor/src/entry/placement/mod.rs
+++ b/crates/hickorydoor/src/entry/placement/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod answer_lengths;
 pub mod prefix_memory;
+pub mod rule;
 pub mod upstream_score;
 
 use std::collections::HashMap;
@@ -20,6 +21,7 @@
 use crate::entry::placement::answer_lengths::AnswerLengths;
 use crate::entry::placement::prefix_memory::PrefixMemory;
 use crate::entry::placement::prefix_memory::home_weight;
+use crate::entry::placement::rule::PlacementRule;
 use crate::entry::placement::upstream_score::Distance;
 use crate::entry::placement::upstream_score::UpstreamScore;
 use crate::entry::placement::upstream_score::Work;
@@ -42,22 +44,6 @@
 /// Probability that the first and the second home of a prefix hold it.
 const AT_HOME: [f64; HOMES] = [0.7, 0.3];
 
-/// How an entry chooses among the upstreams that may run a request.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum PlacementRule {
-    /// The lowest expected time among likely cache holders and random upstreams.
-    #[default]
-    ExpectedTime,
-    /// The less loaded of two random upstreams.
-    TwoChoices,
-    /// The upstream with the fewest requests of this entry.
-    LeastRequests,
-    /// Each upstream in turn.
-    RoundRobin,
-    /// Any upstream.
-    Random,
-}
-
 /// What a request needs from an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Need<'a> {
--- a/crates/hickorydoor/src/entry/rating.rs
+++ b/crates/hickorydoor/src/entry/rating.rs
@@ -3,20 +3,16 @@
 //! Whether an answer is sampled is decided before the attempt is sent, so that the sample does not
 //! depend on the outcome. The caller has its whole answer before the rating service is asked.
 
-use std::collections::BTreeMap;
-use std::collections::HashMap;
-
 use bytes::Bytes;
 
-use crate::cascades::rating_sampler::RatingSampler;
 use crate::configuration::model::VersionState;
 use crate::entry::Entry;
 use crate::entry::caller_request::Ask;
 use crate::entry::cascade::cascade_of;
 use crate::entry::effect::EntryEffect;
 use crate::entry::event::RatingFault;
+use crate::entry::ratings::Sample;
 use crate::entry::request_state::RequestState;
-use crate::id::CascadeId;
 use crate::id::HostId;
 use crate::id::RequestId;
 use crate::id::Serial;
@@ -34,36 +30,6 @@
 /// Time between two reports of ratings to the agents.
 const VERDICT_INTERVAL_MS: DurationMs = DurationMs::from_secs(1);
 
-/// A sampled answer that waits for its rating.
-#[derive(Clone, Debug)]
-struct Sample {
-    agent: HostId,
-    version: VersionId,
-    /// The cascade whose dearest step answered.
-    reference: Option<CascadeId>,
-    until_ms: TimeMs,
-}
-
-/// Samples and verdicts of an entry.
-#[derive(Clone, Debug)]
-pub(crate) struct Ratings {
-    sampler: RatingSampler,
-    samples: HashMap<(Serial, u32), Sample>,
-    verdicts: BTreeMap<HostId, Vec<Verdict>>,
-    next_report_at_ms: TimeMs,
-}
-
-impl Ratings {
-    pub(crate) fn new(rate_per_s: f64, now: TimeMs) -> Self {
-        Self {
-            sampler: RatingSampler::new(rate_per_s, now),
-            samples: HashMap::new(),
-            verdicts: BTreeMap::new(),
-            next_report_at_ms: now,
-        }
-    }
-}
-
 impl Entry {
     /// Decides whether the answer of the next attempt is rated after its delivery.
     pub(crate) fn draws_sample(
--- a/crates/hickorydoor/src/entry/settings.rs
+++ b/crates/hickorydoor/src/entry/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of the entry reducer.
 
-use crate::entry::placement::PlacementRule;
+use crate::entry::placement::rule::PlacementRule;
 use crate::id::DataCentreId;
 use crate::id::HostId;
 use crate::id::Incarnation;
