Share the handling of links between the loops of entry and agent

`agent_loop` and `entry_loop` each told connections of one peer apart, turned reports of links into events, answered the operators' questions and set up their ticks. `LinkReport` and `LinkReporter` now carry the reports of both sides, `LinkTable::take` judges them, `Question::answer` answers and `reducer_loop` holds the ticks. The page of the crate names its parts in the order in which a request meets them.

No behaviour changes.

--- a/crates/hickoryd/src/agent_link.rs
+++ b/crates/hickoryd/src/agent_link.rs
@@ -16,7 +16,6 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio_rustls::TlsAcceptor;
@@ -29,7 +28,7 @@
 use crate::link::frames;
 use crate::link::read_message;
 use crate::link::write_messages;
-use crate::link_table::Generation;
+use crate::link_report::LinkReporter;
 use crate::tls::TlsWatch;
 use crate::tls::belongs_to;
 
@@ -100,47 +99,22 @@
         return Err(LinkFault::WrongHello);
     }
     let (queue, queue_reader) = LinkQueue::new();
-    let generation = open(&entry, queue, &inputs).await?;
-    let message = EntryMessage::Hello(hello);
-    forward(&entry, generation, message, &inputs).await?;
+    let reporter = LinkReporter::open(entry, queue, inputs).await?;
+    reporter.message(EntryMessage::Hello(hello)).await?;
     let result = tokio::select! {
-        result = read_loop(&entry, generation, &mut reader, &inputs) => result,
+        result = read_loop(&reporter, &mut reader) => result,
         result = write_messages::<AgentFrame, AgentMessage, _>(writer, queue_reader) => result,
     };
-    let lost = AgentInput::LinkLost { entry, generation };
-    inputs.send(lost).await.map_err(|_closed| LinkFault::Stopped)?;
+    reporter.lost().await?;
     result
 }
 
-async fn open(
-    entry: &HostId,
-    queue: LinkQueue<AgentMessage>,
-    inputs: &mpsc::Sender<AgentInput>,
-) -> Result<Generation, LinkFault> {
-    let (opened, generation) = oneshot::channel();
-    let input = AgentInput::LinkOpened { entry: entry.clone(), queue, opened };
-    inputs.send(input).await.map_err(|_closed| LinkFault::Stopped)?;
-    generation.await.map_err(|_closed| LinkFault::Stopped)
-}
-
 async fn read_loop<S: AsyncRead + AsyncWrite>(
-    entry: &HostId,
-    generation: Generation,
+    reporter: &LinkReporter<AgentInput>,
     reader: &mut FramedRead<ReadHalf<S>, LengthDelimitedCodec>,
-    inputs: &mpsc::Sender<AgentInput>,
 ) -> Result<(), LinkFault> {
     while let Some(message) = read_message::<EntryFrame, EntryMessage, _>(reader).await? {
-        forward(entry, generation, message, inputs).await?;
+        reporter.message(message).await?;
     }
     Ok(())
 }
-
-async fn forward(
-    entry: &HostId,
-    generation: Generation,
-    message: EntryMessage,
-    inputs: &mpsc::Sender<AgentInput>,
-) -> Result<(), LinkFault> {
-    let input = AgentInput::LinkMessage { entry: entry.clone(), generation, message };
-    inputs.send(input).await.map_err(|_closed| LinkFault::Stopped)
-}
--- a/crates/hickoryd/src/agent_loop.rs
+++ b/crates/hickoryd/src/agent_loop.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::time::Duration;
 
 use compact_str::CompactString;
 use hickorydoor::Agent;
@@ -17,8 +16,6 @@
 use hickorydoor::quantity::ByteCount;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
 
 use crate::agent_input::AgentInput;
 use crate::clock::Clock;
@@ -26,19 +23,13 @@
 use crate::http_client::HttpClient;
 use crate::journal::Journal;
 use crate::kv_port::KvPort;
+use crate::link_table::LinkChange;
 use crate::link_table::LinkTable;
-use crate::question::Question;
 use crate::read_allowance::ReadAllowance;
+use crate::reducer_loop;
 use crate::status::Status;
 use crate::upstream_call::UpstreamCall;
 
-/// The reducers want a tick at least every 100 ms.
-const TICK_INTERVAL: Duration = Duration::from_millis(50);
-/// Inputs that are taken from the channel at once.
-const MAX_BATCH: usize = 64;
-/// Size of messages that carry no bytes of an answer, for the queue limit.
-const SMALL_MESSAGE_BYTES: usize = 256;
-
 /// A call to the upstream that runs.
 #[derive(Debug)]
 pub struct RunningCall {
@@ -78,13 +69,12 @@
 impl AgentLoop {
     /// Runs until the reducer has stopped.
     pub async fn run(mut self, mut inputs: mpsc::Receiver<AgentInput>) {
-        let mut ticks = interval(TICK_INTERVAL);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut batch = Vec::with_capacity(MAX_BATCH);
+        let mut ticks = reducer_loop::ticks();
+        let mut batch = Vec::with_capacity(reducer_loop::MAX_BATCH);
         while !self.stopped {
             tokio::select! {
                 _ = ticks.tick() => self.apply(AgentEvent::Tick),
-                _ = inputs.recv_many(&mut batch, MAX_BATCH) => {
+                _ = inputs.recv_many(&mut batch, reducer_loop::MAX_BATCH) => {
                     for input in batch.drain(..) {
                         self.take(input);
                     }
@@ -102,24 +92,15 @@
                 self.forget_ended_call(&event);
                 self.apply(*event);
             }
-            AgentInput::LinkOpened { entry, queue, opened } => {
-                let generation = self.links.open(entry.clone(), queue);
-                // If the link's task is gone, its loss is noticed when the next message is sent.
-                let _ = opened.send(generation);
-                self.apply(AgentEvent::LinkUp { entry });
-            }
-            AgentInput::LinkMessage { entry, generation, message } => {
-                if self.links.is_current(&entry, generation) {
+            AgentInput::Link(report) => match self.links.take(report) {
+                Some(LinkChange::Up(entry)) => self.apply(AgentEvent::LinkUp { entry }),
+                Some(LinkChange::Message(entry, message)) => {
                     self.apply(AgentEvent::Message { entry, message });
                 }
-            }
-            AgentInput::LinkLost { entry, generation } => {
-                if self.links.is_current(&entry, generation) {
-                    self.links.close(&entry);
-                    self.apply(AgentEvent::LinkDown { entry });
-                }
-            }
-            AgentInput::Question(question) => self.answer(question),
+                Some(LinkChange::Down(entry)) => self.apply(AgentEvent::LinkDown { entry }),
+                None => {}
+            },
+            AgentInput::Question(question) => question.answer(&self.journal, || self.status()),
         }
     }
 
@@ -182,12 +163,11 @@
     }
 
     fn send(&mut self, entry: HostId, message: AgentMessage) {
-        let size_bytes = SMALL_MESSAGE_BYTES
-            + match &message {
-                AgentMessage::Chunk { data, .. } => data.len(),
-                _ => 0,
-            };
-        if !self.links.send(&entry, message, size_bytes) {
+        let carried_bytes = match &message {
+            AgentMessage::Chunk { data, .. } => data.len(),
+            _ => 0,
+        };
+        if !self.links.send(&entry, message, carried_bytes) {
             self.followups.push_back(AgentEvent::LinkDown { entry });
         }
     }
@@ -213,17 +193,6 @@
         self.calls.insert(attempt, RunningCall { allowance, task });
     }
 
-    fn answer(&self, question: Question) {
-        // Whoever asked may have gone; then nobody needs the answer.
-        match question {
-            Question::Status(answer) => drop(answer.send(self.status())),
-            Question::Timings(answer) => drop(answer.send(self.journal.timings())),
-            Question::Request { request, answer } => {
-                drop(answer.send(self.journal.request(&request)));
-            }
-        }
-    }
-
     fn status(&self) -> Status {
         Status {
             role: "agent",
--- a/crates/hickoryd/src/entry_input.rs
+++ b/crates/hickoryd/src/entry_input.rs
@@ -10,8 +10,7 @@
 use tokio::sync::oneshot;
 
 use crate::caller_answer::CallerAnswer;
-use crate::link::LinkQueue;
-use crate::link_table::Generation;
+use crate::link_report::LinkReport;
 use crate::question::Question;
 
 /// What reaches the task that owns an entry's reducer.
@@ -26,31 +25,8 @@
         /// Takes the head of the answer.
         answer: oneshot::Sender<CallerAnswer>,
     },
-    /// A connection to an agent is open.
-    LinkOpened {
-        /// The agent.
-        agent: HostId,
-        /// Where messages to the agent go.
-        queue: LinkQueue<EntryMessage>,
-        /// Takes the number of the connection.
-        opened: oneshot::Sender<Generation>,
-    },
-    /// An agent sent a message.
-    LinkMessage {
-        /// The agent.
-        agent: HostId,
-        /// The connection.
-        generation: Generation,
-        /// The message.
-        message: AgentMessage,
-    },
-    /// A connection ended.
-    LinkLost {
-        /// The agent.
-        agent: HostId,
-        /// The connection.
-        generation: Generation,
-    },
+    /// A report of the link of an agent.
+    Link(LinkReport<EntryMessage, AgentMessage>),
     /// A connection could not be opened.
     ConnectFailed {
         /// The agent.
@@ -60,6 +36,12 @@
     Question(Question),
 }
 
+impl From<LinkReport<EntryMessage, AgentMessage>> for EntryInput {
+    fn from(report: LinkReport<EntryMessage, AgentMessage>) -> Self {
+        Self::Link(report)
+    }
+}
+
 /// What the HTTP server reports about a caller that it serves. These notes are sent where nothing
 /// may wait; credit and the limit on open requests bound their number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/hickoryd/src/entry_link.rs
+++ b/crates/hickoryd/src/entry_link.rs
@@ -15,7 +15,6 @@
 use tokio::io::ReadHalf;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::time::timeout;
 use tokio_rustls::TlsConnector;
 use tokio_rustls::client::TlsStream;
@@ -28,7 +27,7 @@
 use crate::link::frames;
 use crate::link::read_message;
 use crate::link::write_messages;
-use crate::link_table::Generation;
+use crate::link_report::LinkReporter;
 use crate::tls::TlsIdentity;
 use crate::tls::server_name;
 
@@ -89,34 +88,21 @@
     let (reader, writer) = tokio::io::split(stream);
     let mut reader = frames(reader);
     let (queue, queue_reader) = LinkQueue::new();
-    let generation = open(agent, queue, &inputs).await?;
+    let reporter = LinkReporter::open(agent.clone(), queue, inputs).await?;
     let result = tokio::select! {
-        result = read_loop(agent, generation, &mut reader, &inputs) => result,
+        result = read_loop(agent, &reporter, &mut reader) => result,
         result = write_messages::<EntryFrame, EntryMessage, _>(writer, queue_reader) => result,
     };
-    let lost = EntryInput::LinkLost { agent: agent.clone(), generation };
-    inputs.send(lost).await.map_err(|_closed| LinkFault::Stopped)?;
+    reporter.lost().await?;
     result
 }
 
-async fn open(
-    agent: &HostId,
-    queue: LinkQueue<EntryMessage>,
-    inputs: &mpsc::Sender<EntryInput>,
-) -> Result<Generation, LinkFault> {
-    let (opened, generation) = oneshot::channel();
-    let input = EntryInput::LinkOpened { agent: agent.clone(), queue, opened };
-    inputs.send(input).await.map_err(|_closed| LinkFault::Stopped)?;
-    generation.await.map_err(|_closed| LinkFault::Stopped)
-}
-
 /// Forwards messages. The first must be the hello of the agent that the host list names, so that
 /// a stale address never leads to another agent.
 async fn read_loop<S: AsyncRead + AsyncWrite>(
     agent: &HostId,
-    generation: Generation,
+    reporter: &LinkReporter<EntryInput>,
     reader: &mut FramedRead<ReadHalf<S>, LengthDelimitedCodec>,
-    inputs: &mpsc::Sender<EntryInput>,
 ) -> Result<(), LinkFault> {
     let mut greeted = false;
     while let Some(message) = read_message::<AgentFrame, AgentMessage, _>(reader).await? {
@@ -127,8 +113,7 @@
             }
             greeted = true;
         }
-        let input = EntryInput::LinkMessage { agent: agent.clone(), generation, message };
-        inputs.send(input).await.map_err(|_closed| LinkFault::Stopped)?;
+        reporter.message(message).await?;
     }
     Ok(())
 }
--- a/crates/hickoryd/src/entry_loop.rs
+++ b/crates/hickoryd/src/entry_loop.rs
@@ -2,7 +2,6 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::time::Duration;
 
 use compact_str::CompactString;
 use hickorydoor::Configuration;
@@ -16,8 +15,6 @@
 use hickorydoor::observation::Observation;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
 
 use crate::caller_table::CallerLost;
 use crate::caller_table::CallerTable;
@@ -28,21 +25,15 @@
 use crate::http_client::HttpClient;
 use crate::journal::Journal;
 use crate::kv_port::KvPort;
+use crate::link_table::LinkChange;
 use crate::link_table::LinkTable;
 use crate::platform::RatingRequest;
 use crate::platform::rate;
-use crate::question::Question;
+use crate::reducer_loop;
 use crate::status::PeerStatus;
 use crate::status::Status;
 use crate::tls::TlsWatch;
 
-/// The reducers want a tick at least every 100 ms.
-const TICK_INTERVAL: Duration = Duration::from_millis(50);
-/// Inputs that are taken from a channel at once.
-const MAX_BATCH: usize = 64;
-/// Size of messages that carry no request body, for the queue limit.
-const SMALL_MESSAGE_BYTES: usize = 256;
-
 /// The task that owns an entry's reducer.
 #[derive(Debug)]
 pub struct EntryLoop {
@@ -83,19 +74,18 @@
         mut inputs: mpsc::Receiver<EntryInput>,
         mut notes: mpsc::UnboundedReceiver<CallerNote>,
     ) {
-        let mut ticks = interval(TICK_INTERVAL);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut batch = Vec::with_capacity(MAX_BATCH);
-        let mut note_batch = Vec::with_capacity(MAX_BATCH);
+        let mut ticks = reducer_loop::ticks();
+        let mut batch = Vec::with_capacity(reducer_loop::MAX_BATCH);
+        let mut note_batch = Vec::with_capacity(reducer_loop::MAX_BATCH);
         while !self.stopped {
             tokio::select! {
                 _ = ticks.tick() => self.apply(EntryEvent::Tick),
-                _ = notes.recv_many(&mut note_batch, MAX_BATCH), if !notes.is_closed() => {
+                _ = notes.recv_many(&mut note_batch, reducer_loop::MAX_BATCH), if !notes.is_closed() => {
                     for note in note_batch.drain(..) {
                         self.take_note(note);
                     }
                 }
-                _ = inputs.recv_many(&mut batch, MAX_BATCH) => {
+                _ = inputs.recv_many(&mut batch, reducer_loop::MAX_BATCH) => {
                     for input in batch.drain(..) {
                         self.take(input);
                     }
@@ -126,25 +116,16 @@
                     self.apply(EntryEvent::Request(request));
                 }
             }
-            EntryInput::LinkOpened { agent, queue, opened } => {
-                let generation = self.links.open(agent.clone(), queue);
-                // If the link's task is gone, its loss is noticed when the next message is sent.
-                let _ = opened.send(generation);
-                self.apply(EntryEvent::LinkUp { agent });
-            }
-            EntryInput::LinkMessage { agent, generation, message } => {
-                if self.links.is_current(&agent, generation) {
+            EntryInput::Link(report) => match self.links.take(report) {
+                Some(LinkChange::Up(agent)) => self.apply(EntryEvent::LinkUp { agent }),
+                Some(LinkChange::Message(agent, message)) => {
                     self.apply(EntryEvent::Message { agent, message });
                 }
-            }
-            EntryInput::LinkLost { agent, generation } => {
-                if self.links.is_current(&agent, generation) {
-                    self.links.close(&agent);
-                    self.apply(EntryEvent::LinkDown { agent });
-                }
-            }
+                Some(LinkChange::Down(agent)) => self.apply(EntryEvent::LinkDown { agent }),
+                None => {}
+            },
             EntryInput::ConnectFailed { agent } => self.apply(EntryEvent::LinkDown { agent }),
-            EntryInput::Question(question) => self.answer(question),
+            EntryInput::Question(question) => question.answer(&self.journal, || self.status()),
         }
     }
 
@@ -206,12 +187,11 @@
     }
 
     fn send(&mut self, agent: HostId, message: EntryMessage) {
-        let size_bytes = SMALL_MESSAGE_BYTES
-            + match &message {
-                EntryMessage::Dispatch(dispatch) => body_bytes(&dispatch.call),
-                _ => 0,
-            };
-        if !self.links.send(&agent, message, size_bytes) {
+        let carried_bytes = match &message {
+            EntryMessage::Dispatch(dispatch) => body_bytes(&dispatch.call),
+            _ => 0,
+        };
+        if !self.links.send(&agent, message, carried_bytes) {
             self.followups.push_back(EntryEvent::LinkDown { agent });
         }
     }
@@ -224,17 +204,6 @@
         self.journal.record(observation, self.clock.now());
     }
 
-    fn answer(&self, question: Question) {
-        // Whoever asked may have gone; then nobody needs the answer.
-        match question {
-            Question::Status(answer) => drop(answer.send(self.status())),
-            Question::Timings(answer) => drop(answer.send(self.journal.timings())),
-            Question::Request { request, answer } => {
-                drop(answer.send(self.journal.request(&request)));
-            }
-        }
-    }
-
     fn status(&self) -> Status {
         let members: Vec<PeerStatus> = self
             .reducer
--- a/crates/hickoryd/src/question.rs
+++ b/crates/hickoryd/src/question.rs
@@ -3,6 +3,7 @@
 use hickorydoor::id::RequestId;
 use tokio::sync::oneshot;
 
+use crate::journal::Journal;
 use crate::request_log::RequestNote;
 use crate::status::Status;
 use crate::timings::TimingSummary;
@@ -22,3 +23,15 @@
         answer: oneshot::Sender<Vec<RequestNote>>,
     },
 }
+
+impl Question {
+    /// Answers from the journal and the state of the process.
+    pub fn answer(self, journal: &Journal, status: impl FnOnce() -> Status) {
+        // Whoever asked may have gone; then nobody needs the answer.
+        match self {
+            Self::Status(answer) => drop(answer.send(status())),
+            Self::Timings(answer) => drop(answer.send(journal.timings())),
+            Self::Request { request, answer } => drop(answer.send(journal.request(&request))),
+        }
+    }
+}
--- a/crates/hickorydoor/src/lib.rs
+++ b/crates/hickorydoor/src/lib.rs
@@ -1,6 +1,6 @@
 //! Decision logic of hickorydoor, a model-aware router for versions and cascades.
 //!
-//! The crate holds two reducers without sockets, clocks, threads or global randomness. A reducer
+//! The crate holds reducers without sockets, clocks, threads or global randomness. A reducer
 //! takes one event and the time, changes its state and returns the effects to carry out:
 //!
 //! ```
@@ -28,7 +28,22 @@
 //! [`Entry`] accepts callers' requests and places them; [`Agent`] stands beside one upstream and
 //! gates it. They exchange [`EntryMessage`] and [`AgentMessage`], whose encoded form is in
 //! [`wire`]. Operators' configuration is written as [`RawConfiguration`] and checked into a
-//! [`Configuration`].
+//! [`Configuration`]. [`gateway`] is the third reducer: it does both jobs in one process where
+//! the upstreams register themselves and take calls directly.
+//!
+//! The parts, in the order in which a request meets them:
+//!
+//! | Part | What it holds |
+//! |---|---|
+//! | [`configuration`] | who may call what, with the checks and the operators' changes |
+//! | [`entry`] | arrival, limits, queueing, placement, sessions, cascades, the answer |
+//! | [`agent`] | admission, at-most-once claims, the run at the upstream, resuming |
+//! | [`gateway`] | the way of a request in one process, with its own overview |
+//! | [`cascades`], [`rollouts`] | what is learned of cheaper models and of new versions |
+//! | [`billing`] | what requests used, and the ledger that stores it once |
+//! | [`store`], [`wire`], [`message`] | calls to the key-value service, messages between processes |
+//!
+//! The files beside the folders are words that all parts share: ids, times, quantities, refusals.
 
 pub mod agent;
 pub mod backoff;
