Let a pause within a longer one end with the longer one in the tests' fleet

Cause: a second, shorter pause of a paused process moved the end of its pause forward in time.

Overlapping pauses now last until the latest end. Before: the new regression test fails. After: it passes.

--- a/crates/hickorydoor/tests/regression_missing_pieces.rs
+++ b/crates/hickorydoor/tests/regression_missing_pieces.rs
@@ -1,7 +1,8 @@
 //! Pieces of an answer were missing at its caller.
 //!
 //! Two pauses of an agent overlapped, and the fleet delivered what had arrived in the second one
-//! before what had arrived in the first. A connection keeps its order over pauses.
+//! before what had arrived in the first, or let the agent go on while what had arrived in the
+//! longer one still waited. A connection keeps its order over pauses.
 
 mod support;
 
@@ -26,3 +27,19 @@
     fleet.run_for(60_000);
     fleet.callers.check();
 }
+
+#[test]
+fn answer_has_all_pieces_after_a_pause_within_a_longer_one() {
+    let faults = [
+        (32_161, Fault::PauseAgent { agent: 18, ms: 48_000 }),
+        (3_901, Fault::CutLink { entry: 20, agent: 213, late: false }),
+        (25_501, Fault::CrashEntry { entry: 8, down_ms: 1_780 }),
+        (1_501, Fault::CutLink { entry: 2, agent: 50, late: false }),
+        (32_341, Fault::PauseAgent { agent: 30, ms: 1_700 }),
+    ];
+    let mut fleet = Fleet::new(Setup::default(), 909_235_562_047_635_721);
+    fleet.run_for(3_000);
+    fleet.load(40_000, 60, &faults);
+    fleet.run_for(90_000);
+    fleet.callers.check();
+}
--- a/crates/hickorydoor/tests/support/faults.rs
+++ b/crates/hickorydoor/tests/support/faults.rs
@@ -25,10 +25,12 @@
                 self.push(down_ms, Happening::Start(Node::Agent(agent % agents)));
             }
             Fault::PauseEntry { entry, ms } => {
-                self.entries[entry % entries].paused_until = self.now_ms + ms;
+                let until = &mut self.entries[entry % entries].paused_until;
+                *until = (*until).max(self.now_ms + ms);
             }
             Fault::PauseAgent { agent, ms } => {
-                self.agents[agent % agents].paused_until = self.now_ms + ms;
+                let until = &mut self.agents[agent % agents].paused_until;
+                *until = (*until).max(self.now_ms + ms);
             }
             Fault::KvOutage { ms } => {
                 self.kv_down_until = self.kv_down_until.max(self.now_ms + ms);
