Reach the store through another gateway where it refuses a host

Cause: the store may refuse some hosts while it serves the others. Such a host refused all callers once its configuration was too old, and they had to find another host: late answers.

A failed call now sends the next one through another gateway, which passes it on and returns the store's own answer. The host serves what arrives, with the newest keys, and is not ready for new connections.

Ruled out: proofs in the reports between gateways (see docs/platform.md).

--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// Whether the last call to the store was answered.
+    pub fn hears_store(&self) -> bool {
+        self.gateway.borrow().hears_store()
+    }
+
     /// Whether new connections are welcome.
     pub fn is_ready(&self) -> bool {
         self.gateway.borrow().is_ready(self.now())
@@ -156,7 +161,7 @@
     }
 
     /// Addresses of the other gateways.
-    pub(super) fn peer_addresses(&self) -> Vec<std::net::IpAddr> {
+    pub fn peer_addresses(&self) -> Vec<std::net::IpAddr> {
         self.gateways.borrow().clone()
     }
 
--- a/crates/hickorydoor/src/gateway/event.rs
+++ b/crates/hickorydoor/src/gateway/event.rs
@@ -3,6 +3,7 @@
 use crate::gateway::call::Call;
 use crate::gateway::call::CallId;
 use crate::gateway::catalog::Catalog;
+use crate::gateway::freshness::StoreWay;
 use crate::gateway::peer_digest::PeerDigest;
 use crate::gateway::rollout::RolloutOrder;
 use crate::gateway::rollout::RolloutRecord;
@@ -84,6 +85,8 @@
     StoreProven {
         /// The time.
         proven_at: TimeMs,
+        /// How the answer has come.
+        way: StoreWay,
     },
     /// The store did not answer.
     StoreLost,
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -116,7 +116,9 @@
             }
             GatewayEvent::DataCentreIn(id) => self.on_data_centre_in(&id, now),
             GatewayEvent::Gateways(gateways) => self.on_gateways(gateways),
-            GatewayEvent::StoreProven { proven_at } => self.freshness.prove(proven_at, now),
+            GatewayEvent::StoreProven { proven_at, way } => {
+                self.freshness.prove(proven_at, way, now);
+            }
             GatewayEvent::StoreLost => self.freshness.lose(now),
             GatewayEvent::Digest(digest) => self.on_digest(*digest, now),
             GatewayEvent::Arrived { call, request } => {
@@ -140,12 +142,13 @@
         effects
     }
 
-    /// Whether the gateway can serve new connections.
+    /// Whether new connections are welcome. A gateway that reaches the store only through another
+    /// one serves what arrives, and leaves new connections to those that need no help.
     pub fn is_ready(&self, now: TimeMs) -> bool {
         self.refuse_from.is_none()
             && self.catalog.is_some()
             && self.pool.iter().next().is_some()
-            && self.freshness.is_within(self.settings.max_configuration_age_ms, now)
+            && self.freshness.is_own_within(self.settings.max_configuration_age_ms, now)
     }
 
     /// The configuration in force.
@@ -199,6 +202,11 @@
         &self.gateways
     }
 
+    /// Whether the last call to the store was answered.
+    pub const fn hears_store(&self) -> bool {
+        !self.freshness.is_lost()
+    }
+
     fn is_unsettled(&self, now: TimeMs) -> bool {
         self.freshness.is_unsettled(self.settings.return_grace_ms, now)
     }
--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -19,6 +19,7 @@
 use hickorydoor::gateway::catalog::ServiceSpec;
 use hickorydoor::gateway::effect::Dispatch;
 use hickorydoor::gateway::event::AttemptOutcome;
+use hickorydoor::gateway::freshness::StoreWay;
 use hickorydoor::gateway::placement::PlacementCosts;
 use hickorydoor::gateway::refusal::CallRefusal;
 use hickorydoor::gateway::repeat_budget::RepeatBound;
@@ -205,7 +206,7 @@
     }
 
     pub fn prove(&mut self) {
-        self.apply(GatewayEvent::StoreProven { proven_at: self.now });
+        self.apply(GatewayEvent::StoreProven { proven_at: self.now, way: StoreWay::Direct });
     }
 
     pub fn register(&mut self, registration: Registration) {
