Bound the calls at an upstream by the connections that it accepts

Cause: the configuration states how many connections an upstream accepts from all gateways; the figure was decoded and not used.

The new test sends 400 calls at an upstream that accepts 370 and fails without the change. Other fields that nothing used go: the time that a service's upstreams stay cold (registrations state it), the time for a caller's head (the idle time bounds it), and the upstream's own deadline, which was always what is left of the request.

--- a/crates/hickoryd/src/gateway/upstream_request.rs
+++ b/crates/hickoryd/src/gateway/upstream_request.rs
@@ -99,7 +99,7 @@
             }
             Err(error) => debug!(header:% = name, reason:% = error; "header left out"),
         };
-        set(&names.deadline_ms, dispatch.upstream_deadline_ms.get().to_string());
+        set(&names.deadline_ms, dispatch.remaining_ms.get().to_string());
         set(&names.expected_upstream, dispatch.upstream.to_string());
         if let Some(customer) = &dispatch.customer {
             set(&names.customer, customer.to_string());
--- a/crates/hickorydoor/src/gateway/catalog.rs
+++ b/crates/hickorydoor/src/gateway/catalog.rs
@@ -41,8 +41,6 @@
     pub max_connections: u32,
     /// Requests a second that a cold upstream bears; 0 means that its upstreams are never cold.
     pub cold_per_s: f64,
-    /// How long an upstream is cold after its start.
-    pub cold_ms: DurationMs,
     /// Tokens that the memory of one engine holds; 0 for plain services.
     pub memory_tokens: u64,
     /// Time to move a token of a kept prompt to another engine, in ms; 0 if that cannot be done.
@@ -58,8 +56,6 @@
     pub head_bytes: ByteCount,
     /// Longest request body.
     pub body_bytes: ByteCount,
-    /// Time for a whole request head.
-    pub head_timeout_ms: DurationMs,
     /// Time that a connection may stay idle.
     pub idle_timeout_ms: DurationMs,
 }
@@ -69,7 +65,6 @@
         Self {
             head_bytes: ByteCount::new(16 << 10),
             body_bytes: ByteCount::new(4 << 20),
-            head_timeout_ms: DurationMs::new(3_000),
             idle_timeout_ms: DurationMs::new(15_000),
         }
     }
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -118,7 +118,6 @@
             fetch_from: choice.fetch_from,
             priority: active.priority(),
             remaining_ms,
-            upstream_deadline_ms: remaining_ms,
             connect_timeout_ms: CONNECT_TIMEOUT_MS.min(remaining_ms),
             pause_timeout_ms: pause_ms,
             min_confidence,
@@ -145,7 +144,11 @@
         let may_try_small = self.may_try_small(id, now);
         let active = self.calls.get(&id)?;
         let wanted = self.wanted_version(active, now);
-        let usable = |upstream: &&Upstream| self.is_usable(active, upstream, now);
+        let spec = self.catalog.as_ref().and_then(|catalog| catalog.service(&service));
+        let max_connections = spec.map_or(u32::MAX, |spec| spec.max_connections);
+        let usable = |upstream: &&Upstream| {
+            upstream.total_in_flight() < max_connections && self.is_usable(active, upstream, now)
+        };
         let matches = |upstream: &&Upstream| {
             wanted.as_ref().is_none_or(|version| version.matches(&upstream.registration.version))
         };
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -31,8 +31,6 @@
     pub priority: u8,
     /// Time left for the request.
     pub remaining_ms: DurationMs,
-    /// Time that the upstream has at most.
-    pub upstream_deadline_ms: DurationMs,
     /// Time for the connection.
     pub connect_timeout_ms: DurationMs,
     /// Time between events of a stream.
--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -36,6 +36,8 @@
 pub const KEY: &str = "key-1";
 pub const ENGINES: &str = "engines";
 pub const PLAIN: &str = "registry";
+/// Connections that an upstream accepts.
+pub const MAX_CONNECTIONS: u32 = 370;
 
 /// Settings with the bounds of a small deployment.
 pub fn settings(host: &str) -> GatewaySettings {
@@ -95,9 +97,8 @@
         .map(|(model, cost)| OfferedModel { model: model.parse().unwrap(), cost: *cost });
     let service = |name: &str, cold_per_s, models| ServiceSpec {
         name: name.parse().unwrap(),
-        max_connections: 370,
+        max_connections: MAX_CONNECTIONS,
         cold_per_s,
-        cold_ms: DurationMs::new(3_000),
         memory_tokens: 488_442,
         transfer_ms_per_token: 0.0,
         models,
--- a/crates/hickorydoor/tests/gateway_calls.rs
+++ b/crates/hickorydoor/tests/gateway_calls.rs
@@ -4,17 +4,25 @@
 
 use hickorydoor::DurationMs;
 use hickorydoor::gateway::GatewayEvent;
+use hickorydoor::gateway::catalog::Account;
+use hickorydoor::gateway::catalog::Catalog;
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::event::Break;
 use hickorydoor::gateway::event::NotRun;
 use hickorydoor::gateway::refusal::RefusalReason;
+use hickorydoor::gateway::route::CallKind;
 
+use crate::gateway::KEY;
+use crate::gateway::MAX_CONNECTIONS;
+use crate::gateway::PLAIN;
 use crate::gateway::Rig;
 use crate::gateway::call;
 use crate::gateway::catalog;
 use crate::gateway::dispatch;
 use crate::gateway::is_delivered;
 use crate::gateway::refusal;
+use crate::gateway::registration;
+use crate::gateway::route;
 
 #[test]
 fn non_idempotent_call_that_may_have_run_is_not_sent_again() {
@@ -142,6 +150,53 @@
     assert!(dispatch(&effects).is_some(), "what waits is sent once the data centre is back");
 }
 
+/// Guards against a request that leaves the regions of its route.
+#[test]
+fn route_with_regions_uses_only_upstreams_in_them() {
+    let mut rig = Rig::new("gw-1");
+    let mut route = route("/look/", CallKind::Idempotent, PLAIN);
+    route.regions = vec!["norte".parse().unwrap()];
+    let mut catalog = catalog(2, &[KEY]);
+    catalog = Catalog::new(
+        2,
+        catalog.limits(),
+        vec![route],
+        vec![catalog.service(&PLAIN.parse().unwrap()).unwrap().clone()],
+        vec![Account {
+            customer: "customer-1".parse().unwrap(),
+            keys: vec![KEY.into()],
+            priority: None,
+        }],
+    );
+    rig.apply(GatewayEvent::Configured(Box::new(catalog)));
+    for (id, region) in [("p-south", Some("sur")), ("p-none", None)] {
+        let mut elsewhere = registration(id, PLAIN);
+        elsewhere.region = region.map(|region| region.parse().unwrap());
+        rig.register(elsewhere);
+    }
+    let (_, effects) = rig.send(call("/look/1", "a"));
+    assert!(dispatch(&effects).is_none());
+    let mut home = registration("p-north", PLAIN);
+    home.region = Some("norte".parse().unwrap());
+    let effects = rig.apply(GatewayEvent::Registered(Box::new(home)));
+    assert_eq!(dispatch(&effects).unwrap().upstream.as_str(), "p-north");
+}
+
+/// Guards against connections that an upstream resets.
+#[test]
+fn upstream_gets_no_more_calls_than_it_accepts_connections() {
+    let mut rig = Rig::new("gw-1");
+    let mut upstream = registration("p-0", PLAIN);
+    upstream.slots = 1_000;
+    rig.register(upstream);
+    let mut sent = 0;
+    for number in 0..400 {
+        let (_, effects) = rig.send(call("/look/1", &format!("a-{number}")));
+        sent += u32::from(dispatch(&effects).is_some());
+    }
+    assert_eq!(sent, MAX_CONNECTIONS);
+}
+
 #[test]
 fn stream_goes_on_elsewhere_after_its_last_event() {
     let mut rig = Rig::with_upstreams("gw-1", 3, 0);
@@ -162,5 +217,5 @@
     rig.now = rig.now + DurationMs::new(4_000);
     rig.prove();
     let effects = rig.end(id, AttemptOutcome::Unknown(Break::Closed));
-    assert_eq!(dispatch(&effects).unwrap().upstream_deadline_ms, DurationMs::new(11_000));
+    assert_eq!(dispatch(&effects).unwrap().remaining_ms, DurationMs::new(11_000));
 }
