Keep an entry ready while one of its agents restarts

Cause: an entry is ready once it has tried every planned link, and a lost link without a new hello counted as never tried. When agent 0 restarted, both entries that served said "not ready" until they were linked again; the load balancer's last resort was an entry that had just started and knew no agent. The trace shows all three entries not ready at the request's arrival.

Ruled out: the queue's wait (the refusal is made on arrival) and the drain of agent 0 (the request never had an upstream).

A link whose agent has said hello in any incarnation counts as tried. Before: regression_unready_after_lost_link fails 20 ms after the restart. After: it passes.

--- a/crates/hickorydoor/src/entry/mod.rs
+++ b/crates/hickorydoor/src/entry/mod.rs
@@ -236,7 +236,8 @@
     /// Whether the entry can serve callers: it knows the configuration, has tried every planned
     /// link and is not shutting down.
     pub fn is_ready(&self) -> bool {
-        let tried = |member: &Member| member.hello.is_some() || member.failed_connects > 0;
+        let greeted = |member: &Member| member.incarnation > Incarnation::default();
+        let tried = |member: &Member| greeted(member) || member.failed_connects > 0;
         let planned = self.members.iter().filter(|(agent, _)| self.links.contains(agent));
         let known = self.revision() > Revision::default() && !self.links.is_empty();
         known && !self.draining && planned.into_iter().all(|(_, member)| tried(member))
