Let the stand-ins share the server behind them

Six stand-ins repeated the address, the URL and the switch of their server. They now hand out the server. Only test doubles and their callers change.

--- a/crates/hickory-kv/tests/calls.rs
+++ b/crates/hickory-kv/tests/calls.rs
@@ -16,7 +16,7 @@
 use hickorydoor::time::DurationMs;
 
 fn client(kv: &Kv) -> Client {
-    Client::new(ClientSettings::new([kv.url()]).expect("the URL is valid"))
+    Client::new(ClientSettings::new([kv.server().url()]).expect("the URL is valid"))
 }
 
 fn put(key: &str, value: &'static [u8], lease: Option<u64>) -> KvOperation {
@@ -134,10 +134,10 @@
     assert_eq!(kv.get("/a"), Some(Bytes::from_static(b"one")));
     kv.refuse_calls(1);
     assert_eq!(client.call(create("/b", b"one")).await, KvOutcome::Fault(KvFault::Rejected));
-    kv.set_down(true).await.expect("the port closes");
+    kv.server().set_down(true).await.expect("the port closes");
     assert_eq!(client.call(create("/b", b"one")).await, KvOutcome::Fault(KvFault::NotSent));
     assert_eq!(kv.get("/b"), None);
-    kv.set_down(false).await.expect("the port opens");
+    kv.server().set_down(false).await.expect("the port opens");
     assert!(transaction(client.call(create("/b", b"one")).await).0);
 }
 
@@ -145,7 +145,7 @@
 #[tokio::test]
 async fn late_and_large_answers_are_given_up() {
     let kv = Kv::start().await.expect("a port is free");
-    let mut settings = ClientSettings::new([kv.url()]).expect("the URL is valid");
+    let mut settings = ClientSettings::new([kv.server().url()]).expect("the URL is valid");
     settings.call_timeout_ms = DurationMs::new(50);
     settings.response_limit_bytes = 512;
     let client = Client::new(settings);
@@ -164,8 +164,9 @@
 async fn the_next_endpoint_takes_over() {
     let down = Kv::start().await.expect("a port is free");
     let up = Kv::start().await.expect("a port is free");
-    down.set_down(true).await.expect("the port closes");
-    let settings = ClientSettings::new([down.url(), up.url()]).expect("the URLs are valid");
+    down.server().set_down(true).await.expect("the port closes");
+    let settings =
+        ClientSettings::new([down.server().url(), up.server().url()]).expect("the URLs are valid");
     let client = Client::new(settings);
     assert!(transaction(client.call(create("/a", b"one")).await).0);
     assert!(up.get("/a").is_some());
--- a/crates/hickory-kv/tests/watches.rs
+++ b/crates/hickory-kv/tests/watches.rs
@@ -10,7 +10,7 @@
 use hickorydoor::store::kv_call::KvOutcome;
 
 fn client(kv: &Kv) -> Client {
-    Client::new(ClientSettings::new([kv.url()]).expect("the URL is valid"))
+    Client::new(ClientSettings::new([kv.server().url()]).expect("the URL is valid"))
 }
 
 async fn run(client: &Client, operation: KvOperation) {
@@ -60,7 +60,7 @@
     put(&client, "/w/1", b"a").await;
     assert_eq!(watch.next().await, lost);
     let mut watch = client.watch("/w/", 0).await;
-    kv.set_down(true).await.expect("the port closes");
+    kv.server().set_down(true).await.expect("the port closes");
     assert_eq!(watch.next().await, lost);
     assert_eq!(client.watch("/w/", 0).await.next().await, lost);
 }
--- a/crates/hickory-standins/src/kv.rs
+++ b/crates/hickory-standins/src/kv.rs
@@ -95,22 +95,9 @@
         Ok(Self { server, shared, expiry })
     }
 
-    /// The address that it serves on.
-    pub const fn address(&self) -> SocketAddr {
-        self.server.address()
-    }
-
-    /// The endpoint as a URL.
-    pub fn url(&self) -> String {
-        format!("http://{}", self.address())
-    }
-
-    /// Refuses connections and closes the open ones, or serves again with the same data.
-    ///
-    /// # Errors
-    /// Fails if the port cannot be opened again.
-    pub async fn set_down(&self, down: bool) -> io::Result<()> {
-        self.server.set_down(down).await
+    /// The server behind it.
+    pub const fn server(&self) -> &Server {
+        &self.server
     }
 
     /// Sets the pause before each answer. The call takes effect before the pause.
--- a/crates/hickory-standins/src/lib.rs
+++ b/crates/hickory-standins/src/lib.rs
@@ -11,7 +11,7 @@
 //! # async fn main() -> std::io::Result<()> {
 //! let engine = Engine::start(EngineSettings::new(["brine-small-1"])).await?;
 //! engine.update(|settings| settings.error_rate = 0.1);
-//! engine.set_down(true).await?;
+//! engine.server().set_down(true).await?;
 //! assert_eq!(engine.counts().completions, 0);
 //! # Ok(())
 //! # }
@@ -43,6 +43,7 @@
 pub use kv_faults::KvCounts;
 pub use rating::Rating;
 pub use rating::RatingCall;
+pub use server::Server;
 pub use service::Service;
 pub use service::ServiceCall;
 pub use weight_store::WeightStore;
--- a/crates/hickory-standins/src/main.rs
+++ b/crates/hickory-standins/src/main.rs
@@ -97,31 +97,31 @@
     match matches.free.first().map(String::as_str) {
         Some("kv") => {
             let kv = Kv::start_at(address).await?;
-            wait(kv.address()).await
+            wait(kv.server().address()).await
         }
         Some("engine") => {
             let engine = Engine::start_at(engine_settings(matches)?, address).await?;
-            wait(engine.address()).await
+            wait(engine.server().address()).await
         }
         Some("service") => {
             let service = Service::start_at(address).await?;
-            wait(service.address()).await
+            wait(service.server().address()).await
         }
         Some("rating") => {
             let rating = Rating::start_at(number(matches, "score", 1.0)?, address).await?;
-            wait(rating.address()).await
+            wait(rating.server().address()).await
         }
         Some("host-list") => {
             let list = HostList::start_at(address).await?;
             list.set_hosts(hosts(matches)?);
-            wait(list.address()).await
+            wait(list.server().address()).await
         }
         Some("weight-store") => {
             let rate = number(matches, "bytes-per-s", 100_000_000)?;
             let store = WeightStore::start_at(rate, address).await?;
             let size_bytes = number(matches, "size-bytes", 1_000_000)?;
             matches.opt_strs("version").iter().for_each(|version| store.add(version, size_bytes));
-            wait(store.address()).await
+            wait(store.server().address()).await
         }
         _ => Err(StartError::Kind),
     }
--- a/crates/hickory-standins/src/rating.rs
+++ b/crates/hickory-standins/src/rating.rs
@@ -74,14 +74,9 @@
         Ok(Self { server: Server::start_at(router, address).await?, state })
     }
 
-    /// The address that it serves on.
-    pub const fn address(&self) -> SocketAddr {
-        self.server.address()
-    }
-
-    /// The base URL.
-    pub fn url(&self) -> String {
-        format!("http://{}", self.address())
+    /// The server behind it.
+    pub const fn server(&self) -> &Server {
+        &self.server
     }
 
     /// Sets the score of the answers of every version without a score of its own.
@@ -104,14 +99,6 @@
         lock(&self.state).outage = outage;
     }
 
-    /// Refuses connections and closes the open ones, or serves again.
-    ///
-    /// # Errors
-    /// Fails if the port cannot be opened again.
-    pub async fn set_down(&self, down: bool) -> io::Result<()> {
-        self.server.set_down(down).await
-    }
-
     /// Calls that were answered, in order.
     pub fn calls(&self) -> Vec<RatingCall> {
         lock(&self.state).calls.clone()
--- a/crates/hickory-standins/src/server.rs
+++ b/crates/hickory-standins/src/server.rs
@@ -44,6 +44,9 @@
 
 impl Server {
     /// Serves on this address.
+    ///
+    /// # Errors
+    /// Fails if the port cannot be opened.
     pub async fn start_at(router: Router, address: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
@@ -51,11 +54,20 @@
         Ok(Self { address, router, running })
     }
 
+    /// The address that it serves on.
     pub const fn address(&self) -> SocketAddr {
         self.address
     }
 
-    /// Closes the port and all connections, or opens the port again.
+    /// The base URL.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Refuses connections and closes the open ones, or serves again.
+    ///
+    /// # Errors
+    /// Fails if the port cannot be opened again.
     pub async fn set_down(&self, down: bool) -> io::Result<()> {
         let previous = self.take_running();
         if let Some(task) = previous {
--- a/crates/hickory-standins/src/service.rs
+++ b/crates/hickory-standins/src/service.rs
@@ -70,22 +70,9 @@
         Ok(Self { server: Server::start_at(router, address).await?, state })
     }
 
-    /// The address that it serves on.
-    pub const fn address(&self) -> SocketAddr {
-        self.server.address()
-    }
-
-    /// The base URL.
-    pub fn url(&self) -> String {
-        format!("http://{}", self.address())
-    }
-
-    /// Refuses connections and closes the open ones, or serves again.
-    ///
-    /// # Errors
-    /// Fails if the port cannot be opened again.
-    pub async fn set_down(&self, down: bool) -> io::Result<()> {
-        self.server.set_down(down).await
+    /// The server behind it.
+    pub const fn server(&self) -> &Server {
+        &self.server
     }
 
     /// Sets the pause between running a call and answering it.
--- a/crates/hickory-standins/tests/engine.rs
+++ b/crates/hickory-standins/tests/engine.rs
@@ -23,7 +23,7 @@
 }
 
 async fn complete(engine: &Engine, request: &Value) -> Option<(StatusCode, Vec<u8>)> {
-    let url = format!("{}/v1/chat/completions", engine.url());
+    let url = format!("{}/v1/chat/completions", engine.server().url());
     post(url, request).await.map(|(status, body)| (status, body.to_vec()))
 }
 
@@ -65,7 +65,7 @@
     let both = async { tokio::join!(complete(&engine, &first), complete(&engine, &second)) };
     let released = async {
         loop {
-            let load = get_json(format!("{}/load", engine.url())).await;
+            let load = get_json(format!("{}/load", engine.server().url())).await;
             if load["running"] == 1 && load["queued"] == 1 {
                 assert_eq!(load["queued_prompt_tokens"], 1);
                 break;
@@ -116,7 +116,7 @@
     let engine = start().await;
     let order = async |number: &str, body: Value| {
         let headers = [("x-fencing-number", number), ("content-type", "application/json")];
-        let url = format!("{}/orders", engine.url());
+        let url = format!("{}/orders", engine.server().url());
         send("POST", url, &headers, body.to_string()).await.expect("an answer").0
     };
     assert_eq!(order("5", json!({"load": "brine-2"})).await, StatusCode::OK);
@@ -124,7 +124,7 @@
     assert_eq!(engine.versions(), ["brine-1", "brine-2"]);
     engine.update(|settings| settings.checks_fencing = false);
     assert_eq!(order("4", json!({"unload": "brine-2"})).await, StatusCode::OK);
-    let models = get_json(format!("{}/v1/models", engine.url())).await;
+    let models = get_json(format!("{}/v1/models", engine.server().url())).await;
     assert_eq!(models["data"].as_array().expect("an array").len(), 1);
     assert_eq!((engine.counts().orders, engine.counts().stale_orders), (2, 1));
 }
--- a/crates/hickory-standins/tests/platform.rs
+++ b/crates/hickory-standins/tests/platform.rs
@@ -21,7 +21,7 @@
 #[tokio::test]
 async fn the_service_records_what_it_ran() {
     let service = Service::start().await.expect("a port is free");
-    let url = || format!("{}/lots/7?force=1", service.url());
+    let url = || format!("{}/lots/7?force=1", service.server().url());
     let key = [("idempotency-key", "k1")];
     service.lose_answers(1);
     assert_eq!(send("POST", url(), &key, "release").await, None);
@@ -41,7 +41,7 @@
     rating.set_score_of("brine-2", 0.4);
     let rate = async |version: &str| {
         let call = json!({"version": version, "prompt": "p", "answer": "a"});
-        post(format!("{}/rate", rating.url()), &call).await.expect("an answer")
+        post(format!("{}/rate", rating.server().url()), &call).await.expect("an answer")
     };
     assert_eq!(rate("brine-1").await.1.as_ref(), br#"{"score":0.9}"#);
     assert_eq!(rate("brine-2").await.1.as_ref(), br#"{"score":0.4}"#);
@@ -63,7 +63,7 @@
         state: HostState::Live,
     };
     list.set_hosts(vec![host("a", "la-rioja"), host("b", "presov")]);
-    let url = || format!("{}/hosts?region=la-rioja", list.url());
+    let url = || format!("{}/hosts?region=la-rioja", list.server().url());
     let hosts = get_json(url()).await;
     assert_eq!(hosts.as_array().expect("an array").len(), 1);
     assert_eq!((&hosts[0]["host"], &hosts[0]["state"]), (&json!("a"), &json!("live")));
@@ -79,10 +79,11 @@
 async fn the_weight_store_sends_whole_weights() {
     let store = WeightStore::start(u64::MAX).await.expect("a port is free");
     store.add("brine-1", 40_000);
-    let (_, body) =
-        send("GET", format!("{}/weights/brine-1", store.url()), &[], "").await.expect("an answer");
+    let (_, body) = send("GET", format!("{}/weights/brine-1", store.server().url()), &[], "")
+        .await
+        .expect("an answer");
     assert_eq!(body.len(), 40_000);
-    let missing = send("GET", format!("{}/weights/brine-9", store.url()), &[], "").await;
+    let missing = send("GET", format!("{}/weights/brine-9", store.server().url()), &[], "").await;
     assert_eq!(missing.expect("an answer").0, StatusCode::NOT_FOUND);
     assert_eq!(store.downloads_of("brine-1"), 1);
 }
--- a/crates/hickoryctl/tests/changes.rs
+++ b/crates/hickoryctl/tests/changes.rs
@@ -134,13 +134,13 @@
     let change = ["datacentre", "out", "arauco-1", "-r", "x", "--timeout", "0.1"];
     let refused = tool.run(&change).await;
     assert_eq!(refused.status, ExitStatus::Unavailable);
-    tool.kv.set_down(true).await.expect("the port closes");
+    tool.kv.server().set_down(true).await.expect("the port closes");
     let down = tool.run(&change).await;
     assert_eq!(down.status, ExitStatus::Unavailable);
     insta::assert_snapshot!("unavailable", down.output);
     let read = tool.run(&["show", "--timeout", "0.1", "-o", "json"]).await;
     assert_eq!(read.status, ExitStatus::Unavailable);
-    tool.kv.set_down(false).await.expect("the port opens");
+    tool.kv.server().set_down(false).await.expect("the port opens");
     assert_eq!(tool.ok(&["history"]).await.lines().count(), 2);
 }
 
@@ -167,7 +167,7 @@
     tool.kv.lose_answers_after(3, 6);
     let runs = (10..22_u8).map(|number| {
         let mut environment = support::environment();
-        environment.variables.insert("HICKORY_KV".to_owned(), tool.kv.url());
+        environment.variables.insert("HICKORY_KV".to_owned(), tool.kv.server().url());
         environment.change_entropy = [number; 16];
         let name = format!("exception-{number}");
         async move {
--- a/crates/hickoryctl/tests/daemon.rs
+++ b/crates/hickoryctl/tests/daemon.rs
@@ -24,7 +24,7 @@
     let agents = fleet.agents.iter().filter_map(AgentProcess::operators_address);
     let hosts: Vec<String> = entries.chain(agents).map(|address| address.to_string()).collect();
     for (name, value) in [
-        ("HICKORY_KV", fleet.kv.url()),
+        ("HICKORY_KV", fleet.kv.server().url()),
         ("HICKORY_HOSTS", hosts.join(",")),
         ("HICKORY_OPERATOR_KEY", fleet::OPERATOR_KEY.to_owned()),
     ] {
@@ -81,7 +81,7 @@
     }
     assert!(bills.contains(r#""requests": 2"#), "{bills}");
 
-    fleet.kv.set_down(true).await?;
+    fleet.kv.server().set_down(true).await?;
     let words = ["datacentre", "out", "arauco-1", "-r", "x", "--timeout", "0.1"];
     let refused = support::run_in(&environment, &words).await;
     assert_eq!(refused.status, ExitStatus::Unavailable, "{refused:?}");
--- a/crates/hickoryctl/tests/fleet.rs
+++ b/crates/hickoryctl/tests/fleet.rs
@@ -104,7 +104,7 @@
 async fn status_shows_who_lags() {
     let tool = Tool::configured("status").await;
     let fleet = fleet().await;
-    let report = ask(KEY, &["status"], &fleet, Some(&tool.kv.url())).await;
+    let report = ask(KEY, &["status"], &fleet, Some(&tool.kv.server().url())).await;
     assert_eq!(report.status, ExitStatus::Success);
     insta::assert_snapshot!("status", without_padding(&report.output));
     let report = ask(KEY, &["status", "-o", "json"], &fleet, None).await;
@@ -115,7 +115,7 @@
 #[tokio::test]
 async fn status_warns_of_hosts_ahead_of_the_store() {
     let tool = Tool::start().await;
-    let report = ask(KEY, &["status"], &fleet().await[..1], Some(&tool.kv.url())).await;
+    let report = ask(KEY, &["status"], &fleet().await[..1], Some(&tool.kv.server().url())).await;
     assert!(report.output.contains("Hosts ahead of the store: 1."), "{}", report.output);
 }
 
@@ -153,7 +153,8 @@
     let entry = "entry-1".parse().expect("the id is valid");
     let key = keys::batch(&entry, Incarnation::new(1), Sequence::new(sequence));
     let put = KvOperation::Put { key, value: batch.encode(), lease: None };
-    let settings = hickory_kv::ClientSettings::new([tool.kv.url()]).expect("the URL is valid");
+    let settings =
+        hickory_kv::ClientSettings::new([tool.kv.server().url()]).expect("the URL is valid");
     let call = KvCall::Transaction { compares: vec![], then: vec![put], otherwise: vec![] };
     let outcome = hickory_kv::Client::new(settings).call(call).await;
     assert!(matches!(outcome, KvOutcome::Reply(_)));
--- a/crates/hickoryctl/tests/support/mod.rs
+++ b/crates/hickoryctl/tests/support/mod.rs
@@ -76,7 +76,7 @@
     pub async fn run(&mut self, arguments: &[&str]) -> Report {
         self.runs += 1;
         let mut environment = environment();
-        environment.variables.insert("HICKORY_KV".to_owned(), self.kv.url());
+        environment.variables.insert("HICKORY_KV".to_owned(), self.kv.server().url());
         environment.change_entropy = [self.runs; 16];
         environment.key_entropy = [self.runs; 32];
         run_in(&environment, arguments).await
--- a/crates/hickoryd/benches/path.rs
+++ b/crates/hickoryd/benches/path.rs
@@ -100,7 +100,7 @@
 }
 
 fn compare(generator: &Runtime, fleet: &Fleet, stream: bool) {
-    let direct = target("direct", &fleet.engines[0].url(), VERSION, stream);
+    let direct = target("direct", &fleet.engines[0].server().url(), VERSION, stream);
     let router = target("router", &fleet.url(0), "brine-small", stream);
     println!("\n{} answers of 8 tokens", if stream { "streamed" } else { "whole" });
     generator.block_on(load(&router, WORKERS, None, WARM_UP));
--- a/crates/hickoryd/examples/failover/deployment.rs
+++ b/crates/hickoryd/examples/failover/deployment.rs
@@ -80,10 +80,10 @@
             settings.answer_tokens = 20;
             let engine = Engine::start(settings).await?;
             let offer = "engine_versions: [brine-small-1, brine-large-1]";
-            deployment.add_agent(&format!("agent-{number}"), &engine.url(), offer)?;
+            deployment.add_agent(&format!("agent-{number}"), &engine.server().url(), offer)?;
             deployment.engines.push(engine);
         }
-        let url = deployment.service.url();
+        let url = deployment.service.server().url();
         deployment.add_agent("agent-registry", &url, "service: registry")?;
         for number in 1..=ENTRY_COUNT {
             deployment.add_entry(&format!("entry-{number}"))?;
@@ -116,7 +116,7 @@
             "role: entry\nhost: {host}\n{}host_list_uri: {}\nhost_list_interval_ms: 200\n\
              http:\n  listen: {callers}\nbilling_interval_ms: 1000\n",
             self.common(operators),
-            self.hosts.url(),
+            self.hosts.server().url(),
         );
         let settings = self.write_settings(host, &settings)?;
         let child = spawn(&settings)?;
@@ -130,7 +130,7 @@
         format!(
             "data_centre: arauco-1\nregion: la-rioja\nkv_endpoints: [{}]\n\
              operators:\n  listen: {operators}\n  key_digests: [{}]\nlog:\n  level: warn\n",
-            self.kv.url(),
+            self.kv.server().url(),
             KeyDigest::of_key(OPERATOR_KEY),
         )
     }
@@ -179,7 +179,7 @@
             .args(["exception", "add", "longer-deadline", "interactive-deadline"])
             .args(["--customer", "cooperativa", "--deadline-ms", "60000"])
             .args(["--reason", "measures the spread of a change", "--operator", "failover"])
-            .args(["--kv", &self.kv.url()])
+            .args(["--kv", &self.kv.server().url()])
             .output()
             .await?;
         if !output.status.success() {
--- a/crates/hickoryd/examples/failover/main.rs
+++ b/crates/hickoryd/examples/failover/main.rs
@@ -73,9 +73,9 @@
     let planned_cuts = total.chats.cut + total.keyed.cut;
     let planned_unknown = total.chats.unknown + total.keyed.unknown;
 
-    deployment.kv.set_down(true).await?;
+    deployment.kv.server().set_down(true).await?;
     tokio::time::sleep(KV_OUTAGE).await;
-    deployment.kv.set_down(false).await?;
+    deployment.kv.server().set_down(false).await?;
     tokio::time::sleep(SETTLE).await;
     report("key-value service down 15 s", &clients, &mut total);
 
--- a/crates/hickoryd/examples/quickstart.rs
+++ b/crates/hickoryd/examples/quickstart.rs
@@ -42,7 +42,7 @@
     println!("base URL        {}/v1", fleet.url(0));
     println!("second entry    {}/v1", fleet.url(1));
     println!("customer key    {CUSTOMER_KEY}");
-    println!("key-value store {}", fleet.kv.url());
+    println!("key-value store {}", fleet.kv.server().url());
     let entries = fleet.entries.iter().filter_map(EntryProcess::operators_address);
     let agents = fleet.agents.iter().filter_map(AgentProcess::operators_address);
     let ports: Vec<String> = entries.chain(agents).map(|address| address.to_string()).collect();
--- a/crates/hickoryd/tests/binary.rs
+++ b/crates/hickoryd/tests/binary.rs
@@ -26,8 +26,8 @@
 fn settings(fleet: &Fleet) -> String {
     SAMPLE
         .replace("host: entry-1", "host: entry-7")
-        .replace("http://127.0.0.1:2379", &fleet.kv.url())
-        .replace("http://127.0.0.1:8500", &fleet.hosts.url())
+        .replace("http://127.0.0.1:2379", &fleet.kv.server().url())
+        .replace("http://127.0.0.1:8500", &fleet.hosts.server().url())
         .replace("127.0.0.1:8080", "127.0.0.1:0")
         .replace("127.0.0.1:9080", "127.0.0.1:0")
         .replace("level: info", "level: debug")
--- a/crates/hickoryd/tests/fleet/mod.rs
+++ b/crates/hickoryd/tests/fleet/mod.rs
@@ -146,7 +146,7 @@
         fleet.start_engine("agent-1", engine.clone()).await?;
         fleet.start_engine("agent-2", engine).await?;
         let offer = Offer::Service { service: "registry".parse()? };
-        fleet.start_agent("agent-3", offer, fleet.service.url()).await?;
+        fleet.start_agent("agent-3", offer, fleet.service.server().url()).await?;
         for number in 1..=entry_count {
             fleet.start_entry(number as u64).await?;
         }
@@ -157,7 +157,7 @@
     async fn start_engine(&mut self, host: &str, engine: EngineSettings) -> Result<(), AnyError> {
         let versions = engine.versions.iter().map(|id| id.parse()).collect::<Result<_, _>>()?;
         let engine = Engine::start(engine).await?;
-        self.start_agent(host, Offer::Engine { versions }, engine.url()).await?;
+        self.start_agent(host, Offer::Engine { versions }, engine.server().url()).await?;
         self.engines.push(engine);
         Ok(())
     }
@@ -204,9 +204,9 @@
             },
             max_open_requests: 1024,
             body_timeout: Duration::from_secs(5),
-            host_list_uri: self.hosts.url().into(),
+            host_list_uri: self.hosts.server().url().into(),
             host_list_interval: Duration::from_millis(100),
-            rating_uri: Some(self.rating.url().into()),
+            rating_uri: Some(self.rating.server().url().into()),
             common: self.common(&host)?,
         };
         let entry = self.place(&host)?.spawn(EntryProcess::start(options)).await??;
@@ -228,7 +228,7 @@
 
     fn common(&self, host: &str) -> Result<CommonOptions, AnyError> {
         Ok(CommonOptions {
-            kv: ClientSettings::new([self.kv.url()])?,
+            kv: ClientSettings::new([self.kv.server().url()])?,
             operators_listen: Some(loopback()),
             operator_keys: vec![KeyDigest::of_key(OPERATOR_KEY)],
             links_tls: self.options.identities.as_deref().map(|path| identity(path, host)),
@@ -330,7 +330,7 @@
     for item in configuration.items() {
         then.push(put(keys::item(&item.key()), &RawItem::from(&item))?);
     }
-    let client = KvClient::new(ClientSettings::new([kv.url()])?);
+    let client = KvClient::new(ClientSettings::new([kv.server().url()])?);
     let call = KvCall::Transaction { compares: Vec::new(), then, otherwise: Vec::new() };
     client.try_call(&call).await.map_err(|error| io::Error::other(format!("{error:?}")))?;
     Ok(())
--- a/crates/hickoryd/tests/path.rs
+++ b/crates/hickoryd/tests/path.rs
@@ -127,12 +127,12 @@
 #[tokio::test]
 async fn an_engine_that_is_down_is_avoided() -> Result<(), AnyError> {
     let fleet = fleet().await?;
-    fleet.engines[0].set_down(true).await?;
+    fleet.engines[0].server().set_down(true).await?;
     for _ in 0..8 {
         let answer = fleet.chat(&chat("brine-small", "hello", false).to_string()).await?;
         assert_eq!(answer.status, 200, "{}", answer.text());
     }
-    fleet.engines[1].set_down(true).await?;
+    fleet.engines[1].server().set_down(true).await?;
     let answer = fleet.chat(&chat("brine-small", "hello", false).to_string()).await?;
     assert_eq!(answer.status, 503);
     assert_eq!(answer.header("x-hickorydoor-run"), "not-run");
