--- a/crates/hickorydoor/src/agent/mod.rs
+++ b/crates/hickorydoor/src/agent/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! The agent is the gate of its upstream: every call passes through it, whichever entry sent it.
 //! [`Agent::apply`] takes one event and the time and returns the effects to carry out. Handlers
-//! are grouped by concern: `agent_attempt` runs attempts, `agent_config` keeps configuration and
-//! links, `agent_billing` writes what lost entries left behind, `agent_claims` runs keyed calls
+//! are grouped by concern: `attempt` runs attempts, `config` keeps configuration and
+//! links, `billing` writes what lost entries left behind, `claims` runs keyed calls
 //! at most once.
 
 mod admission;
--- a/crates/hickorydoor/src/entry/mod.rs
+++ b/crates/hickorydoor/src/entry/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! [`Entry::apply`] takes one event and the time and returns the effects to carry out. The entry
 //! joins the concerns that have modules of their own; the handlers are grouped by concern:
-//! `entry_request` places requests, `entry_answer` handles what agents send, `entry_config` keeps
-//! configuration and members, `entry_billing` stores bills, `entry_resume` keeps attempts
-//! through lost links, `entry_watch` reads the configuration.
+//! `request` places requests, `answer` handles what agents send, `config` keeps
+//! configuration and members, `billing` stores bills, `resume` keeps attempts
+//! through lost links, `watch` reads the configuration.
 
 mod answer;
 mod billing;
