Serve services that state no bound on connections

Cause: began to bound the calls at an upstream by `max_conns`. Where the configuration leaves it out it was decoded as 0, so no upstream of that service was ever usable and every call was answered 503.

An absent bound is no bound now, in the type.

--- a/crates/hickorydoor/src/gateway/catalog.rs
+++ b/crates/hickorydoor/src/gateway/catalog.rs
@@ -1,6 +1,7 @@
 //! The configuration in force: routes, services, customers and limits, whole and with a version.
 
 use std::collections::HashMap;
+use std::num::NonZeroU32;
 use std::sync::Arc;
 
 use compact_str::CompactString;
@@ -37,8 +38,8 @@
 pub struct ServiceSpec {
     /// The service.
     pub name: ServiceName,
-    /// Connections that one upstream accepts from all entries together.
-    pub max_connections: u32,
+    /// Connections that one upstream accepts from all entries together, where it is known.
+    pub max_connections: Option<NonZeroU32>,
     /// Requests a second that a cold upstream bears; 0 means that its upstreams are never cold.
     pub cold_per_s: f64,
     /// Tokens that the memory of one engine holds; 0 for plain services.
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -145,9 +145,10 @@
         let active = self.calls.get(&id)?;
         let wanted = self.wanted_version(active, now);
         let spec = self.catalog.as_ref().and_then(|catalog| catalog.service(&service));
-        let max_connections = spec.map_or(u32::MAX, |spec| spec.max_connections);
+        let max_connections = spec.and_then(|spec| spec.max_connections);
         let usable = |upstream: &&Upstream| {
-            upstream.total_in_flight() < max_connections && self.is_usable(active, upstream, now)
+            max_connections.is_none_or(|most| upstream.total_in_flight() < most.get())
+                && self.is_usable(active, upstream, now)
         };
         let matches = |upstream: &&Upstream| {
             wanted.as_ref().is_none_or(|version| version.matches(&upstream.registration.version))
--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test uses a part of the helpers")]
 
+use std::num::NonZeroU32;
+
 use hickorydoor::DurationMs;
 use hickorydoor::TimeMs;
 use hickorydoor::gateway::Gateway;
@@ -97,7 +99,7 @@
         .map(|(model, cost)| OfferedModel { model: model.parse().unwrap(), cost: *cost });
     let service = |name: &str, cold_per_s, models| ServiceSpec {
         name: name.parse().unwrap(),
-        max_connections: MAX_CONNECTIONS,
+        max_connections: NonZeroU32::new(MAX_CONNECTIONS),
         cold_per_s,
         memory_tokens: 488_442,
         transfer_ms_per_token: 0.0,
