Cut streams of events with one splitter

The gateway cut streams with a splitter of its own, which was written again after that of the agent: the same buffer, limit and search for the blank line. Both use `event_splitter` now; each judges the rest of a stream as before (the agent allows white space, the gateway nothing). No behaviour changes.

--- a/crates/hickoryd/src/event_stream.rs
+++ b/crates/hickoryd/src/event_stream.rs
@@ -1,71 +1,11 @@
-//! Server-sent events of a model engine.
-//!
-//! The stream is cut at event boundaries, so that an entry can end an answer with an error event
-//! and never has to send half an event.
+//! What the server-sent events of a model engine hold.
 
 use std::borrow::Cow;
 
-use bytes::Bytes;
-use bytes::BytesMut;
 use hickorydoor::billing::usage::Usage;
 use hickorydoor::quantity::Tokens;
 use serde::Deserialize;
 
-/// Longest event; engines send a few hundred bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
-
-/// An event that is longer than any engine sends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EventTooLong;
-
-/// Splits bytes into events.
-#[derive(Debug, Default)]
-pub struct EventSplitter {
-    buffer: BytesMut,
-    searched: usize,
-}
-
-impl EventSplitter {
-    /// Adds bytes from the engine.
-    pub fn push(&mut self, data: &[u8]) {
-        self.buffer.extend_from_slice(data);
-    }
-
-    /// The next whole event with its closing blank line.
-    pub fn next_event(&mut self) -> Result<Option<Bytes>, EventTooLong> {
-        if let Some(end) = event_end(&self.buffer, self.searched) {
-            self.searched = 0;
-            return Ok(Some(self.buffer.split_to(end).freeze()));
-        }
-        // The blank line may begin in the last bytes that were searched.
-        self.searched = self.buffer.len().saturating_sub(3);
-        if self.buffer.len() > MAX_EVENT_BYTES {
-            return Err(EventTooLong);
-        }
-        Ok(None)
-    }
-
-    /// Whether no part of an event is left.
-    pub fn is_empty(&self) -> bool {
-        self.buffer.iter().all(u8::is_ascii_whitespace)
-    }
-}
-
-fn event_end(buffer: &[u8], from: usize) -> Option<usize> {
-    for (index, byte) in buffer.iter().enumerate().skip(from) {
-        if *byte != b'\n' {
-            continue;
-        }
-        if buffer.get(index + 1) == Some(&b'\n') {
-            return Some(index + 2);
-        }
-        if buffer.get(index + 1..index + 3) == Some(b"\r\n") {
-            return Some(index + 3);
-        }
-    }
-    None
-}
-
 /// What an event of a chat stream holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EventContent {
--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -19,14 +19,14 @@
 use tokio::time::timeout_at;
 
 use crate::caller_body::AnswerCut;
+use crate::event_splitter::EventSplitter;
+use crate::event_splitter::event_id;
 use crate::gateway::answer::UpstreamAnswer;
 use crate::gateway::answer::refusal_response;
 use crate::gateway::answer::response;
 use crate::gateway::answer_body::AnswerBody;
 use crate::gateway::core::Core;
 use crate::gateway::core::Directive;
-use crate::gateway::event_splitter::Event;
-use crate::gateway::event_splitter::EventSplitter;
 use crate::gateway::header_names::HeaderNames;
 use crate::gateway::upstream_request::OpenAnswer;
 use crate::gateway::upstream_request::RequestTemplate;
@@ -186,7 +186,7 @@
             };
             match read {
                 Ok(Some(bytes)) => splitter.push(&bytes),
-                Ok(None) if splitter.has_rest() => return broken(Break::Closed),
+                Ok(None) if !splitter.rest().is_empty() => return broken(Break::Closed),
                 Ok(None) if head.is_some() && self.events.is_none() => {
                     return broken(Break::Closed);
                 }
@@ -202,13 +202,14 @@
                     Ok(None) => break,
                     Err(_too_long) => return broken(Break::Garbled),
                 };
-                if !self.is_next(&event) {
+                let id = event_id(&event);
+                if !self.is_next(id) {
                     return broken(Break::Garbled);
                 }
                 if let Some((status, headers)) = head.take() {
                     self.start_stream(status, headers);
                 }
-                if !self.pass_on(event).await {
+                if !self.pass_on(event, id).await {
                     return Exchange::CallerGone;
                 }
                 until = Instant::now() + limits.pause;
@@ -217,8 +218,8 @@
     }
 
     /// Whether an event follows the last one that the caller has.
-    fn is_next(&self, event: &Event) -> bool {
-        match (event.id, self.last_event) {
+    fn is_next(&self, id: Option<u64>) -> bool {
+        match (id, self.last_event) {
             (Some(id), Some(last)) => id == last + 1,
             _ => true,
         }
@@ -236,15 +237,15 @@
         self.answer(response(status, headers, AnswerBody::Stream(receiver)));
     }
 
-    async fn pass_on(&mut self, event: Event) -> bool {
+    async fn pass_on(&mut self, event: Bytes, id: Option<u64>) -> bool {
         let Some(events) = &self.events else {
             return false;
         };
-        if events.send(Ok(event.bytes)).await.is_err() {
+        if events.send(Ok(event)).await.is_err() {
             return false;
         }
-        if event.id.is_some() {
-            self.last_event = event.id;
+        if id.is_some() {
+            self.last_event = id;
         }
         true
     }
--- a/crates/hickoryd/src/gateway/mod.rs
+++ b/crates/hickoryd/src/gateway/mod.rs
@@ -11,7 +11,6 @@
 mod boot_clock;
 mod call_driver;
 mod core;
-mod event_splitter;
 mod front;
 mod header_names;
 mod log_writer;
--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -24,6 +24,7 @@
 mod entry_loop;
 mod entry_process;
 mod error_body;
+mod event_splitter;
 mod event_stream;
 mod field_line;
 mod front;
--- a/crates/hickoryd/src/upstream_call.rs
+++ b/crates/hickoryd/src/upstream_call.rs
@@ -25,7 +25,7 @@
 use tokio::time::timeout;
 
 use crate::agent_input::AgentInput;
-use crate::event_stream::EventSplitter;
+use crate::event_splitter::EventSplitter;
 use crate::event_stream::inspect;
 use crate::event_stream::usage_of_answer;
 use crate::http_client::HttpClient;
@@ -151,7 +151,11 @@
             }
         }
         // An answer without its end mark is cut; it must not look complete.
-        if done && splitter.is_empty() { Ok(usage) } else { Err(UpstreamFault::ConnectionLost) }
+        if done && splitter.rest().trim_ascii().is_empty() {
+            Ok(usage)
+        } else {
+            Err(UpstreamFault::ConnectionLost)
+        }
     }
 
     /// Joins whole events until the allowance is used up.
