Open and serve a gateway's connections in one place

`connection` holds them: `accept`, `serve_peer` and `begin_requests`. Limits and pauses are the same.

--- a/crates/hickoryd/src/gateway/front.rs
+++ b/crates/hickoryd/src/gateway/front.rs
@@ -26,25 +26,22 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use log::debug;
-use log::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::gateway::answer::plain;
 use crate::gateway::answer_body::AnswerBody;
 use crate::gateway::call_driver::CallDriver;
+use crate::gateway::connection::accept;
 use crate::gateway::core::Core;
 use crate::gateway::header_names::HeaderNames;
 use crate::gateway::upstream_request::RequestTemplate;
 
-/// Pause after a failed accept, for example when no file descriptors are left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time for a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time beyond the idle timeout, so that a caller that keeps to it is not cut off.
@@ -63,17 +60,11 @@
 ) {
     loop {
         tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _peer)) => {
-                    let connection =
-                        serve_connection(stream, Rc::clone(&core), Rc::clone(&names), stop.clone());
-                    spawn_local(connection);
-                }
-                Err(error) => {
-                    warn!(reason:% = error; "accept failed");
-                    sleep(ACCEPT_PAUSE).await;
-                }
-            },
+            (stream, _peer) = accept(&listener) => {
+                let connection =
+                    serve_connection(stream, Rc::clone(&core), Rc::clone(&names), stop.clone());
+                spawn_local(connection);
+            }
             () = stopped(&mut stop) => return,
         }
     }
--- a/crates/hickoryd/src/gateway/mod.rs
+++ b/crates/hickoryd/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod answer_body;
 mod boot_clock;
 mod call_driver;
+pub mod connection;
 mod core;
 mod front;
 mod header_names;
--- a/crates/hickoryd/src/gateway/upstream_request.rs
+++ b/crates/hickoryd/src/gateway/upstream_request.rs
@@ -20,8 +20,6 @@
 use http::header;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use log::debug;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -30,6 +28,7 @@
 use tokio::time::timeout_at;
 
 use crate::gateway::answer::remove_connection_headers;
+use crate::gateway::connection::begin_requests;
 use crate::gateway::header_names::HeaderNames;
 
 /// The part of a caller's request that is passed on.
@@ -143,18 +142,10 @@
     let Ok(Ok(stream)) = connected else {
         return Err(unreachable);
     };
-    if let Err(error) = stream.set_nodelay(true) {
-        debug!(reason:% = error; "nodelay cannot be set");
-    }
-    let Ok((mut sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
+    let Ok((mut sender, task)) = begin_requests(stream).await else {
         return Err(unreachable);
     };
-    let task = tokio::task::spawn_local(async move {
-        if let Err(error) = connection.await {
-            debug!(reason:% = error; "upstream connection ended");
-        }
-    });
-    let connection = ConnectionGuard(task.abort_handle());
+    let connection = ConnectionGuard(task);
     let sent = sender.send_request(template.request(dispatch, names));
     let response = match timeout_at(until, sent).await {
         Err(_elapsed) => return Err(AttemptOutcome::Unknown(Break::Silent)),
