Keep one copy of what the gateway's reducer asks again and again

The least time for an attempt and the time to come back each stood in two files with the same rule around them, and five places looked up a service in the configuration. `ActiveCall::has_time`, `CallRefusal::from` and `Gateway::spec` hold them. Looking for room at cold upstreams copied the list of all gateways for every waiting request and event, also with no upstream cold; it borrows the list now. A refusal reason that nothing gave goes.

--- a/crates/hickorydoor/src/gateway/active_call.rs
+++ b/crates/hickorydoor/src/gateway/active_call.rs
@@ -14,6 +14,9 @@
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
+/// Least time left that is worth an attempt.
+const LEAST_ATTEMPT_MS: DurationMs = DurationMs::new(20);
+
 /// The attempt that is under way.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -85,6 +88,11 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// Whether the time left is worth an attempt.
+    pub fn has_time(&self, now: TimeMs) -> bool {
+        self.remaining_ms(now) >= LEAST_ATTEMPT_MS
+    }
+
     /// Time left.
     pub const fn remaining_ms(&self, now: TimeMs) -> DurationMs {
         self.deadline_at.since(now)
--- a/crates/hickorydoor/src/gateway/arrival.rs
+++ b/crates/hickorydoor/src/gateway/arrival.rs
@@ -10,15 +10,12 @@
 use crate::gateway::call::CallId;
 use crate::gateway::effect::GatewayEffect;
 use crate::gateway::reducer::Gateway;
-use crate::gateway::refusal::CallRefusal;
 use crate::gateway::refusal::RefusalReason;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
 /// Time for a request without a deadline on a route without a timeout.
 const DEFAULT_DEADLINE_MS: DurationMs = DurationMs::from_secs(30);
-/// Time to come back when no upstream is known to free up earlier.
-const RETRY_AFTER_MS: DurationMs = DurationMs::new(400);
 
 impl Gateway {
     pub(super) fn on_arrived(
@@ -36,9 +33,7 @@
                 self.waiting.insert(id);
             }
             Err(reason) => {
-                let retry_after_ms = (reason.status() == 503).then_some(RETRY_AFTER_MS);
-                let refusal = CallRefusal { reason, retry_after_ms };
-                effects.push(GatewayEffect::Refuse { call: id, refusal });
+                effects.push(GatewayEffect::Refuse { call: id, refusal: reason.into() });
             }
         }
     }
--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -10,15 +10,12 @@
 use crate::gateway::event::Break;
 use crate::gateway::event::NotRun;
 use crate::gateway::reducer::Gateway;
-use crate::gateway::refusal::CallRefusal;
 use crate::gateway::refusal::RefusalReason;
 use crate::gateway::route::CallKind;
 use crate::gateway::upstream::Upstream;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
-/// Least time left that is worth an attempt.
-const LEAST_ATTEMPT_MS: DurationMs = DurationMs::new(20);
 /// Time for which an upstream that accepted no connection counts as cold.
 const SUSPECT_MS: DurationMs = DurationMs::new(2_000);
 /// Attempts that did not run, besides those that the route allows to run.
@@ -33,8 +30,6 @@
 const DEAD_FACTOR: f64 = 2.0;
 /// Least silence of an engine after which it is taken as dead.
 const LEAST_DEAD_MS: f64 = 1_300.0;
-/// Time to come back when no upstream is known to free up earlier.
-const RETRY_AFTER_MS: DurationMs = DurationMs::new(400);
 /// Events from which on the pace of a stream is judged.
 const LEAST_PACED_EVENTS: u64 = 4;
 /// Events this much slower than usual count against a version.
@@ -191,9 +186,7 @@
     pub(super) fn expire_calls(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
         let over = |id: &CallId| {
             let active = self.calls.get(id);
-            active.is_some_and(|active| {
-                now >= active.wait_until || active.remaining_ms(now) < LEAST_ATTEMPT_MS
-            })
+            active.is_some_and(|active| now >= active.wait_until || !active.has_time(now))
         };
         let expired: Vec<CallId> = self.waiting.iter().copied().filter(over).collect();
         for id in expired {
@@ -269,7 +262,7 @@
         };
         let allowed = active.route.is_repeatable()
             && active.runs < active.route.max_attempts
-            && active.remaining_ms(now) >= LEAST_ATTEMPT_MS;
+            && active.has_time(now);
         let budget = self.budgets.entry(active.service.clone()).or_default();
         if !allowed || !budget.spend(&self.settings.repeats, count, now) {
             return false;
@@ -284,7 +277,7 @@
             return false;
         };
         let limit = active.route.max_attempts + MAX_REFUSED_ATTEMPTS;
-        if active.attempts >= limit || active.remaining_ms(now) < LEAST_ATTEMPT_MS {
+        if active.attempts >= limit || !active.has_time(now) {
             return false;
         }
         let budget = self.budgets.entry(active.service.clone()).or_default();
@@ -321,15 +314,12 @@
             return;
         }
         let reason = match (reason.status() == 503, active.runs > 0) {
-            (true, true) if active.remaining_ms(now) < LEAST_ATTEMPT_MS => {
-                RefusalReason::TimedOutRunning
-            }
+            (true, true) if !active.has_time(now) => RefusalReason::TimedOutRunning,
             (true, true) => RefusalReason::OutcomeUnknown,
             _ => reason,
         };
-        let retry_after_ms = (reason.status() == 503).then_some(RETRY_AFTER_MS);
-        let refusal = CallRefusal { reason, retry_after_ms };
-        self.finish(id, GatewayEffect::Refuse { call: id, refusal }, now, effects);
+        let refuse = GatewayEffect::Refuse { call: id, refusal: reason.into() };
+        self.finish(id, refuse, now, effects);
     }
 
     fn finish(
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -26,8 +26,6 @@
 
 /// Time to open a connection to an upstream.
 const CONNECT_TIMEOUT_MS: DurationMs = DurationMs::new(300);
-/// Least time left that is worth an attempt.
-const LEAST_ATTEMPT_MS: DurationMs = DurationMs::new(20);
 /// Pauses of a stream, as a multiple of the longest one that is on time, after which it goes on
 /// elsewhere.
 const PAUSE_TIMEOUT_PERCENT: u64 = 200;
@@ -68,11 +66,10 @@
 
     fn try_dispatch(&mut self, id: CallId, now: TimeMs) -> Option<Dispatch> {
         let Plan { choice, min_confidence } = self.choose(id, now)?;
+        let active = self.calls.get(&id)?;
+        let memory_tokens = self.spec(&active.service).map_or(0, |spec| spec.memory_tokens);
         let active = self.calls.get_mut(&id)?;
         let upstream = self.pool.get_mut(&choice.upstream)?;
-        let memory_tokens = self.catalog.as_ref().map_or(0, |catalog| {
-            catalog.service(&active.service).map_or(0, |spec| spec.memory_tokens)
-        });
         let backlog_ms = upstream.backlog_ms();
         let in_flight = upstream.total_in_flight();
         upstream.on_send(now);
@@ -136,7 +133,7 @@
 
     fn choose(&mut self, id: CallId, now: TimeMs) -> Option<Plan> {
         let active = self.calls.get(&id)?;
-        if active.remaining_ms(now) < LEAST_ATTEMPT_MS {
+        if !active.has_time(now) {
             return None;
         }
         let service = active.service.clone();
@@ -144,7 +141,7 @@
         let may_try_small = self.may_try_small(id, now);
         let active = self.calls.get(&id)?;
         let wanted = self.wanted_version(active, now);
-        let spec = self.catalog.as_ref().and_then(|catalog| catalog.service(&service));
+        let spec = self.spec(&service);
         let max_connections = spec.and_then(|spec| spec.max_connections);
         let usable = |upstream: &&Upstream| {
             max_connections.is_none_or(|most| upstream.total_in_flight() < most.get())
@@ -185,7 +182,7 @@
             worth: self.sizes.mean(&active.route.name) * self.settings.costs.worth_per_token,
             models: &models,
             objective_ms: objective_left_ms(active, now),
-            transfer_ms_per_token: self.transfer_ms_per_token(&active.service),
+            transfer_ms_per_token: spec.map_or(0.0, |spec| spec.transfer_ms_per_token),
             size_kb: active.call.body_bytes as f64 / 1_024.0 + ANSWER_KB,
             data_centre: &self.settings.data_centre,
         };
@@ -239,20 +236,16 @@
 
     /// Counts which cold upstreams of a service have room for one more request.
     fn refresh_cold_room(&mut self, service: &ServiceName, now: TimeMs) {
-        let per_s = self
-            .catalog
-            .as_ref()
-            .and_then(|catalog| catalog.service(service))
-            .map_or(0.0, |spec| spec.cold_per_s * self.settings.cold_share);
-        let gateways = self.gateways().to_vec();
-        let own = self.settings.host.clone();
+        let cold_per_s = self.spec(service).map_or(0.0, |spec| spec.cold_per_s);
+        let per_s = cold_per_s * self.settings.cold_share;
         for upstream in self.pool.of_service_mut(service) {
             if !upstream.is_cold(now) {
                 upstream.cold_room = true;
                 continue;
             }
+            let id = &upstream.registration.upstream;
             let share = if per_s > 0.0 {
-                cold_share(&upstream.registration.upstream, &own, &gateways, per_s)
+                cold_share(id, &self.settings.host, &self.gateways, per_s)
             } else {
                 usize::MAX
             };
@@ -278,11 +271,6 @@
             && (!upstream.is_cold(now) || upstream.cold_room)
     }
 
-    fn transfer_ms_per_token(&self, service: &ServiceName) -> f64 {
-        let spec = self.catalog.as_ref().and_then(|catalog| catalog.service(service));
-        spec.map_or(0.0, |spec| spec.transfer_ms_per_token)
-    }
-
     fn wanted_version(&self, active: &ActiveCall, now: TimeMs) -> Option<WantedVersion> {
         let rollout = self.rollouts.get(&active.service)?;
         let target = rollout.order().target.clone();
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -11,6 +11,7 @@
 use crate::gateway::active_call::ActiveCall;
 use crate::gateway::call::CallId;
 use crate::gateway::catalog::Catalog;
+use crate::gateway::catalog::ServiceSpec;
 use crate::gateway::effect::GatewayEffect;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::freshness::Freshness;
@@ -24,7 +25,6 @@
 use crate::gateway::rollout::RolloutRecord;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::size_table::SizeTable;
-use crate::gateway::upstream::Registration;
 use crate::gateway::upstream_pool::UpstreamPool;
 use crate::id::DataCentreId;
 use crate::id::HostId;
@@ -58,7 +58,7 @@
     pub(super) sessions: HashMap<CompactString, (CompactString, TimeMs)>,
     pub(super) refuse_from: Option<TimeMs>,
     records: BTreeMap<ServiceName, RolloutRecord>,
-    gateways: Vec<HostId>,
+    pub(super) gateways: Vec<HostId>,
     peers: HashMap<HostId, (u64, u64)>,
     sequence: u64,
     pub(super) reads: VecDeque<(TimeMs, PromptRead)>,
@@ -96,7 +96,7 @@
         match event {
             GatewayEvent::Tick => self.on_tick(now, &mut effects),
             GatewayEvent::Configured(catalog) => self.on_configured(*catalog),
-            GatewayEvent::Registered(registration) => self.on_registered(*registration, now),
+            GatewayEvent::Registered(registration) => self.pool.register(*registration, now),
             GatewayEvent::Deregistered(upstream) => {
                 let unsettled = self.is_unsettled(now);
                 self.pool.deregister(&upstream, unsettled, now);
@@ -198,8 +198,9 @@
         self.gateways.len()
     }
 
-    pub(super) fn gateways(&self) -> &[HostId] {
-        &self.gateways
+    /// What the configuration says of a service.
+    pub(super) fn spec(&self, service: &ServiceName) -> Option<&ServiceSpec> {
+        self.catalog.as_ref()?.service(service)
     }
 
     /// Whether the last call to the store was answered.
@@ -233,10 +234,6 @@
         }
     }
 
-    fn on_registered(&mut self, registration: Registration, now: TimeMs) {
-        self.pool.register(registration, now);
-    }
-
     fn on_data_centre_in(&mut self, id: &DataCentreId, now: TimeMs) {
         if self.closed_data_centres.remove(id) {
             self.pool.suspect_data_centre(id, RETURN_COLD_MS, now);
@@ -285,10 +282,10 @@
             }
         }
         for read in &digest.reads {
+            let service = self.pool.get(&read.upstream).map(|known| &known.registration.service);
+            let spec = service.and_then(|service| self.spec(service));
+            let memory_tokens = spec.map_or(0, |spec| spec.memory_tokens);
             if let Some(upstream) = self.pool.get_mut(&read.upstream) {
-                let service = &upstream.registration.service;
-                let spec = self.catalog.as_ref().and_then(|catalog| catalog.service(service));
-                let memory_tokens = spec.map_or(0, |spec| spec.memory_tokens);
                 upstream.cache.note(&read.parts, 0, memory_tokens, now);
             }
         }
--- a/crates/hickorydoor/src/gateway/refusal.rs
+++ b/crates/hickorydoor/src/gateway/refusal.rs
@@ -4,6 +4,9 @@
 
 use crate::time::DurationMs;
 
+/// Time to come back when no upstream is known to free up earlier.
+const RETRY_AFTER_MS: DurationMs = DurationMs::new(400);
+
 /// Why a request was not served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalReason {
@@ -15,8 +18,6 @@
     NoRoute,
     /// The key is missing or unknown.
     UnknownKey,
-    /// The request asks for a model that the route does not have.
-    UnknownModel,
     /// The process is about to stop.
     Stopping,
     /// No upstream can take it in time.
@@ -38,8 +39,14 @@
     pub retry_after_ms: Option<DurationMs>,
 }
 
+impl From<RefusalReason> for CallRefusal {
+    fn from(reason: RefusalReason) -> Self {
+        Self { reason, retry_after_ms: (reason.status() == 503).then_some(RETRY_AFTER_MS) }
+    }
+}
+
 impl RefusalReason {
-    /// Status code of the answer. 421 and 503 state that the request did not run.
+    /// Status code of the answer. 503 states that the request did not run.
     pub const fn status(self) -> u16 {
         match self {
             Self::NoConfiguration
@@ -49,7 +56,6 @@
             | Self::TimedOutWaiting => 503,
             Self::NoRoute => 404,
             Self::UnknownKey => 401,
-            Self::UnknownModel => 421,
             Self::TimedOutRunning => 504,
             Self::OutcomeUnknown => 502,
         }
@@ -62,7 +68,6 @@
             Self::StaleConfiguration => "stale_configuration",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
-            Self::UnknownModel => "unknown_model",
             Self::Stopping => "stopping",
             Self::NoUpstream => "no_upstream",
             Self::TimedOutWaiting => "timed_out_waiting",
