--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -17,6 +17,7 @@
 mod caller_table;
 mod chat_body;
 mod clock;
+pub mod command_line;
 mod daemon;
 mod engine;
 mod entry_input;
