--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -6,6 +6,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::rc::Rc;
 
 use compact_str::CompactString;
@@ -21,16 +22,26 @@
 use hickorydoor::gateway::effect::Dispatch;
 use hickorydoor::gateway::effect::FirstEventStats;
 use hickorydoor::gateway::event::AttemptOutcome;
+use hickorydoor::gateway::feed_wire::FeedHello;
+use hickorydoor::gateway::feed_wire::WatcherMessage;
 use hickorydoor::gateway::peer_digest::PeerDigest;
 use hickorydoor::gateway::refusal::CallRefusal;
 use hickorydoor::gateway::rollout::RolloutStep;
+use hickorydoor::gateway::store_position::StoreEra;
+use hickorydoor::gateway::store_position::StorePosition;
+use hickorydoor::gateway::view_role::ViewRole;
 use hickorydoor::id::CustomerId;
+use hickorydoor::id::HostId;
 use log::info;
+use log::warn;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use crate::gateway::boot_clock::BootClock;
+use crate::gateway::followers::FollowerState;
+use crate::gateway::followers::Followers;
 use crate::gateway::metrics::GatewayMetrics;
+use crate::link::LinkQueue;
 
 /// Instruction from the reducer to the task of a request.
 #[derive(Debug)]
@@ -72,7 +83,9 @@
     connections: Cell<usize>,
     rollout_steps: mpsc::UnboundedSender<RolloutStep>,
     stopping: watch::Sender<bool>,
-    peer_addresses: RefCell<Vec<std::net::IpAddr>>,
+    followers: RefCell<Followers>,
+    store_states_era: Cell<bool>,
+    restored_era: watch::Sender<StoreEra>,
     pub(super) metrics: GatewayMetrics,
 }
 
@@ -91,7 +104,9 @@
             connections: Cell::new(0),
             rollout_steps: sender,
             stopping: watch::Sender::new(false),
-            peer_addresses: RefCell::default(),
+            followers: RefCell::default(),
+            store_states_era: Cell::new(false),
+            restored_era: watch::Sender::new(StoreEra::default()),
             metrics: GatewayMetrics::new()?,
         };
         Ok((Rc::new(core), AdapterEffects { rollout_steps }))
@@ -104,18 +119,105 @@
 
     /// Applies an event to the reducer and carries out the resulting effects.
     pub fn apply(&self, event: GatewayEvent) {
-        log_event(&event);
-        let effects = self.gateway.borrow_mut().apply(event, self.now());
+        let now = self.now();
+        if !self.gateway.borrow().is_known(&event) {
+            log_event(&event);
+            self.followers.borrow_mut().forward(&event, now);
+        }
+        if let GatewayEvent::StoreRestored { era } = event {
+            self.restored_era.send_replace(era);
+        }
+        let effects = self.gateway.borrow_mut().apply(event, now);
         for effect in effects {
             self.handle_effect(effect);
         }
     }
 
-    /// Returns whether the last call to the store was answered.
-    pub fn is_store_reachable(&self) -> bool {
+    /// Returns whether the store has recently answered a call of this host directly.
+    pub fn is_store_answering(&self) -> bool {
+        self.gateway.borrow().is_store_answering(self.now())
+    }
+
+    /// Returns how this gateway learns the changes in the store.
+    pub fn view_role(&self) -> ViewRole {
+        self.gateway.borrow().view_role()
+    }
+
+    /// Returns the position in the store up to which changes have been applied.
+    pub fn store_position(&self) -> Option<StorePosition> {
+        self.gateway.borrow().store_position()
+    }
+
+    /// Returns the current era of the store; `None` before the first synchronization.
+    pub fn store_era(&self) -> Option<StoreEra> {
+        self.gateway.borrow().store_era()
+    }
+
+    /// Returns a receiver of the era that each restore of the store begins.
+    pub fn restored_era(&self) -> watch::Receiver<StoreEra> {
+        self.restored_era.subscribe()
+    }
+
+    /// Returns whether the store states its era, so that it may come back from an older copy.
+    pub fn is_store_restorable(&self) -> bool {
+        self.store_states_era.get()
+    }
+
+    /// Records that the store states its era.
+    pub fn set_store_states_era(&self) {
+        self.store_states_era.set(true);
+    }
+
+    /// Returns the address of the host of another live gateway.
+    pub fn peer_address(&self, host: &HostId) -> Option<IpAddr> {
+        let gateway = self.gateway.borrow();
+        gateway.peers().find(|peer| peer.host == *host).map(|peer| peer.address)
+    }
+
+    /// Returns what a watcher needs to know to send only what this gateway lacks.
+    pub(super) fn feed_hello(&self) -> FeedHello {
+        let gateway = self.gateway.borrow();
+        FeedHello {
+            position: gateway.store_position(),
+            configuration_version: gateway.catalog().map_or(0, Catalog::version),
+        }
+    }
+
+    /// Returns whether the last synchronization with the store succeeded.
+    pub(super) fn is_view_current(&self) -> bool {
         self.gateway.borrow().is_store_reachable()
     }
 
+    /// Returns when the store last answered a call of this host directly.
+    pub(super) fn store_answered_at(&self) -> Option<TimeMs> {
+        self.gateway.borrow().store_answered_at()
+    }
+
+    /// Returns whether this gateway knows all that a follower knows, so that it may be followed.
+    pub(super) fn can_be_followed(&self, hello: &FeedHello) -> bool {
+        let gateway = self.gateway.borrow();
+        gateway.is_store_reachable()
+            && gateway.store_position().is_some_and(|own| Some(own) >= hello.position)
+    }
+
+    /// Starts to send this gateway's view to a follower, until `state` is dropped.
+    pub(super) fn add_follower(
+        &self,
+        hello: &FeedHello,
+        queue: LinkQueue<WatcherMessage>,
+        state: &Rc<FollowerState>,
+    ) {
+        let now = self.now();
+        let gateway = self.gateway.borrow();
+        let mut followers = self.followers.borrow_mut();
+        followers.add(hello, queue, state, &gateway.view(hello.position, now));
+        if let (Some(position), Some(age_ms)) =
+            (gateway.store_position(), gateway.configuration_age_ms(now))
+        {
+            followers.send_synced(now - age_ms, position);
+        }
+    }
+
     /// Returns whether the platform should route new connections to this gateway.
     pub fn is_ready(&self) -> bool {
         self.gateway.borrow().is_ready(self.now())
@@ -160,14 +262,9 @@
         self.gateway.borrow().catalog().map(Catalog::limits).unwrap_or_default()
     }
 
-    /// Sets the addresses of the other gateways, to which digests are sent.
-    pub fn set_peer_addresses(&self, addresses: Vec<std::net::IpAddr>) {
-        *self.peer_addresses.borrow_mut() = addresses;
-    }
-
-    /// Returns the addresses of the other gateways, as last set by the adapter.
-    pub fn peer_addresses(&self) -> Vec<std::net::IpAddr> {
-        self.peer_addresses.borrow().clone()
+    /// Returns the addresses of the hosts of the other live gateways.
+    pub fn peer_addresses(&self) -> Vec<IpAddr> {
+        self.gateway.borrow().peers().map(|peer| peer.address).collect()
     }
 
     /// Creates the next digest for the other gateways.
@@ -250,7 +347,7 @@
             GatewayEffect::WriteRollout(step) => {
                 info!(
                     service:% = step.record.service, version = step.record.target.as_str(),
-                    phase:? = step.record.phase, order = step.record.order_revision;
+                    phase:? = step.record.phase, order:% = step.record.order;
                     "rollout advances"
                 );
                 // Sending fails only without an adapter, and then there is no store to write to.
@@ -356,17 +453,26 @@
             info!(upstream:% = upstream; "upstream deregistered");
         }
         GatewayEvent::RolloutOrdered(order) => info!(
-            service:% = order.service, version = order.target.as_str(), order = order.revision;
+            service:% = order.service, version = order.target.as_str(), order:% = order.position;
             "rollout ordered"
         ),
         GatewayEvent::RolloutRecorded(record) => info!(
             service:% = record.service, version = record.target.as_str(),
-            phase:? = record.phase, order = record.order_revision;
+            phase:? = record.phase, order:% = record.order;
             "rollout recorded"
         ),
         GatewayEvent::DataCentreOut(id) => info!(data_centre:% = id; "data centre taken out"),
         GatewayEvent::DataCentreIn(id) => info!(data_centre:% = id; "data centre taken back"),
-        GatewayEvent::Gateways(gateways) => info!(count = gateways.len(); "gateways known"),
+        GatewayEvent::Registered(known) if known.draining => {
+            info!(upstream:% = known.upstream, sequence = known.sequence; "upstream is leaving");
+        }
+        GatewayEvent::StoreRestored { era } => {
+            warn!(era:% = era; "store was restored from a copy; keeping what it may lack");
+        }
+        GatewayEvent::GatewayJoined(member) => {
+            info!(gateway:% = member.host, address:% = member.address; "gateway joined");
+        }
+        GatewayEvent::GatewayLeft(host) => info!(gateway:% = host; "gateway left"),
         GatewayEvent::Stop => info!("stop requested"),
         _ => {}
     }
--- a/crates/hickoryd/src/gateway/mod.rs
+++ b/crates/hickoryd/src/gateway/mod.rs
@@ -8,7 +8,9 @@
 //!
 //! A call is one request of a caller with all its attempts at upstreams. `caller_port` reads
 //! requests, `call_driver` runs one task for each request, `upstream_request` sends one attempt,
-//! and `digest_exchange` exchanges load digests with the other gateways.
+//! and `digest_exchange` exchanges load digests with the other gateways. [`maintain_view`] keeps
+//! what the gateway knows from the store current, through `feed_client` and `feed_server` where a
+//! few gateways watch the store for the others.
 
 mod boot_clock;
 mod call_driver;
@@ -16,6 +18,9 @@
 pub mod connection;
 mod core;
 mod digest_exchange;
+mod feed_client;
+mod feed_server;
+mod followers;
 mod header_names;
 mod log_writer;
 mod metrics;
@@ -25,6 +30,7 @@
 mod response_body;
 mod status_port;
 mod upstream_request;
+mod view_source;
 
 pub use boot_clock::BootClock;
 pub use core::Core;
@@ -32,3 +38,6 @@
 pub use log_writer::start_log;
 pub use options::GatewayOptions;
 pub use process::GatewayProcess;
+pub use view_source::ViewOptions;
+pub use view_source::learn_view;
+pub use view_source::maintain_view;
--- a/crates/hickoryd/src/gateway/options.rs
+++ b/crates/hickoryd/src/gateway/options.rs
@@ -25,6 +25,8 @@
     pub peer_ip: IpAddr,
     /// UDP port for digests between gateways, the same on all hosts.
     pub peer_port: u16,
+    /// TCP port on which other gateways can follow this one, the same on all hosts.
+    pub feed_port: u16,
     /// Interval between two digests to the other gateways. In large fleets, it is lengthened in
     /// proportion to their number.
     pub peer_interval: Duration,
--- a/crates/hickoryd/src/gateway/process.rs
+++ b/crates/hickoryd/src/gateway/process.rs
@@ -21,6 +21,7 @@
 use crate::gateway::core::AdapterEffects;
 use crate::gateway::core::Core;
 use crate::gateway::digest_exchange::exchange_digests;
+use crate::gateway::feed_server::serve_feed;
 use crate::gateway::options::GatewayOptions;
 use crate::gateway::status_port::serve_status;
 use crate::start_error::StartError;
@@ -69,6 +70,8 @@
             let metrics = bind(address).await?;
             spawn_local(serve_status(metrics, Rc::clone(&core), options.ready_path));
         }
+        let feed = bind(SocketAddr::new(options.peer_ip, options.feed_port)).await?;
+        spawn_local(serve_feed(feed, Rc::clone(&core)));
         let peer_port = options.peer_port;
         spawn_local(exchange_digests(
             Rc::new(peers),
--- a/crates/hickorydoor/src/gateway/catalog.rs
+++ b/crates/hickorydoor/src/gateway/catalog.rs
@@ -60,6 +60,8 @@
     pub head_bytes: ByteCount,
     /// Maximum size of a request body.
     pub body_bytes: ByteCount,
+    /// Maximum time from the first byte of a request head to its end.
+    pub head_timeout_ms: DurationMs,
     /// Time after which an idle connection is closed.
     pub idle_timeout_ms: DurationMs,
 }
@@ -69,6 +71,7 @@
         Self {
             head_bytes: ByteCount::new(16 << 10),
             body_bytes: ByteCount::new(4 << 20),
+            head_timeout_ms: DurationMs::new(15_000),
             idle_timeout_ms: DurationMs::new(15_000),
         }
     }
@@ -81,8 +84,8 @@
     limits: CallerLimits,
     routes: HashMap<CompactString, Vec<Arc<Route>>>,
     services: HashMap<ServiceName, ServiceSpec>,
-    accounts: HashMap<CompactString, Arc<Account>>,
-    has_accounts: bool,
+    accounts: Vec<Arc<Account>>,
+    accounts_by_key: HashMap<CompactString, Arc<Account>>,
 }
 
 impl Catalog {
@@ -101,16 +104,15 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        let has_accounts = !accounts.is_empty();
-        let mut by_key = HashMap::new();
-        for account in accounts {
-            let account = Arc::new(account);
+        let accounts: Vec<Arc<Account>> = accounts.into_iter().map(Arc::new).collect();
+        let mut accounts_by_key = HashMap::new();
+        for account in &accounts {
             for key in &account.keys {
-                by_key.insert(key.clone(), Arc::clone(&account));
+                accounts_by_key.insert(key.clone(), Arc::clone(account));
             }
         }
         let services = services.into_iter().map(|spec| (spec.name.clone(), spec)).collect();
-        Self { version, limits, routes: by_host, services, accounts: by_key, has_accounts }
+        Self { version, limits, routes: by_host, services, accounts, accounts_by_key }
     }
 
     /// Returns the version of the configuration; later ones are higher.
@@ -131,12 +133,22 @@
 
     /// Returns the account that holds `key`; `None` if the key is not valid.
     pub fn account(&self, key: &str) -> Option<&Arc<Account>> {
-        self.accounts.get(key)
+        self.accounts_by_key.get(key)
     }
 
     /// Returns whether any account is configured. Without accounts, no request needs a key.
     pub const fn has_accounts(&self) -> bool {
-        self.has_accounts
+        !self.accounts.is_empty()
+    }
+
+    /// Iterates over all customers, in the order in which they are configured.
+    pub fn accounts(&self) -> impl Iterator<Item = &Account> {
+        self.accounts.iter().map(|account| &**account)
+    }
+
+    /// Iterates over all routes, in no particular order.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.values().flatten().map(|route| &**route)
     }
 
     /// Iterates over all services, in no particular order.
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -228,7 +228,7 @@
         let target_count = (share * count as f64).ceil().max(1.0) as usize;
         candidates.sort_by_key(|upstream| {
             let id = upstream.registration.upstream.as_str();
-            xxh3_64_with_seed(id.as_bytes(), rollout.order().revision)
+            xxh3_64_with_seed(id.as_bytes(), rollout.order().position.revision)
         });
         candidates.truncate(target_count);
     }
@@ -284,7 +284,7 @@
             f64::from(upstream.total_in_flight()) < slots * (1.0 + QUEUED_SLOT_SHARE);
         registration.service == active.service
             && !registration.draining
-            && !self.closed_data_centres.contains(&registration.data_centre)
+            && !self.closed_data_centres.contains_key(&registration.data_centre)
             && in_region
             && is_allowed
             && has_capacity
--- a/crates/hickorydoor/src/gateway/event.rs
+++ b/crates/hickorydoor/src/gateway/event.rs
@@ -1,13 +1,19 @@
 //! Events that the gateway's reducer handles.
 
+use std::sync::Arc;
+
 use crate::gateway::call::Call;
 use crate::gateway::call::CallId;
 use crate::gateway::catalog::Catalog;
-use crate::gateway::freshness::StorePath;
+use crate::gateway::member::GatewayMember;
 use crate::gateway::peer_digest::PeerDigest;
 use crate::gateway::rollout::RolloutOrder;
 use crate::gateway::rollout::RolloutRecord;
+use crate::gateway::store_listing::StoreListing;
+use crate::gateway::store_position::StoreEra;
+use crate::gateway::store_position::StorePosition;
 use crate::gateway::upstream::Registration;
+use crate::gateway::upstream_pool::Departure;
 use crate::id::DataCentreId;
 use crate::id::HostId;
 use crate::id::ServiceName;
@@ -61,14 +67,26 @@
 pub enum GatewayEvent {
     /// Time has passed; sent at regular intervals.
     Tick,
+    /// The store has come back from an older copy. What it lacks is kept for a while.
+    StoreRestored {
+        /// Era that has begun.
+        era: StoreEra,
+    },
     /// A configuration was read; one that is not newer than the one in force is ignored.
-    Configured(Box<Catalog>),
+    Configured(Arc<Catalog>),
     /// An upstream has registered or renewed its registration.
     Registered(Box<Registration>),
     /// The registration of an upstream was removed.
     Deregistered(UpstreamId),
-    /// Complete list of registered upstreams; all others were removed.
-    RegistrationsListed(Vec<UpstreamId>),
+    /// Another gateway knows that an upstream has left.
+    UpstreamDeparted {
+        /// Upstream that left.
+        upstream: UpstreamId,
+        /// Its last registration.
+        departure: Departure,
+    },
+    /// A complete read of the store has ended, whose items were applied before.
+    StoreListed(Box<StoreListing>),
     /// A rollout was ordered.
     RolloutOrdered(RolloutOrder),
     /// The order of a rollout was removed.
@@ -79,15 +97,19 @@
     DataCentreOut(DataCentreId),
     /// A data centre was taken back: it may get requests again.
     DataCentreIn(DataCentreId),
-    /// Complete list of the live gateways.
-    Gateways(Vec<HostId>),
+    /// A gateway is present in the store.
+    GatewayJoined(GatewayMember),
+    /// A gateway is no longer present.
+    GatewayLeft(HostId),
     /// All changes that the store acknowledged before a point in time have been applied.
     StoreSynced {
         /// Point in time up to which the gateway is in sync.
         synced_at: TimeMs,
-        /// Whether the store answered directly or through another gateway.
-        path: StorePath,
+        /// Position in the store up to which changes have been applied.
+        position: StorePosition,
     },
+    /// The store has answered a call of this host directly.
+    StoreAnswered,
     /// A call to the store failed.
     StoreUnreachable,
     /// Another gateway reported its load and rollout evidence.
--- a/crates/hickorydoor/src/gateway/freshness.rs
+++ b/crates/hickorydoor/src/gateway/freshness.rs
@@ -3,14 +3,9 @@
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
-/// Path by which a reply of the store arrived.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StorePath {
-    /// From the store itself.
-    Direct,
-    /// Through another gateway.
-    Relayed,
-}
+/// Time after a restore of the store within which the operator and the upstreams write again what
+/// the copy lacks.
+pub const RESTORE_WINDOW_MS: DurationMs = DurationMs::new(4_000);
 
 /// Tracks the time up to which all changes acknowledged by the store are known.
 ///
@@ -18,28 +13,57 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Freshness {
     synced_at: Option<TimeMs>,
-    direct_synced_at: Option<TimeMs>,
+    answered_at: Option<TimeMs>,
     unreachable_since: Option<TimeMs>,
     recovered_at: Option<TimeMs>,
+    restored_at: Option<TimeMs>,
+    /// Whether the store may still lack acknowledged changes of the configuration.
+    may_lack_configuration: bool,
 }
 
 impl Freshness {
     /// Records that all changes acknowledged before `synced_at` are known.
-    pub fn record_sync(&mut self, synced_at: TimeMs, path: StorePath, now: TimeMs) {
+    ///
+    /// Shortly after a restore, the store may lack a revocation that it had acknowledged, so what
+    /// it says then proves nothing, unless nothing better is known.
+    pub fn record_sync(&mut self, synced_at: TimeMs, now: TimeMs) {
         if self.unreachable_since.take().is_some() {
             self.recovered_at = Some(now);
         }
-        self.synced_at = self.synced_at.max(Some(synced_at));
-        if path == StorePath::Direct {
-            self.direct_synced_at = self.direct_synced_at.max(Some(synced_at));
+        self.may_lack_configuration &= self.is_restoring(now);
+        if !self.may_lack_configuration || self.synced_at.is_none() {
+            self.synced_at = self.synced_at.max(Some(synced_at));
         }
     }
 
+    /// Records that the store answered a call of this host directly.
+    pub fn record_answer(&mut self, now: TimeMs) {
+        self.answered_at = self.answered_at.max(Some(now));
+    }
+
+    /// Returns when the store last answered a call of this host directly.
+    pub const fn answered_at(&self) -> Option<TimeMs> {
+        self.answered_at
+    }
+
     /// Records that a call to the store failed.
     pub fn record_unreachable(&mut self, now: TimeMs) {
         self.unreachable_since.get_or_insert(now);
     }
 
+    /// Records that the store has come back from an older copy.
+    pub fn record_restore(&mut self, now: TimeMs) {
+        self.restored_at = Some(now);
+        self.recovered_at = Some(now);
+        self.may_lack_configuration = true;
+    }
+
+    /// Records a configuration that is newer than all earlier ones: after a restore, the operator
+    /// has written it.
+    pub const fn record_new_configuration(&mut self) {
+        self.may_lack_configuration = false;
+    }
+
     /// Returns the age of the configuration; `None` before the first synchronization.
     pub fn age_ms(&self, now: TimeMs) -> Option<DurationMs> {
         self.synced_at.map(|synced_at| now.since(synced_at))
@@ -50,11 +74,9 @@
         self.age_ms(now).is_some_and(|age_ms| age_ms <= limit_ms)
     }
 
-    /// Returns whether the configuration is at most `limit_ms` old according to direct replies of
-    /// the store alone.
-    pub fn is_direct_within(&self, limit_ms: DurationMs, now: TimeMs) -> bool {
-        self.direct_synced_at
-            .is_some_and(|direct_synced_at| now.since(direct_synced_at) <= limit_ms)
+    /// Returns whether the store has answered this host directly within the last `limit_ms`.
+    pub fn is_answered_within(&self, limit_ms: DurationMs, now: TimeMs) -> bool {
+        self.answered_at.is_some_and(|answered_at| now.since(answered_at) <= limit_ms)
     }
 
     /// Returns whether the last call to the store failed.
@@ -62,9 +84,15 @@
         self.unreachable_since.is_some()
     }
 
-    /// Returns whether the store is unreachable or recovered less than `grace_ms` ago.
+    /// Returns whether the store is unreachable, or recovered or was restored less than `grace_ms`
+    /// ago.
     pub fn is_unstable(&self, grace_ms: DurationMs, now: TimeMs) -> bool {
         self.unreachable_since.is_some()
             || self.recovered_at.is_some_and(|at| now.since(at) < grace_ms)
     }
+
+    /// Returns whether the store was restored so recently that it may lack acknowledged changes.
+    pub fn is_restoring(&self, now: TimeMs) -> bool {
+        self.restored_at.is_some_and(|at| now.since(at) < RESTORE_WINDOW_MS)
+    }
 }
--- a/crates/hickorydoor/src/gateway/peer_digest.rs
+++ b/crates/hickorydoor/src/gateway/peer_digest.rs
@@ -7,6 +7,8 @@
 
 use crate::gateway::prompt_cache::ChainPart;
 use crate::gateway::rollout::RolloutEvidence;
+use crate::gateway::store_position::StoreEra;
+use crate::gateway::store_position::StorePosition;
 use crate::gateway::upstream::PeerLoad;
 use crate::id::HostId;
 use crate::id::IdError;
@@ -19,8 +21,8 @@
 pub struct DigestEvidence {
     /// Service that is rolled out.
     pub service: ServiceName,
-    /// Store revision of the order; evidence about another order is ignored.
-    pub order_revision: u64,
+    /// Store position of the order; evidence about another order is ignored.
+    pub order: StorePosition,
     /// Evidence that the sending gateway counted, without that of other gateways.
     pub evidence: RolloutEvidence,
     /// Hashes of the sessions that the gateway pins to the old version.
@@ -102,6 +104,8 @@
     counters: Vec<u64>,
     #[prost(fixed64, repeated, tag = "4")]
     pinned_sessions: Vec<u64>,
+    #[prost(uint64, tag = "5")]
+    order_era: u64,
 }
 
 #[derive(Clone, PartialEq)]
@@ -156,7 +160,8 @@
         };
         let evidence = |entry: &DigestEvidence| WireEvidence {
             service: entry.service.to_string(),
-            order_revision: entry.order_revision,
+            order_revision: entry.order.revision,
+            order_era: entry.order.era.get(),
             counters: [entry.evidence.target, entry.evidence.baseline]
                 .iter()
                 .flat_map(|counted| [counted.attempts, counted.errors, counted.slow])
@@ -236,7 +241,7 @@
         };
         Ok(Self {
             service: wire.service.parse()?,
-            order_revision: wire.order_revision,
+            order: StorePosition::new(StoreEra::new(wire.order_era), wire.order_revision),
             evidence: RolloutEvidence { target: evidence_from(0), baseline: evidence_from(3) },
             pinned_sessions: wire.pinned_sessions,
         })
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use compact_str::CompactString;
 use xxhash_rust::xxh3::xxh3_64;
@@ -15,16 +16,20 @@
 use crate::gateway::effect::GatewayEffect;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::freshness::Freshness;
+use crate::gateway::member::GatewayMember;
 use crate::gateway::model_table::ModelTable;
 use crate::gateway::peer_digest::DigestEvidence;
 use crate::gateway::peer_digest::PeerDigest;
 use crate::gateway::peer_digest::Prefill;
+use crate::gateway::retained_map::RetainedMap;
 use crate::gateway::retry_budget::RetryBudget;
 use crate::gateway::rollout::Rollout;
 use crate::gateway::rollout::RolloutOrder;
 use crate::gateway::rollout::RolloutRecord;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::size_table::SizeTable;
+use crate::gateway::store_position::StoreEra;
+use crate::gateway::store_position::StorePosition;
 use crate::gateway::upstream_pool::UpstreamPool;
 use crate::id::DataCentreId;
 use crate::id::HostId;
@@ -32,8 +37,6 @@
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
-/// How long upstreams are treated as cold after their data centre was taken back.
-const REOPENED_COLD_MS: DurationMs = DurationMs::new(1_500);
 /// How long a sent prompt is repeated in digests.
 const PREFILL_REPORT_MS: DurationMs = DurationMs::new(1_000);
 /// Maximum number of pinned sessions in a digest.
@@ -45,13 +48,14 @@
 #[derive(Debug)]
 pub struct Gateway {
     pub(super) settings: GatewaySettings,
-    pub(super) catalog: Option<Catalog>,
+    pub(super) catalog: Option<Arc<Catalog>>,
     pub(super) pool: UpstreamPool,
     pub(super) model_table: ModelTable,
     pub(super) sizes: SizeTable,
     pub(super) freshness: Freshness,
     pub(super) rollouts: BTreeMap<ServiceName, Rollout>,
-    pub(super) closed_data_centres: BTreeSet<DataCentreId>,
+    /// Data centres that the operator has taken out.
+    pub(super) closed_data_centres: RetainedMap<DataCentreId, ()>,
     pub(super) calls: BTreeMap<CallId, ActiveCall>,
     pub(super) waiting: BTreeSet<CallId>,
     pub(super) retry_budgets: HashMap<ServiceName, RetryBudget>,
@@ -60,7 +64,17 @@
     /// When a stopping gateway starts to reject new requests; `None` unless it is stopping.
     pub(super) refuse_from: Option<TimeMs>,
     /// Latest rollout records, also of services without an order.
-    records: BTreeMap<ServiceName, RolloutRecord>,
+    pub(super) records: BTreeMap<ServiceName, RolloutRecord>,
+    /// Orders that an older copy of the store contained, which may have been replaced since.
+    pub(super) deferred_orders: BTreeMap<ServiceName, RolloutOrder>,
+    /// Position in the store up to which changes have been applied.
+    pub(super) position: Option<StorePosition>,
+    /// Current era of the store; `None` before the first synchronization.
+    pub(super) era: Option<StoreEra>,
+    /// Whether the items of the first complete read after a restore are being applied.
+    pub(super) is_reading_copy: bool,
+    pub(super) members: RetainedMap<HostId, GatewayMember>,
+    /// Hosts of all live gateways including this one, in order.
     pub(super) gateways: Vec<HostId>,
     /// Incarnation and sequence of the latest digest of each gateway.
     peers: HashMap<HostId, (u64, u64)>,
@@ -82,13 +96,18 @@
             sizes: SizeTable::default(),
             freshness: Freshness::default(),
             rollouts: BTreeMap::new(),
-            closed_data_centres: BTreeSet::new(),
+            closed_data_centres: RetainedMap::new(),
             calls: BTreeMap::new(),
             waiting: BTreeSet::new(),
             retry_budgets: HashMap::new(),
             sessions: HashMap::new(),
             refuse_from: None,
             records: BTreeMap::new(),
+            deferred_orders: BTreeMap::new(),
+            position: None,
+            era: None,
+            is_reading_copy: false,
+            members: RetainedMap::new(),
             gateways,
             peers: HashMap::new(),
             sequence: 0,
@@ -101,30 +120,36 @@
         let mut effects = Vec::new();
         match event {
             GatewayEvent::Tick => self.on_tick(now, &mut effects),
-            GatewayEvent::Configured(catalog) => self.on_configured(*catalog),
-            GatewayEvent::Registered(registration) => self.pool.register(*registration, now),
+            GatewayEvent::StoreRestored { era } => self.on_store_restored(era, now),
+            GatewayEvent::Configured(catalog) => self.on_configured(catalog),
+            GatewayEvent::Registered(registration) => self.on_registered(*registration, now),
             GatewayEvent::Deregistered(upstream) => {
                 let store_unstable = self.is_store_unstable(now);
                 self.pool.deregister(&upstream, store_unstable, now);
             }
-            GatewayEvent::RegistrationsListed(present) => {
-                let present: BTreeSet<_> = present.into_iter().collect();
-                let store_unstable = self.is_store_unstable(now);
-                self.pool.retain(&|id| present.contains(id), store_unstable, now);
+            GatewayEvent::UpstreamDeparted { upstream, departure } => {
+                self.pool.depart(&upstream, departure);
             }
+            GatewayEvent::StoreListed(listing) => self.on_store_listed(&listing, now),
             GatewayEvent::RolloutOrdered(order) => self.on_rollout_ordered(order, now),
-            GatewayEvent::RolloutWithdrawn(_service) => {
+            GatewayEvent::RolloutWithdrawn(service) => {
                 // The record stays in force: a version that was rolled back gets no requests.
+                self.deferred_orders.remove(&service);
             }
             GatewayEvent::RolloutRecorded(record) => self.on_rollout_recorded(record, now),
             GatewayEvent::DataCentreOut(id) => {
-                self.closed_data_centres.insert(id);
+                self.closed_data_centres.insert(id, ());
             }
             GatewayEvent::DataCentreIn(id) => self.on_data_centre_in(&id, now),
-            GatewayEvent::Gateways(gateways) => self.on_gateways(gateways),
-            GatewayEvent::StoreSynced { synced_at, path } => {
-                self.freshness.record_sync(synced_at, path, now);
+            GatewayEvent::GatewayJoined(member) => {
+                self.members.insert(member.host.clone(), member);
+                self.update_gateways();
+            }
+            GatewayEvent::GatewayLeft(host) => self.on_gateway_left(&host, now),
+            GatewayEvent::StoreSynced { synced_at, position } => {
+                self.on_store_synced(synced_at, position, now);
             }
+            GatewayEvent::StoreAnswered => self.freshness.record_answer(now),
             GatewayEvent::StoreUnreachable => self.freshness.record_unreachable(now),
             GatewayEvent::Digest(digest) => self.on_digest(*digest, now),
             GatewayEvent::Arrived { call, request } => {
@@ -149,19 +174,21 @@
         effects
     }
 
-    /// Returns whether the gateway should get new connections. A gateway that reaches the store
-    /// only through another one serves the requests that arrive, but leaves new connections to
-    /// gateways with direct access.
+    /// Returns whether the gateway should get new connections. A gateway that the store does not
+    /// answer serves the requests that arrive, with what it learns from other gateways, but leaves
+    /// new connections to gateways with direct access.
     pub fn is_ready(&self, now: TimeMs) -> bool {
+        let limit_ms = self.settings.max_configuration_age_ms;
         self.refuse_from.is_none()
             && self.catalog.is_some()
             && self.pool.iter().next().is_some()
-            && self.freshness.is_direct_within(self.settings.max_configuration_age_ms, now)
+            && self.freshness.is_within(limit_ms, now)
+            && self.is_store_answering(now)
     }
 
     /// Returns the configuration in force; `None` before the first one was read.
-    pub const fn catalog(&self) -> Option<&Catalog> {
-        self.catalog.as_ref()
+    pub fn catalog(&self) -> Option<&Catalog> {
+        self.catalog.as_deref()
     }
 
     /// Returns the number of requests that have not ended.
@@ -181,7 +208,7 @@
         self.recent_prefills.retain(|(sent_at, _)| now.since(*sent_at) <= PREFILL_REPORT_MS);
         let evidence = self.rollouts.values().map(|rollout| DigestEvidence {
             service: rollout.order().service.clone(),
-            order_revision: rollout.order().revision,
+            order: rollout.order().position,
             evidence: *rollout.own_evidence(),
             pinned_sessions: self.pinned_sessions(rollout),
         });
@@ -212,19 +239,31 @@
         self.catalog.as_ref()?.service(service)
     }
 
-    /// Returns whether the last call to the store succeeded.
+    /// Returns whether the store has answered this host directly as recently as the configuration
+    /// has to be known.
+    pub fn is_store_answering(&self, now: TimeMs) -> bool {
+        self.freshness.is_answered_within(self.settings.max_configuration_age_ms, now)
+    }
+
+    /// Returns when the store last answered a call of this host directly.
+    pub const fn store_answered_at(&self) -> Option<TimeMs> {
+        self.freshness.answered_at()
+    }
+
+    /// Returns whether the last synchronization with the store succeeded.
     pub const fn is_store_reachable(&self) -> bool {
         !self.freshness.is_unreachable()
     }
 
-    fn is_store_unstable(&self, now: TimeMs) -> bool {
+    pub(super) fn is_store_unstable(&self, now: TimeMs) -> bool {
         self.freshness.is_unstable(self.settings.store_recovery_grace_ms, now)
     }
 
     fn on_tick(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
         if self.pool.has_missing() && !self.is_store_unstable(now) {
-            self.pool.drop_missing();
+            self.pool.drop_missing(now);
         }
+        self.expire_retained(now);
         self.pool.refresh_peer_loads(now);
         self.expire_calls(now, effects);
         self.abandon_unresponsive(now, effects);
@@ -233,46 +272,6 @@
         self.sessions.retain(|_, (_, used_at)| now.since(*used_at) <= session_ms);
     }
 
-    fn on_configured(&mut self, catalog: Catalog) {
-        let known = self.catalog.as_ref().map(Catalog::version);
-        if known.is_none_or(|known| known < catalog.version()) {
-            for spec in catalog.services() {
-                self.model_table.set_prices(&spec.models);
-            }
-            self.catalog = Some(catalog);
-        }
-    }
-
-    fn on_data_centre_in(&mut self, id: &DataCentreId, now: TimeMs) {
-        if self.closed_data_centres.remove(id) {
-            self.pool.mark_data_centre_cold(id, REOPENED_COLD_MS, now);
-        }
-    }
-
-    fn on_gateways(&mut self, mut gateways: Vec<HostId>) {
-        if !gateways.contains(&self.settings.host) {
-            gateways.push(self.settings.host.clone());
-        }
-        gateways.sort();
-        self.gateways = gateways;
-    }
-
-    fn on_rollout_ordered(&mut self, order: RolloutOrder, now: TimeMs) {
-        let known = self.rollouts.get(&order.service).map(|rollout| rollout.order().revision);
-        if known.is_some_and(|known| known >= order.revision) {
-            return;
-        }
-        let record = self.records.get(&order.service).cloned();
-        self.rollouts.insert(order.service.clone(), Rollout::new(order, record, now));
-    }
-
-    fn on_rollout_recorded(&mut self, record: RolloutRecord, now: TimeMs) {
-        if let Some(rollout) = self.rollouts.get_mut(&record.service) {
-            rollout.set_record(record.clone(), now);
-        }
-        self.records.insert(record.service.clone(), record);
-    }
-
     fn on_digest(&mut self, digest: PeerDigest, now: TimeMs) {
         if digest.host == self.settings.host {
             return;
@@ -284,7 +283,7 @@
         self.peers.insert(digest.host.clone(), newest);
         for known in digest.evidence {
             if let Some(rollout) = self.rollouts.get_mut(&known.service)
-                && rollout.order().revision == known.order_revision
+                && rollout.order().position == known.order
             {
                 rollout.set_peer_evidence(digest.host.clone(), known.evidence);
                 rollout.set_peer_pinned_sessions(&known.pinned_sessions, now);
@@ -302,6 +301,9 @@
     }
 
     fn step_rollouts(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
+        let Some(era) = self.era else {
+            return;
+        };
         let host = &self.settings.host;
         let rank = self.gateways.iter().position(|known| known == host).unwrap_or_default();
         for (service, rollout) in &mut self.rollouts {
@@ -313,7 +315,7 @@
                 .filter(|upstream| upstream.registration.service == *service)
                 .filter(|upstream| upstream.registration.version != target)
                 .all(|upstream| upstream.total_in_flight() == 0);
-            if let Some(step) = rollout.step(rank, old_is_idle, now) {
+            if let Some(step) = rollout.step(rank, old_is_idle, era, now) {
                 effects.push(GatewayEffect::WriteRollout(step));
             }
         }
--- a/crates/hickorydoor/src/gateway/rollout.rs
+++ b/crates/hickorydoor/src/gateway/rollout.rs
@@ -12,6 +12,8 @@
 
 use compact_str::CompactString;
 
+use crate::gateway::store_position::StoreEra;
+use crate::gateway::store_position::StorePosition;
 use crate::id::HostId;
 use crate::id::ServiceName;
 use crate::quantity::Share;
@@ -52,8 +54,15 @@
     pub duration_ms: DurationMs,
     /// Maximum share of the requests that a faulty version may get until the deadline.
     pub exposure: Share,
-    /// Store revision of the order; a later order replaces earlier ones.
-    pub revision: u64,
+    /// Store position of the order; a later order replaces earlier ones.
+    pub position: StorePosition,
+}
+
+impl RolloutOrder {
+    /// Returns whether two orders ask for the same rollout, wherever they stand in the store.
+    pub fn is_same_rollout(&self, other: &Self) -> bool {
+        Self { position: self.position, ..other.clone() } == *self
+    }
 }
 
 /// Phase of a rollout.
@@ -76,12 +85,20 @@
     pub service: ServiceName,
     /// Version that the order names.
     pub target: CompactString,
-    /// Store revision of the order that the record belongs to.
-    pub order_revision: u64,
+    /// Store position of the order that the record belongs to.
+    pub order: StorePosition,
     /// Phase that the record puts in force.
     pub phase: RolloutPhase,
-    /// Store revision of the record itself; 0 in a record that is not written yet.
-    pub revision: u64,
+    /// Store position of the record itself; the first one in a record that is not written yet.
+    pub position: StorePosition,
+}
+
+impl RolloutRecord {
+    /// Returns whether the record belongs to the order at this position. An order and its record
+    /// keep their revisions in a copy of the store, while the era of the order grows.
+    pub fn is_of_order(&self, order: StorePosition) -> bool {
+        self.order.revision == order.revision && self.order.era <= order.era
+    }
 }
 
 /// Evidence about both versions of a rollout.
@@ -98,8 +115,9 @@
 pub struct RolloutStep {
     /// Record to write.
     pub record: RolloutRecord,
-    /// Store revision of the record to replace, for the compare-and-swap; 0 if there is none.
-    pub replaces: u64,
+    /// Store position of the record to replace, for the compare-and-swap; with the revision 0 if
+    /// there is none. The write is valid in this era only.
+    pub replaces: StorePosition,
 }
 
 /// A rollout as one gateway sees it.
@@ -107,9 +125,13 @@
 pub struct Rollout {
     order: RolloutOrder,
     ordered_at: TimeMs,
+    /// Record that is in force at this gateway.
     record: Option<RolloutRecord>,
-    /// Store revision of the record in the store, which may belong to an earlier order.
-    stored_revision: u64,
+    /// Position of the record in the store, which may belong to an earlier order; with the revision
+    /// 0 if there is none.
+    stored: StorePosition,
+    /// Record in the store, which may belong to an earlier order.
+    stored_record: Option<RolloutRecord>,
     own: RolloutEvidence,
     peers: BTreeMap<HostId, RolloutEvidence>,
     /// Sum over all gateways when the sequential test was last updated.
@@ -127,10 +149,11 @@
     /// Starts to track a rollout. `record` is the record in the store, of this or an earlier order.
     pub fn new(order: RolloutOrder, record: Option<RolloutRecord>, now: TimeMs) -> Self {
         let mut rollout = Self {
+            stored: StorePosition::new(order.position.era, 0),
             order,
             ordered_at: now,
             record: None,
-            stored_revision: 0,
+            stored_record: None,
             own: RolloutEvidence::default(),
             peers: BTreeMap::new(),
             evaluated: RolloutEvidence::default(),
@@ -167,23 +190,57 @@
         }
     }
 
-    /// Applies a record from the store; a record of an earlier order only sets the revision to
-    /// replace.
+    /// Continues with the same order, which was written again after a restore of the store.
+    pub fn move_order(&mut self, position: StorePosition, now: TimeMs) {
+        self.order.position = position;
+        if let Some(record) = &mut self.record {
+            record.order = position;
+        }
+        if let Some(stored) = self.stored_record.take() {
+            self.set_record(stored, now);
+        }
+    }
+
+    /// Applies a record from the store. A record of another order only sets the position to
+    /// replace, and one that an older copy of the store brings back does not undo a later phase.
     pub fn set_record(&mut self, record: RolloutRecord, now: TimeMs) {
-        self.stored_revision = self.stored_revision.max(record.revision);
-        if record.order_revision != self.order.revision {
+        if record.position < self.stored {
+            return;
+        }
+        self.stored = record.position;
+        self.stored_record = Some(record.clone());
+        let is_newer = |known: &RolloutRecord| {
+            known.position.era == record.position.era || known.phase < record.phase
+        };
+        if !record.is_of_order(self.order.position) || !self.record.as_ref().is_none_or(is_newer) {
             return;
         }
         if record.phase == RolloutPhase::RolledBack {
             self.worse_since.get_or_insert(now);
         }
-        if self.record.as_ref().is_none_or(|known| known.revision < record.revision) {
-            if self.record.is_none() {
-                self.resume_at(record.phase, now);
-            }
-            self.record = Some(record);
-            self.written_at = None;
+        if self.record.is_none() {
+            self.resume_at(record.phase, now);
         }
+        self.record = Some(record);
+        self.written_at = None;
+    }
+
+    /// Records that the store has no record of any order of this service in `era`.
+    pub fn set_unrecorded(&mut self, era: StoreEra) {
+        self.stored = StorePosition::new(era, 0);
+        self.stored_record = None;
+    }
+
+    /// Returns the phase in the store's record of this order; `None` if it has none.
+    fn stored_phase(&self) -> Option<RolloutPhase> {
+        let stored = self.stored_record.as_ref();
+        let stored = stored.filter(|record| record.is_of_order(self.order.position));
+        stored.map(|record| record.phase)
+    }
+
+    /// Returns the record that is in force at this gateway.
+    pub const fn record(&self) -> Option<&RolloutRecord> {
+        self.record.as_ref()
     }
 
     /// Backdates the start, so that a gateway that starts during a rollout follows its phases.
@@ -296,8 +353,18 @@
     }
 
     /// Returns the step to write now, if any. `rank` is the position of this gateway in the sorted
-    /// list of all gateways; `old_is_idle` is set if no request runs on the old version.
-    pub fn step(&mut self, rank: usize, old_is_idle: bool, now: TimeMs) -> Option<RolloutStep> {
+    /// list of all gateways; `old_is_idle` is set if no request runs on the old version. `era` is
+    /// the current era of the store; nothing is written until the record in it is known.
+    pub fn step(
+        &mut self,
+        rank: usize,
+        old_is_idle: bool,
+        era: StoreEra,
+        now: TimeMs,
+    ) -> Option<RolloutStep> {
+        if self.stored.era != era || self.order.position.era > era {
+            return None;
+        }
         let (phase, due_at) = self.due_phase(old_is_idle, now)?;
         let delay_ms = DurationMs::new(rank as u64 * RANK_DELAY_MS);
         if now < due_at + delay_ms {
@@ -310,11 +377,11 @@
         let record = RolloutRecord {
             service: self.order.service.clone(),
             target: self.order.target.clone(),
-            order_revision: self.order.revision,
+            order: self.order.position,
             phase,
-            revision: 0,
+            position: StorePosition::default(),
         };
-        Some(RolloutStep { record, replaces: self.stored_revision })
+        Some(RolloutStep { record, replaces: self.stored })
     }
 
     fn due_phase(&self, old_is_idle: bool, now: TimeMs) -> Option<(RolloutPhase, TimeMs)> {
@@ -325,6 +392,10 @@
         let Some(record) = &self.record else {
             return Some((RolloutPhase::Canary, self.ordered_at));
         };
+        if self.stored_phase().is_none_or(|stored| stored < record.phase) {
+            // The store came back without this record.
+            return Some((record.phase, self.ordered_at));
+        }
         let (phase, due_at) = match (record.phase, self.worse_since) {
             (RolloutPhase::Completed | RolloutPhase::RolledBack, _) => return None,
             (_, Some(since)) => (RolloutPhase::RolledBack, since),
--- a/crates/hickorydoor/src/gateway/settings.rs
+++ b/crates/hickorydoor/src/gateway/settings.rs
@@ -1,9 +1,13 @@
 //! Settings of the gateway's reducer.
 
+use std::net::IpAddr;
+
+use crate::gateway::member::GatewayMember;
 use crate::gateway::placement::PlacementCosts;
 use crate::gateway::retry_budget::RetryBound;
 use crate::id::DataCentreId;
 use crate::id::HostId;
+use crate::quantity::KbitPerS;
 use crate::time::DurationMs;
 
 /// Settings of a gateway, fixed for the lifetime of the process.
@@ -15,6 +19,10 @@
     pub incarnation: u64,
     /// Data centre of this gateway; placement prefers upstreams in it.
     pub data_centre: DataCentreId,
+    /// Address of this gateway's host, for messages of the other gateways.
+    pub address: IpAddr,
+    /// Rate of the host's link; 0 if not known.
+    pub link_rate_kbit_per_s: KbitPerS,
     /// Maximum age of the configuration; with an older one, requests are rejected, since keys may
     /// have been revoked.
     pub max_configuration_age_ms: DurationMs,
@@ -33,3 +41,15 @@
     /// it.
     pub cold_limit_factor: f64,
 }
+
+impl GatewaySettings {
+    /// Returns this gateway as the others know it.
+    pub fn member(&self) -> GatewayMember {
+        GatewayMember {
+            host: self.host.clone(),
+            address: self.address,
+            data_centre: Some(self.data_centre.clone()),
+            link_rate_kbit_per_s: self.link_rate_kbit_per_s,
+        }
+    }
+}
--- a/crates/hickorydoor/src/gateway/upstream_pool.rs
+++ b/crates/hickorydoor/src/gateway/upstream_pool.rs
@@ -12,6 +12,8 @@
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
+/// How long the last registration of a removed upstream is remembered.
+const DEPARTURE_TTL_MS: DurationMs = DurationMs::from_secs(60);
 /// How long the reported load of a gateway is used after its last digest.
 const PEER_LOAD_TTL_MS: DurationMs = DurationMs::from_secs(2);
 
@@ -22,10 +24,22 @@
     loads: Vec<(UpstreamId, PeerLoad)>,
 }
 
+/// Last registration of an upstream that was removed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Departure {
+    /// Start of the upstream process in Unix milliseconds.
+    pub started_unix_ms: u64,
+    /// Sequence number of its last known registration.
+    pub sequence: u64,
+    /// When it was removed.
+    pub at: TimeMs,
+}
+
 /// Upstreams by id.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamPool {
     upstreams: BTreeMap<UpstreamId, Upstream>,
+    departures: BTreeMap<UpstreamId, Departure>,
     reports: BTreeMap<HostId, PeerReport>,
 }
 
@@ -36,9 +50,37 @@
             return known.update(registration, now);
         }
         let id = registration.upstream.clone();
+        self.departures.remove(&id);
         self.upstreams.insert(id, Upstream::new(registration, now));
     }
 
+    /// Applies a registration that an older copy of the store contains. One that preceded the
+    /// removal of its upstream is ignored.
+    pub fn register_from_copy(&mut self, registration: Registration, now: TimeMs) {
+        let departure = self.departures.get(&registration.upstream);
+        let received = (registration.started_unix_ms, registration.sequence);
+        if departure.is_some_and(|gone| received <= (gone.started_unix_ms, gone.sequence)) {
+            return;
+        }
+        self.register(registration, now);
+    }
+
+    /// Removes an upstream whose departure another gateway knows, unless it has registered since.
+    pub fn depart(&mut self, upstream: &UpstreamId, departure: Departure) {
+        let gone = (departure.started_unix_ms, departure.sequence);
+        let known = self.upstreams.get(upstream).map(|known| &known.registration);
+        if known.is_some_and(|known| (known.started_unix_ms, known.sequence) > gone) {
+            return;
+        }
+        self.upstreams.remove(upstream);
+        self.departures.insert(upstream.clone(), departure);
+    }
+
+    /// Iterates over the removed upstreams that are still remembered.
+    pub fn departures(&self) -> impl Iterator<Item = (&UpstreamId, &Departure)> {
+        self.departures.iter()
+    }
+
     /// Removes an upstream whose registration was removed. While the store is unstable, it is kept
     /// until [`UpstreamPool::drop_missing`], unless it was draining.
     pub fn deregister(&mut self, upstream: &UpstreamId, store_unstable: bool, now: TimeMs) {
@@ -46,12 +88,20 @@
             Some(known) if store_unstable && !known.registration.draining => {
                 known.missing_since.get_or_insert(now);
             }
-            _ => {
-                self.upstreams.remove(upstream);
-            }
+            _ => self.remove(upstream, now),
         }
     }
 
+    fn remove(&mut self, upstream: &UpstreamId, now: TimeMs) {
+        let Some(known) = self.upstreams.remove(upstream) else {
+            return;
+        };
+        let Registration { started_unix_ms, sequence, .. } = known.registration;
+        let departure = Departure { started_unix_ms, sequence, at: now };
+        self.departures.retain(|_, gone| now.since(gone.at) <= DEPARTURE_TTL_MS);
+        self.departures.insert(upstream.clone(), departure);
+    }
+
     /// Removes all upstreams that are not `present`, as [`UpstreamPool::deregister`] does.
     pub fn retain(
         &mut self,
@@ -67,8 +117,12 @@
     }
 
     /// Removes the upstreams that were kept and have not registered again.
-    pub fn drop_missing(&mut self) {
-        self.upstreams.retain(|_, upstream| upstream.missing_since.is_none());
+    pub fn drop_missing(&mut self, now: TimeMs) {
+        let missing = self.upstreams.iter().filter(|(_, known)| known.missing_since.is_some());
+        let missing: Vec<UpstreamId> = missing.map(|(id, _)| id.clone()).collect();
+        for upstream in &missing {
+            self.remove(upstream, now);
+        }
     }
 
     /// Returns whether any upstream is kept without a registration.
--- a/crates/hickorydoor/src/quantity.rs
+++ b/crates/hickorydoor/src/quantity.rs
@@ -80,6 +80,8 @@
     CostMicros);
 count!(/// A number of bytes.
     ByteCount);
+count!(/// A data rate in kilobits per second.
+    KbitPerS);
 
 const MILLION: u32 = 1_000_000;
 
--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test uses a part of the helpers")]
 
 use std::num::NonZeroU32;
+use std::sync::Arc;
 
 use hickorydoor::DurationMs;
 use hickorydoor::TimeMs;
@@ -21,7 +22,7 @@
 use hickorydoor::gateway::catalog::ServiceSpec;
 use hickorydoor::gateway::effect::Dispatch;
 use hickorydoor::gateway::event::AttemptOutcome;
-use hickorydoor::gateway::freshness::StorePath;
+use hickorydoor::gateway::member::GatewayMember;
 use hickorydoor::gateway::placement::PlacementCosts;
 use hickorydoor::gateway::refusal::CallRefusal;
 use hickorydoor::gateway::retry_budget::RetryBound;
@@ -29,7 +30,10 @@
 use hickorydoor::gateway::route::Backend;
 use hickorydoor::gateway::route::CallKind;
 use hickorydoor::gateway::route::Route;
+use hickorydoor::gateway::store_position::StoreEra;
+use hickorydoor::gateway::store_position::StorePosition;
 use hickorydoor::gateway::upstream::Registration;
+use hickorydoor::quantity::KbitPerS;
 use hickorydoor::quantity::Share;
 
 pub mod fleet;
@@ -47,6 +51,8 @@
         host: host.parse().unwrap(),
         incarnation: 1,
         data_centre: "dc-1".parse().unwrap(),
+        address: "127.0.0.1".parse().unwrap(),
+        link_rate_kbit_per_s: KbitPerS::new(1_000_000),
         max_configuration_age_ms: DurationMs::new(4_400),
         retries: RetryBound { ratio: 0.9, extra: 58.0, window_ms: DurationMs::from_secs(10) },
         costs: PlacementCosts {
@@ -144,10 +150,24 @@
         target: "v2".into(),
         duration_ms: DurationMs::from_secs(24),
         exposure: Share::from_percent(15),
-        revision,
+        position: position(1, revision),
     }
 }
 
+/// A live gateway with a link of `link_mbit_per_s`.
+pub fn member(host: &str, data_centre: &str, link_mbit_per_s: u64) -> GatewayMember {
+    GatewayMember {
+        host: host.parse().unwrap(),
+        address: "127.0.0.1".parse().unwrap(),
+        data_centre: Some(data_centre.parse().unwrap()),
+        link_rate_kbit_per_s: KbitPerS::new(link_mbit_per_s * 1_000),
+    }
+}
+
+pub fn position(era: u64, revision: u64) -> StorePosition {
+    StorePosition::new(StoreEra::new(era), revision)
+}
+
 /// A request to one of the routes.
 pub fn call(path: &str, client_attempt: &str) -> Call {
     let mut call = Call {
@@ -187,7 +207,7 @@
     pub fn new(host: &str) -> Self {
         let mut rig =
             Self { gateway: Gateway::new(settings(host)), now: TimeMs::new(100_000), next_call: 0 };
-        rig.apply(GatewayEvent::Configured(Box::new(catalog(1, &[KEY]))));
+        rig.apply(GatewayEvent::Configured(Arc::new(catalog(1, &[KEY]))));
         rig.sync_store();
         rig
     }
@@ -209,7 +229,10 @@
     }
 
     pub fn sync_store(&mut self) {
-        self.apply(GatewayEvent::StoreSynced { synced_at: self.now, path: StorePath::Direct });
+        let era = self.gateway.store_era().unwrap_or(StoreEra::new(1));
+        let position = StorePosition::new(era, 1);
+        self.apply(GatewayEvent::StoreAnswered);
+        self.apply(GatewayEvent::StoreSynced { synced_at: self.now, position });
     }
 
     pub fn register(&mut self, registration: Registration) {
--- a/crates/hickorydoor/tests/gateway_bounds.rs
+++ b/crates/hickorydoor/tests/gateway_bounds.rs
@@ -17,6 +17,7 @@
 use crate::gateway::Rig;
 use crate::gateway::call;
 use crate::gateway::dispatch;
+use crate::gateway::member;
 use crate::gateway::registration;
 
 const BOUND: RetryBound =
@@ -75,7 +76,9 @@
 #[test]
 fn cold_upstream_gets_no_more_than_its_share_in_any_second() {
     let mut rig = Rig::new("gw-0");
-    rig.apply(GatewayEvent::Gateways(hosts(4)));
+    for host in hosts(4) {
+        rig.apply(GatewayEvent::GatewayJoined(member(host.as_str(), "dc-1", 1_000)));
+    }
     let mut cold = registration("e-0", ENGINES);
     cold.cold_ms = DurationMs::from_secs(3);
     rig.register(cold);
--- a/crates/hickorydoor/tests/gateway_calls.rs
+++ b/crates/hickorydoor/tests/gateway_calls.rs
@@ -3,6 +3,8 @@
 
 mod gateway;
 
+use std::sync::Arc;
+
 use hickorydoor::DurationMs;
 use hickorydoor::gateway::GatewayEvent;
 use hickorydoor::gateway::catalog::Account;
@@ -117,8 +119,8 @@
 #[test]
 fn configuration_never_goes_back() {
     let mut rig = Rig::with_upstreams("gw-1", 0, 3);
-    rig.apply(GatewayEvent::Configured(Box::new(catalog(5, &["key-2"]))));
-    rig.apply(GatewayEvent::Configured(Box::new(catalog(4, &[gateway::KEY]))));
+    rig.apply(GatewayEvent::Configured(Arc::new(catalog(5, &["key-2"]))));
+    rig.apply(GatewayEvent::Configured(Arc::new(catalog(4, &[gateway::KEY]))));
     let (_, effects) = rig.send(call("/look/1", "a"));
     assert_eq!(refusal(&effects).unwrap().reason, RefusalReason::UnknownKey);
 }
@@ -174,7 +176,7 @@
             priority: None,
         }],
     );
-    rig.apply(GatewayEvent::Configured(Box::new(catalog)));
+    rig.apply(GatewayEvent::Configured(Arc::new(catalog)));
     for (id, region) in [("p-south", Some("sur")), ("p-none", None)] {
         let mut elsewhere = registration(id, PLAIN);
         elsewhere.region = region.map(|region| region.parse().unwrap());
--- a/crates/hickorydoor/tests/gateway_rollouts.rs
+++ b/crates/hickorydoor/tests/gateway_rollouts.rs
@@ -13,6 +13,7 @@
 use crate::gateway::call;
 use crate::gateway::dispatch;
 use crate::gateway::order;
+use crate::gateway::position;
 use crate::gateway::registration;
 
 /// Store revision of the order.
@@ -41,9 +42,9 @@
     rig.apply(GatewayEvent::RolloutRecorded(RolloutRecord {
         service: ENGINES.parse().unwrap(),
         target: "v2".into(),
-        order_revision: ORDER_REVISION,
+        order: position(1, ORDER_REVISION),
         phase,
-        revision,
+        position: position(1, revision),
     }));
 }
 
@@ -157,7 +158,7 @@
         _ => None,
     });
     let step = step.expect("the new rollout has started");
-    assert_eq!((step.replaces, step.record.order_revision), (12, 30));
+    assert_eq!((step.replaces, step.record.order), (position(1, 12), position(1, 30)));
 }
 
 #[test]
--- a/crates/hickorydoor/tests/regression_session_at_other_gateway.rs
+++ b/crates/hickorydoor/tests/regression_session_at_other_gateway.rs
@@ -15,6 +15,7 @@
 use crate::gateway::call;
 use crate::gateway::dispatch;
 use crate::gateway::order;
+use crate::gateway::position;
 use crate::gateway::registration;
 
 fn rig(host: &str) -> Rig {
@@ -32,9 +33,9 @@
     GatewayEvent::RolloutRecorded(RolloutRecord {
         service: ENGINES.parse().unwrap(),
         target: "v2".into(),
-        order_revision: 10,
+        order: position(1, 10),
         phase: RolloutPhase::Canary,
-        revision: 11,
+        position: position(1, 11),
     })
 }
 
