--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
+use hickorydoor::DurationMs;
 use hickorydoor::TimeMs;
 use hickorydoor::gateway::Gateway;
 use hickorydoor::gateway::GatewayEffect;
@@ -31,6 +32,7 @@
 use hickorydoor::gateway::store_position::StorePosition;
 use hickorydoor::gateway::view_role::ViewRole;
 use hickorydoor::id::CustomerId;
+use hickorydoor::id::DataCentreId;
 use hickorydoor::id::HostId;
 use log::info;
 use log::warn;
@@ -153,6 +155,21 @@
         self.gateway.borrow().store_era()
     }
 
+    /// Returns the version of the configuration in force; 0 before the first one.
+    pub fn configuration_version(&self) -> u64 {
+        self.gateway.borrow().catalog().map_or(0, Catalog::version)
+    }
+
+    /// Returns the age of the configuration; `None` before the first synchronization.
+    pub fn configuration_age_ms(&self) -> Option<DurationMs> {
+        self.gateway.borrow().configuration_age_ms(self.now())
+    }
+
+    /// Returns whether a data centre is out, so that its upstreams get no requests.
+    pub fn is_out(&self, data_centre: &DataCentreId) -> bool {
+        self.gateway.borrow().is_out(data_centre)
+    }
+
     /// Returns a receiver of the era that each restore of the store begins.
     pub fn restored_era(&self) -> watch::Receiver<StoreEra> {
         self.restored_era.subscribe()
@@ -407,7 +424,7 @@
                     status = refusal.reason.status(), took_ms = took_ms,
                     configuration = gateway.catalog().map(Catalog::version),
                     configuration_age_ms =
-                        gateway.configuration_age_ms(self.now()).map(hickorydoor::DurationMs::get);
+                        gateway.configuration_age_ms(self.now()).map(DurationMs::get);
                     "request refused"
                 );
                 self.metrics.record_call(refusal.reason.code());
--- a/crates/hickoryd/src/gateway/view_source.rs
+++ b/crates/hickoryd/src/gateway/view_source.rs
@@ -79,6 +79,8 @@
             }
             sleep_until(next_poll).await;
         } else if !view.follow_any(&role).await {
+            // With no other way left, gateways that failed before are tried again.
+            view.failed_sources.clear();
             sleep(RETRY_DELAY).await;
         }
     }
--- a/crates/hickorydoor/src/gateway/store_view.rs
+++ b/crates/hickorydoor/src/gateway/store_view.rs
@@ -16,6 +16,7 @@
 use crate::gateway::reducer::Gateway;
 use crate::gateway::rollout::Rollout;
 use crate::gateway::rollout::RolloutOrder;
+use crate::gateway::rollout::RolloutPhase;
 use crate::gateway::rollout::RolloutRecord;
 use crate::gateway::store_listing::StoreListing;
 use crate::gateway::store_position::StoreEra;
@@ -25,6 +26,8 @@
 use crate::gateway::view_role::view_role;
 use crate::id::DataCentreId;
 use crate::id::HostId;
+use crate::id::ServiceName;
+use crate::id::UpstreamId;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
@@ -48,6 +51,21 @@
         self.members.values().filter(|member| member.host != self.settings.host)
     }
 
+    /// Returns whether a data centre is out, so that its upstreams get no requests.
+    pub fn is_out(&self, data_centre: &DataCentreId) -> bool {
+        self.closed_data_centres.contains_key(data_centre)
+    }
+
+    /// Returns whether an upstream is known and not leaving.
+    pub fn is_in_use(&self, upstream: &UpstreamId) -> bool {
+        self.pool.get(upstream).is_some_and(|known| !known.registration.draining)
+    }
+
+    /// Returns the phase of the rollout of a service; `None` without one, or before its start.
+    pub fn rollout_phase(&self, service: &ServiceName) -> Option<RolloutPhase> {
+        self.rollouts.get(service)?.phase()
+    }
+
     /// Returns how this gateway learns the changes in the store.
     pub fn view_role(&self) -> ViewRole {
         let members: Vec<&GatewayMember> = self.members.values().collect();
--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -203,10 +203,14 @@
 }
 
 impl Rig {
+    /// A gateway that knows nothing.
+    pub fn empty(host: &str) -> Self {
+        Self { gateway: Gateway::new(settings(host)), now: TimeMs::new(100_000), next_call: 0 }
+    }
+
     /// A gateway with the catalog and in sync with the store, but without upstreams.
     pub fn new(host: &str) -> Self {
-        let mut rig =
-            Self { gateway: Gateway::new(settings(host)), now: TimeMs::new(100_000), next_call: 0 };
+        let mut rig = Self::empty(host);
         rig.apply(GatewayEvent::Configured(Arc::new(catalog(1, &[KEY]))));
         rig.sync_store();
         rig
