Bound what a server may send, and close six ways to harm a caller

Upstreams, the store, the key-value service and the rating service now get a connection for each call; a connection of a gateway was already its own (path, passed before). - Bytes without end: interim responses at full speed kept the only thread of a process busy past its deadlines. The port closes after 200 ms of quiet. - Slow but sound streams: a pause broke a stream off even if nothing could go on with it; now only if another upstream can resume it, else it goes on to its deadline (gateway_calls). - A process that was paused for over a second sends nothing until it is in sync again, at most 1.5 s (gateway_calls). - A truncated answer that looks complete: callers that speak HTTP/1.0 could not tell; they get 505 at entries and gateways (bad_input, path). - A caller that does not read no longer keeps an attempt open past its deadline (not shown by a test of its own for gateways).

--- a/crates/hickory-kv/src/client.rs
+++ b/crates/hickory-kv/src/client.rs
@@ -44,8 +44,7 @@
 /// Client for the key-value service.
 ///
 /// Calls go to the current endpoint. After a failed connection attempt, a timeout or a lost
-/// response, the next endpoint becomes the current one. Concurrent calls through a shared reference
-/// use the same connection pool.
+/// response, the next endpoint becomes the current one. Each call uses a connection of its own.
 #[derive(Debug)]
 pub struct Client {
     http: legacy::Client<HttpConnector, Full<Bytes>>,
@@ -62,7 +61,11 @@
         connector.set_keepalive(Some(KEEPALIVE_IDLE));
         connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
         connector.set_keepalive_retries(Some(KEEPALIVE_PROBES));
-        let http = legacy::Client::builder(TokioExecutor::new()).build(connector);
+        // A late second copy of a response would be taken for the response to the next call on its
+        // connection, so connections are not reused.
+        let http = legacy::Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .build(connector);
         Self { http, settings, endpoint_index: AtomicUsize::new(0) }
     }
 
--- a/crates/hickoryd/benches/path.rs
+++ b/crates/hickoryd/benches/path.rs
@@ -88,7 +88,7 @@
     let mut engine = EngineSettings::new([VERSION, "brine-large-1"]);
     engine.first_token_delay = Duration::ZERO;
     engine.slots = 4 * WORKERS;
-    let options = FleetOptions { separate_runtimes: true, identities: None };
+    let options = FleetOptions { separate_runtimes: true, ..FleetOptions::default() };
     let fleet = stand_ins.block_on(Fleet::start_with(1, engine, options))?;
     for stream in [false, true] {
         compare(&generator, &fleet, stream);
--- a/crates/hickoryd/src/agent_loop.rs
+++ b/crates/hickoryd/src/agent_loop.rs
@@ -24,7 +24,6 @@
 use crate::clock::Clock;
 use crate::engine;
 use crate::flow_control::FlowControlWindow;
-use crate::http_client::HttpClient;
 use crate::kv_executor::KvExecutor;
 use crate::link_table::LinkChange;
 use crate::link_table::LinkTable;
@@ -49,7 +48,6 @@
     /// Root of the upstream, without a trailing slash.
     pub base_uri: CompactString,
     /// Client for calls and orders to the upstream.
-    pub client: HttpClient,
     pub kv: KvExecutor<AgentInput>,
     pub telemetry: Telemetry,
     /// Sender for tasks that report to this one.
@@ -138,11 +136,8 @@
                 }
             }
             AgentEffect::Order { fencing, order } => {
-                let client = self.client.clone();
                 let base_uri = self.base_uri.clone();
-                tokio::spawn(
-                    async move { engine::send(&client, &base_uri, fencing, &order).await },
-                );
+                tokio::spawn(async move { engine::send(&base_uri, fencing, &order).await });
             }
             AgentEffect::Kv { call, operation } => self.kv.call(call, operation),
             AgentEffect::Record(observation) => {
@@ -184,7 +179,6 @@
             timeout: timeout_ms.into(),
             window: Arc::clone(&window),
             base_uri: self.base_uri.clone(),
-            client: self.client.clone(),
             events: self.inputs.clone(),
         };
         let task = tokio::spawn(upstream_call.run()).abort_handle();
--- a/crates/hickoryd/src/agent_process.rs
+++ b/crates/hickoryd/src/agent_process.rs
@@ -17,7 +17,6 @@
 use crate::agent_loop::AgentLoop;
 use crate::clock::Clock;
 use crate::engine::poll_load;
-use crate::http_client;
 use crate::kv_executor::KvExecutor;
 use crate::link_table::LinkTable;
 use crate::process::CommonOptions;
@@ -68,7 +67,6 @@
             &mut tasks,
         );
         let operators_address = operators.await?;
-        let client = http_client::new();
         let host = options.settings.host.clone();
         let offer = options.settings.offer.clone();
         let kv = KvExecutor::new(options.common.kv_client(), inputs.clone(), |call, outcome| {
@@ -79,7 +77,6 @@
             host,
             clock,
             base_uri: options.upstream_uri.clone(),
-            client: client.clone(),
             kv,
             telemetry: options.common.telemetry()?,
             inputs: inputs.clone(),
@@ -89,7 +86,7 @@
             stopped: false,
         };
         let load_polling =
-            poll_load(client, options.upstream_uri, offer, options.load_interval, inputs.clone());
+            poll_load(options.upstream_uri, offer, options.load_interval, inputs.clone());
         tasks.spawn_background(load_polling);
         let tls = tasks.load_identity(options.common.links_tls.as_ref())?;
         tasks.spawn_background(accept_links(listener, tls, inputs.clone()));
--- a/crates/hickoryd/src/api_error.rs
+++ b/crates/hickoryd/src/api_error.rs
@@ -42,6 +42,9 @@
         /// Allowed values, worded to follow "must be".
         allowed: &'static str,
     },
+    /// The caller speaks HTTP/1.0, in which it could not tell a truncated response from a complete
+    /// one.
+    UnsupportedVersion,
     /// No resource has this path.
     UnknownPath,
     /// The resource does not support this method.
@@ -59,6 +62,7 @@
             Self::InvalidBody(_) | Self::InvalidHeader { .. } => StatusCode::BAD_REQUEST,
             Self::BodyTooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
+            Self::UnsupportedVersion => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Self::UnknownPath => StatusCode::NOT_FOUND,
             Self::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
             Self::Overloaded | Self::NotConfigured => StatusCode::SERVICE_UNAVAILABLE,
@@ -72,6 +76,7 @@
             Self::BodyTooLong { .. } => "body_too_long",
             Self::BodyIncomplete => "body_incomplete",
             Self::InvalidHeader { .. } => "invalid_header",
+            Self::UnsupportedVersion => "unsupported_version",
             Self::UnknownPath => "unknown_path",
             Self::MethodNotAllowed => "method_not_allowed",
             Self::Overloaded => "overloaded",
@@ -100,6 +105,7 @@
             Self::InvalidHeader { name, allowed } => {
                 write!(f, "the header {name} must be {allowed}")
             }
+            Self::UnsupportedVersion => f.write_str("HTTP/1.1 is required"),
             Self::UnknownPath => f.write_str("there is no resource with this path"),
             Self::MethodNotAllowed => f.write_str("this path does not take this method"),
             Self::Overloaded => f.write_str("too many requests are open at this host"),
--- a/crates/hickoryd/src/engine.rs
+++ b/crates/hickoryd/src/engine.rs
@@ -26,7 +26,7 @@
 use tokio::time::timeout;
 
 use crate::agent_input::AgentInput;
-use crate::http_client::HttpClient;
+use crate::upstream_connection;
 
 /// Maximum time for a response of the upstream, which runs on the same host.
 const TIMEOUT: Duration = Duration::from_secs(1);
@@ -65,7 +65,6 @@
 /// Polls the load of the upstream for as long as the process runs. A plain service has no load
 /// report; it counts as up if it accepts connections.
 pub async fn poll_load(
-    client: HttpClient,
     base_uri: CompactString,
     offer: Offer,
     period: Duration,
@@ -76,7 +75,7 @@
     loop {
         ticks.tick().await;
         let report = match offer {
-            Offer::Engine { .. } => timeout(TIMEOUT, fetch_load(&client, &base_uri)).await,
+            Offer::Engine { .. } => timeout(TIMEOUT, fetch_load(&base_uri)).await,
             Offer::Service { .. } => timeout(TIMEOUT, probe_connect(&base_uri)).await,
         };
         let report = report.ok().flatten();
@@ -87,9 +86,9 @@
     }
 }
 
-async fn fetch_load(client: &HttpClient, base_uri: &str) -> Option<UpstreamReport> {
+async fn fetch_load(base_uri: &str) -> Option<UpstreamReport> {
     let request = Request::get(format!("{base_uri}/load")).body(Full::default()).ok()?;
-    let response = client.request(request).await.ok()?;
+    let (response, _connection) = upstream_connection::request(request).await.ok()?;
     if !response.status().is_success() {
         return None;
     }
@@ -107,12 +106,7 @@
 
 /// Sends an order to the engine. A failure is only logged, since the reducer repeats an order that
 /// shows no effect in the load reports.
-pub async fn send(
-    client: &HttpClient,
-    base_uri: &str,
-    fencing: FencingNumber,
-    order: &EngineOrder,
-) {
+pub async fn send(base_uri: &str, fencing: FencingNumber, order: &EngineOrder) {
     let (action, version) = match order {
         EngineOrder::Load { version } => ("load", version),
         EngineOrder::Unload { version } => ("unload", version),
@@ -125,10 +119,10 @@
     let Ok(request) = request else {
         return;
     };
-    let status = timeout(TIMEOUT, client.request(request)).await;
+    let status = timeout(TIMEOUT, upstream_connection::request(request)).await;
     match status {
-        Ok(Ok(response)) if response.status().is_success() => {}
-        Ok(Ok(response)) => {
+        Ok(Ok((response, _connection))) if response.status().is_success() => {}
+        Ok(Ok((response, _connection))) => {
             warn!(order = action, version:% = version, status = response.status().as_u16(); "the engine rejected an order; it is repeated later");
         }
         Ok(Err(_)) | Err(_) => {
--- a/crates/hickoryd/src/event_splitter.rs
+++ b/crates/hickoryd/src/event_splitter.rs
@@ -6,8 +6,9 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
-/// Maximum size of an event; engines send events of a few hundred bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of an event; engines send events of a few hundred bytes. Each open stream may buffer
+/// one, on hosts with little memory.
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Error for an event that exceeds the maximum size.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,6 +65,11 @@
     None
 }
 
+/// Returns whether an event carries anything, which a comment does not.
+pub fn is_progress(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').any(|line| !line.trim_ascii().is_empty() && line[0] != b':')
+}
+
 /// Returns the id of an event, or `None` if it has no numeric one.
 pub fn event_id(event: &[u8]) -> Option<u64> {
     let line = event.split(|byte| *byte == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -21,6 +21,7 @@
 
 use crate::event_splitter::EventSplitter;
 use crate::event_splitter::event_id;
+use crate::event_splitter::is_progress;
 use crate::gateway::core::Core;
 use crate::gateway::core::Directive;
 use crate::gateway::header_names::HeaderNames;
@@ -203,6 +204,11 @@
                     self.events = None;
                     return ExchangeOutcome::Ended(AttemptOutcome::Served);
                 }
+                Err(ResponseFault::Silent) if Instant::now() < limits.deadline => {
+                    self.core.apply(GatewayEvent::Stalled { call: self.call });
+                    read_deadline = Instant::now() + limits.pause_timeout;
+                    continue;
+                }
                 Err(reason) => return fault(reason),
             }
             loop {
@@ -218,10 +224,16 @@
                 if let Some((status, headers)) = head.take() {
                     self.start_stream(status, headers);
                 }
-                if !self.forward(event, id).await {
-                    return ExchangeOutcome::CallerGone;
+                let has_progressed = is_progress(&event);
+                match timeout_at(limits.deadline, self.forward(event, id)).await {
+                    Ok(true) => {}
+                    Ok(false) => return ExchangeOutcome::CallerGone,
+                    // The caller does not read.
+                    Err(_elapsed) => return fault(ResponseFault::TimedOut),
+                }
+                if has_progressed {
+                    read_deadline = Instant::now() + limits.pause_timeout;
                 }
-                read_deadline = Instant::now() + limits.pause_timeout;
             }
         }
     }
@@ -266,7 +278,7 @@
 #[derive(Debug)]
 struct AttemptLimits {
     deadline: Instant,
-    /// Maximum gap between events of a stream.
+    /// Gap between events of a stream after which it is reported as stalled.
     pause_timeout: Duration,
 }
 
--- a/crates/hickoryd/src/gateway/caller_port.rs
+++ b/crates/hickoryd/src/gateway/caller_port.rs
@@ -16,6 +16,7 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::Version;
 use http::header;
 use http::request::Parts;
 use http_body_util::BodyExt;
@@ -32,6 +33,7 @@
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 use crate::gateway::call_driver::CallDriver;
@@ -44,6 +46,11 @@
 
 /// Maximum time to receive a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time without a new connection, or without a request on an open one, after which a stopping port
+/// closes it.
+const QUIET_TIME: Duration = Duration::from_millis(200);
+/// Maximum time for which a stopping port accepts connections.
+const MAX_CLOSING_TIME: Duration = Duration::from_secs(1);
 /// Added to the idle timeout, so that a caller that uses the whole timeout is not disconnected.
 const IDLE_TIMEOUT_GRACE: Duration = Duration::from_secs(1);
 /// Minimum size of the read buffer of a connection.
@@ -56,18 +63,26 @@
     listener: TcpListener,
     core: Rc<Core>,
     names: Rc<HeaderNames>,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
 ) {
+    let start = |stream| {
+        let stop = stop.clone();
+        spawn_local(serve_connection(stream, Rc::clone(&core), Rc::clone(&names), stop));
+    };
+    let mut stop = stop.clone();
     loop {
         tokio::select! {
-            (stream, _peer) = accept(&listener) => {
-                let connection =
-                    serve_connection(stream, Rc::clone(&core), Rc::clone(&names), stop.clone());
-                spawn_local(connection);
-            }
-            () = stop_requested(&mut stop) => return,
+            (stream, _peer) = accept(&listener) => start(stream),
+            () = stop_requested(&mut stop) => break,
         }
     }
+    // Connections that the system has accepted would be reset when the listener is closed.
+    let until = Instant::now() + MAX_CLOSING_TIME;
+    while Instant::now() < until
+        && let Ok((stream, _peer)) = timeout(QUIET_TIME, accept(&listener)).await
+    {
+        start(stream);
+    }
 }
 
 /// Waits until the port must stop accepting callers. A closed channel counts as a request to stop.
@@ -100,8 +115,15 @@
     let result = tokio::select! {
         result = connection.as_mut() => result,
         () = stop_requested(&mut stop) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            // A request may have arrived that was not read yet; it is answered, which closes the
+            // connection.
+            match timeout(QUIET_TIME, connection.as_mut()).await {
+                Ok(result) => result,
+                Err(_elapsed) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            }
         }
     };
     if let Err(error) = result {
@@ -115,6 +137,10 @@
     names: Rc<HeaderNames>,
 ) -> Response<ResponseBody> {
     let (parts, body) = request.into_parts();
+    if parts.version < Version::HTTP_11 {
+        // Without chunks, the caller could not tell a truncated response from a complete one.
+        return text_response(505, "HTTP/1.1 is required".to_owned());
+    }
     let limit_bytes = core.limits().body_bytes.get() as usize;
     let read = timeout(BODY_TIMEOUT, Limited::new(body, limit_bytes).collect()).await;
     let mut response = match read {
--- a/crates/hickoryd/src/gateway/connection.rs
+++ b/crates/hickoryd/src/gateway/connection.rs
@@ -5,14 +5,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Request;
 use http::Response;
-use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Incoming;
-use hyper::client::conn::http1 as client;
-use hyper::client::conn::http1::SendRequest;
 use hyper::server::conn::http1 as server;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -21,10 +17,13 @@
 use log::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+pub use crate::upstream_connection::ConnectionGuard;
+pub use crate::upstream_connection::RequestSender;
+use crate::upstream_connection::handshake;
+
 /// Delay before the next accept after a failure, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum time to receive a request head, and maximum idle time before the next request.
@@ -67,22 +66,19 @@
     }
 }
 
-/// Performs the HTTP/1.1 handshake as the client of a connection. Returns the request sender and
-/// the handle of the task that drives the connection; aborting the task closes the connection.
+/// Starts HTTP/1.1 as the client of a connection, which carries one request. Returns the sender of
+/// the request and the guard of the task that drives the connection.
 ///
 /// # Errors
 /// Fails if the connection is already closed.
 pub async fn client_handshake(
     stream: TcpStream,
-) -> hyper::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
-    if let Err(error) = stream.set_nodelay(true) {
-        debug!(reason:% = error; "cannot set TCP_NODELAY; small writes may be delayed");
-    }
-    let (sender, connection) = client::handshake(TokioIo::new(stream)).await?;
+) -> hyper::Result<(RequestSender, ConnectionGuard)> {
+    let (sender, driver) = handshake(stream).await?;
     let task = spawn_local(async move {
-        if let Err(error) = connection.await {
+        if let Err(error) = driver.await {
             debug!(reason:% = error; "client-side connection closed after an error");
         }
     });
-    Ok((sender, task.abort_handle()))
+    Ok((sender, ConnectionGuard::new(task.abort_handle())))
 }
--- a/crates/hickoryd/src/gateway/upstream_request.rs
+++ b/crates/hickoryd/src/gateway/upstream_request.rs
@@ -23,11 +23,11 @@
 use hyper::body::Incoming;
 use log::debug;
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
+use crate::gateway::connection::ConnectionGuard;
 use crate::gateway::connection::client_handshake;
 use crate::gateway::header_names::HeaderNames;
 use crate::gateway::response::remove_hop_by_hop_headers;
@@ -50,16 +50,6 @@
     pub connection: ConnectionGuard,
 }
 
-/// Aborts the task of a connection when it is dropped, which closes the connection.
-#[derive(Debug)]
-pub struct ConnectionGuard(AbortHandle);
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 impl RequestTemplate {
     /// Copies a request without hop-by-hop headers and headers that only the gateway sets or reads.
     pub fn new(parts: &http::request::Parts, body: Bytes, names: &HeaderNames) -> Self {
@@ -142,11 +132,10 @@
     let Ok(Ok(stream)) = connected else {
         return Err(unreachable);
     };
-    let Ok((mut sender, task)) = client_handshake(stream).await else {
+    let Ok((sender, connection)) = client_handshake(stream).await else {
         return Err(unreachable);
     };
-    let connection = ConnectionGuard(task);
-    let sent = sender.send_request(template.build_request(dispatch, names));
+    let sent = sender.send(template.build_request(dispatch, names));
     let response = match timeout_at(deadline, sent).await {
         Err(_elapsed) => return Err(AttemptOutcome::Unknown(ResponseFault::Silent)),
         Ok(Err(error)) if error.is_parse() => {
--- a/crates/hickoryd/src/http_api.rs
+++ b/crates/hickoryd/src/http_api.rs
@@ -12,6 +12,9 @@
 use axum::body::Body;
 use axum::extract::Request;
 use axum::extract::State;
+use axum::middleware::Next;
+use axum::middleware::from_fn;
+use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::any;
 use axum::routing::get;
@@ -31,6 +34,7 @@
 use hickorydoor::refusal::RefusalReason;
 use http::HeaderMap;
 use http::StatusCode;
+use http::Version;
 use http::header::CONTENT_LENGTH;
 use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
@@ -103,6 +107,7 @@
             .route("/services/{*path}", any(service))
             .fallback(async || ApiError::UnknownPath)
             .method_not_allowed_fallback(async || ApiError::MethodNotAllowed)
+            .layer(from_fn(require_http_1_1))
             .with_state(self)
     }
 
@@ -252,3 +257,10 @@
     let cascades = customer.cascades.iter().map(hickorydoor::id::CascadeId::as_str);
     models.chain(cascades).collect()
 }
+
+async fn require_http_1_1(request: Request, next: Next) -> Response {
+    if request.version() < Version::HTTP_11 {
+        return ApiError::UnsupportedVersion.into_response();
+    }
+    next.run(request).await
+}
--- a/crates/hickoryd/src/http_client.rs
+++ b/crates/hickoryd/src/http_client.rs
@@ -1,4 +1,7 @@
-//! HTTP client with a connection pool, for calls to upstreams and the platform.
+//! HTTP client for calls to the platform's services.
+//!
+//! Connections are not reused: a late second copy of a response would be taken for the response to
+//! the next request on its connection.
 
 use std::time::Duration;
 
@@ -7,23 +10,17 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use hyper_util::rt::TokioTimer;
 
-/// Maximum time to connect to a server, which is on the same host or in the same data centre.
+/// Maximum time to connect to a server, which is in the same data centre.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time after which an idle connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
-/// HTTP client that reuses connections.
+/// HTTP client that opens a connection for each call.
 pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
-/// Creates a client with an empty pool.
+/// Creates a client.
 pub fn new() -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    Client::builder(TokioExecutor::new())
-        .pool_timer(TokioTimer::new())
-        .pool_idle_timeout(IDLE_TIMEOUT)
-        .build(connector)
+    Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build(connector)
 }
--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -62,6 +62,7 @@
 mod timings;
 mod tls;
 mod upstream_call;
+mod upstream_connection;
 mod write_timeout;
 
 pub use agent_process::AgentOptions;
--- a/crates/hickoryd/src/upstream_call.rs
+++ b/crates/hickoryd/src/upstream_call.rs
@@ -32,8 +32,9 @@
 use crate::chat_event::response_usage;
 use crate::event_splitter::EventSplitter;
 use crate::flow_control::FlowControlWindow;
-use crate::http_client::HttpClient;
 use crate::model_body;
+use crate::upstream_connection;
+use crate::upstream_connection::RequestError;
 
 const EVENT_STREAM: &str = "text/event-stream";
 const JSON: &str = "application/json";
@@ -56,7 +57,6 @@
     pub window: Arc<FlowControlWindow>,
     /// Root of the upstream, without a trailing slash.
     pub base_uri: CompactString,
-    pub client: HttpClient,
     /// Receives the events of the call.
     pub events: mpsc::Sender<AgentInput>,
 }
@@ -85,9 +85,11 @@
 
     async fn exchange(&self) -> Result<Option<Usage>, UpstreamFault> {
         let request = self.request().ok_or(UpstreamFault::NotSent)?;
-        let response = self.client.request(request).await.map_err(|error| {
-            if error.is_connect() { UpstreamFault::NotSent } else { UpstreamFault::ConnectionLost }
-        })?;
+        let (response, _connection) =
+            upstream_connection::request(request).await.map_err(|error| match error {
+                RequestError::Address | RequestError::Connect(_) => UpstreamFault::NotSent,
+                RequestError::NoResponse(_) => UpstreamFault::ConnectionLost,
+            })?;
         let status = response.status();
         if status.is_server_error() {
             return Err(UpstreamFault::ServerError);
--- a/crates/hickoryd/tests/bad_input.rs
+++ b/crates/hickoryd/tests/bad_input.rs
@@ -176,3 +176,24 @@
     );
     Ok(())
 }
+
+/// Guards against a truncated answer that looks complete: HTTP/1.0 has no chunks, so a response of
+/// unknown length ends with its connection however it ends.
+#[tokio::test]
+async fn callers_that_speak_http_1_0_are_rejected() -> Result<(), AnyError> {
+    let fleet = fleet().await?;
+    let mut stream = TcpStream::connect(fleet.entries[0].http_address()).await?;
+    let body = chat("brine-small");
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.0\r\nauthorization: Bearer {CUSTOMER_KEY}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).await?;
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await?;
+    assert!(response.starts_with("HTTP/1.0 505 "), "{response}");
+    assert!(response.contains("not-run"), "{response}");
+    assert_eq!(executed_attempts(&fleet), 0);
+    Ok(())
+}
--- a/crates/hickoryd/tests/fleet/mod.rs
+++ b/crates/hickoryd/tests/fleet/mod.rs
@@ -87,6 +87,8 @@
     pub separate_runtimes: bool,
     /// Directory with the TLS identities of the hosts; links use plain TCP if absent.
     pub identities: Option<PathBuf>,
+    /// Root of the plain service, instead of the stand-in.
+    pub service_url: Option<String>,
 }
 
 /// HTTP response with its whole body.
@@ -143,7 +145,9 @@
         fleet.start_engine("agent-1", engine.clone()).await?;
         fleet.start_engine("agent-2", engine).await?;
         let offer = Offer::Service { service: "registry".parse()? };
-        fleet.start_agent("agent-3", offer, fleet.service.server().url()).await?;
+        let service_url = fleet.options.service_url.clone();
+        let service_url = service_url.unwrap_or_else(|| fleet.service.server().url());
+        fleet.start_agent("agent-3", offer, service_url).await?;
         for number in 1..=entry_count {
             fleet.start_entry(number as u64).await?;
         }
--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -89,15 +89,29 @@
     pub(super) fn abandon_unresponsive(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
         let ids: Vec<CallId> = self.calls.keys().copied().collect();
         for id in ids {
-            if self.is_unresponsive(id, now) && self.can_retry(id, now) {
-                if let Some(attempt) = self.calls.get_mut(&id).and_then(|c| c.attempt.as_mut()) {
-                    attempt.abandoned = true;
-                }
-                effects.push(GatewayEffect::Abandon { call: id });
+            if self.is_unresponsive(id, now) {
+                self.abandon_if_retryable(id, now, effects);
             }
         }
     }
 
+    /// Resumes a stalled stream on another upstream. If that is not possible, the stream goes on,
+    /// since a slow answer is better than none.
+    pub(super) fn on_stalled(&mut self, id: CallId, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
+        self.abandon_if_retryable(id, now, effects);
+    }
+
+    fn abandon_if_retryable(&mut self, id: CallId, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
+        if !self.can_retry(id, now) || !self.has_alternative(id, now) {
+            return;
+        }
+        let attempt = self.calls.get_mut(&id).and_then(|active| active.attempt.as_mut());
+        if let Some(attempt) = attempt.filter(|attempt| !attempt.abandoned) {
+            attempt.abandoned = true;
+            effects.push(GatewayEffect::Abandon { call: id });
+        }
+    }
+
     /// Returns whether an attempt has exceeded its silence timeout and its upstream is
     /// unresponsive.
     ///
@@ -222,7 +236,7 @@
         {
             upstream.in_flight = upstream.in_flight.saturating_sub(1);
             upstream.prefill_ms = (upstream.prefill_ms - attempt.prefill_ms).max(0.0);
-            record_outcome(upstream, outcome, now);
+            record_outcome(upstream, &attempt, outcome, now);
         }
         let (has_failed, is_late) = match outcome {
             None | Some(AttemptOutcome::NotRun(_)) => return,
@@ -370,13 +384,20 @@
     took_ms > attempt.expected_ms * SLOW_FIRST_EVENT_FACTOR + SLOW_FIRST_EVENT_SLACK_MS
 }
 
-fn record_outcome(upstream: &mut Upstream, outcome: Option<AttemptOutcome>, now: TimeMs) {
+fn record_outcome(
+    upstream: &mut Upstream,
+    attempt: &Attempt,
+    outcome: Option<AttemptOutcome>,
+    now: TimeMs,
+) {
     match outcome {
-        None
-        | Some(
-            AttemptOutcome::Unknown(ResponseFault::TimedOut)
-            | AttemptOutcome::NotRun(NotRun::OtherInstance),
-        ) => {}
+        None | Some(AttemptOutcome::NotRun(NotRun::OtherInstance)) => {}
+        // The deadline of a request may be short, and the upstream only busy.
+        Some(AttemptOutcome::Unknown(ResponseFault::TimedOut)) => {
+            if attempt.first_event_at.is_none() && is_first_event_late(attempt, now) {
+                upstream.failures.on_error();
+            }
+        }
         Some(AttemptOutcome::Served | AttemptOutcome::Weak) => upstream.failures.on_success(),
         Some(AttemptOutcome::Failed { status }) if status < 500 => upstream.failures.on_success(),
         // An error response is weaker evidence of a broken upstream than a failed connection.
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -48,9 +48,10 @@
 
 impl Gateway {
     /// Dispatches queued requests by ascending priority number, as 0 is the most urgent, and the
-    /// oldest first within a priority.
+    /// oldest first within a priority. A process that was paused dispatches nothing until it knows
+    /// what has changed meanwhile.
     pub(super) fn dispatch_waiting(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
-        if self.waiting.is_empty() {
+        if self.waiting.is_empty() || self.freshness.is_resuming(now) {
             return;
         }
         let mut order: Vec<(u8, CallId)> = Vec::with_capacity(self.waiting.len());
@@ -272,6 +273,18 @@
         }
     }
 
+    /// Returns whether a request can be sent to an upstream that it has not been sent to yet.
+    pub(super) fn has_alternative(&self, id: CallId, now: TimeMs) -> bool {
+        let Some(active) = self.calls.get(&id) else {
+            return false;
+        };
+        self.pool.iter().any(|upstream| {
+            !active.attempted_upstreams.contains(&upstream.registration.upstream)
+                && !upstream.failures.is_ejected(now)
+                && self.is_usable(active, upstream, now)
+        })
+    }
+
     fn is_usable(&self, active: &ActiveCall, upstream: &Upstream, now: TimeMs) -> bool {
         let registration = &upstream.registration;
         let regions = &active.route.regions;
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -33,7 +33,7 @@
     pub remaining_ms: DurationMs,
     /// Maximum time to connect to the upstream.
     pub connect_timeout_ms: DurationMs,
-    /// Maximum gap between events of a stream, after which the attempt counts as silent.
+    /// Gap between events of a stream after which it is reported as stalled.
     pub pause_timeout_ms: DurationMs,
     /// Confidence score, from 0 to 100, below which the answer is discarded; `None` accepts any
     /// answer.
--- a/crates/hickorydoor/src/gateway/event.rs
+++ b/crates/hickorydoor/src/gateway/event.rs
@@ -126,6 +126,12 @@
         /// Request whose stream has started.
         call: CallId,
     },
+    /// The stream of a request has made no progress for as long as its pause timeout. It may still
+    /// be sound.
+    Stalled {
+        /// Request whose stream has stalled.
+        call: CallId,
+    },
     /// The current attempt of a request has ended.
     AttemptEnded {
         /// Request whose attempt has ended.
--- a/crates/hickorydoor/src/gateway/freshness.rs
+++ b/crates/hickorydoor/src/gateway/freshness.rs
@@ -7,6 +7,12 @@
 /// the copy lacks.
 pub const RESTORE_WINDOW_MS: DurationMs = DurationMs::new(4_000);
 
+/// Time without any event after which the process must have been paused or badly delayed. It has an
+/// event every 50 ms otherwise.
+const MAX_DELAY_MS: DurationMs = DurationMs::new(1_000);
+/// How long a process that was paused waits for a synchronization before it goes on without one.
+const RESUME_TIMEOUT_MS: DurationMs = DurationMs::new(1_500);
+
 /// Tracks the time up to which all changes acknowledged by the store are known.
 ///
 /// Timestamps must come from a clock that keeps running while the host is suspended.
@@ -17,11 +23,28 @@
     unreachable_since: Option<TimeMs>,
     recovered_at: Option<TimeMs>,
     restored_at: Option<TimeMs>,
+    last_run_at: Option<TimeMs>,
+    /// When the process went on after a pause; `None` once it is in sync again.
+    resumed_at: Option<TimeMs>,
     /// Whether the store may still lack acknowledged changes of the configuration.
     may_lack_configuration: bool,
 }
 
 impl Freshness {
+    /// Records that the process runs, and notices if it was paused before.
+    pub fn record_run(&mut self, now: TimeMs) {
+        if self.last_run_at.is_some_and(|at| now.since(at) > MAX_DELAY_MS) {
+            self.resumed_at = Some(now);
+        }
+        self.last_run_at = Some(now);
+    }
+
+    /// Returns whether the process was paused and may not know yet what has been revoked or taken
+    /// out meanwhile.
+    pub fn is_resuming(&self, now: TimeMs) -> bool {
+        self.resumed_at.is_some_and(|at| now.since(at) < RESUME_TIMEOUT_MS)
+    }
+
     /// Records that all changes acknowledged before `synced_at` are known.
     ///
     /// Shortly after a restore, the store may lack a revocation that it had acknowledged, so what
@@ -30,6 +53,9 @@
         if self.unreachable_since.take().is_some() {
             self.recovered_at = Some(now);
         }
+        if self.resumed_at.is_some_and(|at| synced_at >= at) {
+            self.resumed_at = None;
+        }
         self.may_lack_configuration &= self.is_restoring(now);
         if !self.may_lack_configuration || self.synced_at.is_none() {
             self.synced_at = self.synced_at.max(Some(synced_at));
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -118,6 +118,7 @@
     /// Applies an event and returns the effects to carry out, in order.
     pub fn apply(&mut self, event: GatewayEvent, now: TimeMs) -> Vec<GatewayEffect> {
         let mut effects = Vec::new();
+        self.freshness.record_run(now);
         match event {
             GatewayEvent::Tick => self.on_tick(now, &mut effects),
             GatewayEvent::StoreRestored { era } => self.on_store_restored(era, now),
@@ -156,6 +157,7 @@
                 self.on_arrived(call, *request, now, &mut effects);
             }
             GatewayEvent::FirstEvent { call } => self.on_first_event(call, now, &mut effects),
+            GatewayEvent::Stalled { call } => self.on_stalled(call, now, &mut effects),
             GatewayEvent::AttemptEnded { call, outcome, last_event, delivered } => {
                 if let Some(known) = self.calls.get_mut(&call) {
                     known.last_event = last_event;
--- a/crates/hickorydoor/tests/gateway_calls.rs
+++ b/crates/hickorydoor/tests/gateway_calls.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use hickorydoor::DurationMs;
+use hickorydoor::gateway::GatewayEffect;
 use hickorydoor::gateway::GatewayEvent;
 use hickorydoor::gateway::catalog::Account;
 use hickorydoor::gateway::catalog::Catalog;
@@ -15,6 +16,7 @@
 use hickorydoor::gateway::refusal::RefusalReason;
 use hickorydoor::gateway::route::CallKind;
 
+use crate::gateway::ENGINES;
 use crate::gateway::KEY;
 use crate::gateway::MAX_CONNECTIONS;
 use crate::gateway::PLAIN;
@@ -228,3 +230,84 @@
     let effects = rig.end_attempt(id, AttemptOutcome::Unknown(ResponseFault::Closed));
     assert_eq!(dispatch(&effects).unwrap().remaining_ms, DurationMs::new(11_000));
 }
+
+fn is_abandoned(effects: &[GatewayEffect]) -> bool {
+    effects.iter().any(|effect| matches!(effect, GatewayEffect::Abandon { .. }))
+}
+
+/// Guards against stalled streams that never end, although another upstream could go on with them.
+#[test]
+fn stalled_stream_is_resumed_on_another_upstream() {
+    let mut rig = Rig::with_upstreams("gw-1", 2, 0);
+    let (id, _) = rig.send(call("/draft/1", "a"));
+    rig.apply(GatewayEvent::FirstEvent { call: id });
+    assert!(is_abandoned(&rig.apply(GatewayEvent::Stalled { call: id })));
+    assert!(!is_abandoned(&rig.apply(GatewayEvent::Stalled { call: id })), "only once");
+    let effects =
+        rig.end_attempt_after(id, AttemptOutcome::Unknown(ResponseFault::Silent), Some(3));
+    assert_eq!(dispatch(&effects).unwrap().last_event, Some(3));
+}
+
+/// Guards against slow but sound streams that are cut although nobody else can go on with them.
+#[test]
+fn stalled_stream_goes_on_if_no_other_upstream_can_resume_it() {
+    let mut rig = Rig::with_upstreams("gw-1", 1, 0);
+    let (id, _) = rig.send(call("/draft/1", "a"));
+    rig.apply(GatewayEvent::FirstEvent { call: id });
+    assert!(!is_abandoned(&rig.apply(GatewayEvent::Stalled { call: id })));
+
+    // The last attempt that the route allows.
+    let mut rig = Rig::with_upstreams("gw-1", 5, 0);
+    let (id, _) = rig.send(call("/draft/1", "a"));
+    for _ in 0..2 {
+        rig.apply(GatewayEvent::FirstEvent { call: id });
+        rig.end_attempt_after(id, AttemptOutcome::Unknown(ResponseFault::Closed), Some(1));
+    }
+    assert!(!is_abandoned(&rig.apply(GatewayEvent::Stalled { call: id })));
+
+    let mut rig = Rig::new("gw-1");
+    let mut route = route("/once/", CallKind::Streaming, ENGINES);
+    route.resumable = false;
+    let known = catalog(1, &[KEY]);
+    let services = known.services().cloned().collect();
+    let accounts = known.accounts().cloned().collect();
+    let catalog = Catalog::new(2, known.limits(), vec![route], services, accounts);
+    rig.apply(GatewayEvent::Configured(Arc::new(catalog)));
+    for index in 0..3 {
+        rig.register(registration(&format!("e-{index}"), ENGINES));
+    }
+    let (id, effects) = rig.send(call("/once/1", "a"));
+    assert!(dispatch(&effects).is_some());
+    assert!(!is_abandoned(&rig.apply(GatewayEvent::Stalled { call: id })));
+}
+
+/// Guards against a request that is sent on knowledge from before a pause of the process.
+#[test]
+fn process_that_was_paused_sends_nothing_until_it_is_in_sync() {
+    let mut rig = Rig::with_upstreams("gw-1", 0, 3);
+    rig.now = rig.now + DurationMs::new(3_000);
+    let (_, effects) = rig.send(call("/look/1", "a"));
+    assert!(dispatch(&effects).is_none());
+    // The upstream left during the pause; the next synchronization says so.
+    for index in 0..2 {
+        rig.apply(GatewayEvent::Deregistered(format!("p-{index}").parse().unwrap()));
+    }
+    rig.apply(GatewayEvent::StoreAnswered);
+    let position = rig.gateway.store_position().unwrap();
+    let effects = rig.apply(GatewayEvent::StoreSynced { synced_at: rig.now, position });
+    assert_eq!(dispatch(&effects).unwrap().upstream.as_str(), "p-2");
+}
+
+/// Guards against a process that stops serving for good because the store is away after a pause.
+#[test]
+fn process_that_was_paused_goes_on_if_the_store_does_not_answer() {
+    let mut rig = Rig::with_upstreams("gw-1", 0, 3);
+    rig.now = rig.now + DurationMs::new(2_000);
+    rig.apply(GatewayEvent::StoreUnreachable);
+    for _ in 0..32 {
+        rig.now = rig.now + DurationMs::new(50);
+        rig.apply(GatewayEvent::Tick);
+    }
+    let (_, effects) = rig.send(call("/look/1", "a"));
+    assert!(dispatch(&effects).is_some());
+}
