Avoid a data centre that cannot be reached as a whole, and play the new loads

Cause: behind a link that carries packets one way only, each upstream had to fail by itself, and each failure cost a request the 300 ms of a connection attempt (nine in the new test, one for each upstream). Change: once two upstreams of a data centre accept no connection and none of it does, the others are avoided where there are more; one request tries again after 1.5 s. Tests (gateway_calls, both fail without the change; gateway_load): also empty engines that join under load, and a load that shifts between long prompts and long answers, which passed as the code was.

--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -231,6 +231,16 @@
         if let Some(session) = session {
             self.record_session(&session, &attempt.version, now);
         }
+        if let Some(upstream) = self.pool.get(&attempt.upstream) {
+            let data_centre = &upstream.registration.data_centre;
+            match outcome {
+                Some(AttemptOutcome::NotRun(NotRun::Unreachable)) => {
+                    self.reach.record_unreachable(data_centre, &attempt.upstream, now);
+                }
+                None | Some(AttemptOutcome::Unknown(_)) => {}
+                Some(_responded) => self.reach.record_reached(data_centre),
+            }
+        }
         if let Some(upstream) = self.pool.get_mut(&attempt.upstream)
             && upstream.registration.started_unix_ms == attempt.started_unix_ms
         {
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -141,8 +141,8 @@
     ///
     /// Candidates are the usable upstreams of the preferred version, or of any version if there are
     /// none and the request may fall back. Upstreams to which the request has not been sent yet are
-    /// preferred, and among those that remain the healthy ones. A preference that leaves no
-    /// candidate is dropped.
+    /// preferred, among them those in data centres that can be reached, and among those that remain
+    /// the healthy ones. A preference that leaves no candidate is dropped.
     fn choose(&mut self, id: CallId, now: TimeMs) -> Option<Plan> {
         let active = self.calls.get(&id)?;
         if !active.has_time(now) {
@@ -181,6 +181,14 @@
         if !unattempted.is_empty() {
             candidates = unattempted;
         }
+        let reachable: Vec<&Upstream> = candidates
+            .iter()
+            .copied()
+            .filter(|upstream| !self.reach.is_avoided(&upstream.registration.data_centre, now))
+            .collect();
+        if !reachable.is_empty() {
+            candidates = reachable;
+        }
         let healthy: Vec<&Upstream> = candidates
             .iter()
             .copied()
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 pub mod call;
 pub mod catalog;
 pub mod cold_share;
+pub mod data_centre_reach;
 mod dispatching;
 pub mod effect;
 pub mod event;
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -13,6 +13,7 @@
 use crate::gateway::call::CallId;
 use crate::gateway::catalog::Catalog;
 use crate::gateway::catalog::ServiceSpec;
+use crate::gateway::data_centre_reach::DataCentreReach;
 use crate::gateway::effect::GatewayEffect;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::freshness::Freshness;
@@ -54,6 +55,7 @@
     pub(super) sizes: SizeTable,
     pub(super) freshness: Freshness,
     pub(super) rollouts: BTreeMap<ServiceName, Rollout>,
+    pub(super) reach: DataCentreReach,
     /// Data centres that the operator has taken out.
     pub(super) closed_data_centres: RetainedMap<DataCentreId, ()>,
     pub(super) calls: BTreeMap<CallId, ActiveCall>,
@@ -96,6 +98,7 @@
             sizes: SizeTable::default(),
             freshness: Freshness::default(),
             rollouts: BTreeMap::new(),
+            reach: DataCentreReach::default(),
             closed_data_centres: RetainedMap::new(),
             calls: BTreeMap::new(),
             waiting: BTreeSet::new(),
--- a/crates/hickorydoor/tests/gateway/fleet.rs
+++ b/crates/hickorydoor/tests/gateway/fleet.rs
@@ -127,6 +127,8 @@
     requests: Vec<Request>,
     pub outcomes: Vec<Option<Outcome>>,
     pub models: Vec<Option<ModelId>>,
+    /// Engines that start during the run: time, id and how long they are cold.
+    joining: Vec<(u64, String, u64)>,
     now_ms: u64,
     seed: u64,
 }
@@ -141,6 +143,7 @@
             requests: Vec::new(),
             outcomes: Vec::new(),
             models: Vec::new(),
+            joining: Vec::new(),
             now_ms: 0,
             seed: 1,
         };
@@ -160,6 +163,11 @@
         }
     }
 
+    /// Starts an empty engine during the next run.
+    pub fn start_engine_at(&mut self, at_ms: u64, id: &str, cold_ms: u64) {
+        self.joining.push((at_ms, id.to_owned(), cold_ms));
+    }
+
     /// Stops an engine; the connections of its requests are closed.
     pub fn stop_engine(&mut self, id: &str) {
         let upstream: UpstreamId = id.parse().unwrap();
@@ -206,6 +214,12 @@
 
     fn step(&mut self) {
         self.now_ms += STEP_MS;
+        let now_ms = self.now_ms;
+        let (due, later) = self.joining.drain(..).partition(|(at_ms, _, _)| *at_ms <= now_ms);
+        self.joining = later;
+        for (_, id, cold_ms) in due as Vec<(u64, String, u64)> {
+            self.start_engine(&id, cold_ms);
+        }
         for gateway in 0..self.rigs.len() {
             let rig = &mut self.rigs[gateway];
             rig.now = rig.now + DurationMs::new(STEP_MS);
@@ -390,6 +404,9 @@
     pub factor: f64,
     /// Share of the drafts with the same subject.
     pub hot_share: f64,
+    /// Shares of drafts, which have long prompts, and of summaries; the rest is chat.
+    pub draft_share: f64,
+    pub summary_share: f64,
     /// Share of the requests sent by customer 0.
     pub first_customer_share: f64,
     pub seed: u64,
@@ -402,6 +419,8 @@
             for_ms: 20_000,
             factor: 1.0,
             hot_share: 0.0,
+            draft_share: 0.31,
+            summary_share: 0.23,
             first_customer_share: 0.1,
             seed: 7,
         }
@@ -429,8 +448,10 @@
                 1 + (random() * 9.0) as usize
             };
             let (kind, shared, own, objective_ms, base) = match kind {
-                ..0.31 => ("draft", 13_300.0, 3_700.0, 3_000, 0),
-                ..0.54 => ("summary", 6_300.0, 2_900.0, 2_000, 1_000),
+                kind if kind < self.draft_share => ("draft", 13_300.0, 3_700.0, 3_000, 0),
+                kind if kind < self.draft_share + self.summary_share => {
+                    ("summary", 6_300.0, 2_900.0, 2_000, 1_000)
+                }
                 _ => ("chat", 350.0, 1_100.0, 2_000, 2_000),
             };
             requests.push(Request {
--- a/crates/hickorydoor/tests/gateway_calls.rs
+++ b/crates/hickorydoor/tests/gateway_calls.rs
@@ -311,3 +311,51 @@
     let (_, effects) = rig.send(call("/look/1", "a"));
     assert!(dispatch(&effects).is_some());
 }
+
+/// Guards against requests that each try another upstream behind a link that carries nothing back.
+#[test]
+fn data_centre_that_cannot_be_reached_is_avoided_as_a_whole() {
+    let mut rig = Rig::new("gw-1");
+    for index in 0..12 {
+        let mut known = registration(&format!("p-{index}"), PLAIN);
+        known.data_centre = if index < 9 { "dc-1" } else { "dc-2" }.parse().unwrap();
+        rig.register(known);
+    }
+    let mut failed_connections = 0;
+    for number in 0..40 {
+        let (id, mut effects) = rig.send(call("/book/1", &format!("a-{number}")));
+        while let Some(sent) = dispatch(&effects) {
+            let index: usize = sent.upstream.as_str()[2..].parse().unwrap();
+            if index >= 9 {
+                rig.end_attempt(id, AttemptOutcome::Served);
+                break;
+            }
+            failed_connections += 1;
+            effects = rig.end_attempt(id, AttemptOutcome::NotRun(NotRun::Unreachable));
+        }
+        rig.advance(50);
+    }
+    // Two upstreams that show it, and one try each 1.5 s of the 2 s.
+    assert!(failed_connections <= 4, "{failed_connections}");
+}
+
+/// Guards against a data centre that stays avoided although it can be reached again.
+#[test]
+fn data_centre_is_used_again_once_an_upstream_of_it_answers() {
+    let mut rig = Rig::with_upstreams("gw-1", 0, 4);
+    let mut remote = registration("p-9", PLAIN);
+    remote.data_centre = "dc-2".parse().unwrap();
+    rig.register(remote);
+    let (id, _) = rig.send(call("/look/1", "a"));
+    for _ in 0..2 {
+        let effects = rig.end_attempt(id, AttemptOutcome::NotRun(NotRun::Unreachable));
+        assert!(dispatch(&effects).is_some());
+    }
+    rig.end_attempt(id, AttemptOutcome::Served);
+    let (id, effects) = rig.send(call("/look/1", "b"));
+    assert_eq!(dispatch(&effects).unwrap().upstream.as_str(), "p-9");
+    rig.end_attempt(id, AttemptOutcome::Served);
+    rig.advance(3_000);
+    let (_, effects) = rig.send(call("/look/1", "c"));
+    assert_ne!(dispatch(&effects).unwrap().upstream.as_str(), "p-9");
+}
--- a/crates/hickorydoor/tests/gateway_load.rs
+++ b/crates/hickorydoor/tests/gateway_load.rs
@@ -131,3 +131,38 @@
     let in_time = fleet.share(Outcome::InTime, any);
     assert!(in_time >= MIN_IN_TIME, "{in_time}");
 }
+
+/// Guards against empty engines that attract requests, whose whole prompts they have to prefill.
+#[test]
+fn empty_engines_that_join_under_load_make_no_answers_late() {
+    let load = || Load { factor: 1.5, ..Load::default() }.requests();
+    let mut without = Fleet::new(5, 9);
+    without.run(load());
+    let mut with = Fleet::new(5, 9);
+    for index in 0..3 {
+        with.start_engine_at(6_000 + index * 1_500, &format!("new-{index}"), 3_000);
+    }
+    with.run(load());
+    assert_fair(&with);
+    let (before, after) = (without.share(Outcome::InTime, any), with.share(Outcome::InTime, any));
+    assert!(after >= before, "{after} in time, {before} without the new engines");
+    assert!(after >= MIN_IN_TIME, "{after}");
+}
+
+/// The load shifts between long prompts and long answers while its total stays the same.
+#[test]
+fn shifts_between_kinds_of_requests_starve_no_kind() {
+    let mut fleet = Fleet::new(5, 12);
+    let mut load = Vec::new();
+    for (index, draft_share) in [0.31, 0.6, 0.05, 0.6].into_iter().enumerate() {
+        let from_ms = index as u64 * 6_000;
+        let shifted = Load { from_ms, for_ms: 6_000, draft_share, ..Load::default() };
+        load.extend(shifted.requests());
+    }
+    fleet.run(load);
+    assert_fair(&fleet);
+    let in_time = fleet.share(Outcome::InTime, any);
+    assert!(in_time >= MIN_IN_TIME, "{in_time}");
+    let chat = fleet.share(Outcome::InTime, |request| request.kind == "chat");
+    assert!(chat >= MIN_IN_TIME, "{chat} of the chats are in time");
+}
