--- a/crates/hickoryd/examples/failover/deployment.rs
+++ b/crates/hickoryd/examples/failover/deployment.rs
@@ -1,5 +1,6 @@
 //! Entries and agents as processes of their own, with the stand-ins in this process.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
@@ -282,9 +283,11 @@
 }
 
 /// Returns an address whose port is free at the time of the call. The processes need ports that are
-/// known before they start.
+/// known before they start. Runs at the same time use different loopback addresses.
 fn free_address() -> Result<SocketAddr, AnyError> {
-    Ok(TcpListener::bind(("127.0.0.1", 0))?.local_addr()?)
+    let process = std::process::id();
+    let ip = Ipv4Addr::new(127, 1 + (process / 250 % 250) as u8, (process % 250) as u8, 1);
+    Ok(TcpListener::bind((ip, 0))?.local_addr()?)
 }
 
 /// Returns the path of a binary of this workspace, built into the same target directory.
--- a/crates/hickorydoor/examples/policy/report.rs
+++ b/crates/hickorydoor/examples/policy/report.rs
@@ -34,15 +34,13 @@
     pub attempts: u64,
     /// Cost billed after the warm-up.
     pub cost_micros: u64,
-    /// Column of the table that the simulation does not fill.
-    pub bad_version: u64,
     /// Requests that an engine accepted above its batch capacity while it was not fully warm.
     pub above_capacity: u64,
     /// Measured and refused requests of each customer.
     pub refused_by_customer: Vec<(u64, u64)>,
 }
 
-pub const HEADER: &str = "deployment,fault,policy,asked,served,first_token_p50_ms,first_token_p95_ms,first_token_p99_ms,first_token_max_ms,token_interval_p95_ms,deadlines_met_percent,refused,lost,cost_per_1k_requests,attempts_per_request,bad_version,above_cold_bound,recovery_s";
+pub const HEADER: &str = "deployment,fault,policy,asked,served,first_token_p50_ms,first_token_p95_ms,first_token_p99_ms,first_token_max_ms,token_interval_p95_ms,deadlines_met_percent,refused,lost,cost_per_1k_requests,attempts_per_request,above_cold_bound,recovery_s";
 
 impl Report {
     pub fn new(seconds: u64, customers: usize) -> Self {
@@ -59,7 +57,6 @@
             lost: 0,
             attempts: 0,
             cost_micros: 0,
-            bad_version: 0,
             above_capacity: 0,
             refused_by_customer: vec![(0, 0); customers],
         }
@@ -98,7 +95,7 @@
         let measured = self.measured.max(1) as f64;
         let arrived = self.arrived.max(1) as f64;
         format!(
-            "{deployment},{fault},{policy},{},{},{:.0},{:.0},{:.0},{:.0},{:.1},{:.2},{},{},{:.2},{:.3},{},{},{}",
+            "{deployment},{fault},{policy},{},{},{:.0},{:.0},{:.0},{:.0},{:.1},{:.2},{},{},{:.2},{:.3},{},{}",
             self.measured,
             self.served,
             ms(&self.first_token_us, 0.5),
@@ -111,7 +108,6 @@
             self.lost,
             self.cost_micros as f64 / 1e3 / arrived,
             self.attempts as f64 / arrived,
-            self.bad_version,
             self.above_capacity,
             self.recovery_s(recovery_start_s),
         )
--- a/crates/hickorydoor/src/entry/request.rs
+++ b/crates/hickorydoor/src/entry/request.rs
@@ -105,6 +105,7 @@
             excluded: SmallVec::new(),
             queue: None,
             reserved_tokens: 0,
+            last_agent: None,
             dispatched_agents: SmallVec::new(),
             run: RunState::NotRun,
             bill_lines: Vec::new(),
@@ -323,6 +324,7 @@
             sample: sampled.then(Vec::new),
         });
         state.attempts += 1;
+        state.last_agent = Some(agent.clone());
         if !state.dispatched_agents.contains(agent) {
             state.dispatched_agents.push(agent.clone());
         }
@@ -433,7 +435,7 @@
             customer: state.customer.clone(),
             class: state.class,
             version,
-            agent: state.excluded.last().cloned(),
+            agent: state.last_agent.clone(),
             attempts: state.attempts,
             queue_ms: state.first_dispatch_at_ms.unwrap_or(now).since(state.accepted_at_ms),
             first_token_ms: state.first_token_at_ms.map(|at| at.since(state.accepted_at_ms)),
--- a/crates/hickorydoor/src/entry/request_state.rs
+++ b/crates/hickorydoor/src/entry/request_state.rs
@@ -99,6 +99,8 @@
     pub attempt: Option<Attempt>,
     /// Agents that refused or failed this request, except refusals at the admission limit.
     pub excluded: SmallVec<[HostId; 4]>,
+    /// Agent of the last attempt; `None` if none was sent.
+    pub last_agent: Option<HostId>,
     /// Agents to which an attempt was sent; they may hold copies of its usage.
     pub dispatched_agents: SmallVec<[HostId; 2]>,
     /// Expected tokens that were charged to the customer's limit on admission.
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -218,7 +218,7 @@
         Some(plan_cascade(choice, smallest, demand.objective_ms))
     }
 
-    /// Limits the candidates, while the target version of a rollout gets only a share of the
+    /// Limits the candidates of the target version of a rollout, while it gets only a share of the
     /// traffic, to the same share of its upstreams. Each of them then carries the load that it will
     /// have after the rollout, so a version that fails under load is detected early.
     fn concentrate_canary_load(&self, service: &ServiceName, candidates: &mut Vec<&Upstream>) {
@@ -230,16 +230,20 @@
             return;
         }
         let target = &rollout.order().target;
-        let of_target = |upstream: &&Upstream| {
+        let of_target = |upstream: &Upstream| {
             upstream.registration.service == *service && upstream.registration.version == *target
         };
-        let count = self.pool.iter().filter(of_target).count();
+        let count = self.pool.iter().filter(|upstream| of_target(upstream)).count();
         let target_count = (share * count as f64).ceil().max(1.0) as usize;
         candidates.sort_by_key(|upstream| {
             let id = upstream.registration.upstream.as_str();
             xxh3_64_with_seed(id.as_bytes(), rollout.order().position.revision)
         });
-        candidates.truncate(target_count);
+        let mut kept = 0;
+        candidates.retain(|upstream| {
+            kept += usize::from(of_target(upstream));
+            !of_target(upstream) || kept <= target_count
+        });
     }
 
     /// Returns whether the smallest model may be tried first. This holds for the first attempt on a
--- a/crates/hickorydoor/src/observation.rs
+++ b/crates/hickorydoor/src/observation.rs
@@ -44,9 +44,7 @@
     pub class: Class,
     /// Version of the last billed attempt; `None` for plain services and if nothing was billed.
     pub version: Option<VersionId>,
-    /// Last agent that was excluded from further attempts, because it refused or failed one or
-    /// because the request was moved to another agent; `None` if none was excluded since the last
-    /// step of a cascade started.
+    /// Agent of the last attempt; `None` if none was sent.
     pub agent: Option<HostId>,
     /// Number of attempts that were sent to agents.
     pub attempts: u32,
--- a/crates/hickorydoor/tests/cascades.rs
+++ b/crates/hickorydoor/tests/cascades.rs
@@ -75,6 +75,17 @@
     assert_eq!(record.dearest_cost_micros.get(), LARGE_MICROS);
 }
 
+// Guards against records of requests that do not tell which agent served them.
+#[test]
+fn the_record_names_the_agent_of_the_last_attempt() {
+    let mut fleet = fleet(Some(0.9));
+    fleet.request(0, "advice", None);
+    assert_eq!(requests(&fleet)[0].agent, Some(fleet::agent_host(0)));
+    let mut fleet = self::fleet(Some(0.3));
+    fleet.request(0, "advice", None);
+    assert_eq!(requests(&fleet)[0].agent, Some(fleet::agent_host(1)));
+}
+
 // Guards against the delivery of a low-confidence answer, and against executed steps that are not
 // billed.
 #[test]
--- a/crates/hickorydoor/tests/gateway_rollouts.rs
+++ b/crates/hickorydoor/tests/gateway_rollouts.rs
@@ -2,11 +2,15 @@
 
 mod gateway;
 
+use std::collections::BTreeSet;
+
 use hickorydoor::gateway::GatewayEffect;
 use hickorydoor::gateway::GatewayEvent;
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::rollout::RolloutPhase;
 use hickorydoor::gateway::rollout::RolloutRecord;
+use hickorydoor::quantity::Share;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::ENGINES;
 use crate::gateway::Rig;
@@ -171,3 +175,25 @@
         rig.apply(GatewayEvent::CallerGone { call: id });
     }
 }
+
+/// Guards against a session of the new version that finds only a part of the old version's upstreams
+/// when it falls back to them.
+#[test]
+fn session_that_falls_back_may_use_every_upstream_of_the_old_version() {
+    let mut rig = Rig::with_upstreams("gw-1", 12, 0);
+    rig.apply(GatewayEvent::RolloutOrdered(order(ORDER_REVISION)));
+    record(&mut rig, RolloutPhase::Canary, 11);
+    let mut used = BTreeSet::new();
+    // No upstream of the new version is registered, and each request stays open.
+    let canary = Share::from_percent(7);
+    let sessions = (0..3_000).map(|number| format!("s-{number}"));
+    for session in sessions.filter(|session| canary.contains_hash(xxh3_64(session.as_bytes()))) {
+        let mut request = call("/draft/1", &format!("r-{session}"));
+        request.session = Some(session.into());
+        let (_, effects) = rig.send(request);
+        if let Some(sent) = dispatch(&effects) {
+            used.insert(sent.upstream.clone());
+        }
+    }
+    assert_eq!(used.len(), 12, "{used:?}");
+}
