Keep the fencing numbers of a holder growing after the service is put back

The holder deletes and creates the key until the number is higher. Not covered: a successor on another host does not know the highest number.

--- a/crates/hickorydoor/src/agent/lease.rs
+++ b/crates/hickorydoor/src/agent/lease.rs
@@ -73,6 +73,8 @@
     lease: Option<u64>,
     valid_until_ms: TimeMs,
     fencing: Option<FencingNumber>,
+    /// Highest fencing number that this holder has had.
+    highest_fencing: FencingNumber,
     /// Earliest time of an order, after the delay of a takeover.
     orders_from_ms: TimeMs,
     /// Store revision of the key of an earlier incarnation of this agent, which is to be deleted.
@@ -93,6 +95,7 @@
             lease: None,
             valid_until_ms: now,
             fencing: None,
+            highest_fencing: FencingNumber::new(0),
             orders_from_ms: now,
             stale_key_revision: None,
             in_flight: None,
@@ -205,7 +208,16 @@
 
     fn on_acquired(&mut self, create_revision: u64, checks_fencing: bool, now: TimeMs) {
         self.backoff.record_success();
-        self.fencing = Some(FencingNumber::new(create_revision));
+        let fencing = FencingNumber::new(create_revision);
+        if fencing <= self.highest_fencing {
+            // The service came back from an older copy and assigns revisions again. The engine would
+            // reject this number, so the key is created anew until the number is higher.
+            self.stale_key_revision = Some(create_revision);
+            self.next_call_at_ms = now + ACQUIRE_RETRY_MS;
+            return;
+        }
+        self.highest_fencing = fencing;
+        self.fencing = Some(fencing);
         self.orders_from_ms = if checks_fencing { now } else { now + TAKEOVER_DELAY_MS };
         self.next_call_at_ms = now + RENEWAL_INTERVAL_MS;
     }
--- a/crates/hickorydoor/tests/leases.rs
+++ b/crates/hickorydoor/tests/leases.rs
@@ -147,6 +147,35 @@
     assert!(second.0 >= last.0 + 120_000, "{last:?} {second:?}");
 }
 
+/// Guards against a holder whose orders the engine takes for those of a predecessor, because the
+/// key-value service came back from a copy and assigned a lower revision.
+#[test]
+fn fencing_numbers_of_a_holder_grow_although_the_service_is_put_back() {
+    let mut simulation = Simulation::new(&["agent-1"], 1);
+    let mut copy = None;
+    for step in 0..STEPS {
+        let now_ms = step * TICK_MS;
+        if step == 2 {
+            copy = Some(simulation.kv.clone());
+        }
+        if step == 300 {
+            // Other writes have raised the revision before the key is created anew.
+            simulation.kv.revision += 40;
+            simulation.kv.expire(TimeMs::new(now_ms + 3_600_000));
+        }
+        if step == 600 {
+            simulation.kv = copy.take().expect("a copy");
+            simulation.kv.expire(TimeMs::new(now_ms));
+        }
+        simulation.step(now_ms, true, false);
+        // Writes of other agents.
+        simulation.kv.revision += u64::from(step % 20 == 0);
+    }
+    assert_eq!(stale_orders(&simulation), Vec::new());
+    let last = simulation.orders.last().expect("an order");
+    assert!(last.0 >= (STEPS - 100) * TICK_MS, "the holder sends no more orders: {last:?}");
+}
+
 proptest! {
     #![proptest_config(schedule::config(24))]
 
--- a/crates/hickorydoor/tests/support/kv.rs
+++ b/crates/hickorydoor/tests/support/kv.rs
@@ -17,7 +17,7 @@
     ends_at_ms: TimeMs,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct FakeKv {
     pub pairs: BTreeMap<CompactString, KvPair>,
     pub revision: u64,
