Report the evidence behind the decisions of a rollout

Each gateway now logs "rollout evidence" once a second and at each change of the phase, and serves the counts as hickorydoor_rollout_attempts.

--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -27,6 +27,8 @@
 use hickorydoor::gateway::feed_wire::WatcherMessage;
 use hickorydoor::gateway::peer_digest::PeerDigest;
 use hickorydoor::gateway::refusal::CallRefusal;
+use hickorydoor::gateway::rollout::RolloutEvidence;
+use hickorydoor::gateway::rollout::RolloutProgress;
 use hickorydoor::gateway::rollout::RolloutStep;
 use hickorydoor::gateway::store_position::StoreEra;
 use hickorydoor::gateway::store_position::StorePosition;
@@ -361,6 +363,10 @@
                 let customer = stats.customer.as_ref().map_or("", CustomerId::as_str);
                 self.metrics.record_duration(customer, &stats.route, stats.took_ms);
             }
+            GatewayEffect::RolloutProgress(progress) => {
+                log_progress(&progress);
+                self.metrics.record_rollout(&progress);
+            }
             GatewayEffect::WriteRollout(step) => {
                 info!(
                     service:% = step.record.service, version = step.record.target.as_str(),
@@ -461,6 +467,19 @@
     }
 }
 
+fn log_progress(progress: &RolloutProgress) {
+    let RolloutEvidence { target, baseline } = &progress.evidence;
+    info!(
+        service:% = progress.service, version = progress.target.as_str(),
+        phase:? = progress.phase, since_order_ms = progress.since_order_ms.get(),
+        gateways = progress.gateways,
+        attempts = target.attempts, errors = target.errors, slow = target.slow,
+        old_attempts = baseline.attempts, old_errors = baseline.errors, old_slow = baseline.slow,
+        log_evidence = progress.log_evidence;
+        "rollout evidence"
+    );
+}
+
 fn log_event(event: &GatewayEvent) {
     match event {
         GatewayEvent::Configured(catalog) => {
--- a/crates/hickoryd/src/gateway/metrics.rs
+++ b/crates/hickoryd/src/gateway/metrics.rs
@@ -1,11 +1,13 @@
 //! Counters, gauges and latency histograms of a gateway in the Prometheus text format.
 
 use hickorydoor::DurationMs;
+use hickorydoor::gateway::rollout::RolloutProgress;
 use log::error;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -23,6 +25,7 @@
     duration: HistogramVec,
     open_calls: IntGauge,
     configuration_age: IntGauge,
+    rollout_attempts: IntGaugeVec,
 }
 
 impl GatewayMetrics {
@@ -49,6 +52,13 @@
                 "hickorydoor_configuration_age_ms",
                 "age of the configuration",
             )?,
+            rollout_attempts: IntGaugeVec::new(
+                Opts::new(
+                    "hickorydoor_rollout_attempts",
+                    "ended attempts during the latest rollout, counted by all gateways",
+                ),
+                &["service", "version", "outcome"],
+            )?,
         };
         metrics.registry.register(Box::new(metrics.calls.clone()))?;
         metrics.registry.register(Box::new(metrics.attempts.clone()))?;
@@ -56,6 +66,7 @@
         metrics.registry.register(Box::new(metrics.duration.clone()))?;
         metrics.registry.register(Box::new(metrics.open_calls.clone()))?;
         metrics.registry.register(Box::new(metrics.configuration_age.clone()))?;
+        metrics.registry.register(Box::new(metrics.rollout_attempts.clone()))?;
         Ok(metrics)
     }
 
@@ -81,6 +92,22 @@
         self.duration.with_label_values(&[customer, route]).observe(seconds);
     }
 
+    /// Sets the gauges of a rollout. The versions are labelled as the target and the baseline, so
+    /// that their number stays bounded.
+    pub fn record_rollout(&self, progress: &RolloutProgress) {
+        let service = progress.service.as_str();
+        let sides =
+            [("target", &progress.evidence.target), ("baseline", &progress.evidence.baseline)];
+        for (version, evidence) in sides {
+            let counts =
+                [("all", evidence.attempts), ("error", evidence.errors), ("slow", evidence.slow)];
+            for (outcome, count) in counts {
+                let gauge = self.rollout_attempts.with_label_values(&[service, version, outcome]);
+                gauge.set(count.cast_signed());
+            }
+        }
+    }
+
     /// Sets the gauges and encodes all metrics; a missing configuration has the age -1.
     pub fn encode(&self, open_calls: usize, configuration_age_ms: Option<DurationMs>) -> String {
         self.open_calls.set(open_calls.cast_signed() as i64);
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::call::CallId;
 use crate::gateway::refusal::CallRefusal;
+use crate::gateway::rollout::RolloutProgress;
 use crate::gateway::rollout::RolloutStep;
 use crate::id::CustomerId;
 use crate::id::ModelId;
@@ -127,6 +128,8 @@
         /// Measurements for metrics.
         stats: Box<CallStats>,
     },
+    /// Record the progress of a rollout.
+    RolloutProgress(Box<RolloutProgress>),
     /// Write a rollout record to the store with a compare-and-swap.
     WriteRollout(RolloutStep),
 }
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -320,9 +320,10 @@
                 .filter(|upstream| upstream.registration.service == *service)
                 .filter(|upstream| upstream.registration.version != target)
                 .all(|upstream| upstream.total_in_flight() == 0);
-            if let Some(step) = rollout.step(rank, old_is_idle, era, now) {
-                effects.push(GatewayEffect::WriteRollout(step));
-            }
+            let step = rollout.step(rank, old_is_idle, era, now);
+            let progress = rollout.report(now).map(Box::new);
+            effects.extend(progress.map(GatewayEffect::RolloutProgress));
+            effects.extend(step.map(GatewayEffect::WriteRollout));
         }
     }
 
--- a/crates/hickorydoor/src/gateway/rollout.rs
+++ b/crates/hickorydoor/src/gateway/rollout.rs
@@ -40,6 +40,8 @@
 const BURST_ERROR_SHARE: f64 = 0.3;
 /// Minimum number of attempts over which the share of errors is taken.
 const BURST_ATTEMPTS: u64 = 20;
+/// Interval at which the progress of a rollout is reported.
+const REPORT_INTERVAL_MS: DurationMs = DurationMs::new(1_000);
 /// Delay between gateways of consecutive ranks before they write a step, in ms.
 const RANK_DELAY_MS: u64 = 600;
 
@@ -120,6 +122,25 @@
     pub replaces: StorePosition,
 }
 
+/// What one gateway knows about the course of a rollout, for logs and metrics.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RolloutProgress {
+    /// Service that is rolled out.
+    pub service: ServiceName,
+    /// Version to move to.
+    pub target: CompactString,
+    /// Phase in force; `None` before the first record.
+    pub phase: Option<RolloutPhase>,
+    /// Time since the order as this gateway knows it.
+    pub since_order_ms: DurationMs,
+    /// Number of gateways whose evidence is known, including this one.
+    pub gateways: usize,
+    /// Sum of the evidence of these gateways.
+    pub evidence: RolloutEvidence,
+    /// Natural logarithm of the evidence that the new version is worse.
+    pub log_evidence: f64,
+}
+
 /// A rollout as one gateway sees it.
 #[derive(Clone, Debug)]
 pub struct Rollout {
@@ -143,6 +164,7 @@
     pinned_by_peers: HashMap<u64, TimeMs>,
     worse_since: Option<TimeMs>,
     written_at: Option<TimeMs>,
+    reported: Option<(TimeMs, Option<RolloutPhase>)>,
 }
 
 impl Rollout {
@@ -162,6 +184,7 @@
             pinned_by_peers: HashMap::new(),
             worse_since: None,
             written_at: None,
+            reported: None,
         };
         if let Some(record) = record {
             rollout.set_record(record, now);
@@ -315,13 +338,41 @@
         self.peers.insert(peer, evidence);
     }
 
-    /// Tests the evidence that has arrived since the last call and rolls back a worse version.
-    pub fn evaluate(&mut self, now: TimeMs) {
+    fn total_evidence(&self) -> RolloutEvidence {
         let mut total = self.own;
         for peer in self.peers.values() {
             total.target.merge(&peer.target);
             total.baseline.merge(&peer.baseline);
         }
+        total
+    }
+
+    /// Returns the progress to report, if the phase has changed since the last report or, before
+    /// the end of the rollout, [`REPORT_INTERVAL_MS`] have passed.
+    pub fn report(&mut self, now: TimeMs) -> Option<RolloutProgress> {
+        let phase = self.phase();
+        let is_ended = phase.is_some_and(|phase| phase >= RolloutPhase::Completed);
+        let is_due = self.reported.is_none_or(|(at, known)| {
+            known != phase || (!is_ended && now.since(at) >= REPORT_INTERVAL_MS)
+        });
+        if !is_due {
+            return None;
+        }
+        self.reported = Some((now, phase));
+        Some(RolloutProgress {
+            service: self.order.service.clone(),
+            target: self.order.target.clone(),
+            phase,
+            since_order_ms: now.since(self.ordered_at),
+            gateways: self.peers.len() + 1,
+            evidence: self.total_evidence(),
+            log_evidence: self.test.log_evidence(),
+        })
+    }
+
+    /// Tests the evidence that has arrived since the last call and rolls back a worse version.
+    pub fn evaluate(&mut self, now: TimeMs) {
+        let total = self.total_evidence();
         self.check_error_burst(&total.target, now);
         let target = total.target.since(&self.evaluated.target);
         let baseline = total.baseline.since(&self.evaluated.baseline);
