--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -37,6 +37,7 @@
 use hickorydoor::quantity::Share;
 
 pub mod fleet;
+pub mod rollout_fleet;
 
 pub const HOST: &str = "api.example";
 pub const KEY: &str = "key-1";
