Log the prompt parts of a request and at which upstream an attempt ended

The logs of the incident could not tell the hypotheses apart: no line named the parts of a prompt, and 'attempt ended' said neither the upstream nor how long the answer had been going. Parts are named by their ids alone, 16 at most in a line.

--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -36,6 +36,7 @@
 use hickorydoor::id::CustomerId;
 use hickorydoor::id::DataCentreId;
 use hickorydoor::id::HostId;
+use hickorydoor::id::UpstreamId;
 use log::info;
 use log::warn;
 use tokio::sync::mpsc;
@@ -47,6 +48,9 @@
 use crate::gateway::metrics::GatewayMetrics;
 use crate::link::LinkQueue;
 
+/// Maximum number of prompt parts that a log line names.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// Instruction from the reducer to the task of a request.
 #[derive(Debug)]
 pub enum Directive {
@@ -74,7 +78,19 @@
     directives: mpsc::UnboundedSender<Directive>,
     client_attempt: CompactString,
     session: Option<CompactString>,
+    /// Ids of the shared prompt parts, for logs.
+    prompt_parts: CompactString,
     opened_at: TimeMs,
+    /// Latest attempt, for logs; `None` before the first one.
+    attempt: Option<OpenAttempt>,
+}
+
+/// What the log says about the end of an attempt.
+#[derive(Debug)]
+struct OpenAttempt {
+    upstream: UpstreamId,
+    dispatched_at: TimeMs,
+    first_event_at: Option<TimeMs>,
 }
 
 /// Reducer of a gateway with its clock, metrics and open requests.
@@ -304,8 +320,14 @@
         self.next_call.set(call.0 + 1);
         let (directives, receiver) = mpsc::unbounded_channel();
         let client_attempt = request.client_attempt.clone();
-        let session = request.session.clone();
-        let open_call = OpenCall { directives, client_attempt, session, opened_at: self.now() };
+        let open_call = OpenCall {
+            directives,
+            client_attempt,
+            session: request.session.clone(),
+            prompt_parts: request.prompt.shared_part_ids(MAX_LOGGED_PARTS),
+            opened_at: self.now(),
+            attempt: None,
+        };
         self.calls.borrow_mut().insert(call, open_call);
         self.apply(GatewayEvent::Arrived { call, request: Box::new(request) });
         (call, receiver)
@@ -321,8 +343,14 @@
         delivered: bool,
     ) {
         if let Some(open_call) = self.calls.borrow().get(&call) {
+            let now = self.now();
+            let attempt = open_call.attempt.as_ref();
+            let since = |at: TimeMs| now.since(at).get();
             info!(
                 request = open_call.client_attempt.as_str(), outcome:? = outcome,
+                upstream = attempt.map(|attempt| attempt.upstream.as_str()),
+                took_ms = attempt.map(|attempt| since(attempt.dispatched_at)),
+                since_first_event_ms = attempt.and_then(|attempt| attempt.first_event_at.map(since)),
                 last_event = last_event, delivered = delivered;
                 "attempt ended"
             );
@@ -382,7 +410,11 @@
     fn on_first_event(&self, call: CallId, stats: &FirstEventStats) {
         let customer = stats.customer.as_ref().map_or("", CustomerId::as_str);
         self.metrics.record_first_event(customer, &stats.route, stats.since_arrival_ms);
-        if let Some(open_call) = self.calls.borrow().get(&call) {
+        let now = self.now();
+        if let Some(open_call) = self.calls.borrow_mut().get_mut(&call) {
+            if let Some(attempt) = &mut open_call.attempt {
+                attempt.first_event_at = Some(now);
+            }
             info!(
                 request = open_call.client_attempt.as_str(), route = stats.route.as_str(),
                 since_arrival_ms = stats.since_arrival_ms.get(),
@@ -397,6 +429,13 @@
 
     fn send_directive(&self, call: CallId, directive: Directive, is_last: bool) {
         let removed = if is_last { self.calls.borrow_mut().remove(&call) } else { None };
+        if let (Directive::Dispatch(dispatch), Some(open_call)) =
+            (&directive, self.calls.borrow_mut().get_mut(&call))
+        {
+            let upstream = dispatch.upstream.clone();
+            let dispatched_at = self.now();
+            open_call.attempt = Some(OpenAttempt { upstream, dispatched_at, first_event_at: None });
+        }
         let calls = self.calls.borrow();
         let Some(open_call) = removed.as_ref().or_else(|| calls.get(&call)) else {
             return;
@@ -413,6 +452,7 @@
             Directive::Dispatch(dispatch) => info!(
                 request = request, attempt = dispatch.attempt, upstream:% = dispatch.upstream,
                 version = dispatch.version.as_str(), session = open_call.session.as_deref(),
+                prompt_parts = open_call.prompt_parts.as_str(),
                 model = dispatch.model.as_ref().map(hickorydoor::id::ModelId::as_str),
                 min_confidence = dispatch.min_confidence,
                 fetch_from = dispatch.fetch_from.map(|source| source.to_string()).as_deref(),
--- a/crates/hickorydoor/src/gateway/call.rs
+++ b/crates/hickorydoor/src/gateway/call.rs
@@ -49,6 +49,13 @@
             None => &[],
         }
     }
+
+    /// Returns the ids of the first `limit` shared parts in hexadecimal, separated by commas.
+    pub fn shared_part_ids(&self, limit: usize) -> CompactString {
+        let parts = self.shared_parts().iter().take(limit);
+        let ids: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",").into()
+    }
 }
 
 /// A caller's request.
