Play a prompt part under which engines end, and show that it ends one after another

As in the record, an engine ends 60 to 130 ms after it has begun to write, also if the gateway has discarded the answer meanwhile.

--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -36,6 +36,7 @@
 use hickorydoor::quantity::KbitPerS;
 use hickorydoor::quantity::Share;
 
+pub mod crash_fleet;
 pub mod fleet;
 pub mod rollout_fleet;
 
@@ -209,6 +210,14 @@
         Self { gateway: Gateway::new(settings(host)), now: TimeMs::new(100_000), next_call: 0 }
     }
 
+    /// A gateway that has started again, in sync with the store.
+    pub fn restarted(host: &str, incarnation: u64) -> Self {
+        let mut rig = Self::empty(host);
+        rig.gateway = Gateway::new(GatewaySettings { incarnation, ..settings(host) });
+        rig.apply(GatewayEvent::Configured(Arc::new(catalog(1, &[KEY]))));
+        rig
+    }
+
     /// A gateway with the catalog and in sync with the store, but without upstreams.
     pub fn new(host: &str) -> Self {
         let mut rig = Self::empty(host);
