--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -10,6 +10,7 @@
 use hickorydoor::gateway::effect::Dispatch;
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::event::ResponseFault;
+use hickorydoor::gateway::quarantine::PROVEN_AFTER_MS;
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
@@ -189,6 +190,8 @@
         let mut splitter = EventSplitter::default();
         let mut head = Some((parts.status, parts.headers));
         let mut read_deadline = limits.deadline;
+        // When the next progress is to be reported; `None` before the first event and after that.
+        let mut report_progress_at = None;
         loop {
             let read = tokio::select! {
                 read = next_bytes(&mut body, read_deadline.min(limits.deadline)) => read,
@@ -223,6 +226,7 @@
                 }
                 if let Some((status, headers)) = head.take() {
                     self.start_stream(status, headers);
+                    report_progress_at = Some(Instant::now() + Duration::from(PROVEN_AFTER_MS));
                 }
                 let has_progressed = is_progress(&event);
                 match timeout_at(limits.deadline, self.forward(event, id)).await {
@@ -232,7 +236,11 @@
                     Err(_elapsed) => return fault(ResponseFault::TimedOut),
                 }
                 if has_progressed {
-                    read_deadline = Instant::now() + limits.pause_timeout;
+                    let now = Instant::now();
+                    read_deadline = now + limits.pause_timeout;
+                    if report_progress_at.take_if(|at| now >= *at).is_some() {
+                        self.core.apply(GatewayEvent::Progressed { call: self.call });
+                    }
                 }
             }
         }
--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -26,6 +26,9 @@
 use hickorydoor::gateway::feed_wire::FeedHello;
 use hickorydoor::gateway::feed_wire::WatcherMessage;
 use hickorydoor::gateway::peer_digest::PeerDigest;
+use hickorydoor::gateway::quarantine::PartId;
+use hickorydoor::gateway::quarantine::QuarantineChange;
+use hickorydoor::gateway::quarantine::QuarantineStep;
 use hickorydoor::gateway::refusal::CallRefusal;
 use hickorydoor::gateway::rollout::RolloutEvidence;
 use hickorydoor::gateway::rollout::RolloutProgress;
@@ -39,6 +42,7 @@
 use hickorydoor::id::UpstreamId;
 use log::info;
 use log::warn;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
@@ -105,6 +109,7 @@
     stopping: watch::Sender<bool>,
     followers: RefCell<Followers>,
     store_states_era: Cell<bool>,
+    digest_due: Notify,
     restored_era: watch::Sender<StoreEra>,
     pub(super) metrics: GatewayMetrics,
 }
@@ -126,6 +131,7 @@
             stopping: watch::Sender::new(false),
             followers: RefCell::default(),
             store_states_era: Cell::new(false),
+            digest_due: Notify::new(),
             restored_era: watch::Sender::new(StoreEra::default()),
             metrics: GatewayMetrics::new()?,
         };
@@ -302,6 +308,11 @@
         self.gateway.borrow().peers().map(|peer| peer.address).collect()
     }
 
+    /// Waits until the other gateways have to learn something before the next digest is due.
+    pub(super) async fn digest_due(&self) {
+        self.digest_due.notified().await;
+    }
+
     /// Creates the next digest for the other gateways.
     pub(super) fn digest(&self) -> PeerDigest {
         self.gateway.borrow_mut().digest(self.now())
@@ -395,6 +406,11 @@
                 log_progress(&progress);
                 self.metrics.record_rollout(&progress);
             }
+            GatewayEffect::Quarantine(change) => {
+                log_quarantine(&change);
+                self.metrics.record_quarantine(step_label(change.step));
+            }
+            GatewayEffect::SendDigest => self.digest_due.notify_one(),
             GatewayEffect::WriteRollout(step) => {
                 info!(
                     service:% = step.record.service, version = step.record.target.as_str(),
@@ -507,6 +523,31 @@
     }
 }
 
+const fn step_label(step: QuarantineStep) -> &'static str {
+    match step {
+        QuarantineStep::Suspected => "suspected",
+        QuarantineStep::Quarantined => "quarantined",
+        QuarantineStep::Probation => "probation",
+        QuarantineStep::Released => "released",
+    }
+}
+
+fn log_quarantine(change: &QuarantineChange) {
+    let parts: Vec<String> = change.parts.iter().map(PartId::to_string).collect();
+    let engines: Vec<&str> = change.engines.iter().map(UpstreamId::as_str).collect();
+    let message = match change.step {
+        QuarantineStep::Suspected => "prompt part suspected: engines ended under it",
+        QuarantineStep::Quarantined => "prompt part quarantined: requests with it are refused",
+        QuarantineStep::Probation => "prompt part on probation: one request with it is tried",
+        QuarantineStep::Released => "prompt part released: requests with it are sent",
+    };
+    warn!(
+        service:% = change.service, prompt_parts = parts.join(",").as_str(),
+        ended = engines.join(",").as_str(), quarantine_ends = change.quarantine_ends;
+        "{message}"
+    );
+}
+
 fn log_progress(progress: &RolloutProgress) {
     let RolloutEvidence { target, baseline } = &progress.evidence;
     info!(
--- a/crates/hickoryd/src/gateway/digest_exchange.rs
+++ b/crates/hickoryd/src/gateway/digest_exchange.rs
@@ -17,6 +17,8 @@
 /// Minimum send interval for each receiving gateway: with N receivers, digests are sent at least N
 /// times this long apart. This bounds the cost of sending in large fleets.
 const MIN_INTERVAL_PER_PEER: Duration = Duration::from_millis(6);
+/// Minimum time between two digests if the other gateways have to learn something soon.
+const MIN_URGENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum length of a received digest.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 /// Delay before the next receive after a failure.
@@ -36,7 +38,12 @@
 async fn send_digests(socket: &UdpSocket, core: &Core, port: u16, interval: Duration) {
     loop {
         let peers = core.peer_addresses();
-        sleep(interval.max(MIN_INTERVAL_PER_PEER * peers.len() as u32)).await;
+        let regular = interval.max(MIN_INTERVAL_PER_PEER * peers.len() as u32);
+        sleep(interval.min(MIN_URGENT_INTERVAL)).await;
+        tokio::select! {
+            () = sleep(regular.saturating_sub(MIN_URGENT_INTERVAL)) => {}
+            () = core.digest_due() => {}
+        }
         if peers.is_empty() {
             continue;
         }
--- a/crates/hickoryd/src/gateway/metrics.rs
+++ b/crates/hickoryd/src/gateway/metrics.rs
@@ -26,6 +26,7 @@
     open_calls: IntGauge,
     configuration_age: IntGauge,
     rollout_attempts: IntGaugeVec,
+    quarantine_changes: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -59,6 +60,11 @@
                 ),
                 &["service", "version", "outcome"],
             )?,
+            quarantine_changes: counter(
+                "hickorydoor_quarantine_changes_total",
+                "changes of what is believed about prompt parts under which engines end",
+                &["step"],
+            )?,
         };
         metrics.registry.register(Box::new(metrics.calls.clone()))?;
         metrics.registry.register(Box::new(metrics.attempts.clone()))?;
@@ -67,6 +73,7 @@
         metrics.registry.register(Box::new(metrics.open_calls.clone()))?;
         metrics.registry.register(Box::new(metrics.configuration_age.clone()))?;
         metrics.registry.register(Box::new(metrics.rollout_attempts.clone()))?;
+        metrics.registry.register(Box::new(metrics.quarantine_changes.clone()))?;
         Ok(metrics)
     }
 
@@ -92,6 +99,11 @@
         self.duration.with_label_values(&[customer, route]).observe(seconds);
     }
 
+    /// Counts a change of what is believed about a prompt part.
+    pub fn record_quarantine(&self, step: &str) {
+        self.quarantine_changes.with_label_values(&[step]).inc();
+    }
+
     /// Sets the gauges of a rollout. The versions are labelled as the target and the baseline, so
     /// that their number stays bounded.
     pub fn record_rollout(&self, progress: &RolloutProgress) {
--- a/crates/hickorydoor/src/gateway/active_call.rs
+++ b/crates/hickorydoor/src/gateway/active_call.rs
@@ -7,6 +7,7 @@
 
 use crate::gateway::call::Call;
 use crate::gateway::catalog::Account;
+use crate::gateway::quarantine::PartId;
 use crate::gateway::route::Route;
 use crate::id::ModelId;
 use crate::id::ServiceName;
@@ -17,6 +18,15 @@
 /// Attempts are not started with less than this time left before the deadline.
 const MIN_ATTEMPT_MS: DurationMs = DurationMs::new(20);
 
+/// Why a gateway has cancelled an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cancellation {
+    /// Its upstream was unresponsive.
+    Unresponsive,
+    /// Engines have ended under a part of its prompt.
+    PromptPart,
+}
+
 /// The current attempt of a request.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -43,8 +53,12 @@
     pub first_event_at: Option<TimeMs>,
     /// Number of the last event that the caller had received when the attempt was sent.
     pub events_before: u64,
-    /// Whether the gateway has cancelled the attempt because its upstream was unresponsive.
-    pub abandoned: bool,
+    /// Whether the stream has paused for longer than its pause timeout.
+    pub stalled: bool,
+    /// Why the gateway has cancelled the attempt; `None` unless it has.
+    pub cancelled: Option<Cancellation>,
+    /// Whether the stream has gone on for long enough to prove the parts of its prompt sound.
+    pub proven: bool,
 }
 
 /// A request that has not ended.
@@ -82,6 +96,18 @@
         customer_priority.unwrap_or(self.route.priority)
     }
 
+    /// Returns the parts of the prompt that other requests may share, each once.
+    pub fn shared_parts(&self) -> SmallVec<[PartId; 4]> {
+        let mut parts: SmallVec<[PartId; 4]> = SmallVec::new();
+        for part in self.call.prompt.shared_parts() {
+            let id = PartId::new(part.id);
+            if !parts.contains(&id) {
+                parts.push(id);
+            }
+        }
+        parts
+    }
+
     /// Returns whether enough time is left for an attempt.
     pub fn has_time(&self, now: TimeMs) -> bool {
         self.remaining_ms(now) >= MIN_ATTEMPT_MS
--- a/crates/hickorydoor/src/gateway/arrival.rs
+++ b/crates/hickorydoor/src/gateway/arrival.rs
@@ -9,7 +9,9 @@
 use crate::gateway::call::Call;
 use crate::gateway::call::CallId;
 use crate::gateway::effect::GatewayEffect;
+use crate::gateway::quarantine::Verdict;
 use crate::gateway::reducer::Gateway;
+use crate::gateway::refusal::CallRefusal;
 use crate::gateway::refusal::RefusalReason;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
@@ -35,26 +37,24 @@
                 self.calls.insert(id, active);
                 self.waiting.insert(id);
             }
-            Err(reason) => {
-                effects.push(GatewayEffect::Refuse { call: id, refusal: reason.into() });
-            }
+            Err(refusal) => effects.push(GatewayEffect::Refuse { call: id, refusal }),
         }
     }
 
-    fn admit(&self, call: Call, now: TimeMs) -> Result<ActiveCall, RefusalReason> {
+    fn admit(&self, call: Call, now: TimeMs) -> Result<ActiveCall, CallRefusal> {
         if self.refuse_from.is_some_and(|from| now >= from) {
-            return Err(RefusalReason::Stopping);
+            return Err(RefusalReason::Stopping.into());
         }
         let catalog = self.catalog.as_ref().ok_or(RefusalReason::NoConfiguration)?;
         if !self.freshness.is_within(self.settings.max_configuration_age_ms, now) {
-            return Err(RefusalReason::StaleConfiguration);
+            return Err(RefusalReason::StaleConfiguration.into());
         }
         let route = catalog.route(&call.host, &call.path).ok_or(RefusalReason::NoRoute)?;
         let needs_key = catalog.has_accounts() && !route.public;
         let key = call.key.as_ref().filter(|_| needs_key);
         let account = key.and_then(|key| catalog.account(key));
         if needs_key && account.is_none() {
-            return Err(RefusalReason::UnknownKey);
+            return Err(RefusalReason::UnknownKey.into());
         }
         let hash = xxh3_64(call.client_attempt.as_bytes());
         let service = route.backend(hash).ok_or(RefusalReason::NoRoute)?.clone();
@@ -66,7 +66,7 @@
             call.deadline_ms.map_or(limit_ms, |requested_ms| requested_ms.min(limit_ms));
         let wait_ms = DurationMs::new(route.objective_ms.get() / 2).min(deadline_ms);
         let last_event = call.last_event;
-        Ok(ActiveCall {
+        let active = ActiveCall {
             route: Arc::clone(route),
             account: account.cloned(),
             service,
@@ -80,6 +80,10 @@
             last_event,
             delivered: false,
             call,
-        })
+        };
+        match self.verdict(&active, now) {
+            Verdict::Refused { retry_after_ms } => Err(CallRefusal::quarantined(retry_after_ms)),
+            _ => Ok(active),
+        }
     }
 }
--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::active_call::ActiveCall;
 use crate::gateway::active_call::Attempt;
+use crate::gateway::active_call::Cancellation;
 use crate::gateway::call::CallId;
 use crate::gateway::effect::CallStats;
 use crate::gateway::effect::FirstEventStats;
@@ -10,6 +11,7 @@
 use crate::gateway::event::NotRun;
 use crate::gateway::event::ResponseFault;
 use crate::gateway::reducer::Gateway;
+use crate::gateway::refusal::CallRefusal;
 use crate::gateway::refusal::RefusalReason;
 use crate::gateway::route::CallKind;
 use crate::gateway::upstream::Upstream;
@@ -98,6 +100,9 @@
     /// Resumes a stalled stream on another upstream. If that is not possible, the stream goes on,
     /// since a slow answer is better than none.
     pub(super) fn on_stalled(&mut self, id: CallId, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
+        if let Some(attempt) = self.calls.get_mut(&id).and_then(|active| active.attempt.as_mut()) {
+            attempt.stalled = true;
+        }
         self.abandon_if_retryable(id, now, effects);
     }
 
@@ -106,8 +111,8 @@
             return;
         }
         let attempt = self.calls.get_mut(&id).and_then(|active| active.attempt.as_mut());
-        if let Some(attempt) = attempt.filter(|attempt| !attempt.abandoned) {
-            attempt.abandoned = true;
+        if let Some(attempt) = attempt.filter(|attempt| attempt.cancelled.is_none()) {
+            attempt.cancelled = Some(Cancellation::Unresponsive);
             effects.push(GatewayEffect::Abandon { call: id });
         }
     }
@@ -124,7 +129,7 @@
             return false;
         };
         let Some(attempt) =
-            active.attempt.as_ref().filter(|a| a.first_event_at.is_none() && !a.abandoned)
+            active.attempt.as_ref().filter(|a| a.first_event_at.is_none() && a.cancelled.is_none())
         else {
             return false;
         };
@@ -228,9 +233,14 @@
         let service = active.service.clone();
         let last_event = active.last_event;
         let session = active.call.session.clone();
+        let parts = active.shared_parts();
         if let Some(session) = session {
             self.record_session(&session, &attempt.version, now);
         }
+        let is_withdrawn = attempt.cancelled == Some(Cancellation::PromptPart)
+            && matches!(outcome, Some(AttemptOutcome::Unknown(ResponseFault::Silent)));
+        let outcome = outcome.filter(|_| !is_withdrawn);
+        self.record_end_under_parts(&service, &attempt, &parts, outcome, now);
         if let Some(upstream) = self.pool.get(&attempt.upstream) {
             let data_centre = &upstream.registration.data_centre;
             match outcome {
@@ -260,6 +270,10 @@
                 (false, true)
             }
         };
+        if has_failed && self.quarantine.is_any_suspected(&service, &parts, now) {
+            // The end of an engine under a part says nothing about the engine's version.
+            return;
+        }
         if let Some(rollout) = self.rollouts.get_mut(&service) {
             rollout.record_attempt(&attempt.version, has_failed, attempt.slow || is_late);
         }
@@ -280,7 +294,7 @@
         event_ms > typical_ms * SLOW_PACE_FACTOR + SLOW_PACE_SLACK_MS
     }
 
-    fn can_retry(&mut self, id: CallId, now: TimeMs) -> bool {
+    pub(super) fn can_retry(&mut self, id: CallId, now: TimeMs) -> bool {
         let count = self.gateway_count();
         let Some(active) = self.calls.get(&id) else {
             return false;
@@ -299,6 +313,7 @@
             return false;
         };
         let is_allowed = active.route.is_retryable()
+            && !self.quarantine.is_quarantined(&active.service, &active.shared_parts())
             && active.executed_attempts < active.route.max_attempts
             && active.has_time(now);
         let budget = self.retry_budgets.entry(active.service.clone()).or_default();
@@ -337,10 +352,10 @@
         self.waiting.insert(id);
     }
 
-    fn refuse_or_abort(
+    pub(super) fn refuse_or_abort(
         &mut self,
         id: CallId,
-        reason: RefusalReason,
+        refusal: impl Into<CallRefusal>,
         now: TimeMs,
         effects: &mut Vec<GatewayEffect>,
     ) {
@@ -351,12 +366,14 @@
             self.finish(id, GatewayEffect::Abort { call: id }, now, effects);
             return;
         }
-        let reason = match (reason.status() == 503, active.executed_attempts > 0) {
-            (true, true) if !active.has_time(now) => RefusalReason::TimedOutRunning,
-            (true, true) => RefusalReason::OutcomeUnknown,
-            _ => reason,
+        let refusal = refusal.into();
+        let promises_not_run = refusal.reason.status() == 503;
+        let refusal = match (promises_not_run, active.executed_attempts > 0) {
+            (true, true) if !active.has_time(now) => RefusalReason::TimedOutRunning.into(),
+            (true, true) => RefusalReason::OutcomeUnknown.into(),
+            _ => refusal,
         };
-        let refuse = GatewayEffect::Refuse { call: id, refusal: reason.into() };
+        let refuse = GatewayEffect::Refuse { call: id, refusal };
         self.finish(id, refuse, now, effects);
     }
 
--- /dev/null
+++ b/crates/hickorydoor/src/gateway/containment.rs
@@ -0,0 +1,188 @@
+//! Evidence about prompt parts under which engines end, and the requests that hold such parts.
+
+use std::collections::BTreeSet;
+
+use smallvec::SmallVec;
+
+use crate::gateway::active_call::ActiveCall;
+use crate::gateway::active_call::Attempt;
+use crate::gateway::active_call::Cancellation;
+use crate::gateway::call::CallId;
+use crate::gateway::effect::GatewayEffect;
+use crate::gateway::event::AttemptOutcome;
+use crate::gateway::event::NotRun;
+use crate::gateway::event::ResponseFault;
+use crate::gateway::quarantine::EngineEnd;
+use crate::gateway::quarantine::PROVEN_AFTER_MS;
+use crate::gateway::quarantine::PartId;
+use crate::gateway::quarantine::PartKey;
+use crate::gateway::quarantine::QuarantineChange;
+use crate::gateway::quarantine::QuarantineStep;
+use crate::gateway::quarantine::Verdict;
+use crate::gateway::reducer::Gateway;
+use crate::id::ServiceName;
+use crate::time::TimeMs;
+
+impl Gateway {
+    /// Decides whether a request may be sent, as far as the parts of its prompt are concerned.
+    pub(super) fn verdict(&self, active: &ActiveCall, now: TimeMs) -> Verdict {
+        if self.quarantine.is_clear() {
+            return Verdict::Allowed;
+        }
+        let parts = active.shared_parts();
+        let verdict = self.quarantine.verdict(
+            &active.service,
+            &parts,
+            |part| self.unproven_attempts(part),
+            &self.settings.host,
+            &self.gateways,
+            now,
+        );
+        let is_new = active.attempts == 0;
+        match verdict {
+            Verdict::Allowed
+                if is_new && self.quarantine.is_paused(&active.service, &parts, now) =>
+            {
+                Verdict::Held
+            }
+            _ => verdict,
+        }
+    }
+
+    /// Returns the number of attempts in flight with a part that have not proven it sound.
+    pub(super) fn unproven_attempts(&self, part: &PartKey) -> u32 {
+        let is_unproven = |attempt: &Attempt| {
+            !attempt.proven && attempt.cancelled != Some(Cancellation::PromptPart)
+        };
+        let holds_part = |active: &&ActiveCall| {
+            active.attempt.as_ref().is_some_and(is_unproven)
+                && active.service == part.service
+                && active.call.prompt.shared_parts().iter().any(|known| known.id == part.part.get())
+        };
+        self.calls.values().filter(holds_part).count() as u32
+    }
+
+    /// Records that the engine of a stream has survived the beginning of its answer.
+    pub(super) fn on_progressed(&mut self, id: CallId, now: TimeMs) {
+        let Some(active) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if let Some(attempt) = &mut active.attempt {
+            attempt.proven = true;
+            let parts = active.shared_parts();
+            self.quarantine.record_survival(&active.service, &parts, now);
+        }
+    }
+
+    /// Records what the end of an attempt says about the parts of its prompt. `outcome` is `None` if
+    /// the gateway itself has ended the attempt.
+    pub(super) fn record_end_under_parts(
+        &mut self,
+        service: &ServiceName,
+        attempt: &Attempt,
+        parts: &[PartId],
+        outcome: Option<AttemptOutcome>,
+        now: TimeMs,
+    ) {
+        let unproven = if attempt.proven { &[] } else { parts };
+        let wrote_for_long =
+            attempt.first_event_at.is_some_and(|at| now.since(at) >= PROVEN_AFTER_MS);
+        let seen = |parts: &[PartId]| EngineEnd {
+            upstream: attempt.upstream.clone(),
+            service: service.clone(),
+            version: attempt.version.clone(),
+            parts: SmallVec::from_slice(parts),
+        };
+        match outcome {
+            Some(AttemptOutcome::Served) => {
+                self.quarantine.record_survival(service, parts, now);
+            }
+            None | Some(AttemptOutcome::Weak) => {
+                self.quarantine.record_departure(seen(unproven), now);
+            }
+            Some(AttemptOutcome::Unknown(ResponseFault::Closed)) => {
+                let suspects = if wrote_for_long { &[] } else { unproven };
+                self.quarantine.record_cut_off(seen(suspects), now);
+            }
+            Some(AttemptOutcome::Unknown(ResponseFault::Silent | ResponseFault::TimedOut)) => {
+                if attempt.stalled || self.is_silent(attempt) {
+                    self.quarantine.record_cut_off(seen(unproven), now);
+                }
+            }
+            Some(AttemptOutcome::NotRun(NotRun::Unreachable)) => {
+                self.quarantine.record_unreachable(seen(&[]), now);
+            }
+            Some(
+                AttemptOutcome::Failed { .. }
+                | AttemptOutcome::NotRun(NotRun::Refused | NotRun::OtherInstance)
+                | AttemptOutcome::Unknown(ResponseFault::Garbled),
+            ) => {}
+        }
+    }
+
+    /// Returns whether the upstream of an attempt has begun no response since it was sent.
+    fn is_silent(&self, attempt: &Attempt) -> bool {
+        let upstream = self.pool.get(&attempt.upstream);
+        upstream.is_none_or(|known| known.last_response_at.is_none_or(|at| at < attempt.sent_at))
+    }
+
+    /// Assesses the evidence about prompt parts, and ends states that have expired.
+    pub(super) fn assess_quarantine(&mut self, now: TimeMs) {
+        let pool = &self.pool;
+        let versions = |service: &ServiceName| {
+            let of_service = pool.iter().map(|upstream| &upstream.registration);
+            let of_service = of_service.filter(|known| known.service == *service);
+            of_service.map(|known| known.version.clone()).collect::<BTreeSet<_>>()
+        };
+        self.quarantine.assess(versions, now);
+    }
+
+    /// Acts on new evidence: cancels attempts with parts that have become suspected or quarantined,
+    /// before they end another engine.
+    pub(super) fn contain(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
+        if self.quarantine.is_stale() {
+            self.assess_quarantine(now);
+        }
+        for change in self.quarantine.take_changes() {
+            self.withdraw_attempts(&change, now, effects);
+            effects.push(GatewayEffect::Quarantine(Box::new(change)));
+        }
+        if self.quarantine.take_urgency() {
+            effects.push(GatewayEffect::SendDigest);
+        }
+    }
+
+    fn withdraw_attempts(
+        &mut self,
+        change: &QuarantineChange,
+        now: TimeMs,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let must_end = match change.step {
+            QuarantineStep::Suspected => false,
+            QuarantineStep::Quarantined => true,
+            QuarantineStep::Probation | QuarantineStep::Released => return,
+        };
+        let concerned = |active: &ActiveCall| {
+            let parts = active.shared_parts();
+            active.service == change.service && change.parts.iter().all(|part| parts.contains(part))
+        };
+        let is_unproven = |active: &ActiveCall| {
+            let attempt = active.attempt.as_ref();
+            attempt.is_some_and(|attempt| !attempt.proven && attempt.cancelled.is_none())
+        };
+        let calls =
+            self.calls.iter().filter(|(_, active)| is_unproven(active) && concerned(active));
+        let calls: Vec<CallId> = calls.map(|(id, _)| *id).collect();
+        for id in calls {
+            if !must_end && !self.can_retry(id, now) {
+                continue;
+            }
+            let attempt = self.calls.get_mut(&id).and_then(|active| active.attempt.as_mut());
+            if let Some(attempt) = attempt {
+                attempt.cancelled = Some(Cancellation::PromptPart);
+                effects.push(GatewayEffect::Abandon { call: id });
+            }
+        }
+    }
+}
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -15,8 +15,10 @@
 use crate::gateway::placement::Demand;
 use crate::gateway::placement::place;
 use crate::gateway::prompt_cache::chains;
+use crate::gateway::quarantine::Verdict;
 use crate::gateway::reducer::Gateway;
 use crate::gateway::reducer::session_hash;
+use crate::gateway::refusal::CallRefusal;
 use crate::gateway::route::CallKind;
 use crate::gateway::upstream::Upstream;
 use crate::id::ModelId;
@@ -62,7 +64,18 @@
         }
         order.sort_unstable();
         for (_, id) in order {
-            if let Some(dispatch) = self.try_dispatch(id, now) {
+            let verdict = self.calls.get(&id).map(|active| self.verdict(active, now));
+            let is_trial = match verdict {
+                Some(Verdict::Allowed) => false,
+                Some(Verdict::Trial) => true,
+                Some(Verdict::Refused { retry_after_ms }) => {
+                    let refusal = CallRefusal::quarantined(retry_after_ms);
+                    self.refuse_or_abort(id, refusal, now, effects);
+                    continue;
+                }
+                Some(Verdict::Held) | None => continue,
+            };
+            if let Some(dispatch) = self.try_dispatch(id, is_trial, now) {
                 self.waiting.remove(&id);
                 let dispatch = Box::new(dispatch);
                 effects.push(GatewayEffect::Dispatch { call: id, dispatch });
@@ -70,8 +83,8 @@
         }
     }
 
-    fn try_dispatch(&mut self, id: CallId, now: TimeMs) -> Option<Dispatch> {
-        let Plan { choice, min_confidence } = self.choose(id, now)?;
+    fn try_dispatch(&mut self, id: CallId, is_trial: bool, now: TimeMs) -> Option<Dispatch> {
+        let Plan { choice, min_confidence } = self.choose(id, is_trial, now)?;
         let active = self.calls.get(&id)?;
         let memory_tokens = self.spec(&active.service).map_or(0, |spec| spec.memory_tokens);
         let active = self.calls.get_mut(&id)?;
@@ -104,7 +117,9 @@
             slow: false,
             first_event_at: None,
             events_before: active.last_event.unwrap_or_default(),
-            abandoned: false,
+            stalled: false,
+            cancelled: None,
+            proven: false,
         });
         let remaining_ms = active.remaining_ms(now);
         let pause_ms = match active.route.pause_ms.get() {
@@ -142,8 +157,10 @@
     /// Candidates are the usable upstreams of the preferred version, or of any version if there are
     /// none and the request may fall back. Upstreams to which the request has not been sent yet are
     /// preferred, among them those in data centres that can be reached, and among those that remain
-    /// the healthy ones. A preference that leaves no candidate is dropped.
-    fn choose(&mut self, id: CallId, now: TimeMs) -> Option<Plan> {
+    /// the healthy ones. A preference that leaves no candidate is dropped. The trial of a suspected
+    /// prompt part runs on an upstream with the least load, so that few other requests are cut off
+    /// if it ends.
+    fn choose(&mut self, id: CallId, is_trial: bool, now: TimeMs) -> Option<Plan> {
         let active = self.calls.get(&id)?;
         if !active.has_time(now) {
             return None;
@@ -198,6 +215,10 @@
         if !healthy.is_empty() {
             candidates = healthy;
         }
+        if is_trial {
+            let least = candidates.iter().map(|upstream| upstream.total_in_flight()).min();
+            candidates.retain(|upstream| Some(upstream.total_in_flight()) == least);
+        }
         let models = models_of(active);
         let demand = Demand {
             prompt: &active.call.prompt,
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 
 use crate::gateway::call::CallId;
+use crate::gateway::quarantine::QuarantineChange;
 use crate::gateway::refusal::CallRefusal;
 use crate::gateway::rollout::RolloutProgress;
 use crate::gateway::rollout::RolloutStep;
@@ -132,4 +133,8 @@
     RolloutProgress(Box<RolloutProgress>),
     /// Write a rollout record to the store with a compare-and-swap.
     WriteRollout(RolloutStep),
+    /// Record what has changed for prompt parts under which engines end.
+    Quarantine(Box<QuarantineChange>),
+    /// Send the next digest soon, as it holds something that the other gateways have to learn.
+    SendDigest,
 }
--- a/crates/hickorydoor/src/gateway/event.rs
+++ b/crates/hickorydoor/src/gateway/event.rs
@@ -126,6 +126,13 @@
         /// Request whose stream has started.
         call: CallId,
     },
+    /// The stream of a request still makes progress
+    /// [`PROVEN_AFTER_MS`](crate::gateway::quarantine::PROVEN_AFTER_MS) after its first event; sent
+    /// once for each attempt.
+    Progressed {
+        /// Request whose stream goes on.
+        call: CallId,
+    },
     /// The stream of a request has made no progress for as long as its pause timeout. It may still
     /// be sound.
     Stalled {
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -6,7 +6,8 @@
 //! decisions have modules of their own: [`placement`] chooses upstream and model, [`rollout`] moves
 //! a service to a new version, [`freshness`] tracks the age of the configuration, and
 //! [`retry_budget`] and [`cold_share`] divide fleet-wide limits among gateways without messages.
-//! Gateways exchange their load and rollout evidence in a [`peer_digest`].
+//! Gateways exchange their load and evidence in a [`peer_digest`]. Prompt parts under which engines
+//! end are kept from them by a [`quarantine`].
 //!
 //! These terms are used throughout:
 //!
@@ -27,6 +28,7 @@
 pub mod call;
 pub mod catalog;
 pub mod cold_share;
+mod containment;
 pub mod data_centre_reach;
 mod dispatching;
 pub mod effect;
@@ -39,6 +41,7 @@
 pub mod peer_digest;
 pub mod placement;
 pub mod prompt_cache;
+pub mod quarantine;
 mod reducer;
 pub mod refusal;
 pub mod retained_map;
--- a/crates/hickorydoor/src/gateway/peer_digest.rs
+++ b/crates/hickorydoor/src/gateway/peer_digest.rs
@@ -6,6 +6,8 @@
 use prost::Message;
 
 use crate::gateway::prompt_cache::ChainPart;
+use crate::gateway::quarantine::QuarantineReport;
+use crate::gateway::quarantine::WireQuarantine;
 use crate::gateway::rollout::RolloutEvidence;
 use crate::gateway::store_position::StoreEra;
 use crate::gateway::store_position::StorePosition;
@@ -53,6 +55,8 @@
     pub evidence: Vec<DigestEvidence>,
     /// Recently sent prompts; a prompt is repeated in several digests, in case one is lost.
     pub prefills: Vec<Prefill>,
+    /// Prompt parts under which engines end.
+    pub quarantine: QuarantineReport,
 }
 
 /// Error of decoding a datagram.
@@ -134,6 +138,8 @@
     evidence: Vec<WireEvidence>,
     #[prost(message, repeated, tag = "6")]
     prefills: Vec<WirePrefill>,
+    #[prost(message, optional, tag = "7")]
+    quarantine: Option<WireQuarantine>,
 }
 
 impl PeerDigest {
@@ -175,6 +181,7 @@
             loads: digest.loads.iter().map(load).collect(),
             evidence: digest.evidence.iter().map(evidence).collect(),
             prefills: digest.prefills.iter().map(WirePrefill::from).collect(),
+            quarantine: Some(WireQuarantine::from(&digest.quarantine)),
         }
     }
 }
@@ -204,6 +211,7 @@
             loads,
             evidence,
             prefills,
+            quarantine: QuarantineReport::try_from(wire.quarantine.unwrap_or_default())?,
         })
     }
 }
--- /dev/null
+++ b/crates/hickorydoor/src/gateway/quarantine/end_log.rs
@@ -0,0 +1,159 @@
+//! Engines that ended, as this gateway and the others have seen it.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use compact_str::CompactString;
+
+use crate::gateway::quarantine::engine_end::EngineEnd;
+use crate::gateway::quarantine::part_id::PartId;
+use crate::gateway::quarantine::part_key::PartKey;
+use crate::gateway::quarantine::survival_table::SurvivalTable;
+use crate::id::HostId;
+use crate::id::ServiceName;
+use crate::id::UpstreamId;
+use crate::time::DurationMs;
+use crate::time::TimeMs;
+
+/// How long an end counts.
+const END_TTL_MS: DurationMs = DurationMs::from_secs(60);
+/// How long an end is reported whose parts have all been proven sound; other gateways may know
+/// attempts that they have closed shortly before.
+const MIN_REPORT_MS: DurationMs = DurationMs::from_secs(2);
+/// Ends of the same engine closer together than this are one: gateways notice it at different times.
+const SAME_END_MS: DurationMs = DurationMs::from_secs(3);
+/// Maximum number of ends of one gateway; the oldest are dropped.
+const MAX_ENDS: usize = 48;
+/// Maximum number of parts of one end.
+const MAX_PARTS: usize = 64;
+
+/// An end that this gateway has seen.
+#[derive(Clone, Debug)]
+struct OwnEnd {
+    at: TimeMs,
+    end: EngineEnd,
+    /// Attempts of this gateway that it cut off before they were proven sound.
+    cut_off: u32,
+}
+
+/// An end, with all that gateways know about it.
+#[derive(Clone, Debug)]
+pub struct MergedEnd {
+    pub upstream: UpstreamId,
+    pub service: ServiceName,
+    pub version: CompactString,
+    pub at: TimeMs,
+    pub parts: BTreeSet<PartId>,
+    pub cut_off: u32,
+}
+
+/// Ends of engines, bounded in number and age.
+#[derive(Clone, Debug, Default)]
+pub struct EndLog {
+    own: VecDeque<OwnEnd>,
+    /// Ends that other gateways report, by host and incarnation. Those of an earlier incarnation
+    /// still count.
+    peers: HashMap<(HostId, u64), Vec<(EngineEnd, TimeMs)>>,
+}
+
+impl EndLog {
+    /// Records an end that this gateway has seen, or adds to the one that it knows already.
+    pub fn record(&mut self, seen: EngineEnd, is_cut_off: bool, at: TimeMs) {
+        let same = |known: &&mut OwnEnd| {
+            known.end.upstream == seen.upstream && distance(known.at, at) <= SAME_END_MS
+        };
+        if let Some(known) = self.own.iter_mut().rev().find(same) {
+            known.at = known.at.min(at);
+            known.cut_off += u32::from(is_cut_off);
+            for part in seen.parts {
+                if !known.end.parts.contains(&part) && known.end.parts.len() < MAX_PARTS {
+                    known.end.parts.push(part);
+                }
+            }
+            return;
+        }
+        if self.own.len() >= MAX_ENDS {
+            self.own.pop_front();
+        }
+        let mut end = seen;
+        end.parts.truncate(MAX_PARTS);
+        self.own.push_back(OwnEnd { at, end, cut_off: u32::from(is_cut_off) });
+    }
+
+    /// Replaces the ends that another gateway reports. Returns whether it knows one that it did not
+    /// know before.
+    pub fn set_peer(&mut self, peer: (HostId, u64), mut ends: Vec<(EngineEnd, TimeMs)>) -> bool {
+        ends.truncate(MAX_ENDS);
+        if ends.is_empty() {
+            return self.peers.remove(&peer).is_some();
+        }
+        let parts = |ends: &[(EngineEnd, TimeMs)]| {
+            ends.iter().map(|(end, _)| 1 + end.parts.len()).sum::<usize>()
+        };
+        let known = self.peers.get(&peer).map_or(0, |known| parts(known));
+        let has_changed = known != parts(&ends);
+        self.peers.insert(peer, ends);
+        has_changed
+    }
+
+    /// Drops ends that are too old, and parts that have been proven sound since.
+    pub fn expire(&mut self, survivals: &SurvivalTable, now: TimeMs) {
+        self.own.retain(|known| now.since(known.at) <= END_TTL_MS);
+        for known in &mut self.own {
+            let at = known.at;
+            let service = &known.end.service;
+            known.end.parts.retain(|part| {
+                let key = PartKey { service: service.clone(), part: *part };
+                survivals.last_at(&key).is_none_or(|last_at| last_at <= at)
+            });
+        }
+        for ends in self.peers.values_mut() {
+            ends.retain(|(_, at)| now.since(*at) <= END_TTL_MS);
+        }
+        self.peers.retain(|_, ends| !ends.is_empty());
+    }
+
+    /// Returns the ends of this gateway that others have to know, with their times.
+    pub fn reportable(&self, now: TimeMs) -> impl Iterator<Item = (&EngineEnd, TimeMs)> {
+        let is_reported = move |known: &&OwnEnd| {
+            !known.end.parts.is_empty() || now.since(known.at) <= MIN_REPORT_MS
+        };
+        self.own.iter().filter(is_reported).map(|known| (&known.end, known.at))
+    }
+
+    /// Iterates over the ends that other gateways report.
+    pub fn of_peers(&self) -> impl Iterator<Item = &(EngineEnd, TimeMs)> {
+        self.peers.values().flatten()
+    }
+
+    /// Returns each end once, with the parts that any gateway reports.
+    pub fn merged(&self) -> Vec<MergedEnd> {
+        let own = self.own.iter().map(|known| (&known.end, known.at, known.cut_off));
+        let peers = self.of_peers().map(|(end, at)| (end, *at, 0));
+        let mut all: Vec<_> = own.chain(peers).collect();
+        all.sort_by(|a, b| (&a.0.upstream, a.1).cmp(&(&b.0.upstream, b.1)));
+        let mut merged: Vec<MergedEnd> = Vec::new();
+        for (end, at, cut_off) in all {
+            match merged.last_mut() {
+                Some(last) if last.upstream == end.upstream && at.since(last.at) <= SAME_END_MS => {
+                    last.parts.extend(end.parts.iter().copied());
+                    last.cut_off += cut_off;
+                }
+                _ => merged.push(MergedEnd {
+                    upstream: end.upstream.clone(),
+                    service: end.service.clone(),
+                    version: end.version.clone(),
+                    at,
+                    parts: end.parts.iter().copied().collect(),
+                    cut_off,
+                }),
+            }
+        }
+        merged
+    }
+}
+
+fn distance(a: TimeMs, b: TimeMs) -> DurationMs {
+    a.since(b).max(b.since(a))
+}
--- /dev/null
+++ b/crates/hickorydoor/src/gateway/quarantine/engine_end.rs
@@ -0,0 +1,21 @@
+//! The end of an engine, as one gateway has seen it.
+
+use compact_str::CompactString;
+use smallvec::SmallVec;
+
+use crate::gateway::quarantine::part_id::PartId;
+use crate::id::ServiceName;
+use crate::id::UpstreamId;
+
+/// End of an engine, with the parts that may have caused it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineEnd {
+    /// Engine that ended.
+    pub upstream: UpstreamId,
+    /// Service of the engine.
+    pub service: ServiceName,
+    /// Version of the engine's software.
+    pub version: CompactString,
+    /// Parts of the attempts that may have caused the end, and have not been proven sound since.
+    pub parts: SmallVec<[PartId; 8]>,
+}
--- /dev/null
+++ b/crates/hickorydoor/src/gateway/quarantine/mod.rs
@@ -0,0 +1,54 @@
+//! Prompt parts under which engines end.
+//!
+//! A fault of an engine may end it as soon as it begins to write an answer to a prompt with a
+//! certain part, whatever else the request holds. Each such request would end one engine after
+//! another, so the part has to be found by what the requests have in common, and requests with it
+//! have to be kept from the engines.
+//!
+//! The load that this answers: requests with the part arrive at all gateways, while sound requests
+//! share their other parts, run on the same engines, and engines also end for other causes.
+//!
+//! - When an engine ends, each gateway reports the parts of its attempts there that may have caused
+//!   it: those that had not written for [`PROVEN_AFTER_MS`] yet, and those that the gateway itself
+//!   had closed shortly before ([`EngineEnd`]).
+//! - An attempt that completes or writes for long enough proves its parts sound. The ends of
+//!   engines count against a part only since it was last proven ([`SurvivalTable`]).
+//! - After one end under a part that has not been proven lately, new requests with it wait for a
+//!   moment, until the attempts in flight have shown more.
+//! - How many ends in a row are too many depends on how often attempts without the part end so, and
+//!   on how often the part was proven ([`ChanceModel`]). A part under which slightly fewer engines
+//!   ended is suspected: one request with it at a time runs in the whole fleet, on the engine with
+//!   the least load, and its result decides.
+//! - A [`QuarantineRecord`] names parts that are refused. It is exchanged in digests, where the
+//!   latest change wins. After a while, or when the engines have been replaced by another version,
+//!   one request is tried again.
+
+mod chance_model;
+mod decaying_count;
+mod end_log;
+mod engine_end;
+mod part_id;
+mod part_key;
+mod quarantine_change;
+mod quarantine_record;
+mod quarantine_report;
+mod quarantine_table;
+mod survival_table;
+mod verdict;
+mod wire;
+
+pub use chance_model::ChanceModel;
+pub use engine_end::EngineEnd;
+pub use part_id::PartId;
+pub use part_key::PartKey;
+pub use quarantine_change::QuarantineChange;
+pub use quarantine_change::QuarantineStep;
+pub use quarantine_record::QuarantineRecord;
+pub use quarantine_record::QuarantineState;
+pub use quarantine_report::QuarantineReport;
+pub use quarantine_report::SuspectLoad;
+pub use quarantine_table::PROVEN_AFTER_MS;
+pub use quarantine_table::QuarantineTable;
+pub use survival_table::SurvivalTable;
+pub use verdict::Verdict;
+pub use wire::WireQuarantine;
--- /dev/null
+++ b/crates/hickorydoor/src/gateway/quarantine/wire.rs
@@ -0,0 +1,174 @@
+//! Protobuf form of a gateway's report about prompt parts.
+
+use prost::Message;
+
+use crate::gateway::quarantine::engine_end::EngineEnd;
+use crate::gateway::quarantine::part_id::PartId;
+use crate::gateway::quarantine::part_key::PartKey;
+use crate::gateway::quarantine::quarantine_record::QuarantineRecord;
+use crate::gateway::quarantine::quarantine_record::QuarantineState;
+use crate::gateway::quarantine::quarantine_report::QuarantineReport;
+use crate::gateway::quarantine::quarantine_report::SuspectLoad;
+use crate::id::IdError;
+use crate::time::DurationMs;
+
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct WireEnd {
+    #[prost(string, tag = "1")]
+    upstream: String,
+    #[prost(string, tag = "2")]
+    service: String,
+    #[prost(string, tag = "3")]
+    version: String,
+    #[prost(uint64, tag = "4")]
+    age_ms: u64,
+    #[prost(fixed64, repeated, tag = "5")]
+    parts: Vec<u64>,
+}
+
+/// A part with a number: an age in ms, or a count of attempts.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct WirePart {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(fixed64, tag = "2")]
+    part: u64,
+    #[prost(uint64, tag = "3")]
+    number: u64,
+}
+
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct WireRecord {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(fixed64, repeated, tag = "2")]
+    parts: Vec<u64>,
+    /// 0 for released, 1 for probation, 2 for quarantined.
+    #[prost(uint32, tag = "3")]
+    state: u32,
+    #[prost(uint64, tag = "4")]
+    change: u64,
+    #[prost(uint32, tag = "5")]
+    quarantines: u32,
+    #[prost(string, repeated, tag = "6")]
+    versions: Vec<String>,
+    #[prost(uint64, tag = "7")]
+    left_ms: u64,
+}
+
+/// Report about prompt parts in a digest.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct WireQuarantine {
+    #[prost(message, repeated, tag = "1")]
+    ends: Vec<WireEnd>,
+    #[prost(message, repeated, tag = "2")]
+    survivals: Vec<WirePart>,
+    #[prost(message, repeated, tag = "3")]
+    suspects: Vec<WirePart>,
+    #[prost(message, repeated, tag = "4")]
+    records: Vec<WireRecord>,
+}
+
+impl From<&QuarantineReport> for WireQuarantine {
+    fn from(report: &QuarantineReport) -> Self {
+        let survivals = report.survivals.iter();
+        let suspects = report.suspects.iter();
+        Self {
+            ends: report.ends.iter().map(|(end, age_ms)| encode_end(end, *age_ms)).collect(),
+            survivals: survivals.map(|(part, age_ms)| encode_part(part, age_ms.get())).collect(),
+            suspects: suspects.map(|load| encode_part(&load.part, load.unproven.into())).collect(),
+            records: report
+                .records
+                .iter()
+                .map(|(known, left)| encode_record(known, *left))
+                .collect(),
+        }
+    }
+}
+
+impl TryFrom<WireQuarantine> for QuarantineReport {
+    type Error = IdError;
+
+    fn try_from(wire: WireQuarantine) -> Result<Self, IdError> {
+        let mut report = Self::default();
+        for end in wire.ends {
+            report.ends.push(decode_end(end)?);
+        }
+        for known in wire.survivals {
+            let age_ms = DurationMs::new(known.number);
+            report.survivals.push((decode_part(&known)?, age_ms));
+        }
+        for known in wire.suspects {
+            let unproven = u32::try_from(known.number).unwrap_or(u32::MAX);
+            report.suspects.push(SuspectLoad { part: decode_part(&known)?, unproven });
+        }
+        for known in wire.records {
+            report.records.push(decode_record(known)?);
+        }
+        Ok(report)
+    }
+}
+
+fn encode_end(end: &EngineEnd, age_ms: DurationMs) -> WireEnd {
+    WireEnd {
+        upstream: end.upstream.to_string(),
+        service: end.service.to_string(),
+        version: end.version.to_string(),
+        age_ms: age_ms.get(),
+        parts: end.parts.iter().map(|part| part.get()).collect(),
+    }
+}
+
+fn decode_end(wire: WireEnd) -> Result<(EngineEnd, DurationMs), IdError> {
+    let end = EngineEnd {
+        upstream: wire.upstream.parse()?,
+        service: wire.service.parse()?,
+        version: wire.version.into(),
+        parts: wire.parts.into_iter().map(PartId::new).collect(),
+    };
+    Ok((end, DurationMs::new(wire.age_ms)))
+}
+
+fn encode_part(part: &PartKey, number: u64) -> WirePart {
+    WirePart { service: part.service.to_string(), part: part.part.get(), number }
+}
+
+fn decode_part(wire: &WirePart) -> Result<PartKey, IdError> {
+    Ok(PartKey { service: wire.service.parse()?, part: PartId::new(wire.part) })
+}
+
+fn encode_record(record: &QuarantineRecord, left_ms: DurationMs) -> WireRecord {
+    WireRecord {
+        service: record.service.to_string(),
+        parts: record.parts.iter().map(|part| part.get()).collect(),
+        state: match record.state {
+            QuarantineState::Released => 0,
+            QuarantineState::Probation => 1,
+            QuarantineState::Quarantined => 2,
+        },
+        change: record.change,
+        quarantines: record.quarantines,
+        versions: record.versions.iter().map(ToString::to_string).collect(),
+        left_ms: left_ms.get(),
+    }
+}
+
+fn decode_record(wire: WireRecord) -> Result<(QuarantineRecord, DurationMs), IdError> {
+    let record = QuarantineRecord {
+        service: wire.service.parse()?,
+        parts: wire.parts.into_iter().map(PartId::new).collect(),
+        state: match wire.state {
+            0 => QuarantineState::Released,
+            1 => QuarantineState::Probation,
+            _ => QuarantineState::Quarantined,
+        },
+        change: wire.change,
+        quarantines: wire.quarantines,
+        versions: wire.versions.into_iter().map(Into::into).collect(),
+    };
+    Ok((record, DurationMs::new(wire.left_ms)))
+}
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -22,6 +22,7 @@
 use crate::gateway::peer_digest::DigestEvidence;
 use crate::gateway::peer_digest::PeerDigest;
 use crate::gateway::peer_digest::Prefill;
+use crate::gateway::quarantine::QuarantineTable;
 use crate::gateway::retained_map::RetainedMap;
 use crate::gateway::retry_budget::RetryBudget;
 use crate::gateway::rollout::Rollout;
@@ -83,6 +84,7 @@
     /// Number of the last digest that this gateway built.
     sequence: u64,
     pub(super) recent_prefills: VecDeque<(TimeMs, Prefill)>,
+    pub(super) quarantine: QuarantineTable,
 }
 
 impl Gateway {
@@ -115,6 +117,7 @@
             peers: HashMap::new(),
             sequence: 0,
             recent_prefills: VecDeque::new(),
+            quarantine: QuarantineTable::default(),
         }
     }
 
@@ -160,6 +163,7 @@
                 self.on_arrived(call, *request, now, &mut effects);
             }
             GatewayEvent::FirstEvent { call } => self.on_first_event(call, now, &mut effects),
+            GatewayEvent::Progressed { call } => self.on_progressed(call, now),
             GatewayEvent::Stalled { call } => self.on_stalled(call, now, &mut effects),
             GatewayEvent::AttemptEnded { call, outcome, last_event, delivered } => {
                 if let Some(known) = self.calls.get_mut(&call) {
@@ -175,6 +179,7 @@
                 self.refuse_from.get_or_insert(now + self.settings.stop_notice_ms);
             }
         }
+        self.contain(now, &mut effects);
         self.dispatch_waiting(now, &mut effects);
         effects
     }
@@ -224,6 +229,7 @@
             loads: self.pool.own_loads(),
             evidence: evidence.collect(),
             prefills: self.recent_prefills.iter().map(|(_, prefill)| prefill.clone()).collect(),
+            quarantine: self.quarantine.report(|part| self.unproven_attempts(part), now),
         }
     }
 
@@ -270,6 +276,7 @@
         }
         self.expire_retained(now);
         self.pool.refresh_peer_loads(now);
+        self.assess_quarantine(now);
         self.expire_calls(now, effects);
         self.abandon_unresponsive(now, effects);
         self.step_rollouts(now, effects);
@@ -286,6 +293,7 @@
             return;
         }
         self.peers.insert(digest.host.clone(), newest);
+        self.quarantine.apply_report(&digest.host, digest.incarnation, digest.quarantine, now);
         for known in digest.evidence {
             if let Some(rollout) = self.rollouts.get_mut(&known.service)
                 && rollout.order().position == known.order
--- a/crates/hickorydoor/src/gateway/refusal.rs
+++ b/crates/hickorydoor/src/gateway/refusal.rs
@@ -18,6 +18,8 @@
     NoRoute,
     /// The API key is missing or not valid.
     UnknownKey,
+    /// Engines have ended under a part of the prompt.
+    QuarantinedPrompt,
     /// The process is stopping.
     Stopping,
     /// No upstream was available in time.
@@ -45,12 +47,20 @@
     }
 }
 
+impl CallRefusal {
+    /// Refuses a request with quarantined parts, which are tried again after `retry_after_ms`.
+    pub const fn quarantined(retry_after_ms: DurationMs) -> Self {
+        Self { reason: RefusalReason::QuarantinedPrompt, retry_after_ms: Some(retry_after_ms) }
+    }
+}
+
 impl RefusalReason {
     /// Returns the HTTP status of the response. 503 guarantees that the request did not execute.
     pub const fn status(self) -> u16 {
         match self {
             Self::NoConfiguration
             | Self::StaleConfiguration
+            | Self::QuarantinedPrompt
             | Self::Stopping
             | Self::NoUpstream
             | Self::TimedOutWaiting => 503,
@@ -68,6 +78,7 @@
             Self::StaleConfiguration => "stale_configuration",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
+            Self::QuarantinedPrompt => "quarantined_prompt",
             Self::Stopping => "stopping",
             Self::NoUpstream => "no_upstream",
             Self::TimedOutWaiting => "timed_out_waiting",
--- a/crates/hickorydoor/tests/gateway/crash_fleet.rs
+++ b/crates/hickorydoor/tests/gateway/crash_fleet.rs
@@ -19,6 +19,7 @@
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::event::NotRun;
 use hickorydoor::gateway::event::ResponseFault;
+use hickorydoor::gateway::quarantine::PROVEN_AFTER_MS;
 use hickorydoor::gateway::refusal::CallRefusal;
 use hickorydoor::id::UpstreamId;
 use rand::RngExt;
@@ -39,6 +40,9 @@
 /// Time until an engine that ended is back, and until its old registration is removed.
 const RETURN_MS: u64 = 4_000;
 const DEREGISTRATION_MS: u64 = 3_600;
+/// Time after which a stream that makes no progress is reported, and after which a request ends.
+const PAUSE_TIMEOUT_MS: u64 = 2_000;
+const DEADLINE_MS: u64 = 12_000;
 /// Share of the answers of the smallest model that are discarded.
 const WEAK_SHARE: f64 = 0.4;
 /// Time of an exchange between gateways within which all of them know an end.
@@ -146,6 +150,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Begin,
+    Progress,
+    Stall,
+    Deadline,
     Served,
     EngineEnd,
     EngineReturn,
@@ -188,6 +195,8 @@
     engines: Vec<Engine>,
     /// Attempts that an engine works on.
     attempts: BTreeMap<u64, Attempt>,
+    /// Attempts whose engine has gone silent.
+    silenced: BTreeMap<u64, Attempt>,
     /// Open requests, with the number of their current attempt.
     open: BTreeMap<(usize, CallId), (Request, Option<u64>)>,
     repeats: BTreeMap<u64, Request>,
@@ -214,6 +223,7 @@
             rigs,
             engines: (0..play.engines).map(engine).collect(),
             attempts: BTreeMap::new(),
+            silenced: BTreeMap::new(),
             open: BTreeMap::new(),
             repeats: BTreeMap::new(),
             scheduled: BinaryHeap::new(),
@@ -245,6 +255,7 @@
         let now = self.rigs[gateway].now;
         self.open.retain(|(owner, _), _| *owner != gateway);
         self.attempts.retain(|_, attempt| attempt.gateway != gateway);
+        self.silenced.retain(|_, attempt| attempt.gateway != gateway);
         let mut rig = Rig::restarted(&format!("gw-{gateway}"), self.now_ms);
         rig.now = now;
         rig.sync_store();
@@ -292,7 +303,8 @@
 
     fn tick(&mut self) {
         for gateway in 0..self.rigs.len() {
-            self.rigs[gateway].sync_store();
+            let effects = self.rigs[gateway].sync_store();
+            self.carry_out(gateway, effects);
             self.apply(gateway, GatewayEvent::Tick);
         }
     }
@@ -430,6 +442,9 @@
             };
             match due {
                 Due::Begin => self.begin(number),
+                Due::Progress => self.progress(number),
+                Due::Stall => self.stall(number),
+                Due::Deadline => self.pass_deadline(number),
                 Due::Served => {
                     let attempt = self.attempts.get(&number).cloned();
                     if let Some(Attempt { gateway, call, .. }) = attempt {
@@ -471,6 +486,28 @@
         if !request.crashes {
             let stream_ms = self.random.random_range(200..3_000);
             self.schedule(stream_ms, Due::Served, Some(number));
+            if stream_ms > PROVEN_AFTER_MS.get() {
+                self.schedule(PROVEN_AFTER_MS.get(), Due::Progress, Some(number));
+            }
+        }
+    }
+
+    fn progress(&mut self, number: u64) {
+        if let Some(Attempt { gateway, call, .. }) = self.attempts.get(&number).cloned() {
+            self.apply(gateway, GatewayEvent::Progressed { call });
+        }
+    }
+
+    fn stall(&mut self, number: u64) {
+        if let Some(Attempt { gateway, call, .. }) = self.silenced.get(&number).cloned() {
+            self.apply(gateway, GatewayEvent::Stalled { call });
+        }
+    }
+
+    fn pass_deadline(&mut self, number: u64) {
+        if let Some(Attempt { gateway, call, .. }) = self.silenced.remove(&number) {
+            let outcome = AttemptOutcome::Unknown(ResponseFault::TimedOut);
+            self.end_attempt(gateway, call, outcome);
         }
     }
 
@@ -486,20 +523,28 @@
             return;
         }
         self.schedule(RETURN_MS, Due::EngineReturn, Some(index as u64));
-        let broken: Vec<(usize, CallId)> = self
-            .attempts
-            .values()
-            .filter(|attempt| attempt.engine == index)
-            .map(|attempt| (attempt.gateway, attempt.call))
-            .collect();
-        self.attempts.retain(|_, attempt| attempt.engine != index);
+        let broken = self.attempts.extract_if(.., |_, attempt| attempt.engine == index);
+        let broken: Vec<(u64, Attempt)> = broken.collect();
         if !self.play.keeps_id {
             self.schedule(DEREGISTRATION_MS, Due::Deregister, Some(index as u64));
         }
-        if self.play.end == End::Closed {
-            for (gateway, call) in broken {
-                self.end_attempt(gateway, call, AttemptOutcome::Unknown(ResponseFault::Closed));
+        for (number, attempt) in broken {
+            // An earlier one of these ends may have made the gateway cancel this attempt.
+            let open = self.open.get(&(attempt.gateway, attempt.call));
+            if open.is_none_or(|(_, current)| *current != Some(number)) {
+                continue;
+            }
+            if self.play.end == End::Closed {
+                let closed = AttemptOutcome::Unknown(ResponseFault::Closed);
+                self.end_attempt(attempt.gateway, attempt.call, closed);
+                continue;
+            }
+            let has_begun = self.open.get(&(attempt.gateway, attempt.call));
+            if has_begun.is_some_and(|(request, _)| request.first_event) {
+                self.schedule(PAUSE_TIMEOUT_MS, Due::Stall, Some(number));
             }
+            self.schedule(DEADLINE_MS, Due::Deadline, Some(number));
+            self.silenced.insert(number, attempt);
         }
     }
 
@@ -531,6 +576,7 @@
         let last_event = request.first_event.then_some(3);
         if let Some(number) = current.take() {
             self.attempts.remove(&number);
+            self.silenced.remove(&number);
         }
         let effects = self.rigs[gateway].end_attempt_after(call, outcome, last_event);
         self.carry_out(gateway, effects);
--- a/crates/hickorydoor/tests/gateway/fleet.rs
+++ b/crates/hickorydoor/tests/gateway/fleet.rs
@@ -224,8 +224,8 @@
             let rig = &mut self.rigs[gateway];
             rig.now = rig.now + DurationMs::new(STEP_MS);
             if self.now_ms.is_multiple_of(50) {
-                rig.sync_store();
-                let effects = rig.apply(GatewayEvent::Tick);
+                let mut effects = rig.sync_store();
+                effects.extend(rig.apply(GatewayEvent::Tick));
                 self.apply_effects(gateway, effects);
             }
         }
--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -242,11 +242,13 @@
         self.gateway.apply(event, self.now)
     }
 
-    pub fn sync_store(&mut self) {
+    /// Tells the gateway that it is in sync. Requests that wait may be sent then.
+    pub fn sync_store(&mut self) -> Vec<GatewayEffect> {
         let era = self.gateway.store_era().unwrap_or(StoreEra::new(1));
         let position = StorePosition::new(era, 1);
-        self.apply(GatewayEvent::StoreAnswered);
-        self.apply(GatewayEvent::StoreSynced { synced_at: self.now, position });
+        let mut effects = self.apply(GatewayEvent::StoreAnswered);
+        effects.extend(self.apply(GatewayEvent::StoreSynced { synced_at: self.now, position }));
+        effects
     }
 
     pub fn register(&mut self, registration: Registration) {
@@ -258,7 +260,7 @@
         let mut effects = Vec::new();
         for _ in 0..ms.div_ceil(50) {
             self.now = self.now + DurationMs::new(50);
-            self.sync_store();
+            effects.extend(self.sync_store());
             effects.extend(self.apply(GatewayEvent::Tick));
         }
         effects
--- a/crates/hickorydoor/tests/gateway/rollout_fleet.rs
+++ b/crates/hickorydoor/tests/gateway/rollout_fleet.rs
@@ -306,8 +306,8 @@
 
     fn tick(&mut self) {
         for gateway in 0..self.rigs.len() {
-            self.rigs[gateway].sync_store();
-            let effects = self.rigs[gateway].apply(GatewayEvent::Tick);
+            let mut effects = self.rigs[gateway].sync_store();
+            effects.extend(self.rigs[gateway].apply(GatewayEvent::Tick));
             self.carry_out(gateway, effects);
         }
     }
--- a/crates/hickorydoor/tests/gateway_bounds.rs
+++ b/crates/hickorydoor/tests/gateway_bounds.rs
@@ -86,12 +86,13 @@
     for index in 0..150 {
         let (_, mut effects) = rig.send(call("/draft/1", &format!("r-{index}")));
         effects.extend(rig.advance(20));
-        if dispatch(&effects).is_some() {
-            sent.push(rig.now);
-        }
+        // From then on the upstream is warm.
         if rig.now.since(TimeMs::new(100_000)) >= DurationMs::from_secs(3) {
             break;
         }
+        if dispatch(&effects).is_some() {
+            sent.push(rig.now);
+        }
     }
     // The bound of 7.3 per second with a margin of a fifth, divided among four gateways.
     let share = (7.3_f64 * 1.2 / 4.0).floor() as usize;
