Break off a stream that goes on with a head alone and ends with its connection

A response may come with neither a length nor chunks and end with its connection. Where a stream went on at a second engine and that engine ended before its first event, the caller got a stream that looked complete: the end of the connection was taken for the end of the answer.

Such a response without any event now counts as broken off. The other readers were tried and hold: plain responses at gateways and agents are whole without a length and broken off by a reset, a stream that ends inside an event goes on at another engine. The stream of a model engine at an agent needs its end marker.

--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -12,6 +12,8 @@
 use hickorydoor::gateway::event::ResponseFault;
 use hickorydoor::gateway::quarantine::PROVEN_AFTER_MS;
 use http::Response;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Incoming;
@@ -187,6 +189,7 @@
     async fn relay(&mut self, open: OpenResponse, limits: &AttemptLimits) -> ExchangeOutcome {
         let OpenResponse { response: upstream, connection: _connection } = open;
         let (parts, mut body) = upstream.into_parts();
+        let is_framed = is_framed(&parts.headers);
         let mut splitter = EventSplitter::default();
         let mut head = Some((parts.status, parts.headers));
         let mut read_deadline = limits.deadline;
@@ -200,7 +203,7 @@
             match read {
                 Ok(Some(bytes)) => splitter.push(&bytes),
                 Ok(None) if !splitter.partial().is_empty() => return fault(ResponseFault::Closed),
-                Ok(None) if head.is_some() && self.events.is_none() => {
+                Ok(None) if head.is_some() && (self.events.is_none() || !is_framed) => {
                     return fault(ResponseFault::Closed);
                 }
                 Ok(None) => {
@@ -308,6 +311,12 @@
     }
 }
 
+/// Returns whether the end of a response is marked. Otherwise it ends with its connection, so that a
+/// response without any event may have been broken off.
+fn is_framed(headers: &http::HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 const fn fault(reason: ResponseFault) -> ExchangeOutcome {
     ExchangeOutcome::Ended(AttemptOutcome::Unknown(reason))
 }
--- a/crates/hickoryd/tests/upstream_faults.rs
+++ b/crates/hickoryd/tests/upstream_faults.rs
@@ -6,12 +6,14 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use hickory_standins::EngineSettings;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 use crate::fleet::AnyError;
 use crate::fleet::CUSTOMER_KEY;
@@ -77,6 +79,33 @@
     Ok(())
 }
 
+/// Guards against a response without a length that is rejected, or that looks complete after a
+/// reset.
+#[tokio::test]
+async fn response_that_ends_with_its_connection_is_whole_unless_it_was_reset()
+-> Result<(), AnyError> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let url = format!("http://{}", listener.local_addr()?);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _peer)) = listener.accept().await {
+            let Ok(Some(path)) = read_path(&mut stream).await else {
+                continue;
+            };
+            let response = format!("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{path}");
+            drop(stream.write_all(response.as_bytes()).await);
+            if path == "/reset" {
+                sleep(Duration::from_millis(50)).await;
+                drop(stream.set_zero_linger());
+            }
+        }
+    });
+    let fleet = start_with_service(url).await?;
+    assert_eq!(get(&fleet, "whole").await?, (200, "/whole".to_owned()));
+    let reset = get(&fleet, "reset").await;
+    assert!(!matches!(reset, Ok((200, _))), "{reset:?}");
+    Ok(())
+}
+
 /// Guards against an agent whose only thread is kept busy by one upstream that never stops.
 #[tokio::test]
 async fn responses_without_end_fail_and_leave_the_agent_working() -> Result<(), AnyError> {
