Let the operator allow a prompt part through the store

A part that is refused wrongly, or that the operator knows to be mended, was refused until the quarantine ended. A key op/allowed-parts/SERVICE/PART in the store lifts it on all gateways, for as long as the key is there; a restored store without the key means that the part is no longer allowed. Followers learn it from their watcher.

--- a/crates/hickorydoor/src/gateway/event.rs
+++ b/crates/hickorydoor/src/gateway/event.rs
@@ -7,6 +7,7 @@
 use crate::gateway::catalog::Catalog;
 use crate::gateway::member::GatewayMember;
 use crate::gateway::peer_digest::PeerDigest;
+use crate::gateway::quarantine::PartKey;
 use crate::gateway::rollout::RolloutOrder;
 use crate::gateway::rollout::RolloutRecord;
 use crate::gateway::store_listing::StoreListing;
@@ -97,6 +98,10 @@
     DataCentreOut(DataCentreId),
     /// A data centre was taken back: it may get requests again.
     DataCentreIn(DataCentreId),
+    /// The operator allows a prompt part: requests with it are sent, whatever the evidence.
+    PartAllowed(PartKey),
+    /// The operator no longer allows a prompt part against the evidence.
+    PartNotAllowed(PartKey),
     /// A gateway is present in the store.
     GatewayJoined(GatewayMember),
     /// A gateway is no longer present.
--- a/crates/hickorydoor/src/gateway/feed_wire/error.rs
+++ b/crates/hickorydoor/src/gateway/feed_wire/error.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::io;
 
+use crate::gateway::quarantine::PartKeyError;
 use crate::id::IdError;
 use crate::quantity::ShareError;
 
@@ -17,6 +18,8 @@
     Id(IdError),
     /// A share is out of range.
     Share(ShareError),
+    /// A prompt part is invalid.
+    Part(PartKeyError),
     /// An address is invalid.
     Address,
     /// A required part is missing, or a number does not stand for any value.
@@ -30,6 +33,7 @@
             Self::Compression(error) => write!(f, "invalid compressed configuration: {error}"),
             Self::Id(error) => write!(f, "invalid id: {error}"),
             Self::Share(error) => write!(f, "invalid share: {error}"),
+            Self::Part(error) => write!(f, "invalid prompt part: {error}"),
             Self::Address => f.write_str("invalid address"),
             Self::Incomplete => f.write_str("a part of the message is missing or unknown"),
         }
@@ -50,6 +54,12 @@
     }
 }
 
+impl From<PartKeyError> for FeedError {
+    fn from(error: PartKeyError) -> Self {
+        Self::Part(error)
+    }
+}
+
 impl From<ShareError> for FeedError {
     fn from(error: ShareError) -> Self {
         Self::Share(error)
--- a/crates/hickorydoor/src/gateway/feed_wire/event.rs
+++ b/crates/hickorydoor/src/gateway/feed_wire/event.rs
@@ -28,7 +28,7 @@
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
 pub struct WireEvent {
-    #[prost(oneof = "EventBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "EventBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
     body: Option<EventBody>,
 }
 
@@ -63,6 +63,10 @@
     Joined(WireMember),
     #[prost(string, tag = "13")]
     Left(String),
+    #[prost(string, tag = "14")]
+    PartAllowed(String),
+    #[prost(string, tag = "15")]
+    PartNotAllowed(String),
 }
 
 #[derive(Clone, PartialEq)]
@@ -114,6 +118,8 @@
     closed_data_centres: Vec<String>,
     #[prost(string, repeated, tag = "4")]
     recorded_rollouts: Vec<String>,
+    #[prost(string, repeated, tag = "5")]
+    allowed_parts: Vec<String>,
 }
 
 #[derive(Clone, PartialEq)]
@@ -191,6 +197,8 @@
         GatewayEvent::DataCentreIn(id) => EventBody::DataCentreIn(id.to_string()),
         GatewayEvent::GatewayJoined(member) => EventBody::Joined(WireMember::from(member)),
         GatewayEvent::GatewayLeft(host) => EventBody::Left(host.to_string()),
+        GatewayEvent::PartAllowed(part) => EventBody::PartAllowed(part.to_string()),
+        GatewayEvent::PartNotAllowed(part) => EventBody::PartNotAllowed(part.to_string()),
         _ => return None,
     };
     Some(WireEvent { body: Some(body) }.encode_to_vec().into())
@@ -233,6 +241,8 @@
         EventBody::DataCentreIn(id) => GatewayEvent::DataCentreIn(id.parse()?),
         EventBody::Joined(member) => GatewayEvent::GatewayJoined(GatewayMember::try_from(member)?),
         EventBody::Left(host) => GatewayEvent::GatewayLeft(host.parse()?),
+        EventBody::PartAllowed(part) => GatewayEvent::PartAllowed(part.parse()?),
+        EventBody::PartNotAllowed(part) => GatewayEvent::PartNotAllowed(part.parse()?),
     };
     Ok(Some(event))
 }
@@ -298,6 +308,7 @@
                 .map(ToString::to_string)
                 .collect(),
             recorded_rollouts: listing.recorded_rollouts.iter().map(ToString::to_string).collect(),
+            allowed_parts: listing.allowed_parts.iter().map(ToString::to_string).collect(),
         }
     }
 }
@@ -308,11 +319,13 @@
     fn try_from(wire: WireListing) -> Result<Self, FeedError> {
         let closed = wire.closed_data_centres.iter();
         let recorded = wire.recorded_rollouts.iter();
+        let allowed = wire.allowed_parts.iter();
         Ok(Self {
             upstreams: wire.upstreams.iter().map(|id| id.parse()).collect::<Result<_, _>>()?,
             gateways: wire.gateways.iter().map(|id| id.parse()).collect::<Result<_, _>>()?,
             closed_data_centres: closed.map(|id| id.parse()).collect::<Result<_, _>>()?,
             recorded_rollouts: recorded.map(|id| id.parse()).collect::<Result<_, _>>()?,
+            allowed_parts: allowed.map(|part| part.parse()).collect::<Result<_, _>>()?,
         })
     }
 }
--- a/crates/hickorydoor/src/gateway/quarantine/mod.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/mod.rs
@@ -22,6 +22,7 @@
 //! - A [`QuarantineRecord`] names parts that are refused. It is exchanged in digests, where the
 //!   latest change wins. After a while, or when the engines have been replaced by another version,
 //!   one request is tried again.
+//! - The operator can allow a part, whatever the evidence.
 
 mod chance_model;
 mod decaying_count;
@@ -41,6 +42,7 @@
 pub use engine_end::EngineEnd;
 pub use part_id::PartId;
 pub use part_key::PartKey;
+pub use part_key::PartKeyError;
 pub use quarantine_change::QuarantineChange;
 pub use quarantine_change::QuarantineStep;
 pub use quarantine_record::QuarantineRecord;
--- a/crates/hickorydoor/src/gateway/quarantine/quarantine_table.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/quarantine_table.rs
@@ -129,6 +129,8 @@
     paused: BTreeMap<PartKey, TimeMs>,
     peer_suspects: HashMap<HostId, (TimeMs, Vec<SuspectLoad>)>,
     records: Vec<HeldRecord>,
+    /// Parts that the operator allows, whatever the evidence.
+    allowed: BTreeSet<PartKey>,
     changes: Vec<QuarantineChange>,
     /// Whether evidence has arrived since the last assessment.
     is_stale: bool,
@@ -320,6 +322,44 @@
         std::mem::take(&mut self.is_urgent)
     }
 
+    /// Allows a part by order of the operator, whatever the evidence.
+    pub fn allow(&mut self, part: PartKey, now: TimeMs) {
+        let held = self.records.iter().map(|held| &held.record);
+        let lifted: Vec<QuarantineRecord> = held
+            .filter(|record| record.service == part.service && record.parts.contains(&part.part))
+            .cloned()
+            .collect();
+        for record in lifted {
+            let state = QuarantineState::Released;
+            let released = QuarantineRecord { state, change: record.change + 1, ..record };
+            self.hold(released, now + RELEASED_TTL_MS, now);
+        }
+        self.suspects.remove(&part);
+        self.paused.remove(&part);
+        self.push_change(QuarantineStep::Released, &part.service, &[part.part]);
+        self.allowed.insert(part);
+    }
+
+    /// Ends an order of the operator to allow a part.
+    pub fn disallow(&mut self, part: &PartKey) {
+        self.allowed.remove(part);
+    }
+
+    /// Keeps only the orders that a complete read of the store found.
+    pub fn retain_allowed(&mut self, listed: &BTreeSet<PartKey>) {
+        self.allowed.retain(|part| listed.contains(part));
+    }
+
+    /// Returns whether the operator allows a part, whatever the evidence.
+    pub fn is_allowed(&self, part: &PartKey) -> bool {
+        self.allowed.contains(part)
+    }
+
+    /// Iterates over the parts that the operator allows.
+    pub fn allowed_parts(&self) -> impl Iterator<Item = &PartKey> {
+        self.allowed.iter()
+    }
+
     /// Returns the changes since the last call.
     pub fn take_changes(&mut self) -> Vec<QuarantineChange> {
         std::mem::take(&mut self.changes)
@@ -442,7 +482,8 @@
                     continue;
                 }
                 let key = PartKey { service: end.service.clone(), part: *part };
-                if self.counts_since(&key).is_some_and(|since| since >= end.at) {
+                let is_refuted = self.counts_since(&key).is_some_and(|since| since >= end.at);
+                if is_refuted || self.allowed.contains(&key) {
                     continue;
                 }
                 let ends = by_part.entry(key).or_default();
@@ -616,9 +657,13 @@
     }
 
     fn quarantine_of(&self, service: &ServiceName, parts: &[PartId]) -> Option<&HeldRecord> {
+        let is_allowed = |part: &PartId| {
+            self.allowed.contains(&PartKey { service: service.clone(), part: *part })
+        };
         let is_refused = |held: &&HeldRecord| {
             held.record.state == QuarantineState::Quarantined
                 && held.record.concerns(service, parts)
+                && !held.record.parts.iter().any(is_allowed)
         };
         self.records.iter().find(is_refused)
     }
@@ -632,9 +677,10 @@
     }
 
     fn is_suspected(&self, key: &PartKey, now: TimeMs) -> bool {
-        self.suspects.contains_key(key)
+        let is_suspected = self.suspects.contains_key(key)
             || self.is_on_probation(key)
-            || self.loads_at_peers(now).any(|load| load.part == *key)
+            || self.loads_at_peers(now).any(|load| load.part == *key);
+        is_suspected && !self.allowed.contains(key)
     }
 
     fn suspected_parts(&self) -> impl Iterator<Item = PartKey> {
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -148,6 +148,8 @@
                 self.closed_data_centres.insert(id, ());
             }
             GatewayEvent::DataCentreIn(id) => self.on_data_centre_in(&id, now),
+            GatewayEvent::PartAllowed(part) => self.quarantine.allow(part, now),
+            GatewayEvent::PartNotAllowed(part) => self.quarantine.disallow(&part),
             GatewayEvent::GatewayJoined(member) => {
                 self.members.insert(member.host.clone(), member);
                 self.update_gateways();
--- a/crates/hickorydoor/src/gateway/store_listing.rs
+++ b/crates/hickorydoor/src/gateway/store_listing.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use crate::gateway::quarantine::PartKey;
 use crate::id::DataCentreId;
 use crate::id::HostId;
 use crate::id::ServiceName;
@@ -17,6 +18,8 @@
     pub gateways: BTreeSet<HostId>,
     /// Data centres that the operator has taken out.
     pub closed_data_centres: BTreeSet<DataCentreId>,
+    /// Prompt parts that the operator allows.
+    pub allowed_parts: BTreeSet<PartKey>,
     /// Services with a rollout record.
     pub recorded_rollouts: BTreeSet<ServiceName>,
 }
--- a/crates/hickorydoor/src/gateway/store_view.rs
+++ b/crates/hickorydoor/src/gateway/store_view.rs
@@ -95,6 +95,8 @@
         }
         let closed = self.closed_data_centres.keys();
         events.extend(closed.cloned().map(GatewayEvent::DataCentreOut));
+        let allowed = self.quarantine.allowed_parts();
+        events.extend(allowed.cloned().map(GatewayEvent::PartAllowed));
         for rollout in self.rollouts.values() {
             events.push(GatewayEvent::RolloutOrdered(rollout.order().clone()));
             events.extend(rollout.record().cloned().map(GatewayEvent::RolloutRecorded));
@@ -129,6 +131,8 @@
             }
             GatewayEvent::DataCentreOut(id) => self.closed_data_centres.is_present(id),
             GatewayEvent::DataCentreIn(id) => !self.closed_data_centres.contains_key(id),
+            GatewayEvent::PartAllowed(part) => self.quarantine.is_allowed(part),
+            GatewayEvent::PartNotAllowed(part) => !self.quarantine.is_allowed(part),
             GatewayEvent::GatewayJoined(member) => {
                 self.members.is_present(&member.host)
                     && self.members.get(&member.host) == Some(member)
@@ -144,6 +148,7 @@
             upstreams: registered.map(|known| known.registration.upstream.clone()).collect(),
             gateways: self.members.present_keys().cloned().collect(),
             closed_data_centres: self.closed_data_centres.present_keys().cloned().collect(),
+            allowed_parts: self.quarantine.allowed_parts().cloned().collect(),
             recorded_rollouts: self.records.keys().cloned().collect(),
         }
     }
@@ -206,6 +211,7 @@
                 self.on_data_centre_in(&data_centre, now);
             }
         }
+        self.quarantine.retain_allowed(&listing.allowed_parts);
         if let Some(era) = self.era {
             for (service, rollout) in &mut self.rollouts {
                 if !listing.recorded_rollouts.contains(service) {
--- a/crates/hickorydoor/tests/feed_wire.rs
+++ b/crates/hickorydoor/tests/feed_wire.rs
@@ -66,6 +66,7 @@
         upstreams: ["e-1", "e-2"].iter().map(|id| id.parse().unwrap()).collect(),
         gateways: ["gw-1"].iter().map(|id| id.parse().unwrap()).collect(),
         closed_data_centres: ["dc-9"].iter().map(|id| id.parse().unwrap()).collect(),
+        allowed_parts: ["engines/beef"].iter().map(|part| part.parse().unwrap()).collect(),
         recorded_rollouts: [ENGINES].iter().map(|id| id.parse().unwrap()).collect(),
     };
     let mut events = vec![
@@ -81,6 +82,8 @@
         GatewayEvent::DataCentreIn("dc-1".parse().unwrap()),
         GatewayEvent::GatewayJoined(member("gw-1", "dc-1", 20)),
         GatewayEvent::GatewayLeft("gw-2".parse().unwrap()),
+        GatewayEvent::PartAllowed("engines/dead".parse().unwrap()),
+        GatewayEvent::PartNotAllowed("engines/dead".parse().unwrap()),
     ];
     for phase in [
         RolloutPhase::Canary,
--- a/crates/hickorydoor/tests/gateway_crashing_part.rs
+++ b/crates/hickorydoor/tests/gateway_crashing_part.rs
@@ -17,9 +17,11 @@
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::event::ResponseFault;
 use hickorydoor::gateway::peer_digest::PeerDigest;
+use hickorydoor::gateway::quarantine::PartKey;
 use hickorydoor::gateway::quarantine::QuarantineState;
 use hickorydoor::gateway::refusal::RefusalReason;
 
+use crate::gateway::ENGINES;
 use crate::gateway::Rig;
 use crate::gateway::call;
 use crate::gateway::crash_fleet::CRASHING;
@@ -134,13 +136,17 @@
 
 fn rig_of(host: &str) -> Rig {
     let mut rig = Rig::with_upstreams(host, 12, 0);
+    serve_sound(&mut rig);
+    rig
+}
+
+fn serve_sound(rig: &mut Rig) {
     for index in 0..20 {
         let (id, _) = rig.send(request(&format!("sound-{index}"), &[7, 100 + index]));
         rig.apply(GatewayEvent::FirstEvent { call: id });
         rig.end_attempt_after(id, AttemptOutcome::Served, Some(30));
         rig.advance(100);
     }
-    rig
 }
 
 fn request(attempt: &str, shared: &[u64]) -> Call {
@@ -210,7 +216,7 @@
     let mut rig = rig_in_use();
     quarantine(&mut rig, CRASHING);
     for index in 0..12 {
-        let mut mended = registration(&format!("e-{index}"), gateway::ENGINES);
+        let mut mended = registration(&format!("e-{index}"), ENGINES);
         mended.version = "v2".into();
         mended.started_unix_ms = 2;
         rig.register(mended);
@@ -252,6 +258,24 @@
     refusal(&effects).and_then(|refusal| refusal.retry_after_ms).unwrap()
 }
 
+#[test]
+fn operator_allows_a_part_and_takes_that_back() {
+    let mut rig = rig_in_use();
+    quarantine(&mut rig, CRASHING);
+    let part: PartKey = format!("{ENGINES}/{CRASHING:x}").parse().unwrap();
+    rig.apply(GatewayEvent::PartAllowed(part.clone()));
+    for index in 0..4 {
+        let (id, effects) = rig.send(request(&format!("r-{index}"), &[7, CRASHING]));
+        assert!(dispatch(&effects).is_some(), "request {index}");
+        rig.end_attempt(id, closed());
+        rig.apply(GatewayEvent::CallerGone { call: id });
+        rig.advance(200);
+    }
+    rig.apply(GatewayEvent::PartNotAllowed(part));
+    serve_sound(&mut rig);
+    quarantine(&mut rig, CRASHING);
+}
+
 #[test]
 fn callers_that_leave_make_no_part_suspected() {
     let mut rig = rig_in_use();
