--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -32,6 +32,7 @@
 use crate::gateway::response::forwarded_response;
 use crate::gateway::response::refusal_response;
 use crate::gateway::response_body::ResponseBody;
+use crate::gateway::stream_pace::StreamPace;
 use crate::gateway::upstream_request::OpenResponse;
 use crate::gateway::upstream_request::RequestTemplate;
 use crate::gateway::upstream_request::send;
@@ -195,6 +196,7 @@
         let mut read_deadline = limits.deadline;
         // When the next progress is to be reported; `None` before the first event and after that.
         let mut report_progress_at = None;
+        let mut pace = StreamPace::default();
         loop {
             let read = tokio::select! {
                 read = next_bytes(&mut body, read_deadline.min(limits.deadline)) => read,
@@ -207,6 +209,9 @@
                     return fault(ResponseFault::Closed);
                 }
                 Ok(None) => {
+                    if let Some(gap_us) = pace.end() {
+                        self.core.apply(GatewayEvent::StreamPaced { call: self.call, gap_us });
+                    }
                     self.events = None;
                     return ExchangeOutcome::Ended(AttemptOutcome::Served);
                 }
@@ -232,6 +237,9 @@
                     report_progress_at = Some(Instant::now() + Duration::from(PROVEN_AFTER_MS));
                 }
                 let has_progressed = is_progress(&event);
+                if has_progressed && let Some(gap_us) = pace.add_event(Instant::now()) {
+                    self.core.apply(GatewayEvent::StreamPaced { call: self.call, gap_us });
+                }
                 match timeout_at(limits.deadline, self.forward(event, id)).await {
                     Ok(true) => {}
                     Ok(false) => return ExchangeOutcome::CallerGone,
--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -30,7 +30,6 @@
 use hickorydoor::gateway::quarantine::QuarantineChange;
 use hickorydoor::gateway::quarantine::QuarantineStep;
 use hickorydoor::gateway::refusal::CallRefusal;
-use hickorydoor::gateway::rollout::RolloutEvidence;
 use hickorydoor::gateway::rollout::RolloutProgress;
 use hickorydoor::gateway::rollout::RolloutStep;
 use hickorydoor::gateway::store_position::StoreEra;
@@ -549,14 +548,23 @@
 }
 
 fn log_progress(progress: &RolloutProgress) {
-    let RolloutEvidence { target, baseline } = &progress.evidence;
+    let (target, baseline) = (&progress.target_counts, &progress.baseline_counts);
+    let comparison = &progress.comparison;
     info!(
         service:% = progress.service, version = progress.target.as_str(),
         phase:? = progress.phase, since_order_ms = progress.since_order_ms.get(),
-        gateways = progress.gateways,
-        attempts = target.attempts, errors = target.errors, slow = target.slow,
-        old_attempts = baseline.attempts, old_errors = baseline.errors, old_slow = baseline.slow,
-        log_evidence = progress.log_evidence;
+        gateways = progress.gateways, sent_to_target = progress.sent_to_target,
+        sent = progress.sent, answers = target.answers, errors = target.errors,
+        unanswered = target.unanswered, paced = target.paced, at_full_pace = target.at_full_pace,
+        timed = target.timed, late = target.late,
+        slowdown_octaves = target.mean_slowdown_octaves(),
+        old_answers = baseline.answers, old_errors = baseline.errors,
+        old_unanswered = baseline.unanswered, old_paced = baseline.paced,
+        old_at_full_pace = baseline.at_full_pace, old_timed = baseline.timed,
+        old_late = baseline.late, old_slowdown_octaves = baseline.mean_slowdown_octaves(),
+        log_factor = comparison.log_factor(), log_errors = comparison.log_errors,
+        log_silence = comparison.log_silence, log_pace = comparison.log_pace,
+        log_lateness = comparison.log_lateness, log_slowness = comparison.log_slowness;
         "rollout evidence"
     );
 }
@@ -569,13 +577,14 @@
         GatewayEvent::Deregistered(upstream) => {
             info!(upstream:% = upstream; "upstream deregistered");
         }
-        GatewayEvent::RolloutOrdered(order) => info!(
-            service:% = order.service, version = order.target.as_str(), order:% = order.position;
+        GatewayEvent::RolloutOrdered { order, age_ms } => info!(
+            service:% = order.service, version = order.target.as_str(), order:% = order.position,
+            age_ms = age_ms.map(DurationMs::get);
             "rollout ordered"
         ),
         GatewayEvent::RolloutRecorded(record) => info!(
             service:% = record.service, version = record.target.as_str(),
-            phase:? = record.phase, order:% = record.order;
+            phase:? = record.phase, share = record.share.as_f64(), order:% = record.order;
             "rollout recorded"
         ),
         GatewayEvent::DataCentreOut(id) => info!(data_centre:% = id; "data centre taken out"),
--- a/crates/hickoryd/src/gateway/metrics.rs
+++ b/crates/hickoryd/src/gateway/metrics.rs
@@ -108,14 +108,11 @@
     /// that their number stays bounded.
     pub fn record_rollout(&self, progress: &RolloutProgress) {
         let service = progress.service.as_str();
-        let sides =
-            [("target", &progress.evidence.target), ("baseline", &progress.evidence.baseline)];
-        for (version, evidence) in sides {
-            let counts =
-                [("all", evidence.attempts), ("error", evidence.errors), ("slow", evidence.slow)];
-            for (outcome, count) in counts {
+        let sides = [("target", &progress.target_counts), ("baseline", &progress.baseline_counts)];
+        for (version, counts) in sides {
+            for (outcome, count) in [("all", counts.answers), ("error", counts.errors)] {
                 let gauge = self.rollout_attempts.with_label_values(&[service, version, outcome]);
-                gauge.set(count.cast_signed());
+                gauge.set(i64::from(count));
             }
         }
     }
--- a/crates/hickoryd/src/gateway/mod.rs
+++ b/crates/hickoryd/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod response;
 mod response_body;
 mod status_port;
+mod stream_pace;
 mod upstream_request;
 mod view_source;
 
--- a/crates/hickorydoor/src/gateway/active_call.rs
+++ b/crates/hickorydoor/src/gateway/active_call.rs
@@ -48,11 +48,9 @@
     pub in_flight: u32,
     /// Expected time from dispatch to the first event, in ms.
     pub expected_ms: f64,
-    /// Whether the first event came much later than expected.
-    pub slow: bool,
+    /// What it says about the version of the upstream.
+    pub trial: VersionTrial,
     pub first_event_at: Option<TimeMs>,
-    /// Number of the last event that the caller had received when the attempt was sent.
-    pub events_before: u64,
     /// Whether the stream has paused for longer than its pause timeout.
     pub stalled: bool,
     /// Why the gateway has cancelled the attempt; `None` unless it has.
@@ -61,6 +59,15 @@
     pub proven: bool,
 }
 
+/// What an attempt says about the version of its upstream during a rollout.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct VersionTrial {
+    /// Whether its times can be compared with those of the other version.
+    pub compares_times: bool,
+    /// Whether it has been counted as answered.
+    pub is_counted: bool,
+}
+
 /// A request that has not ended.
 #[derive(Clone, Debug)]
 pub struct ActiveCall {
@@ -80,6 +87,9 @@
     pub attempts: u32,
     /// Number of attempts that executed or may have executed.
     pub executed_attempts: u32,
+    /// Error answer to the previous attempt, until the next attempt shows whether it was the fault
+    /// of the version or of the request.
+    pub unexplained_failure: Option<Attempt>,
     /// Upstreams to which the request was sent.
     pub attempted_upstreams: SmallVec<[UpstreamId; 4]>,
     /// Number of the last event that the caller has received.
--- a/crates/hickorydoor/src/gateway/arrival.rs
+++ b/crates/hickorydoor/src/gateway/arrival.rs
@@ -76,6 +76,7 @@
             attempt: None,
             attempts: 0,
             executed_attempts: 0,
+            unexplained_failure: None,
             attempted_upstreams: SmallVec::new(),
             last_event,
             delivered: false,
--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -33,12 +33,6 @@
 const DEAD_ENGINE_TIMEOUT_FACTOR: f64 = 2.0;
 /// Minimum time without any response after which an engine is considered dead, in ms.
 const MIN_DEAD_ENGINE_TIMEOUT_MS: f64 = 1_300.0;
-/// Streams with fewer events than this are not used to measure the event pace.
-const MIN_PACE_EVENTS: u64 = 4;
-/// Streams whose time between events exceeds the typical one by this factor count as slow.
-const SLOW_PACE_FACTOR: f64 = 2.5;
-/// Margin on the scaled typical time between events before a stream counts as slow.
-const SLOW_PACE_SLACK_MS: f64 = 30.0;
 /// First events that exceed the expected time by this factor count as late.
 const SLOW_FIRST_EVENT_FACTOR: f64 = 1.7;
 /// Margin on the scaled expected time before a first event counts as late.
@@ -60,7 +54,6 @@
         };
         attempt.first_event_at = Some(now);
         let took_ms = now.since(attempt.sent_at).as_f64();
-        attempt.slow = is_first_event_late(attempt, now);
         let stats = FirstEventStats {
             route: active.route.name.clone(),
             customer: active.account.as_ref().map(|account| account.customer.clone()),
@@ -85,6 +78,7 @@
         {
             self.model_table.observe_first_event(model, attempt.uncached_tokens, took_ms);
         }
+        self.record_started_answer(id, now);
     }
 
     /// Cancels attempts whose upstream is unresponsive, if the request can be retried elsewhere.
@@ -207,7 +201,7 @@
     pub(super) fn on_caller_gone(&mut self, id: CallId, now: TimeMs) {
         self.end_attempt(id, None, now);
         self.waiting.remove(&id);
-        self.calls.remove(&id);
+        self.remove_call(id);
     }
 
     /// Rejects queued requests whose wait time or deadline has passed.
@@ -231,7 +225,6 @@
             return;
         };
         let service = active.service.clone();
-        let last_event = active.last_event;
         let session = active.call.session.clone();
         let parts = active.shared_parts();
         if let Some(session) = session {
@@ -270,40 +263,10 @@
                 upstream.last_alive_at = Some(now);
             }
         }
-        let (has_failed, is_late) = match outcome {
-            None | Some(AttemptOutcome::NotRun(_)) => return,
-            Some(AttemptOutcome::Served) => (false, self.has_slow_pace(&attempt, last_event, now)),
-            Some(AttemptOutcome::Weak) => (false, is_first_event_late(&attempt, now)),
-            Some(AttemptOutcome::Failed { status }) => (status >= 500, false),
-            Some(AttemptOutcome::Unknown(ResponseFault::Closed | ResponseFault::Garbled)) => {
-                (true, false)
-            }
-            Some(AttemptOutcome::Unknown(ResponseFault::Silent | ResponseFault::TimedOut)) => {
-                (false, true)
-            }
-        };
-        if has_failed && self.quarantine.is_any_suspected(&service, &parts, now) {
-            // The end of an engine under a part says nothing about the engine's version.
+        let Some(outcome) = outcome else {
             return;
-        }
-        if let Some(rollout) = self.rollouts.get_mut(&service) {
-            rollout.record_attempt(&attempt.version, has_failed, attempt.slow || is_late);
-        }
-    }
-
-    /// Returns whether the events of a completed stream came much slower than is typical for its
-    /// model.
-    fn has_slow_pace(&mut self, attempt: &Attempt, last_event: Option<u64>, now: TimeMs) -> bool {
-        let (Some(model), Some(first_event_at)) = (&attempt.model, attempt.first_event_at) else {
-            return false;
         };
-        let events = last_event.unwrap_or_default().saturating_sub(attempt.events_before);
-        if events < MIN_PACE_EVENTS {
-            return false;
-        }
-        let event_ms = now.since(first_event_at).as_f64() / (events - 1) as f64;
-        let typical_ms = self.model_table.observe_pace(model, event_ms);
-        event_ms > typical_ms * SLOW_PACE_FACTOR + SLOW_PACE_SLACK_MS
+        self.record_rollout_outcome(id, &attempt, outcome, now);
     }
 
     pub(super) fn can_retry(&mut self, id: CallId, now: TimeMs) -> bool {
@@ -389,6 +352,16 @@
         self.finish(id, refuse, now, effects);
     }
 
+    /// Removes a request that has ended. A failure that was to be repeated and was not counts
+    /// against the version.
+    fn remove_call(&mut self, id: CallId) -> Option<ActiveCall> {
+        let active = self.calls.remove(&id)?;
+        if let Some(failure) = &active.unexplained_failure {
+            self.record_answer(&active.service, &active.route.name, failure, true);
+        }
+        Some(active)
+    }
+
     fn finish(
         &mut self,
         id: CallId,
@@ -397,7 +370,7 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         self.waiting.remove(&id);
-        if let Some(active) = self.calls.remove(&id) {
+        if let Some(active) = self.remove_call(id) {
             let stats = CallStats {
                 route: active.route.name.clone(),
                 customer: active.account.as_ref().map(|account| account.customer.clone()),
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::active_call::ActiveCall;
 use crate::gateway::active_call::Attempt;
+use crate::gateway::active_call::VersionTrial;
 use crate::gateway::call::CallId;
 use crate::gateway::cold_share::cold_share;
 use crate::gateway::effect::Dispatch;
@@ -19,10 +20,12 @@
 use crate::gateway::reducer::Gateway;
 use crate::gateway::reducer::session_hash;
 use crate::gateway::refusal::CallRefusal;
+use crate::gateway::rollout::canary_upstreams;
 use crate::gateway::route::CallKind;
 use crate::gateway::upstream::Upstream;
 use crate::id::ModelId;
 use crate::id::ServiceName;
+use crate::quantity::Share;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
@@ -89,6 +92,7 @@
         let memory_tokens = self.spec(&active.service).map_or(0, |spec| spec.memory_tokens);
         let active = self.calls.get_mut(&id)?;
         let upstream = self.pool.get_mut(&choice.upstream)?;
+        let was_cold = upstream.is_cold(now);
         let backlog_ms = upstream.backlog_ms();
         let in_flight = upstream.total_in_flight();
         upstream.record_dispatch(now);
@@ -101,6 +105,12 @@
             self.recent_prefills.push_back((now, Prefill { upstream, parts: parts.into_vec() }));
         }
         let registration = upstream.registration.clone();
+        let rollout = self.rollouts.get_mut(&active.service);
+        let compares_times =
+            !was_cold && rollout.as_ref().is_some_and(|rollout| rollout.compares_times());
+        if let Some(rollout) = rollout {
+            rollout.record_sent(&registration.version);
+        }
         active.attempts += 1;
         active.attempted_upstreams.push(choice.upstream.clone());
         active.attempt = Some(Attempt {
@@ -114,9 +124,8 @@
             backlog_ms,
             in_flight,
             expected_ms: choice.expected_ms,
-            slow: false,
+            trial: VersionTrial { compares_times, is_counted: false },
             first_event_at: None,
-            events_before: active.last_event.unwrap_or_default(),
             stalled: false,
             cancelled: None,
             proven: false,
@@ -240,14 +249,14 @@
     }
 
     /// Limits the candidates of the target version of a rollout, while it gets only a share of the
-    /// traffic, to the same share of its upstreams. Each of them then carries the load that it will
-    /// have after the rollout, so a version that fails under load is detected early.
+    /// traffic, to about the same share of its upstreams. Each of them then carries about the load that it will have after
+    /// the rollout, so that its times can be compared with those of the old version.
     fn concentrate_canary_load(&self, service: &ServiceName, candidates: &mut Vec<&Upstream>) {
         let Some(rollout) = self.rollouts.get(service) else {
             return;
         };
-        let share = rollout.target_share().as_f64();
-        if share >= 1.0 {
+        let share = rollout.target_share();
+        if share == Share::ONE {
             return;
         }
         let target = &rollout.order().target;
@@ -255,7 +264,7 @@
             upstream.registration.service == *service && upstream.registration.version == *target
         };
         let count = self.pool.iter().filter(|upstream| of_target(upstream)).count();
-        let target_count = (share * count as f64).ceil().max(1.0) as usize;
+        let target_count = canary_upstreams(share, count);
         candidates.sort_by_key(|upstream| {
             let id = upstream.registration.upstream.as_str();
             xxh3_64_with_seed(id.as_bytes(), rollout.order().position.revision)
@@ -342,8 +351,14 @@
         let target = rollout.order().target.clone();
         let Some(session) = &active.call.session else {
             let hash = xxh3_64(active.call.client_attempt.as_bytes());
-            let on_target = rollout.target_share().contains_hash(hash);
-            return Some(PreferredVersion { target, on_target, may_fall_back: on_target });
+            // A request that failed on the new version is repeated on the old one.
+            let failure = active.unexplained_failure.as_ref();
+            let has_failed = failure.is_some_and(|failure| failure.version == target);
+            let on_target = rollout.unbound_share().contains_hash(hash)
+                && rollout.may_start_on_target()
+                && !has_failed;
+            let may_fall_back = on_target || has_failed;
+            return Some(PreferredVersion { target, on_target, may_fall_back });
         };
         let hash = session_hash(session);
         let known = self.sessions.get(session);
@@ -358,6 +373,7 @@
             }
         }
         let was_on_target = known.is_some_and(|(version, _)| *version == target);
+        on_target &= was_on_target || rollout.may_start_on_target();
         let version_wait_ms = active.route.objective_ms.get() / VERSION_WAIT_DIVISOR;
         let waits_for_target =
             was_on_target && now.since(active.arrived_at).get() < version_wait_ms;
--- a/crates/hickorydoor/src/gateway/event.rs
+++ b/crates/hickorydoor/src/gateway/event.rs
@@ -19,6 +19,7 @@
 use crate::id::HostId;
 use crate::id::ServiceName;
 use crate::id::UpstreamId;
+use crate::time::DurationMs;
 use crate::time::TimeMs;
 
 /// Outcome of an attempt.
@@ -89,7 +90,12 @@
     /// A complete read of the store has ended, whose items were applied before.
     StoreListed(Box<StoreListing>),
     /// A rollout was ordered.
-    RolloutOrdered(RolloutOrder),
+    RolloutOrdered {
+        /// Order that was read.
+        order: RolloutOrder,
+        /// Time since the order, if it is known.
+        age_ms: Option<DurationMs>,
+    },
     /// The order of a rollout was removed.
     RolloutWithdrawn(ServiceName),
     /// The record of a rollout was read from the store.
@@ -138,6 +144,13 @@
         /// Request whose stream goes on.
         call: CallId,
     },
+    /// The pace of a stream has been measured, once for each attempt.
+    StreamPaced {
+        /// Request whose stream it is.
+        call: CallId,
+        /// Median of the times between the first events of the attempt, in microseconds.
+        gap_us: u64,
+    },
     /// The stream of a request has made no progress for as long as its pause timeout. It may still
     /// be sound.
     Stalled {
--- a/crates/hickorydoor/src/gateway/feed_wire/event.rs
+++ b/crates/hickorydoor/src/gateway/feed_wire/event.rs
@@ -10,13 +10,14 @@
 use crate::gateway::feed_wire::FeedError;
 use crate::gateway::feed_wire::catalog::decode_catalog;
 use crate::gateway::feed_wire::catalog::encode_catalog;
+use crate::gateway::feed_wire::position::WirePosition;
+use crate::gateway::feed_wire::record::WireRecord;
 use crate::gateway::member::GatewayMember;
+use crate::gateway::rollout::ExposureBudget;
 use crate::gateway::rollout::RolloutOrder;
-use crate::gateway::rollout::RolloutPhase;
 use crate::gateway::rollout::RolloutRecord;
 use crate::gateway::store_listing::StoreListing;
 use crate::gateway::store_position::StoreEra;
-use crate::gateway::store_position::StorePosition;
 use crate::gateway::upstream::Registration;
 use crate::gateway::upstream_pool::Departure;
 use crate::quantity::KbitPerS;
@@ -132,24 +133,13 @@
     #[prost(uint64, tag = "3")]
     duration_ms: u64,
     #[prost(double, tag = "4")]
-    exposure: f64,
-    #[prost(message, optional, tag = "5")]
-    position: Option<WirePosition>,
-}
-
-#[derive(Clone, PartialEq)]
-#[derive(Message)]
-struct WireRecord {
-    #[prost(string, tag = "1")]
-    service: String,
-    #[prost(string, tag = "2")]
-    target: String,
-    #[prost(message, optional, tag = "3")]
-    order: Option<WirePosition>,
-    #[prost(uint32, tag = "4")]
-    phase: u32,
+    exposure_share: f64,
     #[prost(message, optional, tag = "5")]
     position: Option<WirePosition>,
+    #[prost(uint32, tag = "6")]
+    exposure_extra: u32,
+    #[prost(uint64, optional, tag = "7")]
+    age_ms: Option<u64>,
 }
 
 #[derive(Clone, PartialEq)]
@@ -165,16 +155,6 @@
     link_rate_kbit_per_s: u64,
 }
 
-/// A position in the store.
-#[derive(Clone, Copy, PartialEq, Eq, Hash)]
-#[derive(Message)]
-pub struct WirePosition {
-    #[prost(uint64, tag = "1")]
-    era: u64,
-    #[prost(uint64, tag = "2")]
-    revision: u64,
-}
-
 /// Encodes an event; `None` if it is not part of the view.
 pub fn encode_event(event: &GatewayEvent) -> Option<Bytes> {
     let body = match event {
@@ -190,7 +170,10 @@
             })
         }
         GatewayEvent::StoreListed(listing) => EventBody::Listed(WireListing::from(&**listing)),
-        GatewayEvent::RolloutOrdered(order) => EventBody::Ordered(WireOrder::from(order)),
+        GatewayEvent::RolloutOrdered { order, age_ms } => EventBody::Ordered(WireOrder {
+            age_ms: age_ms.map(DurationMs::get),
+            ..WireOrder::from(order)
+        }),
         GatewayEvent::RolloutWithdrawn(service) => EventBody::Withdrawn(service.to_string()),
         GatewayEvent::RolloutRecorded(record) => EventBody::Recorded(WireRecord::from(record)),
         GatewayEvent::DataCentreOut(id) => EventBody::DataCentreOut(id.to_string()),
@@ -232,7 +215,10 @@
         EventBody::Listed(listing) => {
             GatewayEvent::StoreListed(Box::new(StoreListing::try_from(listing)?))
         }
-        EventBody::Ordered(order) => GatewayEvent::RolloutOrdered(RolloutOrder::try_from(order)?),
+        EventBody::Ordered(order) => GatewayEvent::RolloutOrdered {
+            age_ms: order.age_ms.map(DurationMs::new),
+            order: RolloutOrder::try_from(order)?,
+        },
         EventBody::Withdrawn(service) => GatewayEvent::RolloutWithdrawn(service.parse()?),
         EventBody::Recorded(record) => {
             GatewayEvent::RolloutRecorded(RolloutRecord::try_from(record)?)
@@ -247,18 +233,6 @@
     Ok(Some(event))
 }
 
-impl From<StorePosition> for WirePosition {
-    fn from(position: StorePosition) -> Self {
-        Self { era: position.era.get(), revision: position.revision }
-    }
-}
-
-impl From<WirePosition> for StorePosition {
-    fn from(wire: WirePosition) -> Self {
-        Self::new(StoreEra::new(wire.era), wire.revision)
-    }
-}
-
 impl From<&Registration> for WireRegistration {
     fn from(known: &Registration) -> Self {
         Self {
@@ -336,8 +310,10 @@
             service: order.service.to_string(),
             target: order.target.to_string(),
             duration_ms: order.duration_ms.get(),
-            exposure: order.exposure.as_f64(),
+            exposure_share: order.exposure.share.as_f64(),
             position: Some(order.position.into()),
+            exposure_extra: order.exposure.extra,
+            age_ms: None,
         }
     }
 }
@@ -350,43 +326,9 @@
             service: wire.service.parse()?,
             target: wire.target.into(),
             duration_ms: DurationMs::new(wire.duration_ms),
-            exposure: Share::try_from(wire.exposure)?,
-            position: wire.position.ok_or(FeedError::Incomplete)?.into(),
-        })
-    }
-}
-
-impl From<&RolloutRecord> for WireRecord {
-    fn from(record: &RolloutRecord) -> Self {
-        Self {
-            service: record.service.to_string(),
-            target: record.target.to_string(),
-            order: Some(record.order.into()),
-            phase: match record.phase {
-                RolloutPhase::Canary => 1,
-                RolloutPhase::Full => 2,
-                RolloutPhase::Completed => 3,
-                RolloutPhase::RolledBack => 4,
-            },
-            position: Some(record.position.into()),
-        }
-    }
-}
-
-impl TryFrom<WireRecord> for RolloutRecord {
-    type Error = FeedError;
-
-    fn try_from(wire: WireRecord) -> Result<Self, FeedError> {
-        Ok(Self {
-            service: wire.service.parse()?,
-            target: wire.target.into(),
-            order: wire.order.ok_or(FeedError::Incomplete)?.into(),
-            phase: match wire.phase {
-                1 => RolloutPhase::Canary,
-                2 => RolloutPhase::Full,
-                3 => RolloutPhase::Completed,
-                4 => RolloutPhase::RolledBack,
-                _ => return Err(FeedError::Incomplete),
+            exposure: ExposureBudget {
+                share: Share::try_from(wire.exposure_share)?,
+                extra: wire.exposure_extra,
             },
             position: wire.position.ok_or(FeedError::Incomplete)?.into(),
         })
--- a/crates/hickorydoor/src/gateway/feed_wire/frame.rs
+++ b/crates/hickorydoor/src/gateway/feed_wire/frame.rs
@@ -6,9 +6,9 @@
 
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::feed_wire::FeedError;
-use crate::gateway::feed_wire::event::WirePosition;
 use crate::gateway::feed_wire::event::decode_event;
 use crate::gateway::feed_wire::event::encode_event;
+use crate::gateway::feed_wire::position::WirePosition;
 use crate::gateway::store_position::StorePosition;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
--- a/crates/hickorydoor/src/gateway/feed_wire/mod.rs
+++ b/crates/hickorydoor/src/gateway/feed_wire/mod.rs
@@ -12,6 +12,8 @@
 mod error;
 mod event;
 mod frame;
+pub mod position;
+pub mod record;
 
 pub use error::FeedError;
 pub use frame::FeedHello;
--- a/crates/hickorydoor/src/gateway/model_table.rs
+++ b/crates/hickorydoor/src/gateway/model_table.rs
@@ -17,10 +17,12 @@
 /// Exponent of the prefill time over the price before any observation: cheaper models are faster,
 /// slightly less than in proportion to their price.
 const PRICE_EXPONENT: f64 = 0.8;
-/// Weight of a new observation in the average event pace.
-const PACE_GAIN: f64 = 0.05;
-/// Factor over the average at which an observed event pace is capped.
-const MAX_PACE_GROWTH: f64 = 2.0;
+/// Quantile of the times between events that is taken for the full pace of a model.
+const FULL_PACE_QUANTILE: f64 = 0.2;
+/// Part by which one observation may change it.
+const FULL_PACE_GAIN: f64 = 0.03;
+/// Factor up to which a stream counts as one at full pace.
+const FULL_PACE_MARGIN: f64 = 1.1;
 /// Weight of a new observation in the average prefill time per token.
 const GAIN: f64 = 0.1;
 /// Shorter prompts are ignored, since the fixed part dominates their time to the first event.
@@ -35,7 +37,7 @@
     /// Prefill times per token derived from prices, for models without observations.
     prior_token_ms: HashMap<ModelId, f64>,
     price: HashMap<ModelId, f64>,
-    event_ms: HashMap<ModelId, f64>,
+    full_gap_ms: HashMap<ModelId, f64>,
 }
 
 impl ModelTable {
@@ -68,13 +70,15 @@
         }
     }
 
-    /// Records the mean time between events of a stream and returns the previous average, in ms.
-    pub fn observe_pace(&mut self, model: &ModelId, event_ms: f64) -> f64 {
-        let known = self.event_ms.entry(model.clone()).or_insert(event_ms);
-        let typical_ms = *known;
-        // A single delayed stream is weak evidence about the others.
-        *known += PACE_GAIN * (event_ms.min(typical_ms * MAX_PACE_GROWTH) - typical_ms);
-        typical_ms
+    /// Records the usual time between events of a stream, in ms; returns whether the stream ran at
+    /// the full pace of the model.
+    pub fn observe_gap(&mut self, model: &ModelId, gap_ms: f64) -> bool {
+        let full_ms = self.full_gap_ms.entry(model.clone()).or_insert(gap_ms);
+        let is_full = gap_ms <= *full_ms * FULL_PACE_MARGIN;
+        // Moves up and down in proportion to the quantile, so that it stays there.
+        let change = if gap_ms < *full_ms { FULL_PACE_QUANTILE - 1.0 } else { FULL_PACE_QUANTILE };
+        *full_ms *= 1.0 + change * FULL_PACE_GAIN;
+        is_full
     }
 
     /// Records the time to the first event, in ms, on an engine without a significant backlog.
--- a/crates/hickorydoor/src/gateway/peer_digest.rs
+++ b/crates/hickorydoor/src/gateway/peer_digest.rs
@@ -5,10 +5,11 @@
 
 use prost::Message;
 
+use crate::gateway::feed_wire::record::WireRecord;
 use crate::gateway::prompt_cache::ChainPart;
 use crate::gateway::quarantine::QuarantineReport;
 use crate::gateway::quarantine::WireQuarantine;
-use crate::gateway::rollout::RolloutEvidence;
+use crate::gateway::rollout::RolloutRecord;
 use crate::gateway::store_position::StoreEra;
 use crate::gateway::store_position::StorePosition;
 use crate::gateway::upstream::PeerLoad;
@@ -16,7 +17,13 @@
 use crate::id::IdError;
 use crate::id::ServiceName;
 use crate::id::UpstreamId;
-use crate::rollouts::evidence::Evidence;
+use crate::rollouts::outcome_table::OutcomeCounts;
+use crate::rollouts::outcome_table::OutcomeKey;
+use crate::rollouts::outcome_table::OutcomeTable;
+use crate::rollouts::outcome_table::RouteKey;
+use crate::rollouts::outcome_table::Side;
+use crate::rollouts::outcome_table::UpstreamGroup;
+use crate::time::DurationMs;
 
 /// Evidence about one rollout.
 #[derive(Clone, Debug, PartialEq)]
@@ -25,8 +32,14 @@
     pub service: ServiceName,
     /// Store position of the order; evidence about another order is ignored.
     pub order: StorePosition,
-    /// Evidence that the sending gateway counted, without that of other gateways.
-    pub evidence: RolloutEvidence,
+    /// Time since the order, if the sending gateway knows it.
+    pub age_ms: Option<DurationMs>,
+    /// Outcomes that the sending gateway counted, without those of other gateways.
+    pub outcomes: OutcomeTable,
+    /// Whether the outcomes known to the sending gateway speak against the new version.
+    pub objects: bool,
+    /// Record that is in force at the sending gateway, as the store holds it.
+    pub record: Option<RolloutRecord>,
     /// Hashes of the sessions that the gateway pins to the old version.
     pub pinned_sessions: Vec<u64>,
 }
@@ -66,6 +79,8 @@
     Decode(prost::DecodeError),
     /// The message contains an invalid id.
     Id(IdError),
+    /// The message contains an invalid record of a rollout.
+    Record,
 }
 
 impl std::fmt::Display for DigestError {
@@ -73,6 +88,7 @@
         match self {
             Self::Decode(error) => write!(f, "malformed digest: {error}"),
             Self::Id(error) => write!(f, "invalid id in digest: {error}"),
+            Self::Record => f.write_str("invalid rollout record in digest"),
         }
     }
 }
@@ -103,13 +119,51 @@
     service: String,
     #[prost(uint64, tag = "2")]
     order_revision: u64,
-    /// Attempts, errors and slow attempts of the target, then of the baseline.
-    #[prost(uint64, repeated, tag = "3")]
-    counters: Vec<u64>,
     #[prost(fixed64, repeated, tag = "4")]
     pinned_sessions: Vec<u64>,
     #[prost(uint64, tag = "5")]
     order_era: u64,
+    #[prost(uint64, optional, tag = "6")]
+    age_ms: Option<u64>,
+    #[prost(message, repeated, tag = "7")]
+    outcomes: Vec<WireOutcome>,
+    #[prost(uint64, tag = "8")]
+    sent_to_target: u64,
+    #[prost(uint64, tag = "9")]
+    sent: u64,
+    #[prost(bool, tag = "10")]
+    objects: bool,
+    #[prost(message, optional, tag = "11")]
+    record: Option<WireRecord>,
+}
+
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct WireOutcome {
+    #[prost(bool, tag = "1")]
+    is_target: bool,
+    #[prost(fixed32, tag = "2")]
+    route: u32,
+    #[prost(uint32, tag = "3")]
+    group: u32,
+    #[prost(uint32, tag = "4")]
+    answers: u32,
+    #[prost(uint32, tag = "5")]
+    errors: u32,
+    #[prost(uint32, tag = "6")]
+    timed: u32,
+    #[prost(sint32, tag = "7")]
+    slowdown_sum: i32,
+    #[prost(uint32, tag = "8")]
+    slowdown_square_sum: u32,
+    #[prost(uint32, tag = "9")]
+    late: u32,
+    #[prost(uint32, tag = "10")]
+    unanswered: u32,
+    #[prost(uint32, tag = "11")]
+    paced: u32,
+    #[prost(uint32, tag = "12")]
+    at_full_pace: u32,
 }
 
 #[derive(Clone, PartialEq)]
@@ -168,10 +222,12 @@
             service: entry.service.to_string(),
             order_revision: entry.order.revision,
             order_era: entry.order.era.get(),
-            counters: [entry.evidence.target, entry.evidence.baseline]
-                .iter()
-                .flat_map(|counted| [counted.attempts, counted.errors, counted.slow])
-                .collect(),
+            age_ms: entry.age_ms.map(DurationMs::get),
+            outcomes: entry.outcomes.iter().map(WireOutcome::from).collect(),
+            sent_to_target: entry.outcomes.sent_to_target(),
+            sent: entry.outcomes.sent(),
+            objects: entry.objects,
+            record: entry.record.as_ref().map(WireRecord::from),
             pinned_sessions: entry.pinned_sessions.clone(),
         };
         Self {
@@ -240,18 +296,60 @@
     type Error = DigestError;
 
     fn try_from(wire: WireEvidence) -> Result<Self, DigestError> {
-        let counter = |index: usize| wire.counters.get(index).copied().unwrap_or_default();
-        let evidence_from = |first: usize| Evidence {
-            attempts: counter(first),
-            errors: counter(first + 1),
-            slow: counter(first + 2),
-            ..Evidence::default()
-        };
+        let outcomes = wire.outcomes.iter().map(WireOutcome::to_counts);
         Ok(Self {
             service: wire.service.parse()?,
             order: StorePosition::new(StoreEra::new(wire.order_era), wire.order_revision),
-            evidence: RolloutEvidence { target: evidence_from(0), baseline: evidence_from(3) },
+            age_ms: wire.age_ms.map(DurationMs::new),
+            outcomes: OutcomeTable::new(outcomes, wire.sent_to_target, wire.sent),
+            objects: wire.objects,
+            record: wire
+                .record
+                .map(RolloutRecord::try_from)
+                .transpose()
+                .map_err(|_error| DigestError::Record)?,
             pinned_sessions: wire.pinned_sessions,
         })
     }
 }
+
+impl From<(&OutcomeKey, &OutcomeCounts)> for WireOutcome {
+    fn from((key, counts): (&OutcomeKey, &OutcomeCounts)) -> Self {
+        Self {
+            is_target: key.side == Side::Target,
+            route: key.route.get(),
+            group: u32::from(key.group.get()),
+            answers: counts.answers,
+            errors: counts.errors,
+            timed: counts.timed,
+            slowdown_sum: counts.slowdown_sum,
+            slowdown_square_sum: counts.slowdown_square_sum,
+            late: counts.late,
+            unanswered: counts.unanswered,
+            paced: counts.paced,
+            at_full_pace: counts.at_full_pace,
+        }
+    }
+}
+
+impl WireOutcome {
+    const fn to_counts(&self) -> (OutcomeKey, OutcomeCounts) {
+        let key = OutcomeKey {
+            side: if self.is_target { Side::Target } else { Side::Baseline },
+            route: RouteKey::new(self.route),
+            group: UpstreamGroup::new(self.group as u8),
+        };
+        let counts = OutcomeCounts {
+            answers: self.answers,
+            errors: self.errors,
+            timed: self.timed,
+            slowdown_sum: self.slowdown_sum,
+            slowdown_square_sum: self.slowdown_square_sum,
+            late: self.late,
+            unanswered: self.unanswered,
+            paced: self.paced,
+            at_full_pace: self.at_full_pace,
+        };
+        (key, counts)
+    }
+}
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -25,6 +25,7 @@
 use crate::gateway::quarantine::QuarantineTable;
 use crate::gateway::retained_map::RetainedMap;
 use crate::gateway::retry_budget::RetryBudget;
+use crate::gateway::rollout::PeerRollout;
 use crate::gateway::rollout::Rollout;
 use crate::gateway::rollout::RolloutOrder;
 use crate::gateway::rollout::RolloutRecord;
@@ -32,6 +33,8 @@
 use crate::gateway::size_table::SizeTable;
 use crate::gateway::store_position::StoreEra;
 use crate::gateway::store_position::StorePosition;
+use crate::gateway::typical_times::TypicalTimes;
+use crate::gateway::upstream::Upstream;
 use crate::gateway::upstream_pool::UpstreamPool;
 use crate::id::DataCentreId;
 use crate::id::HostId;
@@ -54,6 +57,7 @@
     pub(super) pool: UpstreamPool,
     pub(super) model_table: ModelTable,
     pub(super) sizes: SizeTable,
+    pub(super) typical_times: TypicalTimes,
     pub(super) freshness: Freshness,
     pub(super) rollouts: BTreeMap<ServiceName, Rollout>,
     pub(super) reach: DataCentreReach,
@@ -98,6 +102,7 @@
             pool: UpstreamPool::default(),
             model_table: ModelTable::default(),
             sizes: SizeTable::default(),
+            typical_times: TypicalTimes::default(),
             freshness: Freshness::default(),
             rollouts: BTreeMap::new(),
             reach: DataCentreReach::default(),
@@ -138,7 +143,9 @@
                 self.pool.depart(&upstream, departure);
             }
             GatewayEvent::StoreListed(listing) => self.on_store_listed(&listing, now),
-            GatewayEvent::RolloutOrdered(order) => self.on_rollout_ordered(order, now),
+            GatewayEvent::RolloutOrdered { order, age_ms } => {
+                self.on_rollout_ordered(order, age_ms, now);
+            }
             GatewayEvent::RolloutWithdrawn(service) => {
                 // The record stays in force: a version that was rolled back gets no requests.
                 self.deferred_orders.remove(&service);
@@ -166,6 +173,7 @@
             }
             GatewayEvent::FirstEvent { call } => self.on_first_event(call, now, &mut effects),
             GatewayEvent::Progressed { call } => self.on_progressed(call, now),
+            GatewayEvent::StreamPaced { call, gap_us } => self.on_stream_paced(call, gap_us),
             GatewayEvent::Stalled { call } => self.on_stalled(call, now, &mut effects),
             GatewayEvent::AttemptEnded { call, outcome, last_event, delivered } => {
                 if let Some(known) = self.calls.get_mut(&call) {
@@ -221,7 +229,10 @@
         let evidence = self.rollouts.values().map(|rollout| DigestEvidence {
             service: rollout.order().service.clone(),
             order: rollout.order().position,
-            evidence: *rollout.own_evidence(),
+            age_ms: rollout.age_ms(now),
+            outcomes: rollout.own_outcomes().clone(),
+            objects: rollout.objects(),
+            record: rollout.record().cloned(),
             pinned_sessions: self.pinned_sessions(rollout),
         });
         PeerDigest {
@@ -301,11 +312,23 @@
         self.peers.insert(digest.host.clone(), newest);
         self.quarantine.apply_report(&digest.host, digest.incarnation, digest.quarantine, now);
         for known in digest.evidence {
-            if let Some(rollout) = self.rollouts.get_mut(&known.service)
-                && rollout.order().position == known.order
-            {
-                rollout.set_peer_evidence(digest.host.clone(), known.evidence);
-                rollout.set_peer_pinned_sessions(&known.pinned_sessions, now);
+            let Some(rollout) = self.rollouts.get_mut(&known.service) else {
+                continue;
+            };
+            if rollout.order().position != known.order {
+                continue;
+            }
+            let said = PeerRollout {
+                outcomes: &known.outcomes,
+                objects: known.objects,
+                age_ms: known.age_ms,
+                pinned_sessions: &known.pinned_sessions,
+            };
+            rollout.set_peer(digest.host.clone(), digest.incarnation, &said, now);
+            // The store says the same a little later.
+            let record = known.record.filter(|record| Some(record.position.era) == self.era);
+            if let Some(record) = record {
+                self.on_rollout_recorded(record, now);
             }
         }
         for prefill in &digest.prefills {
@@ -323,18 +346,20 @@
         let Some(era) = self.era else {
             return;
         };
-        let host = &self.settings.host;
-        let rank = self.gateways.iter().position(|known| known == host).unwrap_or_default();
         for (service, rollout) in &mut self.rollouts {
             rollout.evaluate(now);
+            let target = &rollout.order().target;
+            let of_old_version = self.pool.iter().filter(|upstream| {
+                upstream.registration.service == *service
+                    && upstream.registration.version != *target
+            });
+            let old_in_flight = of_old_version.map(Upstream::total_in_flight).sum();
             let target = rollout.order().target.clone();
-            let old_is_idle = self
-                .pool
-                .iter()
-                .filter(|upstream| upstream.registration.service == *service)
-                .filter(|upstream| upstream.registration.version != target)
-                .all(|upstream| upstream.total_in_flight() == 0);
-            let step = rollout.step(rank, old_is_idle, era, now);
+            let of_target = self.pool.iter().filter(|upstream| {
+                upstream.registration.service == *service && upstream.registration.version == target
+            });
+            rollout.set_target_upstreams(of_target.count());
+            let step = rollout.step(&self.settings.host, old_in_flight, era, now);
             let progress = rollout.report(now).map(Box::new);
             effects.extend(progress.map(GatewayEffect::RolloutProgress));
             effects.extend(step.map(GatewayEffect::WriteRollout));
--- a/crates/hickorydoor/src/gateway/store_view.rs
+++ b/crates/hickorydoor/src/gateway/store_view.rs
@@ -98,8 +98,11 @@
         let allowed = self.quarantine.allowed_parts();
         events.extend(allowed.cloned().map(GatewayEvent::PartAllowed));
         for rollout in self.rollouts.values() {
-            events.push(GatewayEvent::RolloutOrdered(rollout.order().clone()));
-            events.extend(rollout.record().cloned().map(GatewayEvent::RolloutRecorded));
+            let (order, age_ms) = (rollout.order().clone(), rollout.age_ms(now));
+            events.push(GatewayEvent::RolloutOrdered { order, age_ms });
+            let record = rollout.record().cloned();
+            let record = record.map(|record| RolloutRecord { order_age_ms: None, ..record });
+            events.extend(record.map(GatewayEvent::RolloutRecorded));
         }
         events.extend(self.catalog.clone().map(GatewayEvent::Configured));
         events.push(GatewayEvent::StoreListed(Box::new(self.listing())));
@@ -121,7 +124,7 @@
             }
             GatewayEvent::Deregistered(upstream)
             | GatewayEvent::UpstreamDeparted { upstream, .. } => self.pool.get(upstream).is_none(),
-            GatewayEvent::RolloutOrdered(order) => {
+            GatewayEvent::RolloutOrdered { order, .. } => {
                 let known = self.rollouts.get(&order.service);
                 known.is_some_and(|known| known.order().position >= order.position)
             }
@@ -235,7 +238,7 @@
         }
         if !self.deferred_orders.is_empty() && !self.freshness.is_restoring(now) {
             for (_, order) in std::mem::take(&mut self.deferred_orders) {
-                self.start_rollout(order, now);
+                self.start_rollout(order, None, now);
             }
         }
     }
@@ -263,12 +266,17 @@
         self.gateways = gateways;
     }
 
-    pub(super) fn on_rollout_ordered(&mut self, order: RolloutOrder, now: TimeMs) {
+    pub(super) fn on_rollout_ordered(
+        &mut self,
+        order: RolloutOrder,
+        age_ms: Option<DurationMs>,
+        now: TimeMs,
+    ) {
         let is_from_copy = self.is_reading_copy;
         let is_restoring = self.freshness.is_restoring(now);
         self.deferred_orders.remove(&order.service);
         let Some(known) = self.rollouts.get_mut(&order.service) else {
-            return self.start_rollout(order, now);
+            return self.start_rollout(order, age_ms, now);
         };
         let known_position = known.order().position;
         if order.position <= known_position {
@@ -281,13 +289,13 @@
         } else if is_from_copy {
             self.deferred_orders.insert(order.service.clone(), order);
         } else {
-            self.start_rollout(order, now);
+            self.start_rollout(order, age_ms, now);
         }
     }
 
-    fn start_rollout(&mut self, order: RolloutOrder, now: TimeMs) {
+    fn start_rollout(&mut self, order: RolloutOrder, age_ms: Option<DurationMs>, now: TimeMs) {
         let record = self.records.get(&order.service).cloned();
-        self.rollouts.insert(order.service.clone(), Rollout::new(order, record, now));
+        self.rollouts.insert(order.service.clone(), Rollout::new(order, age_ms, record, now));
     }
 
     pub(super) fn on_rollout_recorded(&mut self, record: RolloutRecord, now: TimeMs) {
--- a/crates/hickorydoor/src/rollouts/mod.rs
+++ b/crates/hickorydoor/src/rollouts/mod.rs
@@ -2,7 +2,10 @@
 //! sessions.
 
 pub mod evidence;
+pub mod full_pace;
 pub mod guard;
+pub mod outcome_table;
 pub mod sequential_test;
 pub mod session_pin;
+pub mod version_comparison;
 pub mod version_evaluator;
--- a/crates/hickorydoor/tests/feed_wire.rs
+++ b/crates/hickorydoor/tests/feed_wire.rs
@@ -21,6 +21,7 @@
 use hickorydoor::gateway::store_listing::StoreListing;
 use hickorydoor::gateway::store_position::StoreEra;
 use hickorydoor::gateway::upstream_pool::Departure;
+use hickorydoor::quantity::Share;
 use prost::Message;
 
 use crate::gateway::ENGINES;
@@ -51,6 +52,8 @@
         target: "v2".into(),
         order: position(2, 17),
         phase,
+        share: Share::from_percent(15),
+        order_age_ms: Some(DurationMs::new(1_500)),
         position: position(3, 4),
     }
 }
@@ -76,7 +79,8 @@
         GatewayEvent::Deregistered("e-3".parse().unwrap()),
         GatewayEvent::UpstreamDeparted { upstream: "e-4".parse().unwrap(), departure },
         GatewayEvent::StoreListed(Box::new(listing)),
-        GatewayEvent::RolloutOrdered(order(19)),
+        GatewayEvent::RolloutOrdered { order: order(19), age_ms: None },
+        GatewayEvent::RolloutOrdered { order: order(20), age_ms: Some(DurationMs::new(640)) },
         GatewayEvent::RolloutWithdrawn(ENGINES.parse().unwrap()),
         GatewayEvent::DataCentreOut("dc-1".parse().unwrap()),
         GatewayEvent::DataCentreIn("dc-1".parse().unwrap()),
@@ -87,6 +91,7 @@
     ];
     for phase in [
         RolloutPhase::Canary,
+        RolloutPhase::Widened,
         RolloutPhase::Full,
         RolloutPhase::Completed,
         RolloutPhase::RolledBack,
--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -26,6 +26,7 @@
 use hickorydoor::gateway::placement::PlacementCosts;
 use hickorydoor::gateway::refusal::CallRefusal;
 use hickorydoor::gateway::retry_budget::RetryBound;
+use hickorydoor::gateway::rollout::ExposureBudget;
 use hickorydoor::gateway::rollout::RolloutOrder;
 use hickorydoor::gateway::route::Backend;
 use hickorydoor::gateway::route::CallKind;
@@ -151,7 +152,7 @@
         service: ENGINES.parse().unwrap(),
         target: "v2".into(),
         duration_ms: DurationMs::from_secs(24),
-        exposure: Share::from_percent(15),
+        exposure: ExposureBudget { share: Share::from_percent(15), extra: 30 },
         position: position(1, revision),
     }
 }
--- a/crates/hickorydoor/tests/gateway/rollout_fleet.rs
+++ b/crates/hickorydoor/tests/gateway/rollout_fleet.rs
@@ -47,6 +47,8 @@
 const STOP_MS: u64 = 5_000;
 /// Requests that a bad version may get beyond its share of those until the deadline.
 const EXPOSURE_SLACK: usize = 30;
+/// Number of events of a stream after which its pace is reported.
+const PACED_EVENTS: u64 = 12;
 /// Share of the answers of the smallest model that are not good enough.
 const WEAK_SHARE: f64 = 0.4;
 
@@ -125,6 +127,8 @@
     /// Times of the attempts sent to the new version, and of all, in ms since the order.
     pub sent_to_target: Vec<u64>,
     pub sent: Vec<u64>,
+    /// What the first gateway reported, as text for failed tests.
+    pub reports: Vec<String>,
     /// Times of the bad answers of the new version.
     pub bad_answers: Vec<u64>,
     deadline_ms: u64,
@@ -161,6 +165,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     FirstEvent,
+    Paced { gap_us: u64 },
     End { outcome: u8, events: u64, is_bad: bool },
     Record(usize),
 }
@@ -218,7 +223,7 @@
         fleet.now_ms = 0;
         fleet.warm_up();
         for rig in &mut fleet.rigs {
-            rig.apply(GatewayEvent::RolloutOrdered(fleet.play.order()));
+            rig.apply(GatewayEvent::RolloutOrdered { order: fleet.play.order(), age_ms: None });
         }
         fleet
     }
@@ -249,7 +254,8 @@
         rig.sync_store();
         self.rigs[gateway] = rig;
         self.announce(gateway);
-        self.rigs[gateway].apply(GatewayEvent::RolloutOrdered(self.play.order()));
+        self.rigs[gateway]
+            .apply(GatewayEvent::RolloutOrdered { order: self.play.order(), age_ms: None });
         if let Some(record) = self.records.last().cloned() {
             self.rigs[gateway].apply(GatewayEvent::RolloutRecorded(record));
         }
@@ -356,6 +362,9 @@
                 | GatewayEffect::Abort { call } => {
                     self.open.remove(&(gateway, call.0));
                 }
+                GatewayEffect::RolloutProgress(known) if gateway == 0 => {
+                    self.course.reports.push(format!("{} ms: {known:?}", self.now_ms));
+                }
                 _ => {}
             }
         }
@@ -417,8 +426,12 @@
         };
         let events = self.random.random_range(4..60);
         schedule(first_ms, Due::FirstEvent);
-        let stream_ms = event_ms * noise * answer.slowness * events as f64;
-        schedule(first_ms + stream_ms, end(SERVED, events));
+        let event_ms = event_ms * noise * answer.slowness;
+        if events >= PACED_EVENTS {
+            let gap_us = (event_ms * 1_000.0) as u64;
+            schedule(first_ms + event_ms * (PACED_EVENTS - 1) as f64, Due::Paced { gap_us });
+        }
+        schedule(first_ms + event_ms * (events - 1) as f64, end(SERVED, events));
     }
 
     fn handle_due(&mut self) {
@@ -443,6 +456,11 @@
                     let effects = self.rigs[gateway].apply(event);
                     self.carry_out(gateway, effects);
                 }
+                Due::Paced { gap_us } if is_current => {
+                    let event = GatewayEvent::StreamPaced { call: CallId(call), gap_us };
+                    let effects = self.rigs[gateway].apply(event);
+                    self.carry_out(gateway, effects);
+                }
                 Due::End { outcome, events, is_bad } => {
                     if is_bad {
                         self.course.bad_answers.push(self.now_ms);
--- a/crates/hickorydoor/tests/gateway_canary.rs
+++ b/crates/hickorydoor/tests/gateway_canary.rs
@@ -12,6 +12,7 @@
 use crate::gateway::rollout_fleet::Answer;
 use crate::gateway::rollout_fleet::Course;
 use crate::gateway::rollout_fleet::Play;
+use crate::gateway::rollout_fleet::RolloutFleet;
 use crate::gateway::rollout_fleet::Sent;
 use crate::gateway::rollout_fleet::play;
 
@@ -77,6 +78,39 @@
     assert_stopped(&courses);
 }
 
+#[test]
+fn faulty_version_is_not_forgotten_when_gateways_restart_one_after_another() {
+    let wanted = Play { duration_s: 14, ..Play::ENGINES };
+    let answer = |sent: Sent<'_>, random: &mut Pcg64Mcg| {
+        let fails = sent.is_target && random.random_bool(0.1);
+        if fails { Answer::FAILED } else { Answer::GOOD }
+    };
+    let courses: Vec<Course> = (1..=SEEDS)
+        .map(|seed| {
+            let mut fleet = RolloutFleet::new(Play { seed, ..wanted }, &answer);
+            fleet.run(29_000, |fleet, now_ms| {
+                let restarts = [(4_000, 0), (7_000, 1), (10_000, 2), (13_000, 3)];
+                for (at_ms, gateway) in restarts {
+                    if now_ms == at_ms {
+                        fleet.restart(gateway);
+                    }
+                }
+            });
+            fleet.into_course()
+        })
+        .collect();
+    assert_stopped(&courses);
+}
+
+#[test]
+fn slow_engines_that_begin_to_answer_in_time_are_stopped() {
+    let wanted = Play { duration_s: 20, ..Play::ENGINES };
+    let courses = play_all(wanted, &|sent, _random| {
+        if sent.is_target { Answer::slow(1.7) } else { Answer::GOOD }
+    });
+    assert_stopped(&courses);
+}
+
 #[test]
 fn good_version_is_completed_in_time() {
     for wanted in [Play { duration_s: 24, ..Play::ENGINES }, Play { duration_s: 24, ..Play::PLAIN }]
--- a/crates/hickorydoor/tests/gateway_digest.rs
+++ b/crates/hickorydoor/tests/gateway_digest.rs
@@ -13,7 +13,7 @@
 #[test]
 fn digest_round_trips_through_its_encoding() {
     let mut rig = Rig::with_upstreams("gw-1", 2, 1);
-    rig.apply(GatewayEvent::RolloutOrdered(order(10)));
+    rig.apply(GatewayEvent::RolloutOrdered { order: order(10), age_ms: None });
     rig.send(call("/draft/1", "a"));
     rig.send(call("/look/1", "b"));
     let digest = rig.gateway.digest(rig.now);
--- a/crates/hickorydoor/tests/gateway_rollouts.rs
+++ b/crates/hickorydoor/tests/gateway_rollouts.rs
@@ -30,7 +30,7 @@
         new.version = "v2".into();
         rig.register(new);
     }
-    rig.apply(GatewayEvent::RolloutOrdered(order(ORDER_REVISION)));
+    rig.apply(GatewayEvent::RolloutOrdered { order: order(ORDER_REVISION), age_ms: None });
     rig
 }
 
@@ -48,6 +48,8 @@
         target: "v2".into(),
         order: position(1, ORDER_REVISION),
         phase,
+        share: Share::from_percent(7),
+        order_age_ms: None,
         position: position(1, revision),
     }));
 }
@@ -100,9 +102,10 @@
 fn good_version_is_completed_in_time() {
     let mut rig = rig();
     let (_, phases) = run_rollout(&mut rig, |_, _| false, |_| false);
-    let wanted = [RolloutPhase::Canary, RolloutPhase::Full, RolloutPhase::Completed];
+    let wanted =
+        [RolloutPhase::Canary, RolloutPhase::Widened, RolloutPhase::Full, RolloutPhase::Completed];
     assert_eq!(phases.iter().map(|(_, phase)| *phase).collect::<Vec<_>>(), wanted);
-    assert!(phases[2].0 < 24_000);
+    assert!(phases[3].0 < 24_000);
 }
 
 #[test]
@@ -151,11 +154,11 @@
 #[test]
 fn record_of_an_earlier_order_is_replaced() {
     let mut rig = Rig::with_upstreams("gw-1", 2, 0);
-    rig.apply(GatewayEvent::RolloutOrdered(order(ORDER_REVISION)));
+    rig.apply(GatewayEvent::RolloutOrdered { order: order(ORDER_REVISION), age_ms: None });
     record(&mut rig, RolloutPhase::Completed, 12);
     let mut next = order(30);
     next.target = "v3".into();
-    rig.apply(GatewayEvent::RolloutOrdered(next));
+    rig.apply(GatewayEvent::RolloutOrdered { order: next, age_ms: None });
     let effects = rig.advance(100);
     let step = effects.iter().find_map(|effect| match effect {
         GatewayEffect::WriteRollout(step) => Some(step.clone()),
@@ -181,7 +184,7 @@
 #[test]
 fn session_that_falls_back_may_use_every_upstream_of_the_old_version() {
     let mut rig = Rig::with_upstreams("gw-1", 12, 0);
-    rig.apply(GatewayEvent::RolloutOrdered(order(ORDER_REVISION)));
+    rig.apply(GatewayEvent::RolloutOrdered { order: order(ORDER_REVISION), age_ms: None });
     record(&mut rig, RolloutPhase::Canary, 11);
     let mut used = BTreeSet::new();
     // No upstream of the new version is registered, and each request stays open.
@@ -197,3 +200,17 @@
     }
     assert_eq!(used.len(), 12, "{used:?}");
 }
+
+#[test]
+fn rollout_of_a_service_without_requests_is_completed_in_time() {
+    let mut rig = rig();
+    let mut phases = Vec::new();
+    for tick in 0..24 * 20_u64 {
+        let effects = rig.advance(50);
+        for phase in steps(&effects) {
+            record(&mut rig, phase, ORDER_REVISION + 1 + tick);
+            phases.push(phase);
+        }
+    }
+    assert_eq!(phases.last(), Some(&RolloutPhase::Completed), "{phases:?}");
+}
--- a/crates/hickorydoor/tests/regression_session_at_other_gateway.rs
+++ b/crates/hickorydoor/tests/regression_session_at_other_gateway.rs
@@ -9,6 +9,7 @@
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::rollout::RolloutPhase;
 use hickorydoor::gateway::rollout::RolloutRecord;
+use hickorydoor::quantity::Share;
 
 use crate::gateway::ENGINES;
 use crate::gateway::Rig;
@@ -25,7 +26,7 @@
         new.version = "v2".into();
         rig.register(new);
     }
-    rig.apply(GatewayEvent::RolloutOrdered(order(10)));
+    rig.apply(GatewayEvent::RolloutOrdered { order: order(10), age_ms: None });
     rig
 }
 
@@ -35,6 +36,8 @@
         target: "v2".into(),
         order: position(1, 10),
         phase: RolloutPhase::Canary,
+        share: Share::from_percent(7),
+        order_age_ms: None,
         position: position(1, 11),
     })
 }
--- a/crates/hickorydoor/tests/restorable/mod.rs
+++ b/crates/hickorydoor/tests/restorable/mod.rs
@@ -210,9 +210,10 @@
             }
             Some(Value::Registration(known)) => GatewayEvent::Registered(known),
             Some(Value::Closed) => GatewayEvent::DataCentreOut(CLOSED.parse().unwrap()),
-            Some(Value::Order(order)) => {
-                GatewayEvent::RolloutOrdered(RolloutOrder { position, ..order })
-            }
+            Some(Value::Order(order)) => GatewayEvent::RolloutOrdered {
+                order: RolloutOrder { position, ..order },
+                age_ms: None,
+            },
             Some(Value::Record(record)) => {
                 GatewayEvent::RolloutRecorded(RolloutRecord { position, ..record })
             }
