Let nothing but the next events follow a stream that was broken off

Callers saw, or would have: the text of an error in the middle of their stream, or a stream without its last events that looked complete, where the engine that was to go on answered with success and what is no continuation.

Cause: events without a number were taken for the next ones, and any successful status and content for a stream; an empty one with a length ended the stream as complete.

Change: a response goes on with a stream only if its status and content type are those of the first head and the events have numbers; once they have, only comments come without one.

--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -11,8 +11,12 @@
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::event::ResponseFault;
 use hickorydoor::gateway::quarantine::PROVEN_AFTER_MS;
+use http::HeaderMap;
+use http::HeaderValue;
 use http::Response;
+use http::StatusCode;
 use http::header::CONTENT_LENGTH;
+use http::header::CONTENT_TYPE;
 use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
@@ -58,6 +62,21 @@
     buffered: Option<UpstreamResponse>,
     /// Number of the last event that the caller has received.
     last_event: Option<u64>,
+    /// What the head of the stream to the caller says; `None` before its first event.
+    stream_kind: Option<StreamKind>,
+}
+
+/// What the head of a stream says. A response that goes on with the stream says the same.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct StreamKind {
+    status: StatusCode,
+    content_type: Option<HeaderValue>,
+}
+
+impl StreamKind {
+    fn of(status: StatusCode, headers: &HeaderMap) -> Self {
+        Self { status, content_type: headers.get(CONTENT_TYPE).cloned() }
+    }
 }
 
 impl CallDriver {
@@ -72,7 +91,17 @@
         reply: oneshot::Sender<Response<ResponseBody>>,
     ) -> Self {
         let reply = Some(reply);
-        Self { core, call, names, template, reply, events: None, buffered: None, last_event }
+        Self {
+            core,
+            call,
+            names,
+            template,
+            reply,
+            events: None,
+            buffered: None,
+            last_event,
+            stream_kind: None,
+        }
     }
 
     /// Runs until the request has ended or the caller has disconnected.
@@ -190,6 +219,9 @@
     async fn relay(&mut self, open: OpenResponse, limits: &AttemptLimits) -> ExchangeOutcome {
         let OpenResponse { response: upstream, connection: _connection } = open;
         let (parts, mut body) = upstream.into_parts();
+        if !self.continues(&StreamKind::of(parts.status, &parts.headers)) {
+            return fault(ResponseFault::Garbled);
+        }
         let is_framed = is_framed(&parts.headers);
         let mut splitter = EventSplitter::default();
         let mut head = Some((parts.status, parts.headers));
@@ -229,7 +261,7 @@
                     Err(_too_long) => return fault(ResponseFault::Garbled),
                 };
                 let id = event_id(&event);
-                if !self.is_next(id) {
+                if !self.is_next(id, &event) {
                     return fault(ResponseFault::Garbled);
                 }
                 if let Some((status, headers)) = head.take() {
@@ -257,17 +289,26 @@
         }
     }
 
-    /// Returns whether an event directly follows the last one that the caller has received. Events
-    /// without a number are accepted.
-    fn is_next(&self, id: Option<u64>) -> bool {
+    /// Returns whether a response may go on with the stream that the caller has begun to receive.
+    /// Without numbers of events it cannot be known where it goes on.
+    fn continues(&self, kind: &StreamKind) -> bool {
+        let known = self.stream_kind.as_ref();
+        known.is_none_or(|known| known == kind && self.last_event.is_some())
+    }
+
+    /// Returns whether an event directly follows the last one that the caller has received. Once
+    /// events have numbers, only comments come without.
+    fn is_next(&self, id: Option<u64>, event: &[u8]) -> bool {
         match (id, self.last_event) {
             (Some(id), Some(last)) => id == last + 1,
-            _ => true,
+            (None, Some(_)) => !is_progress(event),
+            (_, None) => true,
         }
     }
 
     /// Reports the first event, and sends the head of the response unless an earlier attempt did.
-    fn start_stream(&mut self, status: http::StatusCode, headers: http::HeaderMap) {
+    fn start_stream(&mut self, status: StatusCode, headers: HeaderMap) {
+        self.stream_kind.get_or_insert_with(|| StreamKind::of(status, &headers));
         self.core.apply(GatewayEvent::FirstEvent { call: self.call });
         if self.events.is_some() {
             // A resumed stream: the caller has received the head from an earlier attempt.
@@ -321,7 +362,7 @@
 
 /// Returns whether the end of a response is marked. Otherwise it ends with its connection, so that a
 /// response without any event may have been broken off.
-fn is_framed(headers: &http::HeaderMap) -> bool {
+fn is_framed(headers: &HeaderMap) -> bool {
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
