Take a refusal for a promise only if it names the request

Callers would be told 'not run, try again' for a request that an engine had run, or the request would run at a second engine, where an engine writes a refusal that belongs to another request and has no id.

Cause: a refusal with another id was discarded already, one with none was believed. Each attempt has a connection of its own, so an earlier refusal on a kept connection cannot reach another request.

Change: a refusal counts as not run only if it has the id of the request; otherwise the outcome is unknown.

Test: foreign_refusal plays 12 refusals, with and without an interim response, after the run began, for keyed requests and streams: before 24 of 48 were taken for a promise, now none.

--- a/crates/hickoryd/src/gateway/upstream_request.rs
+++ b/crates/hickoryd/src/gateway/upstream_request.rs
@@ -22,6 +22,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use log::debug;
+use log::warn;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -109,6 +110,12 @@
         request
     }
 
+    /// Returns whether a response echoes the client's id of this request. A refusal without it may
+    /// have been written for another one.
+    fn is_named_by(&self, headers: &HeaderMap, names: &HeaderNames) -> bool {
+        headers.get(&names.client_attempt) == self.client_attempt.as_ref()
+    }
+
     /// Returns whether a response echoes the client's id of this request, or no id at all.
     fn matches_response(&self, headers: &HeaderMap, names: &HeaderNames) -> bool {
         let echoed = headers.get(&names.client_attempt);
@@ -157,11 +164,17 @@
     if !template.matches_response(headers, names) {
         return Err(AttemptOutcome::Unknown(ResponseFault::Garbled));
     }
-    if response.status() == StatusCode::MISDIRECTED_REQUEST {
-        return Err(AttemptOutcome::NotRun(NotRun::OtherInstance));
-    }
-    if headers.contains_key(&names.not_run) {
-        return Err(AttemptOutcome::NotRun(NotRun::Refused));
+    let refusal = if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        Some(NotRun::OtherInstance)
+    } else {
+        headers.contains_key(&names.not_run).then_some(NotRun::Refused)
+    };
+    if let Some(refusal) = refusal {
+        if template.is_named_by(headers, names) {
+            return Err(AttemptOutcome::NotRun(refusal));
+        }
+        warn!(status = response.status().as_u16(); "refusal names no request; it promises nothing");
+        return Err(AttemptOutcome::Unknown(ResponseFault::Garbled));
     }
     let is_signed = headers.contains_key(&names.signature);
     if !is_signed || headers.contains_key(header::CONTENT_ENCODING) {
