Send nothing to an upstream that says it leaves, or that asks for a pause

Callers' requests reached upstreams that were about to end, since nothing read what answers say of their upstream: only its registration in the store counted, which may be late. An upstream that asked for a pause got requests all the while if it was the only one.

Change: each answer to a request is read for a notice, typed, at the boundary; the reducer keeps it at the upstream, until that starts again, and asks one question for placing, queueing, retrying and resuming. One that leaves gets new requests for a second at most, and only if there is no other. While all upstreams want a pause, a request is refused at once as not run, with a Retry-After that says when there is room, spread over half a second. Answers to another request or of another instance say nothing.

--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -181,7 +181,11 @@
 
     async fn exchange(&mut self, dispatch: &Dispatch, limits: &AttemptLimits) -> ExchangeOutcome {
         let names = Rc::clone(&self.names);
-        let open = match send(&self.template, dispatch, &names, limits.deadline).await {
+        let (notice, sent) = send(&self.template, dispatch, &names, limits.deadline).await;
+        if !notice.is_empty() {
+            self.core.apply(GatewayEvent::UpstreamNoticed { call: self.call, notice });
+        }
+        let open = match sent {
             Ok(open) => open,
             Err(outcome) => return ExchangeOutcome::Ended(outcome),
         };
--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -577,6 +577,11 @@
         GatewayEvent::Deregistered(upstream) => {
             info!(upstream:% = upstream; "upstream deregistered");
         }
+        GatewayEvent::UpstreamNoticed { call, notice } => info!(
+            call = call.0, leaving = notice.is_leaving,
+            pause_ms = notice.pause_ms.map(DurationMs::get);
+            "upstream leaves or asks for a pause"
+        ),
         GatewayEvent::RolloutOrdered { order, age_ms } => info!(
             service:% = order.service, version = order.target.as_str(), order:% = order.position,
             age_ms = age_ms.map(DurationMs::get);
--- a/crates/hickoryd/src/gateway/header_names.rs
+++ b/crates/hickoryd/src/gateway/header_names.rs
@@ -41,6 +41,8 @@
     pub confidence: HeaderName,
     /// Present in a response if the upstream did not execute the request.
     pub not_run: HeaderName,
+    /// Present in the responses of an upstream that is about to leave.
+    pub leaving: HeaderName,
     /// Headers that only a gateway may set; they are removed from requests of clients.
     pub reserved: Vec<HeaderName>,
 }
@@ -64,6 +66,7 @@
             signature: name("x-hickorydoor-signature"),
             confidence: name("x-hickorydoor-answer-confidence"),
             not_run: name("x-hickorydoor-run"),
+            leaving: name("x-hickorydoor-leaving"),
             reserved: Vec::new(),
         }
     }
--- a/crates/hickoryd/src/gateway/upstream_request.rs
+++ b/crates/hickoryd/src/gateway/upstream_request.rs
@@ -11,6 +11,8 @@
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::event::NotRun;
 use hickorydoor::gateway::event::ResponseFault;
+use hickorydoor::gateway::upstream_notice::UpstreamNotice;
+use hickorydoor::gateway::upstream_notice::parse_pause;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
@@ -123,7 +125,8 @@
     }
 }
 
-/// Sends a request and waits until `deadline` for the head of the response.
+/// Sends a request and waits until `deadline` for the head of the response. Returns what the response
+/// says of its upstream too.
 ///
 /// # Errors
 /// Fails with the outcome of the attempt if no response arrives that may be forwarded.
@@ -132,6 +135,44 @@
     dispatch: &Dispatch,
     names: &HeaderNames,
     deadline: Instant,
+) -> (UpstreamNotice, Result<OpenResponse, AttemptOutcome>) {
+    match open(template, dispatch, names, deadline).await {
+        Ok(open) => {
+            let notice = notice_of(template, &open.response, names);
+            let checked = check_head(template, &open.response, names).map(|()| open);
+            (notice, checked)
+        }
+        Err(outcome) => (UpstreamNotice::default(), Err(outcome)),
+    }
+}
+
+/// Reads what a response says of its upstream. One that belongs to another request or to another
+/// instance at the address says nothing.
+fn notice_of(
+    template: &RequestTemplate,
+    response: &Response<Incoming>,
+    names: &HeaderNames,
+) -> UpstreamNotice {
+    let headers = response.headers();
+    let status = response.status();
+    if !template.matches_response(headers, names) || status == StatusCode::MISDIRECTED_REQUEST {
+        return UpstreamNotice::default();
+    }
+    let asked = headers.get(header::RETRY_AFTER);
+    let asked = asked.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+    let pause_ms = asked.and_then(|value| parse_pause(value.to_str().ok()?));
+    if asked.is_some() && pause_ms.is_none() {
+        warn!(value:? = asked; "pause that an upstream asks for is no number of seconds; ignoring it");
+    }
+    let is_leaving = headers.get(&names.leaving).is_some_and(|value| value == "1");
+    UpstreamNotice { is_leaving, pause_ms }
+}
+
+async fn open(
+    template: &RequestTemplate,
+    dispatch: &Dispatch,
+    names: &HeaderNames,
+    deadline: Instant,
 ) -> Result<OpenResponse, AttemptOutcome> {
     let unreachable = AttemptOutcome::NotRun(NotRun::Unreachable);
     let connect_timeout = Duration::from(dispatch.connect_timeout_ms);
@@ -151,7 +192,6 @@
         Ok(Err(_error)) => return Err(AttemptOutcome::Unknown(ResponseFault::Closed)),
         Ok(Ok(response)) => response,
     };
-    check_head(template, &response, names)?;
     Ok(OpenResponse { response, connection })
 }
 
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -23,6 +23,7 @@
 use crate::gateway::rollout::canary_upstreams;
 use crate::gateway::route::CallKind;
 use crate::gateway::upstream::Upstream;
+use crate::gateway::upstream_notice::UpstreamNotice;
 use crate::id::ModelId;
 use crate::id::ServiceName;
 use crate::quantity::Share;
@@ -45,6 +46,8 @@
 /// Upper bound of the confidence threshold: an answer with this score is always accepted. The
 /// score, from 0 to 100, is the confidence that the upstream states for its answer.
 const MAX_MIN_CONFIDENCE: f64 = 95.0;
+/// Time over which callers are spread that come back after a pause of all upstreams.
+const PAUSE_SPREAD_MS: u64 = 500;
 /// Requests that may queue at an upstream beyond its slots, as a share of the slots.
 const QUEUED_SLOT_SHARE: f64 = 0.25;
 /// A session that is on the target version of a rollout waits for an upstream of that version for
@@ -82,6 +85,18 @@
                 self.waiting.remove(&id);
                 let dispatch = Box::new(dispatch);
                 effects.push(GatewayEffect::Dispatch { call: id, dispatch });
+                continue;
+            }
+            let active = self.calls.get(&id);
+            let pause = active.and_then(|active| {
+                Some((self.pause_left_ms(active, now)?, active.call.client_attempt.clone()))
+            });
+            if let Some((pause_left_ms, client_attempt)) = pause {
+                // Callers that come back at different times don't meet the upstreams all at once.
+                let spread_ms = xxh3_64(client_attempt.as_bytes()) % PAUSE_SPREAD_MS;
+                let retry_after_ms = pause_left_ms + DurationMs::new(spread_ms);
+                let refusal = CallRefusal::paused(retry_after_ms);
+                self.refuse_or_abort(id, refusal, now, effects);
             }
         }
     }
@@ -197,6 +212,11 @@
         if preferred.as_ref().is_some_and(|version| version.on_target) {
             self.concentrate_canary_load(&active.service, &mut candidates);
         }
+        let staying: Vec<&Upstream> =
+            candidates.iter().copied().filter(|upstream| !upstream.is_leaving()).collect();
+        if !staying.is_empty() {
+            candidates = staying;
+        }
         let unattempted: Vec<&Upstream> = candidates
             .iter()
             .copied()
@@ -344,6 +364,35 @@
             && is_allowed
             && has_capacity
             && (!upstream.is_cold(now) || upstream.has_cold_capacity)
+            && upstream.takes_requests(now)
+    }
+
+    /// Returns how long all upstreams that could serve a request still want none, if they all do.
+    fn pause_left_ms(&self, active: &ActiveCall, now: TimeMs) -> Option<DurationMs> {
+        let rollout = self.rollouts.get(&active.service);
+        let of_service = self.pool.iter().filter(|upstream| {
+            let registration = &upstream.registration;
+            registration.service == active.service
+                && !registration.draining
+                && !upstream.is_leaving()
+                && rollout.is_none_or(|rollout| rollout.allows(&registration.version))
+                && !self.closed_data_centres.contains_key(&registration.data_centre)
+        });
+        let pauses: Option<Vec<DurationMs>> =
+            of_service.map(|upstream| upstream.pause_left_ms(now)).collect();
+        pauses?.into_iter().min()
+    }
+
+    /// Records what an answer says of its upstream, unless that has started again since.
+    pub(super) fn on_upstream_noticed(&mut self, id: CallId, notice: UpstreamNotice, now: TimeMs) {
+        let Some(attempt) = self.calls.get(&id).and_then(|active| active.attempt.as_ref()) else {
+            return;
+        };
+        if let Some(upstream) = self.pool.get_mut(&attempt.upstream)
+            && upstream.registration.started_unix_ms == attempt.started_unix_ms
+        {
+            upstream.record_notice(notice, now);
+        }
     }
 
     fn preferred_version(&self, active: &ActiveCall, now: TimeMs) -> Option<PreferredVersion> {
--- a/crates/hickorydoor/src/gateway/event.rs
+++ b/crates/hickorydoor/src/gateway/event.rs
@@ -14,6 +14,7 @@
 use crate::gateway::store_position::StoreEra;
 use crate::gateway::store_position::StorePosition;
 use crate::gateway::upstream::Registration;
+use crate::gateway::upstream_notice::UpstreamNotice;
 use crate::gateway::upstream_pool::Departure;
 use crate::id::DataCentreId;
 use crate::id::HostId;
@@ -151,6 +152,13 @@
         /// Median of the times between the first events of the attempt, in microseconds.
         gap_us: u64,
     },
+    /// The answer to the current attempt of a request says something of its upstream.
+    UpstreamNoticed {
+        /// Request whose attempt was answered.
+        call: CallId,
+        /// What the answer says.
+        notice: UpstreamNotice,
+    },
     /// The stream of a request has made no progress for as long as its pause timeout. It may still
     /// be sound.
     Stalled {
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -56,6 +56,7 @@
 mod store_view;
 mod typical_times;
 pub mod upstream;
+pub mod upstream_notice;
 pub mod upstream_pool;
 pub mod view_role;
 
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -174,6 +174,9 @@
             GatewayEvent::FirstEvent { call } => self.on_first_event(call, now, &mut effects),
             GatewayEvent::Progressed { call } => self.on_progressed(call, now),
             GatewayEvent::StreamPaced { call, gap_us } => self.on_stream_paced(call, gap_us),
+            GatewayEvent::UpstreamNoticed { call, notice } => {
+                self.on_upstream_noticed(call, notice, now);
+            }
             GatewayEvent::Stalled { call } => self.on_stalled(call, now, &mut effects),
             GatewayEvent::AttemptEnded { call, outcome, last_event, delivered } => {
                 if let Some(known) = self.calls.get_mut(&call) {
--- a/crates/hickorydoor/src/gateway/refusal.rs
+++ b/crates/hickorydoor/src/gateway/refusal.rs
@@ -20,6 +20,8 @@
     UnknownKey,
     /// Engines have ended under a part of the prompt.
     QuarantinedPrompt,
+    /// All upstreams that could serve the request have asked for a pause.
+    UpstreamsPaused,
     /// The process is stopping.
     Stopping,
     /// No upstream was available in time.
@@ -48,6 +50,11 @@
 }
 
 impl CallRefusal {
+    /// Refuses a request for which all upstreams have asked for a pause of this length.
+    pub const fn paused(retry_after_ms: DurationMs) -> Self {
+        Self { reason: RefusalReason::UpstreamsPaused, retry_after_ms: Some(retry_after_ms) }
+    }
+
     /// Refuses a request with quarantined parts, which are tried again after `retry_after_ms`.
     pub const fn quarantined(retry_after_ms: DurationMs) -> Self {
         Self { reason: RefusalReason::QuarantinedPrompt, retry_after_ms: Some(retry_after_ms) }
@@ -61,6 +68,7 @@
             Self::NoConfiguration
             | Self::StaleConfiguration
             | Self::QuarantinedPrompt
+            | Self::UpstreamsPaused
             | Self::Stopping
             | Self::NoUpstream
             | Self::TimedOutWaiting => 503,
@@ -79,6 +87,7 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::QuarantinedPrompt => "quarantined_prompt",
+            Self::UpstreamsPaused => "upstreams_paused",
             Self::Stopping => "stopping",
             Self::NoUpstream => "no_upstream",
             Self::TimedOutWaiting => "timed_out_waiting",
--- a/crates/hickorydoor/src/gateway/upstream.rs
+++ b/crates/hickorydoor/src/gateway/upstream.rs
@@ -8,6 +8,7 @@
 
 use crate::gateway::failure_score::FailureScore;
 use crate::gateway::prompt_cache::PromptCache;
+use crate::gateway::upstream_notice::UpstreamNotice;
 use crate::id::DataCentreId;
 use crate::id::RegionId;
 use crate::id::ServiceName;
@@ -19,6 +20,10 @@
 /// requests with different network delays do not arrive within the same second.
 const COLD_WINDOW_MS: DurationMs = DurationMs::new(1_050);
 
+/// How long an upstream that leaves may get new requests if there is no other; shorter than the time
+/// for which it serves after its notice.
+const LEAVING_GRACE_MS: DurationMs = DurationMs::new(1_000);
+
 /// An upstream's registration in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Registration {
@@ -85,6 +90,10 @@
     /// Whether the rate bound of a cold upstream allows one more request; always true for a warm
     /// one. Updated before each placement.
     pub has_cold_capacity: bool,
+    /// When an answer first said that the upstream is about to leave.
+    leaving_since: Option<TimeMs>,
+    /// Until when the upstream wants no requests of this gateway.
+    paused_until: Option<TimeMs>,
     cold_sends: VecDeque<TimeMs>,
 }
 
@@ -105,6 +114,8 @@
             last_alive_at: None,
             cache: PromptCache::default(),
             has_cold_capacity: false,
+            leaving_since: None,
+            paused_until: None,
             cold_sends: VecDeque::new(),
         }
     }
@@ -130,6 +141,33 @@
         self.registration = registration;
     }
 
+    /// Records what an answer of the upstream says of it.
+    pub fn record_notice(&mut self, notice: UpstreamNotice, now: TimeMs) {
+        if notice.is_leaving {
+            self.leaving_since.get_or_insert(now);
+        }
+        if let Some(pause_ms) = notice.pause_ms {
+            self.paused_until = self.paused_until.max(Some(now + pause_ms));
+        }
+    }
+
+    /// Returns whether the upstream has said that it is about to leave.
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving_since.is_some()
+    }
+
+    /// Returns whether the upstream takes new requests, as far as its answers say. One that leaves
+    /// still does so for a while, for lack of another.
+    pub fn takes_requests(&self, now: TimeMs) -> bool {
+        self.pause_left_ms(now).is_none()
+            && self.leaving_since.is_none_or(|since| now.since(since) < LEAVING_GRACE_MS)
+    }
+
+    /// Returns how long the upstream still wants no requests of this gateway.
+    pub fn pause_left_ms(&self, now: TimeMs) -> Option<DurationMs> {
+        self.paused_until.filter(|until| now < *until).map(|until| until.since(now))
+    }
+
     /// Returns whether the upstream is cold: not yet warmed up, with capacity for a bounded request
     /// rate only.
     pub fn is_cold(&self, now: TimeMs) -> bool {
