--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -14,7 +14,7 @@
 use crate::gateway::refusal::CallRefusal;
 use crate::gateway::refusal::RefusalReason;
 use crate::gateway::route::CallKind;
-use crate::gateway::upstream::Upstream;
+use crate::gateway::upstreams::Upstream;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -5,7 +5,7 @@
 //! [`GatewayEffect`]s. A request passes through `arrival`, `dispatching` and `attempt_end`. The
 //! decisions have modules of their own: [`placement`] chooses upstream and model, [`rollout`] moves
 //! a service to a new version, [`freshness`] tracks the age of the configuration, and
-//! [`retry_budget`] and [`cold_share`] divide fleet-wide limits among gateways without messages.
+//! [`retry_budget`] and [`upstreams::cold_share`] divide fleet-wide limits among gateways without messages.
 //! Gateways exchange their load and evidence in a [`peer_digest`]. Prompt parts under which engines
 //! end are kept from them by a [`quarantine`].
 //!
@@ -27,13 +27,11 @@
 mod attempt_end;
 pub mod call;
 pub mod catalog;
-pub mod cold_share;
 mod containment;
 pub mod data_centre_reach;
 mod dispatching;
 pub mod effect;
 pub mod event;
-pub mod failure_score;
 pub mod feed_wire;
 pub mod freshness;
 pub mod member;
@@ -55,9 +53,7 @@
 pub mod store_position;
 mod store_view;
 mod typical_times;
-pub mod upstream;
-pub mod upstream_notice;
-pub mod upstream_pool;
+pub mod upstreams;
 pub mod view_role;
 
 pub use effect::GatewayEffect;
--- a/crates/hickorydoor/src/gateway/peer_digest.rs
+++ b/crates/hickorydoor/src/gateway/peer_digest.rs
@@ -12,7 +12,7 @@
 use crate::gateway::rollout::RolloutRecord;
 use crate::gateway::store_position::StoreEra;
 use crate::gateway::store_position::StorePosition;
-use crate::gateway::upstream::PeerLoad;
+use crate::gateway::upstreams::PeerLoad;
 use crate::id::HostId;
 use crate::id::IdError;
 use crate::id::ServiceName;
--- a/crates/hickorydoor/src/gateway/placement.rs
+++ b/crates/hickorydoor/src/gateway/placement.rs
@@ -20,7 +20,7 @@
 use crate::gateway::model_table::ModelTable;
 use crate::gateway::prompt_cache::ChainPart;
 use crate::gateway::prompt_cache::chains;
-use crate::gateway::upstream::Upstream;
+use crate::gateway::upstreams::Upstream;
 use crate::id::DataCentreId;
 use crate::id::ModelId;
 use crate::id::UpstreamId;
--- a/crates/hickorydoor/src/gateway/store_view.rs
+++ b/crates/hickorydoor/src/gateway/store_view.rs
@@ -21,7 +21,7 @@
 use crate::gateway::store_listing::StoreListing;
 use crate::gateway::store_position::StoreEra;
 use crate::gateway::store_position::StorePosition;
-use crate::gateway::upstream::Registration;
+use crate::gateway::upstreams::Registration;
 use crate::gateway::view_role::ViewRole;
 use crate::gateway::view_role::view_role;
 use crate::id::DataCentreId;
--- /dev/null
+++ b/crates/hickorydoor/src/gateway/upstreams/mod.rs
@@ -0,0 +1,21 @@
+//! What a gateway knows of the upstreams.
+//!
+//! An [`Upstream`] combines its registration with what its answers say ([`UpstreamNotice`]), its
+//! load, including the load that other gateways report, and its recent failures. The
+//! [`UpstreamPool`] holds all of them.
+
+mod cold_share;
+mod failure_score;
+mod upstream;
+mod upstream_notice;
+mod upstream_pool;
+
+pub use cold_share::cold_share;
+pub use failure_score::FailureScore;
+pub use upstream::PeerLoad;
+pub use upstream::Registration;
+pub use upstream::Upstream;
+pub use upstream_notice::UpstreamNotice;
+pub use upstream_notice::parse_pause;
+pub use upstream_pool::Departure;
+pub use upstream_pool::UpstreamPool;
--- a/crates/hickorydoor/src/gateway/upstream.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream.rs
@@ -6,9 +6,9 @@
 
 use compact_str::CompactString;
 
-use crate::gateway::failure_score::FailureScore;
 use crate::gateway::prompt_cache::PromptCache;
-use crate::gateway::upstream_notice::UpstreamNotice;
+use crate::gateway::upstreams::FailureScore;
+use crate::gateway::upstreams::UpstreamNotice;
 use crate::id::DataCentreId;
 use crate::id::RegionId;
 use crate::id::ServiceName;
--- a/crates/hickorydoor/src/gateway/upstream_pool.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream_pool.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use crate::gateway::upstream::PeerLoad;
-use crate::gateway::upstream::Registration;
-use crate::gateway::upstream::Upstream;
+use crate::gateway::upstreams::PeerLoad;
+use crate::gateway::upstreams::Registration;
+use crate::gateway::upstreams::Upstream;
 use crate::id::DataCentreId;
 use crate::id::HostId;
 use crate::id::ServiceName;
--- a/crates/hickorydoor/tests/feed_wire.rs
+++ b/crates/hickorydoor/tests/feed_wire.rs
@@ -20,7 +20,7 @@
 use hickorydoor::gateway::route::CallKind;
 use hickorydoor::gateway::store_listing::StoreListing;
 use hickorydoor::gateway::store_position::StoreEra;
-use hickorydoor::gateway::upstream_pool::Departure;
+use hickorydoor::gateway::upstreams::Departure;
 use hickorydoor::quantity::Share;
 use prost::Message;
 
--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -33,7 +33,7 @@
 use hickorydoor::gateway::route::Route;
 use hickorydoor::gateway::store_position::StoreEra;
 use hickorydoor::gateway::store_position::StorePosition;
-use hickorydoor::gateway::upstream::Registration;
+use hickorydoor::gateway::upstreams::Registration;
 use hickorydoor::quantity::KbitPerS;
 use hickorydoor::quantity::Share;
 
--- a/crates/hickorydoor/tests/restorable/mod.rs
+++ b/crates/hickorydoor/tests/restorable/mod.rs
@@ -19,7 +19,7 @@
 use hickorydoor::gateway::store_listing::StoreListing;
 use hickorydoor::gateway::store_position::StoreEra;
 use hickorydoor::gateway::store_position::StorePosition;
-use hickorydoor::gateway::upstream::Registration;
+use hickorydoor::gateway::upstreams::Registration;
 
 use crate::gateway::ENGINES;
 use crate::gateway::KEY;
