Log the limits that upstreams name in their answers

The logs of the incident could not tell whether a gateway has seen a limit, nor at which upstream. The header is now read into a checked rate, the upstream's state has the latest statement, and a line tells when a limit is first named, changed or dropped, with value, source and age. Nothing acts on it yet. A text, an empty, negative or infinite value says nothing; of two headers the lower counts.

--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -182,7 +182,7 @@
     async fn exchange(&mut self, dispatch: &Dispatch, limits: &AttemptLimits) -> ExchangeOutcome {
         let names = Rc::clone(&self.names);
         let (notice, sent) = send(&self.template, dispatch, &names, limits.deadline).await;
-        if !notice.is_empty() {
+        if !notice.is_empty() || self.core.is_limited(self.call) {
             self.core.apply(GatewayEvent::UpstreamNoticed { call: self.call, notice });
         }
         let open = match sent {
--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -29,6 +29,8 @@
 use hickorydoor::gateway::quarantine::PartId;
 use hickorydoor::gateway::quarantine::QuarantineChange;
 use hickorydoor::gateway::quarantine::QuarantineStep;
+use hickorydoor::gateway::rate_limits::LimitChange;
+use hickorydoor::gateway::rate_limits::RequestRate;
 use hickorydoor::gateway::refusal::CallRefusal;
 use hickorydoor::gateway::rollout::RolloutProgress;
 use hickorydoor::gateway::rollout::RolloutStep;
@@ -258,6 +260,11 @@
         }
     }
 
+    /// Returns whether the upstream to which a request was sent has a limit in force.
+    pub(super) fn is_limited(&self, call: CallId) -> bool {
+        self.gateway.borrow().is_limited(call)
+    }
+
     /// Returns whether the platform should route new connections to this gateway.
     pub fn is_ready(&self) -> bool {
         self.gateway.borrow().is_ready(self.now())
@@ -409,6 +416,7 @@
                 log_quarantine(&change);
                 self.metrics.record_quarantine(step_label(change.step));
             }
+            GatewayEffect::LimitChanged(change) => log_limit(&change),
             GatewayEffect::SendDigest => self.digest_due.notify_one(),
             GatewayEffect::WriteRollout(step) => {
                 info!(
@@ -547,6 +555,20 @@
     );
 }
 
+fn log_limit(change: &LimitChange) {
+    let message = match (change.previous, change.rate) {
+        (None, Some(_)) => "upstream names a limit",
+        (Some(_), Some(_)) => "upstream changes its limit",
+        (_, None) => "upstream names no limit any more",
+    };
+    info!(
+        upstream:% = change.upstream, limit_per_s = change.rate.map(RequestRate::per_s),
+        previous_per_s = change.previous.map(RequestRate::per_s), source:% = change.source,
+        age_ms = change.age_ms.get();
+        "{message}"
+    );
+}
+
 fn log_progress(progress: &RolloutProgress) {
     let (target, baseline) = (&progress.target_counts, &progress.baseline_counts);
     let comparison = &progress.comparison;
@@ -577,11 +599,15 @@
         GatewayEvent::Deregistered(upstream) => {
             info!(upstream:% = upstream; "upstream deregistered");
         }
-        GatewayEvent::UpstreamNoticed { call, notice } => info!(
-            call = call.0, leaving = notice.is_leaving,
-            pause_ms = notice.pause_ms.map(DurationMs::get);
-            "upstream leaves or asks for a pause"
-        ),
+        GatewayEvent::UpstreamNoticed { call, notice }
+            if notice.is_leaving || notice.pause_ms.is_some() =>
+        {
+            info!(
+                call = call.0, leaving = notice.is_leaving,
+                pause_ms = notice.pause_ms.map(DurationMs::get);
+                "upstream leaves or asks for a pause"
+            );
+        }
         GatewayEvent::RolloutOrdered { order, age_ms } => info!(
             service:% = order.service, version = order.target.as_str(), order:% = order.position,
             age_ms = age_ms.map(DurationMs::get);
--- a/crates/hickoryd/src/gateway/header_names.rs
+++ b/crates/hickoryd/src/gateway/header_names.rs
@@ -43,6 +43,8 @@
     pub not_run: HeaderName,
     /// Present in the responses of an upstream that is about to leave.
     pub leaving: HeaderName,
+    /// Requests per second that the upstream takes from all gateways together.
+    pub limit: HeaderName,
     /// Headers that only a gateway may set; they are removed from requests of clients.
     pub reserved: Vec<HeaderName>,
 }
@@ -67,6 +69,7 @@
             confidence: name("x-hickorydoor-answer-confidence"),
             not_run: name("x-hickorydoor-run"),
             leaving: name("x-hickorydoor-leaving"),
+            limit: name("x-hickorydoor-limit"),
             reserved: Vec::new(),
         }
     }
--- a/crates/hickoryd/src/gateway/upstream_request.rs
+++ b/crates/hickoryd/src/gateway/upstream_request.rs
@@ -11,6 +11,8 @@
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::event::NotRun;
 use hickorydoor::gateway::event::ResponseFault;
+use hickorydoor::gateway::rate_limits::LimitNotice;
+use hickorydoor::gateway::rate_limits::RequestRate;
 use hickorydoor::gateway::upstreams::UpstreamNotice;
 use hickorydoor::gateway::upstreams::parse_pause;
 use http::HeaderMap;
@@ -165,7 +167,27 @@
         warn!(value:? = asked; "pause that an upstream asks for is no number of seconds; ignoring it");
     }
     let is_leaving = headers.get(&names.leaving).is_some_and(|value| value == "1");
-    UpstreamNotice { is_leaving, pause_ms }
+    UpstreamNotice { is_leaving, pause_ms, limit: limit_of(headers, names) }
+}
+
+/// Reads the limit of an upstream; of several, the lowest counts. A limit that cannot be read says
+/// nothing.
+fn limit_of(headers: &HeaderMap, names: &HeaderNames) -> LimitNotice {
+    let values = headers.get_all(&names.limit);
+    if values.iter().next().is_none() {
+        return LimitNotice::Unlimited;
+    }
+    let mut lowest: Option<RequestRate> = None;
+    for value in values {
+        match value.to_str().unwrap_or_default().parse::<RequestRate>() {
+            Ok(rate) => lowest = Some(lowest.filter(|known| *known < rate).unwrap_or(rate)),
+            Err(error) => warn!(
+                value:? = value, reason:% = error;
+                "limit of an upstream cannot be read; ignoring it"
+            ),
+        }
+    }
+    lowest.map_or(LimitNotice::Silent, LimitNotice::Limited)
 }
 
 async fn open(
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -16,6 +16,7 @@
 use crate::gateway::placement::place;
 use crate::gateway::prompt_cache::chains;
 use crate::gateway::quarantine::Verdict;
+use crate::gateway::rate_limits::LimitChange;
 use crate::gateway::reducer::Gateway;
 use crate::gateway::reducer::session_hash;
 use crate::gateway::refusal::CallRefusal;
@@ -384,15 +385,43 @@
     }
 
     /// Records what an answer says of its upstream, unless that has started again since.
-    pub(super) fn on_upstream_noticed(&mut self, id: CallId, notice: UpstreamNotice, now: TimeMs) {
+    pub(super) fn on_upstream_noticed(
+        &mut self,
+        id: CallId,
+        notice: UpstreamNotice,
+        now: TimeMs,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
         let Some(attempt) = self.calls.get(&id).and_then(|active| active.attempt.as_ref()) else {
             return;
         };
-        if let Some(upstream) = self.pool.get_mut(&attempt.upstream)
-            && upstream.registration.started_unix_ms == attempt.started_unix_ms
-        {
-            upstream.record_notice(notice, now);
+        let Some(upstream) = self.pool.get_mut(&attempt.upstream) else {
+            return;
+        };
+        if upstream.registration.started_unix_ms != attempt.started_unix_ms {
+            return;
         }
+        upstream.record_notice(notice, now);
+        let Some(statement) = notice.limit.statement(now) else {
+            return;
+        };
+        if let Some(previous) = upstream.record_limit(statement) {
+            effects.push(GatewayEffect::LimitChanged(Box::new(LimitChange {
+                upstream: attempt.upstream.clone(),
+                rate: statement.rate,
+                previous,
+                source: self.settings.host.clone(),
+                age_ms: now.since(statement.stated_at),
+            })));
+        }
+    }
+
+    /// Returns whether the upstream to which a request was sent has a limit in force, so that an
+    /// answer without one says something too.
+    pub fn is_limited(&self, id: CallId) -> bool {
+        let attempt = self.calls.get(&id).and_then(|active| active.attempt.as_ref());
+        let upstream = attempt.and_then(|attempt| self.pool.get(&attempt.upstream));
+        upstream.is_some_and(|upstream| upstream.limit().is_some())
     }
 
     fn preferred_version(&self, active: &ActiveCall, now: TimeMs) -> Option<PreferredVersion> {
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::call::CallId;
 use crate::gateway::quarantine::QuarantineChange;
+use crate::gateway::rate_limits::LimitChange;
 use crate::gateway::refusal::CallRefusal;
 use crate::gateway::rollout::RolloutProgress;
 use crate::gateway::rollout::RolloutStep;
@@ -135,6 +136,8 @@
     WriteRollout(RolloutStep),
     /// Record what has changed for prompt parts under which engines end.
     Quarantine(Box<QuarantineChange>),
+    /// Record that an upstream has named, changed or dropped a limit.
+    LimitChanged(Box<LimitChange>),
     /// Send the next digest soon, as it holds something that the other gateways have to learn.
     SendDigest,
 }
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -40,6 +40,7 @@
 pub mod placement;
 pub mod prompt_cache;
 pub mod quarantine;
+pub mod rate_limits;
 mod reducer;
 pub mod refusal;
 pub mod retained_map;
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -175,7 +175,7 @@
             GatewayEvent::Progressed { call } => self.on_progressed(call, now),
             GatewayEvent::StreamPaced { call, gap_us } => self.on_stream_paced(call, gap_us),
             GatewayEvent::UpstreamNoticed { call, notice } => {
-                self.on_upstream_noticed(call, notice, now);
+                self.on_upstream_noticed(call, notice, now, &mut effects);
             }
             GatewayEvent::Stalled { call } => self.on_stalled(call, now, &mut effects),
             GatewayEvent::AttemptEnded { call, outcome, last_event, delivered } => {
--- a/crates/hickorydoor/src/gateway/upstreams/upstream.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream.rs
@@ -7,6 +7,8 @@
 use compact_str::CompactString;
 
 use crate::gateway::prompt_cache::PromptCache;
+use crate::gateway::rate_limits::LimitStatement;
+use crate::gateway::rate_limits::RequestRate;
 use crate::gateway::upstreams::FailureScore;
 use crate::gateway::upstreams::UpstreamNotice;
 use crate::id::DataCentreId;
@@ -94,6 +96,8 @@
     leaving_since: Option<TimeMs>,
     /// Until when the upstream wants no requests of this gateway.
     paused_until: Option<TimeMs>,
+    /// What the upstream last said about its limit.
+    limit: Option<LimitStatement>,
     cold_sends: VecDeque<TimeMs>,
 }
 
@@ -116,6 +120,7 @@
             has_cold_capacity: false,
             leaving_since: None,
             paused_until: None,
+            limit: None,
             cold_sends: VecDeque::new(),
         }
     }
@@ -151,6 +156,23 @@
         }
     }
 
+    /// Records what the upstream has said about its limit, unless something later is known. Returns
+    /// the limit before if this changes it.
+    pub fn record_limit(&mut self, statement: LimitStatement) -> Option<Option<RequestRate>> {
+        if self.limit.is_some_and(|known| known.stated_at > statement.stated_at) {
+            return None;
+        }
+        let previous = self.limit();
+        self.limit = Some(statement);
+        (previous != statement.rate).then_some(previous)
+    }
+
+    /// Returns the requests per second that the upstream takes from all gateways together; `None`
+    /// if it has no limit.
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.limit.and_then(|statement| statement.rate)
+    }
+
     /// Returns whether the upstream has said that it is about to leave.
     pub const fn is_leaving(&self) -> bool {
         self.leaving_since.is_some()
--- a/crates/hickorydoor/src/gateway/upstreams/upstream_notice.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream_notice.rs
@@ -1,23 +1,28 @@
 //! What an answer says of the upstream that gave it.
 
+use crate::gateway::rate_limits::LimitNotice;
 use crate::time::DurationMs;
 
 /// Longest pause that an upstream may ask for.
 const MAX_PAUSE_MS: f64 = 60_000.0;
 
 /// What an answer says of the upstream that gave it, beside the answer itself.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct UpstreamNotice {
     /// Whether the upstream is about to leave. It stays so until it starts again.
     pub is_leaving: bool,
     /// For how long the upstream wants no requests of this gateway.
     pub pause_ms: Option<DurationMs>,
+    /// What the answer says about a limit on the requests of all gateways.
+    pub limit: LimitNotice,
 }
 
 impl UpstreamNotice {
-    /// Returns whether the answer says anything.
+    /// Returns whether the answer says anything that a gateway does not assume of any upstream.
     pub const fn is_empty(&self) -> bool {
-        !self.is_leaving && self.pause_ms.is_none()
+        !self.is_leaving
+            && self.pause_ms.is_none()
+            && !matches!(self.limit, LimitNotice::Limited(_))
     }
 }
 
--- a/crates/hickorydoor/tests/gateway_notices.rs
+++ b/crates/hickorydoor/tests/gateway_notices.rs
@@ -7,6 +7,7 @@
 use hickorydoor::gateway::GatewayEvent;
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::event::NotRun;
+use hickorydoor::gateway::rate_limits::LimitNotice;
 use hickorydoor::gateway::refusal::RefusalReason;
 use hickorydoor::gateway::upstreams::UpstreamNotice;
 use hickorydoor::gateway::upstreams::parse_pause;
@@ -23,10 +24,15 @@
 use crate::gateway::refusal;
 use crate::gateway::registration;
 
-const LEAVING: UpstreamNotice = UpstreamNotice { is_leaving: true, pause_ms: None };
+const LEAVING: UpstreamNotice =
+    UpstreamNotice { is_leaving: true, pause_ms: None, limit: LimitNotice::Silent };
 
 const fn pause(pause_ms: u64) -> UpstreamNotice {
-    UpstreamNotice { is_leaving: false, pause_ms: Some(DurationMs::new(pause_ms)) }
+    UpstreamNotice {
+        is_leaving: false,
+        pause_ms: Some(DurationMs::new(pause_ms)),
+        limit: LimitNotice::Silent,
+    }
 }
 
 fn rig(upstreams: usize) -> Rig {
