--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -39,6 +39,7 @@
 
 pub mod crash_fleet;
 pub mod fleet;
+pub mod limit_fleet;
 pub mod rollout_fleet;
 
 pub const HOST: &str = "api.example";
