Keep the limit that an upstream names, for all gateways together

Cause: no code read the limit, and no state that gateways share could have kept it; each gateway decides alone, with equal shares at best (cold_share), which round to one each or to nothing for small rates and leave most of the rate unused where the demand is uneven. The class: a bound on all gateways that each applies by itself.

Now one gateway, chosen by rendezvous hashing, issues permits for each upstream that names a limit, spaced by its interval; the others ask for one before they send a request there, first attempts, retries, resumed streams and the second stage of a cascade alike. A request that can go elsewhere waits for the answer for milliseconds, one that cannot waits only for a permit in sight and else is refused at once, not run, with the time at which there is room (upstreams_limited). A first naming, a change or the end of a limit is told in two digests, the first at once; each message about a permit repeats it, and the latest answer counts. A gateway that does not answer is passed over by the next, at half the rate. A refusal within a limit or a pause is no failure of the upstream.

--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -26,10 +26,12 @@
 use hickorydoor::gateway::feed_wire::FeedHello;
 use hickorydoor::gateway::feed_wire::WatcherMessage;
 use hickorydoor::gateway::peer_digest::PeerDigest;
+use hickorydoor::gateway::peer_message::PeerMessage;
 use hickorydoor::gateway::quarantine::PartId;
 use hickorydoor::gateway::quarantine::QuarantineChange;
 use hickorydoor::gateway::quarantine::QuarantineStep;
 use hickorydoor::gateway::rate_limits::LimitChange;
+use hickorydoor::gateway::rate_limits::PermitMessage;
 use hickorydoor::gateway::rate_limits::RequestRate;
 use hickorydoor::gateway::refusal::CallRefusal;
 use hickorydoor::gateway::rollout::RolloutProgress;
@@ -90,6 +92,13 @@
     attempt: Option<OpenAttempt>,
 }
 
+/// A message about a permit for another gateway.
+#[derive(Debug)]
+pub(super) struct AddressedPermit {
+    pub address: IpAddr,
+    pub message: PeerMessage,
+}
+
 /// What the log says about the end of an attempt.
 #[derive(Debug)]
 struct OpenAttempt {
@@ -101,6 +110,7 @@
 /// Reducer of a gateway with its clock, metrics and open requests.
 #[derive(Debug)]
 pub struct Core {
+    host: HostId,
     gateway: RefCell<Gateway>,
     clock: BootClock,
     calls: RefCell<HashMap<CallId, OpenCall>>,
@@ -111,6 +121,8 @@
     followers: RefCell<Followers>,
     store_states_era: Cell<bool>,
     digest_due: Notify,
+    permits: mpsc::UnboundedSender<AddressedPermit>,
+    permit_receiver: RefCell<Option<mpsc::UnboundedReceiver<AddressedPermit>>>,
     restored_era: watch::Sender<StoreEra>,
     pub(super) metrics: GatewayMetrics,
 }
@@ -122,7 +134,9 @@
     /// Fails if the metrics cannot be registered.
     pub fn new(settings: GatewaySettings) -> Result<(Rc<Self>, AdapterEffects), prometheus::Error> {
         let (sender, rollout_steps) = mpsc::unbounded_channel();
+        let (permits, permit_receiver) = mpsc::unbounded_channel();
         let core = Self {
+            host: settings.host.clone(),
             gateway: RefCell::new(Gateway::new(settings)),
             clock: BootClock::new(),
             calls: RefCell::default(),
@@ -133,6 +147,8 @@
             followers: RefCell::default(),
             store_states_era: Cell::new(false),
             digest_due: Notify::new(),
+            permits,
+            permit_receiver: RefCell::new(Some(permit_receiver)),
             restored_era: watch::Sender::new(StoreEra::default()),
             metrics: GatewayMetrics::new()?,
         };
@@ -416,7 +432,11 @@
                 log_quarantine(&change);
                 self.metrics.record_quarantine(step_label(change.step));
             }
-            GatewayEffect::LimitChanged(change) => log_limit(&change),
+            GatewayEffect::LimitChanged(change) => {
+                log_limit(&change);
+                self.metrics.record_limit(&change);
+            }
+            GatewayEffect::SendPermit { host, message } => self.send_permit(&host, *message),
             GatewayEffect::SendDigest => self.digest_due.notify_one(),
             GatewayEffect::WriteRollout(step) => {
                 info!(
@@ -430,6 +450,21 @@
         }
     }
 
+    /// Queues a message about a permit. One to a gateway that has left is dropped, as nobody waits
+    /// for it.
+    fn send_permit(&self, host: &HostId, message: PermitMessage) {
+        if let Some(address) = self.peer_address(host) {
+            let message = PeerMessage::Permit { host: self.host.clone(), message };
+            // Sending fails only while the process ends.
+            drop(self.permits.send(AddressedPermit { address, message }));
+        }
+    }
+
+    /// Takes the receiver of the messages about permits, which are to be sent at once.
+    pub(super) fn take_permit_receiver(&self) -> Option<mpsc::UnboundedReceiver<AddressedPermit>> {
+        self.permit_receiver.borrow_mut().take()
+    }
+
     fn on_first_event(&self, call: CallId, stats: &FirstEventStats) {
         let customer = stats.customer.as_ref().map_or("", CustomerId::as_str);
         self.metrics.record_first_event(customer, &stats.route, stats.since_arrival_ms);
@@ -457,6 +492,9 @@
         {
             let upstream = dispatch.upstream.clone();
             let dispatched_at = self.now();
+            if dispatch.limit.is_some() {
+                self.metrics.record_limited_request(&dispatch.upstream);
+            }
             open_call.attempt = Some(OpenAttempt { upstream, dispatched_at, first_event_at: None });
         }
         let calls = self.calls.borrow();
@@ -480,7 +518,8 @@
                 min_confidence = dispatch.min_confidence,
                 fetch_from = dispatch.fetch_from.map(|source| source.to_string()).as_deref(),
                 waited_ms = took_ms, expected_ms = dispatch.expected_ms.get(),
-                remaining_ms = dispatch.remaining_ms.get();
+                remaining_ms = dispatch.remaining_ms.get(),
+                limit_per_s = dispatch.limit.map(RequestRate::per_s);
                 "request dispatched"
             ),
             Directive::Abandon => {
--- a/crates/hickoryd/src/gateway/digest_exchange.rs
+++ b/crates/hickoryd/src/gateway/digest_exchange.rs
@@ -1,4 +1,5 @@
-//! Exchange of load digests between gateways over UDP, one datagram each.
+//! Exchange of load digests and messages about permits between gateways over UDP, one datagram
+//! each.
 
 use std::io;
 use std::net::SocketAddr;
@@ -6,12 +7,13 @@
 use std::time::Duration;
 
 use hickorydoor::gateway::GatewayEvent;
-use hickorydoor::gateway::peer_digest::PeerDigest;
+use hickorydoor::gateway::peer_message::PeerMessage;
 use log::debug;
 use log::warn;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
+use crate::gateway::core::AddressedPermit;
 use crate::gateway::core::Core;
 
 /// Minimum send interval for each receiving gateway: with N receivers, digests are sent at least N
@@ -24,15 +26,19 @@
 /// Delay before the next receive after a failure.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Periodically sends the digest of this gateway to the other gateways, and applies the digests
-/// that they send.
+/// Periodically sends the digest of this gateway to the other gateways, sends messages about
+/// permits, and applies what the others send.
 pub async fn exchange_digests(
     socket: Rc<UdpSocket>,
     core: Rc<Core>,
     port: u16,
     interval: Duration,
 ) {
-    tokio::join!(send_digests(&socket, &core, port, interval), receive_digests(&socket, &core));
+    tokio::join!(
+        send_digests(&socket, &core, port, interval),
+        send_permits(&socket, &core, port),
+        receive(&socket, &core),
+    );
 }
 
 async fn send_digests(socket: &UdpSocket, core: &Core, port: u16, interval: Duration) {
@@ -59,7 +65,20 @@
     }
 }
 
-async fn receive_digests(socket: &UdpSocket, core: &Core) {
+/// Sends messages about permits at once. One that is lost is repeated by the gateway that waits for
+/// the answer.
+async fn send_permits(socket: &UdpSocket, core: &Core, port: u16) {
+    let Some(mut permits) = core.take_permit_receiver() else {
+        return;
+    };
+    while let Some(AddressedPermit { address, message }) = permits.recv().await {
+        if let Err(error) = socket.try_send_to(&message.encode(), SocketAddr::new(address, port)) {
+            debug!(peer:% = address, reason:% = error; "cannot send message about a permit");
+        }
+    }
+}
+
+async fn receive(socket: &UdpSocket, core: &Core) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let length = match socket.recv_from(&mut buffer).await {
@@ -70,9 +89,14 @@
                 continue;
             }
         };
-        match PeerDigest::decode(&buffer[..length]) {
-            Ok(digest) => core.apply(GatewayEvent::Digest(Box::new(digest))),
-            Err(error) => warn!(reason:% = error; "digest dropped: cannot decode it"),
+        match PeerMessage::decode(&buffer[..length]) {
+            Ok(PeerMessage::Digest(digest)) => core.apply(GatewayEvent::Digest(digest)),
+            Ok(PeerMessage::Permit { host, message }) => {
+                core.apply(GatewayEvent::Permit { host, message: Box::new(message) });
+            }
+            Err(error) => {
+                warn!(reason:% = error; "datagram of a gateway dropped: cannot decode it");
+            }
         }
     }
 }
--- a/crates/hickoryd/src/gateway/metrics.rs
+++ b/crates/hickoryd/src/gateway/metrics.rs
@@ -1,8 +1,12 @@
 //! Counters, gauges and latency histograms of a gateway in the Prometheus text format.
 
 use hickorydoor::DurationMs;
+use hickorydoor::gateway::rate_limits::LimitChange;
 use hickorydoor::gateway::rollout::RolloutProgress;
+use hickorydoor::id::UpstreamId;
+use log::debug;
 use log::error;
+use prometheus::GaugeVec;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
@@ -27,6 +31,8 @@
     configuration_age: IntGauge,
     rollout_attempts: IntGaugeVec,
     quarantine_changes: IntCounterVec,
+    limits: GaugeVec,
+    limited_requests: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -65,6 +71,18 @@
                 "changes of what is believed about prompt parts under which engines end",
                 &["step"],
             )?,
+            limits: GaugeVec::new(
+                Opts::new(
+                    "hickorydoor_upstream_limit_per_s",
+                    "requests per second that an upstream takes from all gateways together",
+                ),
+                &["upstream"],
+            )?,
+            limited_requests: counter(
+                "hickorydoor_limited_requests_total",
+                "requests that this gateway sent to upstreams with a limit",
+                &["upstream"],
+            )?,
         };
         metrics.registry.register(Box::new(metrics.calls.clone()))?;
         metrics.registry.register(Box::new(metrics.attempts.clone()))?;
@@ -74,9 +92,33 @@
         metrics.registry.register(Box::new(metrics.configuration_age.clone()))?;
         metrics.registry.register(Box::new(metrics.rollout_attempts.clone()))?;
         metrics.registry.register(Box::new(metrics.quarantine_changes.clone()))?;
+        metrics.registry.register(Box::new(metrics.limits.clone()))?;
+        metrics.registry.register(Box::new(metrics.limited_requests.clone()))?;
         Ok(metrics)
     }
 
+    /// Records that an upstream has named, changed or dropped a limit.
+    pub fn record_limit(&self, change: &LimitChange) {
+        let upstream = change.upstream.as_str();
+        let Some(rate) = change.rate else {
+            for removed in [
+                self.limits.remove_label_values(&[upstream]),
+                self.limited_requests.remove_label_values(&[upstream]),
+            ] {
+                if let Err(error) = removed {
+                    debug!(upstream = upstream, reason:% = error; "no metric of the limit to remove");
+                }
+            }
+            return;
+        };
+        self.limits.with_label_values(&[upstream]).set(rate.per_s());
+    }
+
+    /// Counts a request that is sent to an upstream with a limit.
+    pub fn record_limited_request(&self, upstream: &UpstreamId) {
+        self.limited_requests.with_label_values(&[upstream.as_str()]).inc();
+    }
+
     /// Counts a request that has ended.
     pub fn record_call(&self, outcome: &str) {
         self.calls.with_label_values(&[outcome]).inc();
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -1,5 +1,7 @@
 //! Dispatch of queued requests: usable upstreams, versions under rollout, and model selection.
 
+use std::collections::BTreeMap;
+
 use compact_str::CompactString;
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -16,17 +18,18 @@
 use crate::gateway::placement::place;
 use crate::gateway::prompt_cache::chains;
 use crate::gateway::quarantine::Verdict;
-use crate::gateway::rate_limits::LimitChange;
 use crate::gateway::reducer::Gateway;
 use crate::gateway::reducer::session_hash;
 use crate::gateway::refusal::CallRefusal;
 use crate::gateway::rollout::canary_upstreams;
 use crate::gateway::route::CallKind;
+use crate::gateway::upstreams::Availability;
 use crate::gateway::upstreams::Upstream;
 use crate::gateway::upstreams::UpstreamNotice;
 use crate::gateway::upstreams::cold_share;
 use crate::id::ModelId;
 use crate::id::ServiceName;
+use crate::id::UpstreamId;
 use crate::quantity::Share;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
@@ -49,6 +52,8 @@
 const MAX_MIN_CONFIDENCE: f64 = 95.0;
 /// Time over which callers are spread that come back after a pause of all upstreams.
 const PAUSE_SPREAD_MS: u64 = 500;
+/// Longest time over which callers are spread that come back to upstreams with limits.
+const MAX_SPREAD_MS: u64 = 4_000;
 /// Requests that may queue at an upstream beyond its slots, as a share of the slots.
 const QUEUED_SLOT_SHARE: f64 = 0.25;
 /// A session that is on the target version of a rollout waits for an upstream of that version for
@@ -70,6 +75,7 @@
             }
         }
         order.sort_unstable();
+        let mut claimed_permits: BTreeMap<ServiceName, usize> = BTreeMap::new();
         for (_, id) in order {
             let verdict = self.calls.get(&id).map(|active| self.verdict(active, now));
             let is_trial = match verdict {
@@ -82,28 +88,51 @@
                 }
                 Some(Verdict::Held) | None => continue,
             };
-            if let Some(dispatch) = self.try_dispatch(id, is_trial, now) {
-                self.waiting.remove(&id);
-                let dispatch = Box::new(dispatch);
-                effects.push(GatewayEffect::Dispatch { call: id, dispatch });
-                continue;
+            match self.try_dispatch(id, is_trial, now, effects) {
+                Attempted::Sent(dispatch) => {
+                    self.waiting.remove(&id);
+                    effects.push(GatewayEffect::Dispatch { call: id, dispatch });
+                }
+                Attempted::AwaitsPermit => {}
+                Attempted::NotPlaced => {
+                    self.hold_or_refuse(id, &mut claimed_permits, now, effects);
+                }
             }
-            let active = self.calls.get(&id);
-            let pause = active.and_then(|active| {
-                Some((self.pause_left_ms(active, now)?, active.call.client_attempt.clone()))
-            });
-            if let Some((pause_left_ms, client_attempt)) = pause {
-                // Callers that come back at different times don't meet the upstreams all at once.
-                let spread_ms = xxh3_64(client_attempt.as_bytes()) % PAUSE_SPREAD_MS;
-                let retry_after_ms = pause_left_ms + DurationMs::new(spread_ms);
-                let refusal = CallRefusal::paused(retry_after_ms);
-                self.refuse_or_abort(id, refusal, now, effects);
+        }
+    }
+
+    /// Chooses an upstream for a request and sends it, if the upstream takes it now.
+    fn try_dispatch(
+        &mut self,
+        id: CallId,
+        is_trial: bool,
+        now: TimeMs,
+        effects: &mut Vec<GatewayEffect>,
+    ) -> Attempted {
+        loop {
+            let Some(plan) = self.choose(id, is_trial, now) else {
+                return Attempted::NotPlaced;
+            };
+            let upstream = self.pool.get(&plan.choice.upstream);
+            match upstream.map(|upstream| upstream.availability(now)) {
+                Some(Availability::Now) => {
+                    let dispatch = self.dispatch(id, plan, now).map(Box::new);
+                    return dispatch.map_or(Attempted::NotPlaced, Attempted::Sent);
+                }
+                Some(Availability::WithPermit) => {
+                    let at_once_ms = DurationMs::new(0);
+                    if !self.request_permit(&plan.choice.upstream, at_once_ms, now, effects) {
+                        return Attempted::AwaitsPermit;
+                    }
+                }
+                Some(Availability::PermitRequested) => return Attempted::AwaitsPermit,
+                _ => return Attempted::NotPlaced,
             }
         }
     }
 
-    fn try_dispatch(&mut self, id: CallId, is_trial: bool, now: TimeMs) -> Option<Dispatch> {
-        let Plan { choice, min_confidence } = self.choose(id, is_trial, now)?;
+    fn dispatch(&mut self, id: CallId, plan: Plan, now: TimeMs) -> Option<Dispatch> {
+        let Plan { choice, min_confidence } = plan;
         let active = self.calls.get(&id)?;
         let memory_tokens = self.spec(&active.service).map_or(0, |spec| spec.memory_tokens);
         let active = self.calls.get_mut(&id)?;
@@ -111,6 +140,10 @@
         let was_cold = upstream.is_cold(now);
         let backlog_ms = upstream.backlog_ms();
         let in_flight = upstream.total_in_flight();
+        let limit = upstream.limit();
+        if limit.is_some() {
+            upstream.permits.take(now);
+        }
         upstream.record_dispatch(now);
         upstream.prefill_ms += choice.prefill_ms;
         if let Some(model) = &choice.model {
@@ -168,6 +201,7 @@
             streaming: active.route.kind == CallKind::Streaming,
             expected_ms: DurationMs::new(choice.expected_ms as u64),
             version: registration.version.clone(),
+            limit,
         };
         let used_until = active.deadline_at;
         let session = active.call.session.clone();
@@ -349,39 +383,100 @@
     }
 
     fn is_usable(&self, active: &ActiveCall, upstream: &Upstream, now: TimeMs) -> bool {
+        let slots = f64::from(upstream.registration.slots.max(1));
+        let has_capacity =
+            f64::from(upstream.total_in_flight()) < slots * (1.0 + QUEUED_SLOT_SHARE);
+        self.is_eligible(active, upstream)
+            && has_capacity
+            && (!upstream.is_cold(now) || upstream.has_cold_capacity)
+            && upstream.availability(now).is_candidate()
+    }
+
+    /// Returns whether an upstream can run a request at all, whatever its load.
+    fn is_eligible(&self, active: &ActiveCall, upstream: &Upstream) -> bool {
         let registration = &upstream.registration;
         let regions = &active.route.regions;
         let in_region = regions.is_empty()
             || registration.region.as_ref().is_some_and(|region| regions.contains(region));
         let rollout = self.rollouts.get(&active.service);
         let is_allowed = rollout.is_none_or(|rollout| rollout.allows(&registration.version));
-        let slots = f64::from(registration.slots.max(1));
-        let has_capacity =
-            f64::from(upstream.total_in_flight()) < slots * (1.0 + QUEUED_SLOT_SHARE);
         registration.service == active.service
             && !registration.draining
             && !self.closed_data_centres.contains_key(&registration.data_centre)
             && in_region
             && is_allowed
-            && has_capacity
-            && (!upstream.is_cold(now) || upstream.has_cold_capacity)
-            && upstream.takes_requests(now)
     }
 
-    /// Returns how long all upstreams that could serve a request still want none, if they all do.
-    fn pause_left_ms(&self, active: &ActiveCall, now: TimeMs) -> Option<DurationMs> {
-        let rollout = self.rollouts.get(&active.service);
-        let of_service = self.pool.iter().filter(|upstream| {
-            let registration = &upstream.registration;
-            registration.service == active.service
-                && !registration.draining
-                && !upstream.is_leaving()
-                && rollout.is_none_or(|rollout| rollout.allows(&registration.version))
-                && !self.closed_data_centres.contains_key(&registration.data_centre)
-        });
-        let pauses: Option<Vec<DurationMs>> =
-            of_service.map(|upstream| upstream.pause_left_ms(now)).collect();
-        pauses?.into_iter().min()
+    /// Keeps a request that could not be placed in the queue if there may be room for it in time,
+    /// and rejects it at once if all upstreams have said that there is none.
+    ///
+    /// `claimed_permits` counts the permits that more urgent requests of the service wait for.
+    fn hold_or_refuse(
+        &mut self,
+        id: CallId,
+        claimed_permits: &mut BTreeMap<ServiceName, usize>,
+        now: TimeMs,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        loop {
+            let Some(active) = self.calls.get(&id) else {
+                return;
+            };
+            let Some(room) = self.room(active, now) else {
+                return;
+            };
+            let claimed = claimed_permits.entry(active.service.clone()).or_default();
+            if *claimed < room.awaited_permits {
+                *claimed += 1;
+                return;
+            }
+            let Some(upstream) = room.reservable else {
+                let refusal = room.refusal(&active.call.client_attempt);
+                return self.refuse_or_abort(id, refusal, now, effects);
+            };
+            let max_wait_ms = active.wait_until.since(now);
+            // A permit that this gateway issues itself is granted or denied at once.
+            if !self.request_permit(&upstream, max_wait_ms, now, effects) {
+                *claimed += 1;
+                return;
+            }
+        }
+    }
+
+    /// Returns when there is room for a request, if all upstreams that could run it have said that
+    /// there is none now; `None` otherwise.
+    fn room(&self, active: &ActiveCall, now: TimeMs) -> Option<Room> {
+        let mut awaited_permits = 0;
+        let mut earliest: Option<TimeMs> = None;
+        let mut reservable: Option<(TimeMs, &UpstreamId)> = None;
+        let mut is_limited = false;
+        let eligible = self.pool.iter().filter(|upstream| self.is_eligible(active, upstream));
+        for upstream in eligible {
+            let at = match upstream.availability(now) {
+                Availability::Never => continue,
+                Availability::Now | Availability::WithPermit | Availability::PermitRequested => {
+                    return None;
+                }
+                Availability::AfterPause(at) => at,
+                Availability::AfterPermit(at) => {
+                    is_limited = true;
+                    awaited_permits += upstream.permits.awaited();
+                    if upstream.permits.can_reserve(active.wait_until, now)
+                        && reservable.is_none_or(|(known, _)| at < known)
+                    {
+                        reservable = Some((at, &upstream.registration.upstream));
+                    }
+                    at
+                }
+            };
+            earliest = Some(earliest.map_or(at, |known| known.min(at)));
+        }
+        Some(Room {
+            after_ms: earliest?.since(now),
+            awaited_permits,
+            reservable: reservable.map(|(_, upstream)| upstream.clone()),
+            is_limited,
+        })
     }
 
     /// Records what an answer says of its upstream, unless that has started again since.
@@ -395,24 +490,16 @@
         let Some(attempt) = self.calls.get(&id).and_then(|active| active.attempt.as_ref()) else {
             return;
         };
-        let Some(upstream) = self.pool.get_mut(&attempt.upstream) else {
-            return;
-        };
-        if upstream.registration.started_unix_ms != attempt.started_unix_ms {
-            return;
+        let id = attempt.upstream.clone();
+        let started_unix_ms = attempt.started_unix_ms;
+        if let Some(upstream) = self.pool.get_mut(&id)
+            && upstream.registration.started_unix_ms == started_unix_ms
+        {
+            upstream.record_notice(notice, now);
         }
-        upstream.record_notice(notice, now);
-        let Some(statement) = notice.limit.statement(now) else {
-            return;
-        };
-        if let Some(previous) = upstream.record_limit(statement) {
-            effects.push(GatewayEffect::LimitChanged(Box::new(LimitChange {
-                upstream: attempt.upstream.clone(),
-                rate: statement.rate,
-                previous,
-                source: self.settings.host.clone(),
-                age_ms: now.since(statement.stated_at),
-            })));
+        if let Some(statement) = notice.limit.statement(now) {
+            let own = self.settings.host.clone();
+            self.learn_limit(&id, started_unix_ms, statement, &own, now, effects);
         }
     }
 
@@ -460,6 +547,44 @@
     }
 }
 
+/// What became of a queued request.
+#[derive(Debug)]
+enum Attempted {
+    /// It is sent.
+    Sent(Box<Dispatch>),
+    /// A permit was requested for it a moment ago.
+    AwaitsPermit,
+    /// No upstream takes it now.
+    NotPlaced,
+}
+
+/// When there is room for a request that no upstream takes now.
+#[derive(Debug)]
+struct Room {
+    /// Time until an upstream takes a request again.
+    after_ms: DurationMs,
+    /// Permits that become valid soon, or were requested.
+    awaited_permits: usize,
+    /// Upstream of which a permit may be requested that becomes valid in time.
+    reservable: Option<UpstreamId>,
+    /// Whether any upstream has a limit.
+    is_limited: bool,
+}
+
+impl Room {
+    /// Refuses a request at once. Callers that come back at different times don't meet the
+    /// upstreams all at once; within limits there is room for few of them at a time.
+    fn refusal(&self, client_attempt: &str) -> CallRefusal {
+        let hash = xxh3_64(client_attempt.as_bytes());
+        if self.is_limited {
+            let spread_ms = self.after_ms.get().clamp(PAUSE_SPREAD_MS, MAX_SPREAD_MS);
+            CallRefusal::limited(self.after_ms + DurationMs::new(hash % spread_ms))
+        } else {
+            CallRefusal::paused(self.after_ms + DurationMs::new(hash % PAUSE_SPREAD_MS))
+        }
+    }
+}
+
 /// A placement and the confidence score below which its answer is discarded; `None` accepts any
 /// answer.
 #[derive(Clone, Debug)]
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -7,10 +7,13 @@
 use crate::gateway::call::CallId;
 use crate::gateway::quarantine::QuarantineChange;
 use crate::gateway::rate_limits::LimitChange;
+use crate::gateway::rate_limits::PermitMessage;
+use crate::gateway::rate_limits::RequestRate;
 use crate::gateway::refusal::CallRefusal;
 use crate::gateway::rollout::RolloutProgress;
 use crate::gateway::rollout::RolloutStep;
 use crate::id::CustomerId;
+use crate::id::HostId;
 use crate::id::ModelId;
 use crate::id::UpstreamId;
 use crate::time::DurationMs;
@@ -49,6 +52,8 @@
     pub expected_ms: DurationMs,
     /// Version of the upstream's software.
     pub version: CompactString,
+    /// Limit of the upstream within which the request is sent; `None` if it has none.
+    pub limit: Option<RequestRate>,
 }
 
 /// Measurements at the first event of a stream.
@@ -138,6 +143,13 @@
     Quarantine(Box<QuarantineChange>),
     /// Record that an upstream has named, changed or dropped a limit.
     LimitChanged(Box<LimitChange>),
+    /// Send a message about a permit to another gateway.
+    SendPermit {
+        /// Gateway that the message is for.
+        host: HostId,
+        /// What it says.
+        message: Box<PermitMessage>,
+    },
     /// Send the next digest soon, as it holds something that the other gateways have to learn.
     SendDigest,
 }
--- a/crates/hickorydoor/src/gateway/event.rs
+++ b/crates/hickorydoor/src/gateway/event.rs
@@ -8,6 +8,7 @@
 use crate::gateway::member::GatewayMember;
 use crate::gateway::peer_digest::PeerDigest;
 use crate::gateway::quarantine::PartKey;
+use crate::gateway::rate_limits::PermitMessage;
 use crate::gateway::rollout::RolloutOrder;
 use crate::gateway::rollout::RolloutRecord;
 use crate::gateway::store_listing::StoreListing;
@@ -126,6 +127,13 @@
     StoreUnreachable,
     /// Another gateway reported its load and rollout evidence.
     Digest(Box<PeerDigest>),
+    /// Another gateway says something about a permit.
+    Permit {
+        /// Gateway that sent the message.
+        host: HostId,
+        /// What it says.
+        message: Box<PermitMessage>,
+    },
     /// A request has arrived.
     Arrived {
         /// Number that identifies the request in later events and effects.
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -6,7 +6,8 @@
 //! decisions have modules of their own: [`placement`] chooses upstream and model, [`rollout`] moves
 //! a service to a new version, [`freshness`] tracks the age of the configuration, and
 //! [`retry_budget`] and [`upstreams::cold_share`] divide fleet-wide limits among gateways without messages.
-//! Gateways exchange their load and evidence in a [`peer_digest`]. Prompt parts under which engines
+//! Limits that upstreams name are kept by permits, which one gateway issues for each upstream
+//! ([`rate_limits`]). Gateways exchange their load and evidence in a [`peer_digest`]. Prompt parts under which engines
 //! end are kept from them by a [`quarantine`].
 //!
 //! These terms are used throughout:
@@ -37,6 +38,8 @@
 pub mod member;
 pub mod model_table;
 pub mod peer_digest;
+pub mod peer_message;
+mod permit_exchange;
 pub mod placement;
 pub mod prompt_cache;
 pub mod quarantine;
--- a/crates/hickorydoor/src/gateway/peer_digest.rs
+++ b/crates/hickorydoor/src/gateway/peer_digest.rs
@@ -9,6 +9,9 @@
 use crate::gateway::prompt_cache::ChainPart;
 use crate::gateway::quarantine::QuarantineReport;
 use crate::gateway::quarantine::WireQuarantine;
+use crate::gateway::rate_limits::DigestLimit;
+use crate::gateway::rate_limits::WireDigestLimit;
+use crate::gateway::rate_limits::WirePermit;
 use crate::gateway::rollout::RolloutRecord;
 use crate::gateway::store_position::StoreEra;
 use crate::gateway::store_position::StorePosition;
@@ -70,6 +73,8 @@
     pub prefills: Vec<Prefill>,
     /// Prompt parts under which engines end.
     pub quarantine: QuarantineReport,
+    /// Limits of upstreams that the sender has learned from an answer a moment ago.
+    pub limits: Vec<DigestLimit>,
 }
 
 /// Error of decoding a datagram.
@@ -81,6 +86,10 @@
     Id(IdError),
     /// The message contains an invalid record of a rollout.
     Record,
+    /// The message contains an invalid limit of an upstream.
+    Limit,
+    /// The message contains an unknown step of a permit.
+    Permit,
 }
 
 impl std::fmt::Display for DigestError {
@@ -89,6 +98,8 @@
             Self::Decode(error) => write!(f, "malformed digest: {error}"),
             Self::Id(error) => write!(f, "invalid id in digest: {error}"),
             Self::Record => f.write_str("invalid rollout record in digest"),
+            Self::Limit => f.write_str("invalid limit of an upstream"),
+            Self::Permit => f.write_str("unknown step of a permit"),
         }
     }
 }
@@ -177,11 +188,12 @@
     tokens: Vec<u32>,
 }
 
+/// Wire type of a datagram between gateways.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
-struct WireDigest {
+pub(super) struct WireDigest {
     #[prost(string, tag = "1")]
-    host: String,
+    pub(super) host: String,
     #[prost(uint64, tag = "2")]
     incarnation: u64,
     #[prost(uint64, tag = "3")]
@@ -194,6 +206,11 @@
     prefills: Vec<WirePrefill>,
     #[prost(message, optional, tag = "7")]
     quarantine: Option<WireQuarantine>,
+    #[prost(message, repeated, tag = "8")]
+    limits: Vec<WireDigestLimit>,
+    /// Present if the datagram is about a permit and not a digest.
+    #[prost(message, optional, tag = "9")]
+    pub(super) permit: Option<WirePermit>,
 }
 
 impl PeerDigest {
@@ -211,6 +228,13 @@
     }
 }
 
+impl WireDigest {
+    /// Builds a datagram that is about a permit, with nothing that a digest has.
+    pub(super) fn of_permit(host: &HostId, permit: WirePermit) -> Self {
+        Self { host: host.to_string(), permit: Some(permit), ..Self::default() }
+    }
+}
+
 impl From<&PeerDigest> for WireDigest {
     fn from(digest: &PeerDigest) -> Self {
         let load = |(upstream, load): &(UpstreamId, PeerLoad)| WireLoad {
@@ -238,6 +262,8 @@
             evidence: digest.evidence.iter().map(evidence).collect(),
             prefills: digest.prefills.iter().map(WirePrefill::from).collect(),
             quarantine: Some(WireQuarantine::from(&digest.quarantine)),
+            limits: digest.limits.iter().map(WireDigestLimit::from).collect(),
+            permit: None,
         }
     }
 }
@@ -268,6 +294,7 @@
             evidence,
             prefills,
             quarantine: QuarantineReport::try_from(wire.quarantine.unwrap_or_default())?,
+            limits: wire.limits.into_iter().map(DigestLimit::try_from).collect::<Result<_, _>>()?,
         })
     }
 }
--- a/crates/hickorydoor/src/gateway/rate_limits/request_rate.rs
+++ b/crates/hickorydoor/src/gateway/rate_limits/request_rate.rs
@@ -4,8 +4,6 @@
 use std::num::ParseFloatError;
 use std::str::FromStr;
 
-use crate::time::DurationMs;
-
 /// Highest rate; a higher one is no limit in practice.
 const MAX_PER_S: f64 = 1_000_000.0;
 
@@ -39,10 +37,9 @@
         self.0
     }
 
-    /// Returns the time between two requests at this rate, at most `max_ms`.
-    pub fn interval_ms(self, max_ms: DurationMs) -> DurationMs {
-        let interval_ms = (1_000.0 / self.0).min(max_ms.as_f64());
-        DurationMs::new(interval_ms.ceil() as u64)
+    /// Returns the time between two requests in ms; `None` if the rate is 0.
+    pub fn interval_ms(self) -> Option<f64> {
+        (self.0 > 0.0).then(|| 1_000.0 / self.0)
     }
 }
 
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -23,6 +23,12 @@
 use crate::gateway::peer_digest::PeerDigest;
 use crate::gateway::peer_digest::Prefill;
 use crate::gateway::quarantine::QuarantineTable;
+use crate::gateway::rate_limits::DigestLimit;
+use crate::gateway::rate_limits::LimitNews;
+use crate::gateway::rate_limits::LimitStatement;
+use crate::gateway::rate_limits::PermitId;
+use crate::gateway::rate_limits::PermitIssuer;
+use crate::gateway::rate_limits::SilentIssuers;
 use crate::gateway::retained_map::RetainedMap;
 use crate::gateway::retry_budget::RetryBudget;
 use crate::gateway::rollout::PeerRollout;
@@ -44,6 +50,8 @@
 
 /// How long a sent prompt is repeated in digests.
 const PREFILL_REPORT_MS: DurationMs = DurationMs::new(1_000);
+/// Bits of the number of a permit that count within an incarnation.
+const PERMIT_NUMBER_BITS: u32 = 20;
 /// Maximum number of pinned sessions in a digest.
 const MAX_PINNED_SESSIONS: usize = 256;
 /// Maximum number of sessions whose version is stored; further sessions are not tracked.
@@ -89,6 +97,11 @@
     sequence: u64,
     pub(super) recent_prefills: VecDeque<(TimeMs, Prefill)>,
     pub(super) quarantine: QuarantineTable,
+    pub(super) limit_news: LimitNews,
+    pub(super) permit_issuer: PermitIssuer,
+    pub(super) silent_issuers: SilentIssuers,
+    /// Number of the last request for a permit.
+    pub(super) last_permit: PermitId,
 }
 
 impl Gateway {
@@ -96,6 +109,7 @@
     /// both.
     pub fn new(settings: GatewaySettings) -> Self {
         let gateways = vec![settings.host.clone()];
+        let last_permit = PermitId(settings.incarnation << PERMIT_NUMBER_BITS);
         Self {
             settings,
             catalog: None,
@@ -123,6 +137,10 @@
             sequence: 0,
             recent_prefills: VecDeque::new(),
             quarantine: QuarantineTable::default(),
+            limit_news: LimitNews::default(),
+            permit_issuer: PermitIssuer::default(),
+            silent_issuers: SilentIssuers::default(),
+            last_permit,
         }
     }
 
@@ -167,7 +185,10 @@
             }
             GatewayEvent::StoreAnswered => self.freshness.record_answer(now),
             GatewayEvent::StoreUnreachable => self.freshness.record_unreachable(now),
-            GatewayEvent::Digest(digest) => self.on_digest(*digest, now),
+            GatewayEvent::Digest(digest) => self.on_digest(*digest, now, &mut effects),
+            GatewayEvent::Permit { host, message } => {
+                self.on_permit(&host, &message, now, &mut effects);
+            }
             GatewayEvent::Arrived { call, request } => {
                 self.on_arrived(call, *request, now, &mut effects);
             }
@@ -209,6 +230,11 @@
             && self.is_store_answering(now)
     }
 
+    /// Returns the host of this gateway.
+    pub const fn host(&self) -> &HostId {
+        &self.settings.host
+    }
+
     /// Returns the configuration in force; `None` before the first one was read.
     pub fn catalog(&self) -> Option<&Catalog> {
         self.catalog.as_deref()
@@ -228,6 +254,7 @@
     /// Builds the next digest for the other gateways.
     pub fn digest(&mut self, now: TimeMs) -> PeerDigest {
         self.sequence += 1;
+        let limits = self.limits_to_tell(now);
         self.recent_prefills.retain(|(sent_at, _)| now.since(*sent_at) <= PREFILL_REPORT_MS);
         let evidence = self.rollouts.values().map(|rollout| DigestEvidence {
             service: rollout.order().service.clone(),
@@ -250,6 +277,7 @@
                 |upstream| self.pool.get(upstream)?.last_alive_at,
                 now,
             ),
+            limits,
         }
     }
 
@@ -297,6 +325,7 @@
         self.expire_retained(now);
         self.pool.refresh_peer_loads(now);
         self.assess_quarantine(now);
+        self.expire_permits(now, effects);
         self.expire_calls(now, effects);
         self.abandon_unresponsive(now, effects);
         self.step_rollouts(now, effects);
@@ -304,7 +333,7 @@
         self.sessions.retain(|_, (_, used_at)| now.since(*used_at) <= session_ms);
     }
 
-    fn on_digest(&mut self, digest: PeerDigest, now: TimeMs) {
+    fn on_digest(&mut self, digest: PeerDigest, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
         if digest.host == self.settings.host {
             return;
         }
@@ -314,6 +343,10 @@
         }
         self.peers.insert(digest.host.clone(), newest);
         self.quarantine.apply_report(&digest.host, digest.incarnation, digest.quarantine, now);
+        for DigestLimit { upstream, started_unix_ms, limit } in digest.limits {
+            let statement = LimitStatement { rate: limit.rate, stated_at: now - limit.age_ms };
+            self.learn_limit(&upstream, started_unix_ms, statement, &digest.host, now, effects);
+        }
         for known in digest.evidence {
             let Some(rollout) = self.rollouts.get_mut(&known.service) else {
                 continue;
--- a/crates/hickorydoor/src/gateway/refusal.rs
+++ b/crates/hickorydoor/src/gateway/refusal.rs
@@ -22,6 +22,8 @@
     QuarantinedPrompt,
     /// All upstreams that could serve the request have asked for a pause.
     UpstreamsPaused,
+    /// All upstreams that could serve the request take no more requests for a while.
+    UpstreamsLimited,
     /// The process is stopping.
     Stopping,
     /// No upstream was available in time.
@@ -55,6 +57,11 @@
         Self { reason: RefusalReason::UpstreamsPaused, retry_after_ms: Some(retry_after_ms) }
     }
 
+    /// Refuses a request for which no upstream has room within its limit for this long.
+    pub const fn limited(retry_after_ms: DurationMs) -> Self {
+        Self { reason: RefusalReason::UpstreamsLimited, retry_after_ms: Some(retry_after_ms) }
+    }
+
     /// Refuses a request with quarantined parts, which are tried again after `retry_after_ms`.
     pub const fn quarantined(retry_after_ms: DurationMs) -> Self {
         Self { reason: RefusalReason::QuarantinedPrompt, retry_after_ms: Some(retry_after_ms) }
@@ -69,6 +76,7 @@
             | Self::StaleConfiguration
             | Self::QuarantinedPrompt
             | Self::UpstreamsPaused
+            | Self::UpstreamsLimited
             | Self::Stopping
             | Self::NoUpstream
             | Self::TimedOutWaiting => 503,
@@ -88,6 +96,7 @@
             Self::UnknownKey => "unknown_key",
             Self::QuarantinedPrompt => "quarantined_prompt",
             Self::UpstreamsPaused => "upstreams_paused",
+            Self::UpstreamsLimited => "upstreams_limited",
             Self::Stopping => "stopping",
             Self::NoUpstream => "no_upstream",
             Self::TimedOutWaiting => "timed_out_waiting",
--- a/crates/hickorydoor/src/gateway/upstreams/mod.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/mod.rs
@@ -1,15 +1,17 @@
 //! What a gateway knows of the upstreams.
 //!
 //! An [`Upstream`] combines its registration with what its answers say ([`UpstreamNotice`]), its
-//! load, including the load that other gateways report, and its recent failures. The
-//! [`UpstreamPool`] holds all of them.
+//! load, including the load that other gateways report, and its recent failures. Its
+//! [`Availability`] is what dispatching asks. The [`UpstreamPool`] holds all of them.
 
+mod availability;
 mod cold_share;
 mod failure_score;
 mod upstream;
 mod upstream_notice;
 mod upstream_pool;
 
+pub use availability::Availability;
 pub use cold_share::cold_share;
 pub use failure_score::FailureScore;
 pub use upstream::PeerLoad;
--- a/crates/hickorydoor/src/gateway/upstreams/upstream.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream.rs
@@ -7,8 +7,12 @@
 use compact_str::CompactString;
 
 use crate::gateway::prompt_cache::PromptCache;
+use crate::gateway::rate_limits::AgedLimit;
 use crate::gateway::rate_limits::LimitStatement;
+use crate::gateway::rate_limits::PermitAccess;
+use crate::gateway::rate_limits::Permits;
 use crate::gateway::rate_limits::RequestRate;
+use crate::gateway::upstreams::Availability;
 use crate::gateway::upstreams::FailureScore;
 use crate::gateway::upstreams::UpstreamNotice;
 use crate::id::DataCentreId;
@@ -98,6 +102,8 @@
     paused_until: Option<TimeMs>,
     /// What the upstream last said about its limit.
     limit: Option<LimitStatement>,
+    /// Permits to send requests within the limit.
+    pub permits: Permits,
     cold_sends: VecDeque<TimeMs>,
 }
 
@@ -121,6 +127,7 @@
             leaving_since: None,
             paused_until: None,
             limit: None,
+            permits: Permits::default(),
             cold_sends: VecDeque::new(),
         }
     }
@@ -164,9 +171,26 @@
         }
         let previous = self.limit();
         self.limit = Some(statement);
+        match (previous, statement.rate) {
+            (Some(previous), Some(rate)) if rate < previous => self.permits.on_lowered(),
+            (_, None) => self.permits = Permits::default(),
+            _ => {}
+        }
         (previous != statement.rate).then_some(previous)
     }
 
+    /// Returns whether the upstream has said how much it takes: that it has a limit, or wants a
+    /// pause now.
+    pub fn states_room(&self, now: TimeMs) -> bool {
+        self.limit().is_some() || self.paused_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns what the upstream last said about its limit, if it ever named one.
+    pub fn aged_limit(&self, now: TimeMs) -> Option<AgedLimit> {
+        let statement = self.limit?;
+        Some(AgedLimit { rate: statement.rate, age_ms: now.since(statement.stated_at) })
+    }
+
     /// Returns the requests per second that the upstream takes from all gateways together; `None`
     /// if it has no limit.
     pub fn limit(&self) -> Option<RequestRate> {
@@ -178,16 +202,24 @@
         self.leaving_since.is_some()
     }
 
-    /// Returns whether the upstream takes new requests, as far as its answers say. One that leaves
+    /// Returns when the upstream takes a new request, as far as its answers say. One that leaves
     /// still does so for a while, for lack of another.
-    pub fn takes_requests(&self, now: TimeMs) -> bool {
-        self.pause_left_ms(now).is_none()
-            && self.leaving_since.is_none_or(|since| now.since(since) < LEAVING_GRACE_MS)
-    }
-
-    /// Returns how long the upstream still wants no requests of this gateway.
-    pub fn pause_left_ms(&self, now: TimeMs) -> Option<DurationMs> {
-        self.paused_until.filter(|until| now < *until).map(|until| until.since(now))
+    pub fn availability(&self, now: TimeMs) -> Availability {
+        if self.leaving_since.is_some_and(|since| now.since(since) >= LEAVING_GRACE_MS) {
+            return Availability::Never;
+        }
+        if let Some(until) = self.paused_until.filter(|until| now < *until) {
+            return Availability::AfterPause(until);
+        }
+        if self.limit().is_none() {
+            return Availability::Now;
+        }
+        match self.permits.access(now) {
+            PermitAccess::Held => Availability::Now,
+            PermitAccess::Requestable => Availability::WithPermit,
+            PermitAccess::Pending => Availability::PermitRequested,
+            PermitAccess::NoneBefore(at) => Availability::AfterPermit(at),
+        }
     }
 
     /// Returns whether the upstream is cold: not yet warmed up, with capacity for a bounded request
--- a/crates/hickorydoor/src/gateway/upstreams/upstream_pool.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream_pool.rs
@@ -145,6 +145,11 @@
         self.upstreams.values()
     }
 
+    /// Iterates over all upstreams for modification, by id.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Upstream> {
+        self.upstreams.values_mut()
+    }
+
     /// Iterates over the upstreams of a service for modification, by id.
     pub fn of_service_mut<'a>(
         &'a mut self,
--- a/crates/hickorydoor/tests/gateway/limit_fleet.rs
+++ b/crates/hickorydoor/tests/gateway/limit_fleet.rs
@@ -13,6 +13,7 @@
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::event::NotRun;
 use hickorydoor::gateway::peer_digest::PeerDigest;
+use hickorydoor::gateway::peer_message::PeerMessage;
 use hickorydoor::gateway::rate_limits::LimitNotice;
 use hickorydoor::gateway::rate_limits::RequestRate;
 use hickorydoor::gateway::upstreams::Registration;
@@ -63,6 +64,12 @@
         said.map_or(LimitNotice::Unlimited, |(_, word)| *word)
     }
 
+    /// Returns when the first answer since `from_ms` has told a gateway of the limit.
+    pub fn told_ms(&self, from_ms: u64) -> u64 {
+        let first = self.arrivals.iter().map(|(at, _)| *at).find(|at| *at >= from_ms);
+        first.map_or(from_ms, |at| at + SERVE_MS)
+    }
+
     /// Returns the most requests in a window that begins at `from_ms` or later.
     pub fn most_in_window(&self, from_ms: u64) -> usize {
         let times: Vec<u64> = self.arrivals.iter().map(|(at, _)| *at).collect();
@@ -352,6 +359,21 @@
                         self.send_digest(gateway);
                     }
                 }
+                GatewayEffect::SendPermit { host, message } => {
+                    self.messages += 1;
+                    let peer: usize = host.as_str()[3..].parse().unwrap();
+                    if !(self.is_lost)(gateway, peer, self.now_ms) {
+                        let host = self.rigs[gateway].gateway.host().clone();
+                        let bytes = PeerMessage::Permit { host, message: *message }.encode();
+                        let PeerMessage::Permit { host, message } =
+                            PeerMessage::decode(&bytes).unwrap()
+                        else {
+                            panic!("not a message about a permit");
+                        };
+                        let event = GatewayEvent::Permit { host, message: Box::new(message) };
+                        self.schedule(HOP_MS, Step::Deliver(peer, Box::new(event)));
+                    }
+                }
                 _ => {}
             }
         }
