Answer what a stopping gateway has passed on, and pass on only what it can finish

It happens here: a stream that takes longer than the grace that is left was cut in the middle, and a request whose body was still arriving got no response at all. Cause: the end of the grace dropped what was open, and nothing compared the time that a request needs with the time that is left.

A stopping gateway now refuses at once, as not run, a request that usually takes longer (the 99th percentile of its route's complete requests, or its deadline) than the grace that is left. 300 ms before the end it answers what it has passed on (502) or not (503), and refuses requests whose body is not complete.

--- a/crates/hickoryd/src/gateway/caller_port.rs
+++ b/crates/hickoryd/src/gateway/caller_port.rs
@@ -11,6 +11,7 @@
 use hickorydoor::gateway::call::CallId;
 use hickorydoor::gateway::call::Prompt;
 use hickorydoor::gateway::call::PromptPart;
+use hickorydoor::gateway::refusal::RefusalReason;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -40,6 +41,7 @@
 use crate::gateway::connection::accept;
 use crate::gateway::core::Core;
 use crate::gateway::header_names::HeaderNames;
+use crate::gateway::response::refusal_response;
 use crate::gateway::response::text_response;
 use crate::gateway::response_body::ResponseBody;
 use crate::gateway::upstream_request::RequestTemplate;
@@ -142,8 +144,14 @@
         return text_response(505, "HTTP/1.1 is required".to_owned());
     }
     let limit_bytes = core.limits().body_bytes.get() as usize;
-    let read = timeout(BODY_TIMEOUT, Limited::new(body, limit_bytes).collect()).await;
-    let mut response = match read {
+    let read = tokio::select! {
+        read = timeout(BODY_TIMEOUT, Limited::new(body, limit_bytes).collect()) => Some(read),
+        () = core.last_answers_due() => None,
+    };
+    let Some(read) = read else {
+        return closing(refusal_response(&RefusalReason::Stopping.into()));
+    };
+    let response = match read {
         Err(_elapsed) => text_response(408, "the request body took too long".to_owned()),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
             text_response(413, "the request body is too long".to_owned())
@@ -151,9 +159,12 @@
         Ok(Err(_error)) => text_response(400, "the request body is not complete".to_owned()),
         Ok(Ok(body)) => run_call(parts, body.to_bytes(), &core, names).await,
     };
-    if core.is_stopping() {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    }
+    if core.is_stopping() { closing(response) } else { response }
+}
+
+/// Says in a response that its connection is closed after it.
+fn closing(mut response: Response<ResponseBody>) -> Response<ResponseBody> {
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
 }
 
--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use compact_str::CompactString;
 use hickorydoor::DurationMs;
@@ -36,6 +37,7 @@
 use hickorydoor::gateway::refusal::CallRefusal;
 use hickorydoor::gateway::rollout::RolloutProgress;
 use hickorydoor::gateway::rollout::RolloutStep;
+use hickorydoor::gateway::stopping::LAST_ANSWERS_MS;
 use hickorydoor::gateway::store_position::StoreEra;
 use hickorydoor::gateway::store_position::StorePosition;
 use hickorydoor::gateway::view_role::ViewRole;
@@ -48,6 +50,8 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
 
 use crate::gateway::boot_clock::BootClock;
 use crate::gateway::followers::FollowerState;
@@ -118,6 +122,9 @@
     connections: Cell<usize>,
     rollout_steps: mpsc::UnboundedSender<RolloutStep>,
     stopping: watch::Sender<bool>,
+    stop_timeout_ms: DurationMs,
+    /// When a stopping process answers what has not ended; `None` unless it is stopping.
+    answer_at: Cell<Option<Instant>>,
     followers: RefCell<Followers>,
     store_states_era: Cell<bool>,
     digest_due: Notify,
@@ -134,6 +141,7 @@
     /// Fails if the metrics cannot be registered.
     pub fn new(settings: GatewaySettings) -> Result<(Rc<Self>, AdapterEffects), prometheus::Error> {
         let (sender, rollout_steps) = mpsc::unbounded_channel();
+        let stop_timeout_ms = settings.stop_timeout_ms;
         let (permits, permit_receiver) = mpsc::unbounded_channel();
         let core = Self {
             host: settings.host.clone(),
@@ -144,6 +152,8 @@
             connections: Cell::new(0),
             rollout_steps: sender,
             stopping: watch::Sender::new(false),
+            stop_timeout_ms,
+            answer_at: Cell::new(None),
             followers: RefCell::default(),
             store_states_era: Cell::new(false),
             digest_due: Notify::new(),
@@ -290,6 +300,8 @@
     /// its settings has passed.
     pub fn stop(&self) {
         self.apply(GatewayEvent::Stop);
+        let grace_ms = self.stop_timeout_ms.saturating_sub(LAST_ANSWERS_MS);
+        self.answer_at.set(Some(Instant::now() + Duration::from(grace_ms)));
         self.stopping.send_replace(true);
     }
 
@@ -298,6 +310,13 @@
         self.stopping.subscribe()
     }
 
+    /// Waits until a stopping process answers what has not ended, since it ends soon.
+    pub(super) async fn last_answers_due(&self) {
+        // A closed channel counts as a request to stop.
+        drop(self.stopping().wait_for(|stopping| *stopping).await);
+        sleep_until(self.answer_at.get().unwrap_or_else(Instant::now)).await;
+    }
+
     /// Returns whether the graceful shutdown has started.
     pub fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
--- a/crates/hickoryd/src/gateway/options.rs
+++ b/crates/hickoryd/src/gateway/options.rs
@@ -30,8 +30,6 @@
     /// Interval between two digests to the other gateways. In large fleets, it is lengthened in
     /// proportion to their number.
     pub peer_interval: Duration,
-    /// Maximum time of a graceful shutdown. Connections that are still open after it are dropped.
-    pub stop_timeout: Duration,
     /// Names of the headers that the gateway reads and sets.
     pub header_names: HeaderNames,
 }
--- a/crates/hickoryd/src/gateway/process.rs
+++ b/crates/hickoryd/src/gateway/process.rs
@@ -52,6 +52,7 @@
     /// Fails if a port cannot be opened or the metrics cannot be registered.
     pub async fn start(options: GatewayOptions) -> Result<(Self, AdapterEffects), StartError> {
         let stop_notice = options.settings.stop_notice_ms.into();
+        let stop_timeout = options.settings.stop_timeout_ms.into();
         let (core, adapter_effects) = Core::new(options.settings)
             .map_err(|cause| StartError::Metrics { cause: io::Error::other(cause) })?;
         let names = Rc::new(options.header_names);
@@ -80,7 +81,6 @@
             options.peer_interval,
         ));
         spawn_local(tick(Rc::clone(&core)));
-        let stop_timeout = options.stop_timeout;
         let process =
             Self { core, http_address, ready_address, close_callers, stop_notice, stop_timeout };
         Ok((process, adapter_effects))
--- a/crates/hickoryd/tests/gateway_feed.rs
+++ b/crates/hickoryd/tests/gateway_feed.rs
@@ -63,6 +63,7 @@
         session_ms: DurationMs::new(5_500),
         store_recovery_grace_ms: DurationMs::new(2_200),
         stop_notice_ms: DurationMs::new(2_600),
+        stop_timeout_ms: DurationMs::new(1_000),
         cold_limit_factor: 1.2,
     }
 }
@@ -91,7 +92,6 @@
             peer_port: FEED_PORT - 1,
             feed_port: FEED_PORT,
             peer_interval: Duration::from_mins(1),
-            stop_timeout: Duration::from_secs(1),
             header_names: HeaderNames::default(),
         };
         let (process, _effects) = GatewayProcess::start(options).await.unwrap();
--- a/crates/hickorydoor/src/gateway/active_call.rs
+++ b/crates/hickorydoor/src/gateway/active_call.rs
@@ -25,6 +25,8 @@
     Unresponsive,
     /// Engines have ended under a part of its prompt.
     PromptPart,
+    /// The process stops.
+    Stop,
 }
 
 /// The current attempt of a request.
--- a/crates/hickorydoor/src/gateway/arrival.rs
+++ b/crates/hickorydoor/src/gateway/arrival.rs
@@ -42,9 +42,6 @@
     }
 
     fn admit(&self, call: Call, now: TimeMs) -> Result<ActiveCall, CallRefusal> {
-        if self.refuse_from.is_some_and(|from| now >= from) {
-            return Err(RefusalReason::Stopping.into());
-        }
         let catalog = self.catalog.as_ref().ok_or(RefusalReason::NoConfiguration)?;
         if !self.freshness.is_within(self.settings.max_configuration_age_ms, now) {
             return Err(RefusalReason::StaleConfiguration.into());
@@ -82,6 +79,9 @@
             delivered: false,
             call,
         };
+        if !self.can_finish(&active, now) {
+            return Err(RefusalReason::Stopping.into());
+        }
         match self.verdict(&active, now) {
             Verdict::Refused { retry_after_ms } => Err(CallRefusal::quarantined(retry_after_ms)),
             _ => Ok(active),
--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -230,7 +230,7 @@
         if let Some(session) = session {
             self.record_session(&session, &attempt.version, now);
         }
-        let is_withdrawn = attempt.cancelled == Some(Cancellation::PromptPart)
+        let is_withdrawn = attempt.cancelled.is_some_and(|why| why != Cancellation::Unresponsive)
             && matches!(outcome, Some(AttemptOutcome::Unknown(ResponseFault::Silent)));
         let outcome = outcome.filter(|_| !is_withdrawn);
         self.record_end_under_parts(&service, &attempt, &parts, outcome, now);
@@ -371,6 +371,9 @@
     ) {
         self.waiting.remove(&id);
         if let Some(active) = self.remove_call(id) {
+            if matches!(effect, GatewayEffect::Deliver { .. }) {
+                self.route_durations.observe(&active.route.name, now.since(active.arrived_at));
+            }
             let stats = CallStats {
                 route: active.route.name.clone(),
                 customer: active.account.as_ref().map(|account| account.customer.clone()),
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -35,8 +35,10 @@
 use crate::gateway::rollout::Rollout;
 use crate::gateway::rollout::RolloutOrder;
 use crate::gateway::rollout::RolloutRecord;
+use crate::gateway::route_durations::RouteDurations;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::size_table::SizeTable;
+use crate::gateway::stopping::Stop;
 use crate::gateway::store_position::StoreEra;
 use crate::gateway::store_position::StorePosition;
 use crate::gateway::typical_times::TypicalTimes;
@@ -76,8 +78,9 @@
     pub(super) retry_budgets: HashMap<ServiceName, RetryBudget>,
     /// Version and end of the last use of each tracked session.
     pub(super) sessions: HashMap<CompactString, (CompactString, TimeMs)>,
-    /// When a stopping gateway starts to reject new requests; `None` unless it is stopping.
-    pub(super) refuse_from: Option<TimeMs>,
+    pub(super) route_durations: RouteDurations,
+    /// Times of a planned stop; `None` unless the gateway is stopping.
+    pub(super) stop: Option<Stop>,
     /// Latest rollout records, also of services without an order.
     pub(super) records: BTreeMap<ServiceName, RolloutRecord>,
     /// Orders that an older copy of the store contained, which may have been replaced since.
@@ -125,7 +128,8 @@
             waiting: BTreeSet::new(),
             retry_budgets: HashMap::new(),
             sessions: HashMap::new(),
-            refuse_from: None,
+            route_durations: RouteDurations::default(),
+            stop: None,
             records: BTreeMap::new(),
             deferred_orders: BTreeMap::new(),
             position: None,
@@ -207,11 +211,7 @@
                 self.on_attempt_ended(call, outcome, now, &mut effects);
             }
             GatewayEvent::CallerGone { call } => self.on_caller_gone(call, now),
-            GatewayEvent::Stop => {
-                // Callers keep sending requests until the platform has seen that the gateway is not
-                // ready.
-                self.refuse_from.get_or_insert(now + self.settings.stop_notice_ms);
-            }
+            GatewayEvent::Stop => self.on_stop(now),
         }
         self.contain(now, &mut effects);
         self.dispatch_waiting(now, &mut effects);
@@ -223,7 +223,7 @@
     /// new connections to gateways with direct access.
     pub fn is_ready(&self, now: TimeMs) -> bool {
         let limit_ms = self.settings.max_configuration_age_ms;
-        self.refuse_from.is_none()
+        self.stop.is_none()
             && self.catalog.is_some()
             && self.pool.iter().next().is_some()
             && self.freshness.is_within(limit_ms, now)
@@ -325,6 +325,7 @@
         self.expire_retained(now);
         self.pool.refresh_peer_loads(now);
         self.assess_quarantine(now);
+        self.end_calls_of_stop(now, effects);
         self.expire_permits(now, effects);
         self.expire_calls(now, effects);
         self.abandon_unresponsive(now, effects);
--- a/crates/hickorydoor/src/gateway/settings.rs
+++ b/crates/hickorydoor/src/gateway/settings.rs
@@ -37,6 +37,9 @@
     pub store_recovery_grace_ms: DurationMs,
     /// How long new requests are still served after the request to stop.
     pub stop_notice_ms: DurationMs,
+    /// Maximum time from the request to stop until the process ends. Connections that are still open
+    /// then are dropped.
+    pub stop_timeout_ms: DurationMs,
     /// Factor on the rate bound of cold upstreams: all gateways together use up to this multiple of
     /// it.
     pub cold_limit_factor: f64,
--- a/crates/hickorydoor/src/time.rs
+++ b/crates/hickorydoor/src/time.rs
@@ -92,6 +92,12 @@
     pub const fn as_f64(self) -> f64 {
         self.0 as f64
     }
+
+    /// Subtracts `other`; returns zero if `other` is longer.
+    #[must_use]
+    pub const fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
 }
 
 impl Add for DurationMs {
--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -69,6 +69,7 @@
         session_ms: DurationMs::new(5_500),
         store_recovery_grace_ms: DurationMs::new(2_200),
         stop_notice_ms: DurationMs::new(2_600),
+        stop_timeout_ms: DurationMs::new(7_600),
         cold_limit_factor: 1.2,
     }
 }
