--- a/crates/hickoryd/tests/upstream_faults.rs
+++ b/crates/hickoryd/tests/upstream_faults.rs
@@ -154,3 +154,31 @@
     }
     panic!("the service is not used again: {last:?}");
 }
+
+/// Guards against a response that ends in its head and reaches the caller as a success.
+#[tokio::test]
+async fn response_that_ends_in_its_head_is_no_success() -> Result<(), AnyError> {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 24\r\n\r";
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let url = format!("http://{}", listener.local_addr()?);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _peer)) = listener.accept().await {
+            let Ok(Some(path)) = read_path(&mut stream).await else {
+                continue;
+            };
+            let interim =
+                if path.contains("interim") { "HTTP/1.1 103 Early Hints\r\n\r\n" } else { "" };
+            let length = path.rsplit('-').next().and_then(|text| text.parse().ok());
+            let head = &HEAD[..length.unwrap_or(HEAD.len()).min(HEAD.len())];
+            drop(stream.write_all(format!("{interim}{head}").as_bytes()).await);
+        }
+    });
+    let fleet = start_with_service(url).await?;
+    for length in 0..=HEAD.len() {
+        for kind in ["plain", "interim"] {
+            let (status, body) = get(&fleet, &format!("{kind}-{length}")).await?;
+            assert!((500..600).contains(&status), "{kind}, {length} bytes: {status} {body}");
+        }
+    }
+    Ok(())
+}
