Tell other gateways that an upstream leaves

What upstreams say, notices of leaving and limits, is now told in two digests, the first at once. A gateway spares an upstream that leaves by another's word while there is another upstream, for 10 s at most and not after the upstream's next start, so no word of another gateway takes a sound one out for good.

--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -248,7 +248,7 @@
             self.concentrate_canary_load(&active.service, &mut candidates);
         }
         let staying: Vec<&Upstream> =
-            candidates.iter().copied().filter(|upstream| !upstream.is_leaving()).collect();
+            candidates.iter().copied().filter(|upstream| !upstream.is_leaving(now)).collect();
         if !staying.is_empty() {
             candidates = staying;
         }
@@ -495,7 +495,12 @@
         if let Some(upstream) = self.pool.get_mut(&id)
             && upstream.registration.started_unix_ms == started_unix_ms
         {
+            let was_leaving = upstream.has_said_it_leaves();
             upstream.record_notice(notice, now);
+            if upstream.has_said_it_leaves() && !was_leaving {
+                self.upstream_news.add(id.clone());
+                effects.push(GatewayEffect::SendDigest);
+            }
         }
         if let Some(statement) = notice.limit.statement(now) {
             let own = self.settings.host.clone();
--- a/crates/hickorydoor/src/gateway/peer_digest.rs
+++ b/crates/hickorydoor/src/gateway/peer_digest.rs
@@ -9,13 +9,13 @@
 use crate::gateway::prompt_cache::ChainPart;
 use crate::gateway::quarantine::QuarantineReport;
 use crate::gateway::quarantine::WireQuarantine;
-use crate::gateway::rate_limits::DigestLimit;
-use crate::gateway::rate_limits::WireDigestLimit;
 use crate::gateway::rate_limits::WirePermit;
+use crate::gateway::rate_limits::WireUpstreamReport;
 use crate::gateway::rollout::RolloutRecord;
 use crate::gateway::store_position::StoreEra;
 use crate::gateway::store_position::StorePosition;
 use crate::gateway::upstreams::PeerLoad;
+use crate::gateway::upstreams::UpstreamReport;
 use crate::id::HostId;
 use crate::id::IdError;
 use crate::id::ServiceName;
@@ -73,8 +73,8 @@
     pub prefills: Vec<Prefill>,
     /// Prompt parts under which engines end.
     pub quarantine: QuarantineReport,
-    /// Limits of upstreams that the sender has learned from an answer a moment ago.
-    pub limits: Vec<DigestLimit>,
+    /// What upstreams have said to the sender a moment ago.
+    pub upstreams: Vec<UpstreamReport>,
 }
 
 /// Error of decoding a datagram.
@@ -207,7 +207,7 @@
     #[prost(message, optional, tag = "7")]
     quarantine: Option<WireQuarantine>,
     #[prost(message, repeated, tag = "8")]
-    limits: Vec<WireDigestLimit>,
+    upstreams: Vec<WireUpstreamReport>,
     /// Present if the datagram is about a permit and not a digest.
     #[prost(message, optional, tag = "9")]
     pub(super) permit: Option<WirePermit>,
@@ -262,7 +262,7 @@
             evidence: digest.evidence.iter().map(evidence).collect(),
             prefills: digest.prefills.iter().map(WirePrefill::from).collect(),
             quarantine: Some(WireQuarantine::from(&digest.quarantine)),
-            limits: digest.limits.iter().map(WireDigestLimit::from).collect(),
+            upstreams: digest.upstreams.iter().map(WireUpstreamReport::from).collect(),
             permit: None,
         }
     }
@@ -294,7 +294,11 @@
             evidence,
             prefills,
             quarantine: QuarantineReport::try_from(wire.quarantine.unwrap_or_default())?,
-            limits: wire.limits.into_iter().map(DigestLimit::try_from).collect::<Result<_, _>>()?,
+            upstreams: wire
+                .upstreams
+                .into_iter()
+                .map(UpstreamReport::try_from)
+                .collect::<Result<_, _>>()?,
         })
     }
 }
--- a/crates/hickorydoor/src/gateway/permit_exchange.rs
+++ b/crates/hickorydoor/src/gateway/permit_exchange.rs
@@ -1,7 +1,7 @@
-//! Limits of upstreams and the permits to send requests within them: what gateways tell each other.
+//! What gateways tell each other of upstreams: that they leave, their limits, and the permits to send
+//! requests within those.
 
 use crate::gateway::effect::GatewayEffect;
-use crate::gateway::rate_limits::DigestLimit;
 use crate::gateway::rate_limits::HeldPermit;
 use crate::gateway::rate_limits::LimitChange;
 use crate::gateway::rate_limits::LimitStatement;
@@ -13,6 +13,7 @@
 use crate::gateway::rate_limits::RequestRate;
 use crate::gateway::rate_limits::WantedPermit;
 use crate::gateway::reducer::Gateway;
+use crate::gateway::upstreams::UpstreamReport;
 use crate::id::HostId;
 use crate::id::UpstreamId;
 use crate::time::DurationMs;
@@ -46,19 +47,43 @@
             age_ms: now.since(statement.stated_at),
         })));
         if *source == self.settings.host {
-            self.limit_news.add(id.clone());
+            self.upstream_news.add(id.clone());
             effects.push(GatewayEffect::SendDigest);
         }
     }
 
-    /// Returns the limits that the next digest tells.
-    pub(super) fn limits_to_tell(&mut self, now: TimeMs) -> Vec<DigestLimit> {
-        let told = self.limit_news.take_next();
+    /// Records what an upstream has said to another gateway.
+    pub(super) fn on_upstream_reported(
+        &mut self,
+        host: &HostId,
+        report: &UpstreamReport,
+        now: TimeMs,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let UpstreamReport { upstream: id, started_unix_ms, is_leaving, limit } = report;
+        if let Some(limit) = limit {
+            let statement = LimitStatement { rate: limit.rate, stated_at: now - limit.age_ms };
+            self.learn_limit(id, *started_unix_ms, statement, host, now, effects);
+        }
+        if let Some(upstream) = self.pool.get_mut(id)
+            && *is_leaving
+            && upstream.registration.started_unix_ms == *started_unix_ms
+        {
+            upstream.record_reported_leaving(now);
+        }
+    }
+
+    /// Returns what the next digest tells of upstreams.
+    pub(super) fn upstreams_to_tell(&mut self, now: TimeMs) -> Vec<UpstreamReport> {
+        let told = self.upstream_news.take_next();
         let known = told.into_iter().filter_map(|upstream| {
             let known = self.pool.get(&upstream)?;
-            let limit = known.aged_limit(now)?;
-            let started_unix_ms = known.registration.started_unix_ms;
-            Some(DigestLimit { upstream, started_unix_ms, limit })
+            Some(UpstreamReport {
+                upstream,
+                started_unix_ms: known.registration.started_unix_ms,
+                is_leaving: known.has_said_it_leaves(),
+                limit: known.aged_limit(now),
+            })
         });
         known.collect()
     }
--- a/crates/hickorydoor/src/gateway/rate_limits/mod.rs
+++ b/crates/hickorydoor/src/gateway/rate_limits/mod.rs
@@ -13,11 +13,10 @@
 //! - A gateway that does not answer is passed over. The next one issues permits at half the rate,
 //!   since some gateways may still reach the first one.
 //! - A [`LimitStatement`] is what is known of a limit. The latest answer counts, whichever gateway
-//!   received it; [`LimitNews`] tells the others in digests, and each [`PermitMessage`] repeats it.
+//!   received it; [`UpstreamNews`](super::upstreams::UpstreamNews) tells the others in digests, and each [`PermitMessage`] repeats it.
 //!   A limit near zero still allows a request now and then, as only an answer can raise it.
 
 mod limit_change;
-mod limit_news;
 mod limit_statement;
 mod permit_issuer;
 mod permit_message;
@@ -27,8 +26,6 @@
 mod wire;
 
 pub use limit_change::LimitChange;
-pub use limit_news::DigestLimit;
-pub use limit_news::LimitNews;
 pub use limit_statement::LimitNotice;
 pub use limit_statement::LimitStatement;
 pub use permit_issuer::PermitIssuer;
@@ -45,5 +42,5 @@
 pub use request_rate::RequestRate;
 pub use request_rate::RequestRateError;
 pub use silent_issuers::SilentIssuers;
-pub use wire::WireDigestLimit;
 pub use wire::WirePermit;
+pub use wire::WireUpstreamReport;
--- a/crates/hickorydoor/src/gateway/rate_limits/wire.rs
+++ b/crates/hickorydoor/src/gateway/rate_limits/wire.rs
@@ -1,14 +1,14 @@
-//! Wire types of limits and permits.
+//! Wire types of what upstreams say, and of permits.
 
 use prost::Message;
 
 use crate::gateway::peer_digest::DigestError;
 use crate::gateway::rate_limits::AgedLimit;
-use crate::gateway::rate_limits::DigestLimit;
 use crate::gateway::rate_limits::PermitId;
 use crate::gateway::rate_limits::PermitMessage;
 use crate::gateway::rate_limits::PermitStep;
 use crate::gateway::rate_limits::RequestRate;
+use crate::gateway::upstreams::UpstreamReport;
 use crate::time::DurationMs;
 
 const REQUEST: u32 = 1;
@@ -16,16 +16,18 @@
 const GRANTED: u32 = 3;
 const DENIED: u32 = 4;
 
-/// Wire type of a limit in a digest.
+/// Wire type of what an upstream has said, in a digest.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
-pub struct WireDigestLimit {
+pub struct WireUpstreamReport {
     #[prost(string, tag = "1")]
     upstream: String,
     #[prost(uint64, tag = "2")]
     started_unix_ms: u64,
     #[prost(message, optional, tag = "3")]
     limit: Option<WireLimit>,
+    #[prost(bool, tag = "4")]
+    is_leaving: bool,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -75,24 +77,26 @@
     }
 }
 
-impl From<&DigestLimit> for WireDigestLimit {
-    fn from(known: &DigestLimit) -> Self {
+impl From<&UpstreamReport> for WireUpstreamReport {
+    fn from(report: &UpstreamReport) -> Self {
         Self {
-            upstream: known.upstream.to_string(),
-            started_unix_ms: known.started_unix_ms,
-            limit: Some(known.limit.into()),
+            upstream: report.upstream.to_string(),
+            started_unix_ms: report.started_unix_ms,
+            limit: report.limit.map(WireLimit::from),
+            is_leaving: report.is_leaving,
         }
     }
 }
 
-impl TryFrom<WireDigestLimit> for DigestLimit {
+impl TryFrom<WireUpstreamReport> for UpstreamReport {
     type Error = DigestError;
 
-    fn try_from(wire: WireDigestLimit) -> Result<Self, DigestError> {
+    fn try_from(wire: WireUpstreamReport) -> Result<Self, DigestError> {
         Ok(Self {
             upstream: wire.upstream.parse()?,
             started_unix_ms: wire.started_unix_ms,
-            limit: wire.limit.ok_or(DigestError::Limit)?.try_into()?,
+            is_leaving: wire.is_leaving,
+            limit: wire.limit.map(AgedLimit::try_from).transpose()?,
         })
     }
 }
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -23,9 +23,6 @@
 use crate::gateway::peer_digest::PeerDigest;
 use crate::gateway::peer_digest::Prefill;
 use crate::gateway::quarantine::QuarantineTable;
-use crate::gateway::rate_limits::DigestLimit;
-use crate::gateway::rate_limits::LimitNews;
-use crate::gateway::rate_limits::LimitStatement;
 use crate::gateway::rate_limits::PermitId;
 use crate::gateway::rate_limits::PermitIssuer;
 use crate::gateway::rate_limits::SilentIssuers;
@@ -43,6 +40,7 @@
 use crate::gateway::store_position::StorePosition;
 use crate::gateway::typical_times::TypicalTimes;
 use crate::gateway::upstreams::Upstream;
+use crate::gateway::upstreams::UpstreamNews;
 use crate::gateway::upstreams::UpstreamPool;
 use crate::id::DataCentreId;
 use crate::id::HostId;
@@ -100,7 +98,7 @@
     sequence: u64,
     pub(super) recent_prefills: VecDeque<(TimeMs, Prefill)>,
     pub(super) quarantine: QuarantineTable,
-    pub(super) limit_news: LimitNews,
+    pub(super) upstream_news: UpstreamNews,
     pub(super) permit_issuer: PermitIssuer,
     pub(super) silent_issuers: SilentIssuers,
     /// Number of the last request for a permit.
@@ -141,7 +139,7 @@
             sequence: 0,
             recent_prefills: VecDeque::new(),
             quarantine: QuarantineTable::default(),
-            limit_news: LimitNews::default(),
+            upstream_news: UpstreamNews::default(),
             permit_issuer: PermitIssuer::default(),
             silent_issuers: SilentIssuers::default(),
             last_permit,
@@ -254,7 +252,7 @@
     /// Builds the next digest for the other gateways.
     pub fn digest(&mut self, now: TimeMs) -> PeerDigest {
         self.sequence += 1;
-        let limits = self.limits_to_tell(now);
+        let upstreams = self.upstreams_to_tell(now);
         self.recent_prefills.retain(|(sent_at, _)| now.since(*sent_at) <= PREFILL_REPORT_MS);
         let evidence = self.rollouts.values().map(|rollout| DigestEvidence {
             service: rollout.order().service.clone(),
@@ -277,7 +275,7 @@
                 |upstream| self.pool.get(upstream)?.last_alive_at,
                 now,
             ),
-            limits,
+            upstreams,
         }
     }
 
@@ -344,9 +342,8 @@
         }
         self.peers.insert(digest.host.clone(), newest);
         self.quarantine.apply_report(&digest.host, digest.incarnation, digest.quarantine, now);
-        for DigestLimit { upstream, started_unix_ms, limit } in digest.limits {
-            let statement = LimitStatement { rate: limit.rate, stated_at: now - limit.age_ms };
-            self.learn_limit(&upstream, started_unix_ms, statement, &digest.host, now, effects);
+        for report in &digest.upstreams {
+            self.on_upstream_reported(&digest.host, report, now, effects);
         }
         for known in digest.evidence {
             let Some(rollout) = self.rollouts.get_mut(&known.service) else {
--- a/crates/hickorydoor/src/gateway/upstreams/mod.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/mod.rs
@@ -8,6 +8,7 @@
 mod cold_share;
 mod failure_score;
 mod upstream;
+mod upstream_news;
 mod upstream_notice;
 mod upstream_pool;
 
@@ -17,6 +18,8 @@
 pub use upstream::PeerLoad;
 pub use upstream::Registration;
 pub use upstream::Upstream;
+pub use upstream_news::UpstreamNews;
+pub use upstream_news::UpstreamReport;
 pub use upstream_notice::UpstreamNotice;
 pub use upstream_notice::parse_pause;
 pub use upstream_pool::Departure;
--- a/crates/hickorydoor/src/gateway/upstreams/upstream.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream.rs
@@ -30,6 +30,10 @@
 /// for which it serves after its notice.
 const LEAVING_GRACE_MS: DurationMs = DurationMs::new(1_000);
 
+/// How long an upstream that leaves is spared on the word of another gateway; its registration says
+/// the same within this time.
+const REPORTED_LEAVING_MS: DurationMs = DurationMs::from_secs(10);
+
 /// An upstream's registration in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Registration {
@@ -98,6 +102,8 @@
     pub has_cold_capacity: bool,
     /// When an answer first said that the upstream is about to leave.
     leaving_since: Option<TimeMs>,
+    /// Until when the upstream is spared because of what another gateway has reported.
+    reported_leaving_until: Option<TimeMs>,
     /// Until when the upstream wants no requests of this gateway.
     paused_until: Option<TimeMs>,
     /// What the upstream last said about its limit.
@@ -125,6 +131,7 @@
             cache: PromptCache::default(),
             has_cold_capacity: false,
             leaving_since: None,
+            reported_leaving_until: None,
             paused_until: None,
             limit: None,
             permits: Permits::default(),
@@ -197,11 +204,22 @@
         self.limit.and_then(|statement| statement.rate)
     }
 
-    /// Returns whether the upstream has said that it is about to leave.
-    pub const fn is_leaving(&self) -> bool {
+    /// Records that the upstream has said to another gateway that it is about to leave.
+    pub fn record_reported_leaving(&mut self, now: TimeMs) {
+        self.reported_leaving_until = Some(now + REPORTED_LEAVING_MS);
+    }
+
+    /// Returns whether the upstream has said to this gateway that it is about to leave.
+    pub const fn has_said_it_leaves(&self) -> bool {
         self.leaving_since.is_some()
     }
 
+    /// Returns whether the upstream has said to any gateway that it is about to leave, so that
+    /// another is better.
+    pub fn is_leaving(&self, now: TimeMs) -> bool {
+        self.leaving_since.is_some() || self.reported_leaving_until.is_some_and(|until| now < until)
+    }
+
     /// Returns when the upstream takes a new request, as far as its answers say. One that leaves
     /// still does so for a while, for lack of another.
     pub fn availability(&self, now: TimeMs) -> Availability {
--- a/crates/hickorydoor/tests/gateway_notices.rs
+++ b/crates/hickorydoor/tests/gateway_notices.rs
@@ -7,6 +7,7 @@
 use hickorydoor::gateway::GatewayEvent;
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::event::NotRun;
+use hickorydoor::gateway::peer_digest::PeerDigest;
 use hickorydoor::gateway::rate_limits::LimitNotice;
 use hickorydoor::gateway::refusal::RefusalReason;
 use hickorydoor::gateway::upstreams::UpstreamNotice;
@@ -104,6 +105,58 @@
     assert!(dispatch(&rig.send(call("/look/1", "again")).1).is_some());
 }
 
+/// Returns how many of some requests are sent to the first upstream.
+fn sent_to_first(rig: &mut Rig, name: &str) -> usize {
+    let sent = (0..12).filter_map(|number| {
+        let (id, effects) = rig.send(call("/look/1", &format!("{name}-{number}")));
+        let upstream = dispatch(&effects).map(|sent| sent.upstream.to_string());
+        rig.end_attempt(id, AttemptOutcome::Served);
+        upstream
+    });
+    sent.filter(|upstream| upstream == "p-0").count()
+}
+
+#[test]
+fn other_gateways_spare_an_upstream_that_leaves_while_there_is_another() {
+    for upstreams in [1, 3] {
+        let (mut told, mut other) = (rig(upstreams), Rig::new("gw-2"));
+        for index in 0..upstreams {
+            other.register(registration(&format!("p-{index}"), PLAIN));
+        }
+        let notice = |upstream: &str| {
+            if upstream == "p-0" { LEAVING } else { UpstreamNotice::default() }
+        };
+        for number in 0..12 {
+            send(&mut told, number, notice);
+        }
+        let digest = PeerDigest::decode(&told.gateway.digest(told.now).encode()).unwrap();
+        other.apply(GatewayEvent::Digest(Box::new(digest)));
+        let sent = sent_to_first(&mut other, "told");
+        assert_eq!(sent, if upstreams == 1 { 12 } else { 0 });
+        if upstreams == 1 {
+            continue;
+        }
+        let mut again = registration("p-0", PLAIN);
+        again.started_unix_ms += 1;
+        other.register(again);
+        assert!(sent_to_first(&mut other, "again") > 0, "it has started again");
+    }
+}
+
+#[test]
+fn word_of_another_gateway_takes_no_upstream_out_for_good() {
+    let (mut told, mut other) = (rig(1), Rig::new("gw-2"));
+    for index in 0..2 {
+        other.register(registration(&format!("p-{index}"), PLAIN));
+    }
+    send(&mut told, 0, |_| LEAVING);
+    let digest = told.gateway.digest(told.now);
+    other.apply(GatewayEvent::Digest(Box::new(digest)));
+    assert_eq!(sent_to_first(&mut other, "told"), 0);
+    other.advance(10_050);
+    assert!(sent_to_first(&mut other, "later") > 0);
+}
+
 #[test]
 fn pause_is_a_number_of_seconds() {
     for (text, wanted_ms) in [("4", 4_000), ("0.25", 250), (" 0 ", 0), ("1e9", 60_000)] {
