Honour at agents what an upstream says of itself

What an upstream says is now one value, UpstreamRoom, which the gateway's upstreams and the agent ask the same question. All calls to an upstream go through its agent, so it issues the permits of a limit to itself; what does not fit is refused as not run, with the time until there is room. Entries are told at once that the upstream leaves. An upstream that was down starts without notices.

--- a/crates/hickoryd/src/gateway/header_names.rs
+++ b/crates/hickoryd/src/gateway/header_names.rs
@@ -2,6 +2,9 @@
 
 use http::HeaderName;
 
+use crate::upstream_notice::LEAVING;
+use crate::upstream_notice::LIMIT;
+
 /// Names of the headers that a gateway reads and sets. The defaults are the product's own names; a
 /// platform adapter may replace them.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -68,8 +71,8 @@
             signature: name("x-hickorydoor-signature"),
             confidence: name("x-hickorydoor-answer-confidence"),
             not_run: name("x-hickorydoor-run"),
-            leaving: name("x-hickorydoor-leaving"),
-            limit: name("x-hickorydoor-limit"),
+            leaving: LEAVING,
+            limit: LIMIT,
             reserved: Vec::new(),
         }
     }
--- a/crates/hickoryd/src/gateway/upstream_request.rs
+++ b/crates/hickoryd/src/gateway/upstream_request.rs
@@ -11,10 +11,7 @@
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::event::NotRun;
 use hickorydoor::gateway::event::ResponseFault;
-use hickorydoor::gateway::rate_limits::LimitNotice;
-use hickorydoor::gateway::rate_limits::RequestRate;
 use hickorydoor::gateway::upstreams::UpstreamNotice;
-use hickorydoor::gateway::upstreams::parse_pause;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
@@ -36,6 +33,7 @@
 use crate::gateway::connection::client_handshake;
 use crate::gateway::header_names::HeaderNames;
 use crate::gateway::response::remove_hop_by_hop_headers;
+use crate::upstream_notice::read_notice;
 
 /// The part of a caller's request that is forwarded in every attempt.
 #[derive(Clone, Debug)]
@@ -160,34 +158,7 @@
     if !template.matches_response(headers, names) || status == StatusCode::MISDIRECTED_REQUEST {
         return UpstreamNotice::default();
     }
-    let asked = headers.get(header::RETRY_AFTER);
-    let asked = asked.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
-    let pause_ms = asked.and_then(|value| parse_pause(value.to_str().ok()?));
-    if asked.is_some() && pause_ms.is_none() {
-        warn!(value:? = asked; "pause that an upstream asks for is no number of seconds; ignoring it");
-    }
-    let is_leaving = headers.get(&names.leaving).is_some_and(|value| value == "1");
-    UpstreamNotice { is_leaving, pause_ms, limit: limit_of(headers, names) }
-}
-
-/// Reads the limit of an upstream; of several, the lowest counts. A limit that cannot be read says
-/// nothing.
-fn limit_of(headers: &HeaderMap, names: &HeaderNames) -> LimitNotice {
-    let values = headers.get_all(&names.limit);
-    if values.iter().next().is_none() {
-        return LimitNotice::Unlimited;
-    }
-    let mut lowest: Option<RequestRate> = None;
-    for value in values {
-        match value.to_str().unwrap_or_default().parse::<RequestRate>() {
-            Ok(rate) => lowest = Some(lowest.filter(|known| *known < rate).unwrap_or(rate)),
-            Err(error) => warn!(
-                value:? = value, reason:% = error;
-                "limit of an upstream cannot be read; ignoring it"
-            ),
-        }
-    }
-    lowest.map_or(LimitNotice::Silent, LimitNotice::Limited)
+    read_notice(status, headers, &names.leaving, &names.limit)
 }
 
 async fn open(
--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -63,6 +63,7 @@
 mod tls;
 mod upstream_call;
 mod upstream_connection;
+mod upstream_notice;
 mod write_timeout;
 
 pub use agent_process::AgentOptions;
--- a/crates/hickoryd/src/telemetry.rs
+++ b/crates/hickoryd/src/telemetry.rs
@@ -8,6 +8,7 @@
 use compact_str::ToCompactString;
 use compact_str::format_compact;
 use hickorydoor::TimeMs;
+use hickorydoor::gateway::rate_limits::RequestRate;
 use hickorydoor::id::AttemptId;
 use hickorydoor::id::HostId;
 use hickorydoor::id::RequestId;
@@ -159,6 +160,12 @@
             Observation::AgentUsable { agent, usable } => {
                 info!(upstream:% = agent, usable = usable; "usability of an agent changed");
             }
+            Observation::UpstreamLeaves => info!("upstream says that it leaves"),
+            Observation::UpstreamLimitChanged { limit, previous } => info!(
+                limit_per_s = limit.map(RequestRate::per_s),
+                previous_per_s = previous.map(RequestRate::per_s);
+                "upstream names, changes or drops a limit"
+            ),
             other => debug!(observation:? = other; "observed"),
         }
     }
--- a/crates/hickoryd/src/upstream_call.rs
+++ b/crates/hickoryd/src/upstream_call.rs
@@ -35,6 +35,9 @@
 use crate::model_body;
 use crate::upstream_connection;
 use crate::upstream_connection::RequestError;
+use crate::upstream_notice::LEAVING;
+use crate::upstream_notice::LIMIT;
+use crate::upstream_notice::read_notice;
 
 const EVENT_STREAM: &str = "text/event-stream";
 const JSON: &str = "application/json";
@@ -91,6 +94,8 @@
                 RequestError::NoResponse(_) => UpstreamFault::ConnectionLost,
             })?;
         let status = response.status();
+        let notice = read_notice(status, response.headers(), &LEAVING, &LIMIT);
+        self.report(AgentEvent::UpstreamNoticed(notice)).await;
         if status.is_server_error() {
             return Err(UpstreamFault::ServerError);
         }
--- a/crates/hickorydoor/src/agent/attempt.rs
+++ b/crates/hickorydoor/src/agent/attempt.rs
@@ -35,7 +35,7 @@
 use crate::time::TimeMs;
 
 /// Delay after which an entry may retry a refused attempt.
-const RETRY_AFTER_MS: DurationMs = DurationMs::new(200);
+pub(crate) const RETRY_AFTER_MS: DurationMs = DurationMs::new(200);
 /// Weight of a new sample in the exponential moving average of the time to first token.
 const FIRST_TOKEN_SAMPLE_WEIGHT: f64 = 0.2;
 
@@ -72,6 +72,10 @@
             self.refuse(entry, &dispatch.attempt, reason);
             return;
         }
+        if let Err((reason, after_ms)) = self.take_room(now) {
+            self.refuse_with_retry_after(entry, &dispatch.attempt, reason, after_ms);
+            return;
+        }
         self.admit(entry, dispatch, now);
     }
 
--- a/crates/hickorydoor/src/agent/config.rs
+++ b/crates/hickorydoor/src/agent/config.rs
@@ -106,10 +106,13 @@
         self.send(entry, AgentMessage::Hello(reply));
     }
 
-    /// Whether the agent is shutting down, its host is leaving or its upstream is taken out of
-    /// service.
+    /// Whether the agent is shutting down, its host or its upstream is leaving, or its upstream is
+    /// taken out of service.
     pub(crate) const fn is_leaving(&self) -> bool {
-        self.draining || self.upstream_out || self.leaving_until_ms.is_some()
+        self.draining
+            || self.upstream_out
+            || self.leaving_until_ms.is_some()
+            || self.room.has_said_it_leaves()
     }
 
     /// Applies configured exceptions that take this upstream out of service. Entries are notified
@@ -149,6 +152,7 @@
         let was_up = std::mem::replace(&mut self.upstream_up, report.is_some());
         let Some(report) = report else {
             if was_up {
+                self.forget_upstream_notices();
                 self.reset_admission(now);
             }
             return;
--- a/crates/hickorydoor/src/agent/event.rs
+++ b/crates/hickorydoor/src/agent/event.rs
@@ -4,6 +4,7 @@
 use compact_str::CompactString;
 
 use crate::billing::usage::Usage;
+use crate::gateway::upstreams::UpstreamNotice;
 use crate::id::AttemptId;
 use crate::id::HostId;
 use crate::id::KvCallId;
@@ -93,6 +94,8 @@
         /// Determines whether the call may have been run.
         fault: UpstreamFault,
     },
+    /// An answer of the upstream says something of it.
+    UpstreamNoticed(UpstreamNotice),
     /// The upstream reported its load; `None` if it did not answer, so that it counts as down.
     UpstreamReport(Option<UpstreamReport>),
     /// A key-value call has ended.
--- a/crates/hickorydoor/src/agent/mod.rs
+++ b/crates/hickorydoor/src/agent/mod.rs
@@ -12,6 +12,7 @@
 //! - `config` maintains the configuration and the links to entries,
 //! - `usage_recovery` stores the usage of entries that were lost before they billed it,
 //! - `orders`, with [`lease`], loads and unloads versions on the engine,
+//! - `upstream_notice` keeps to what the upstream says of itself,
 //! - `evidence` and `pin` serve rollouts and their session pins.
 
 mod admission;
@@ -34,6 +35,7 @@
 mod resume;
 pub mod settings;
 pub mod speed_estimate;
+mod upstream_notice;
 mod usage_recovery;
 pub mod usage_store;
 
@@ -62,6 +64,9 @@
 use crate::configuration::Configuration;
 use crate::configuration::log::ConfigLog;
 use crate::configuration::pull::ConfigPull;
+use crate::gateway::rate_limits::PermitId;
+use crate::gateway::rate_limits::PermitIssuer;
+use crate::gateway::upstreams::UpstreamRoom;
 use crate::id::AttemptId;
 use crate::id::HostId;
 use crate::id::Incarnation;
@@ -148,6 +153,10 @@
     pub(crate) speed: SpeedEstimate,
     pub(crate) admission: AdmissionLimit,
     pub(crate) upstream_up: bool,
+    /// What the upstream has said of itself.
+    pub(crate) room: UpstreamRoom,
+    pub(crate) permit_issuer: PermitIssuer,
+    pub(crate) last_permit: PermitId,
     /// Moving average of the time to the first token.
     pub(crate) first_token_ms: f64,
     pub(crate) pull: ConfigPull,
@@ -207,6 +216,9 @@
                 now,
             ),
             upstream_up: true,
+            room: UpstreamRoom::default(),
+            permit_issuer: PermitIssuer::default(),
+            last_permit: PermitId::default(),
             first_token_ms: 0.0,
             pull: ConfigPull::default(),
             leaving_until_ms: None,
@@ -245,6 +257,7 @@
             AgentEvent::UpstreamFailed { attempt, fault } => {
                 self.on_upstream_failed(&attempt, fault, now);
             }
+            AgentEvent::UpstreamNoticed(notice) => self.on_upstream_noticed(notice, now),
             AgentEvent::UpstreamReport(report) => self.on_upstream_report(report, now),
             AgentEvent::Kv { call, outcome } => self.on_kv(call, outcome, now),
             AgentEvent::Tick => self.on_tick(now),
--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -408,7 +408,7 @@
     match outcome {
         None | Some(AttemptOutcome::NotRun(NotRun::OtherInstance)) => {}
         // It has said how much it takes, so it is no sign of a broken upstream.
-        Some(AttemptOutcome::NotRun(NotRun::Refused)) if upstream.states_room(now) => {}
+        Some(AttemptOutcome::NotRun(NotRun::Refused)) if upstream.room.states_room(now) => {}
         // The deadline of a request may be short, and the upstream only busy.
         Some(AttemptOutcome::Unknown(ResponseFault::TimedOut)) => {
             if attempt.first_event_at.is_none() && is_first_event_late(attempt, now) {
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -114,7 +114,7 @@
                 return Attempted::NotPlaced;
             };
             let upstream = self.pool.get(&plan.choice.upstream);
-            match upstream.map(|upstream| upstream.availability(now)) {
+            match upstream.map(|upstream| upstream.room.availability(now)) {
                 Some(Availability::Now) => {
                     let dispatch = self.dispatch(id, plan, now).map(Box::new);
                     return dispatch.map_or(Attempted::NotPlaced, Attempted::Sent);
@@ -140,9 +140,9 @@
         let was_cold = upstream.is_cold(now);
         let backlog_ms = upstream.backlog_ms();
         let in_flight = upstream.total_in_flight();
-        let limit = upstream.limit();
+        let limit = upstream.room.limit();
         if limit.is_some() {
-            upstream.permits.take(now);
+            upstream.room.permits.take(now);
         }
         upstream.record_dispatch(now);
         upstream.prefill_ms += choice.prefill_ms;
@@ -248,7 +248,7 @@
             self.concentrate_canary_load(&active.service, &mut candidates);
         }
         let staying: Vec<&Upstream> =
-            candidates.iter().copied().filter(|upstream| !upstream.is_leaving(now)).collect();
+            candidates.iter().copied().filter(|upstream| !upstream.room.is_leaving(now)).collect();
         if !staying.is_empty() {
             candidates = staying;
         }
@@ -389,7 +389,7 @@
         self.is_eligible(active, upstream)
             && has_capacity
             && (!upstream.is_cold(now) || upstream.has_cold_capacity)
-            && upstream.availability(now).is_candidate()
+            && upstream.room.availability(now).is_candidate()
     }
 
     /// Returns whether an upstream can run a request at all, whatever its load.
@@ -452,7 +452,7 @@
         let mut is_limited = false;
         let eligible = self.pool.iter().filter(|upstream| self.is_eligible(active, upstream));
         for upstream in eligible {
-            let at = match upstream.availability(now) {
+            let at = match upstream.room.availability(now) {
                 Availability::Never => continue,
                 Availability::Now | Availability::WithPermit | Availability::PermitRequested => {
                     return None;
@@ -460,8 +460,8 @@
                 Availability::AfterPause(at) => at,
                 Availability::AfterPermit(at) => {
                     is_limited = true;
-                    awaited_permits += upstream.permits.awaited();
-                    if upstream.permits.can_reserve(active.wait_until, now)
+                    awaited_permits += upstream.room.permits.awaited();
+                    if upstream.room.permits.can_reserve(active.wait_until, now)
                         && reservable.is_none_or(|(known, _)| at < known)
                     {
                         reservable = Some((at, &upstream.registration.upstream));
@@ -495,9 +495,9 @@
         if let Some(upstream) = self.pool.get_mut(&id)
             && upstream.registration.started_unix_ms == started_unix_ms
         {
-            let was_leaving = upstream.has_said_it_leaves();
-            upstream.record_notice(notice, now);
-            if upstream.has_said_it_leaves() && !was_leaving {
+            let was_leaving = upstream.room.has_said_it_leaves();
+            upstream.room.record_notice(notice, now);
+            if upstream.room.has_said_it_leaves() && !was_leaving {
                 self.upstream_news.add(id.clone());
                 effects.push(GatewayEffect::SendDigest);
             }
@@ -513,7 +513,7 @@
     pub fn is_limited(&self, id: CallId) -> bool {
         let attempt = self.calls.get(&id).and_then(|active| active.attempt.as_ref());
         let upstream = attempt.and_then(|attempt| self.pool.get(&attempt.upstream));
-        upstream.is_some_and(|upstream| upstream.limit().is_some())
+        upstream.is_some_and(|upstream| upstream.room.limit().is_some())
     }
 
     fn preferred_version(&self, active: &ActiveCall, now: TimeMs) -> Option<PreferredVersion> {
--- a/crates/hickorydoor/src/gateway/permit_exchange.rs
+++ b/crates/hickorydoor/src/gateway/permit_exchange.rs
@@ -36,7 +36,7 @@
         else {
             return;
         };
-        let Some(previous) = upstream.record_limit(statement) else {
+        let Some(previous) = upstream.room.record_limit(statement) else {
             return;
         };
         effects.push(GatewayEffect::LimitChanged(Box::new(LimitChange {
@@ -69,7 +69,7 @@
             && *is_leaving
             && upstream.registration.started_unix_ms == *started_unix_ms
         {
-            upstream.record_reported_leaving(now);
+            upstream.room.record_reported_leaving(now);
         }
     }
 
@@ -81,8 +81,8 @@
             Some(UpstreamReport {
                 upstream,
                 started_unix_ms: known.registration.started_unix_ms,
-                is_leaving: known.has_said_it_leaves(),
-                limit: known.aged_limit(now),
+                is_leaving: known.room.has_said_it_leaves(),
+                limit: known.room.aged_limit(now),
             })
         });
         known.collect()
@@ -102,7 +102,7 @@
         let Some(upstream) = self.pool.get_mut(id) else {
             return true;
         };
-        let Some(rate) = upstream.limit() else {
+        let Some(rate) = upstream.room.limit() else {
             return true;
         };
         self.last_permit.0 += 1;
@@ -115,7 +115,7 @@
             sent_at: now,
             tries: 1,
         };
-        upstream.permits.record_request(pending.clone());
+        upstream.room.permits.record_request(pending.clone());
         if pending.issuer != *own {
             effects.extend(self.permit_request(id, pending, now));
             return false;
@@ -131,9 +131,9 @@
         };
         match self.permit_issuer.issue(&wanted, now) {
             Ok(after_ms) => {
-                upstream.permits.record_granted(pending.id, after_ms, now);
+                upstream.room.permits.record_granted(pending.id, after_ms, now);
             }
-            Err(after_ms) => upstream.permits.record_denied(pending.id, after_ms, now),
+            Err(after_ms) => upstream.room.permits.record_denied(pending.id, after_ms, now),
         }
         true
     }
@@ -177,8 +177,8 @@
             PermitStep::Granted { after_ms } => {
                 self.silent_issuers.record_answer(host);
                 let known = self.pool.get_mut(upstream);
-                let is_wanted =
-                    known.is_some_and(|known| known.permits.record_granted(*id, after_ms, now));
+                let is_wanted = known
+                    .is_some_and(|known| known.room.permits.record_granted(*id, after_ms, now));
                 if !is_wanted {
                     let step = PermitStep::Return;
                     effects.extend(self.permit_message(host, *id, upstream, step, now));
@@ -187,7 +187,7 @@
             PermitStep::Denied { after_ms } => {
                 self.silent_issuers.record_answer(host);
                 if let Some(known) = self.pool.get_mut(upstream) {
-                    known.permits.record_denied(*id, after_ms, now);
+                    known.room.permits.record_denied(*id, after_ms, now);
                 }
             }
         }
@@ -199,7 +199,7 @@
         let stated = message.limit.and_then(|limit| limit.rate);
         let known = self.pool.get(&message.upstream);
         match known.filter(|known| known.registration.started_unix_ms == message.started_unix_ms) {
-            Some(known) => known.limit(),
+            Some(known) => known.room.limit(),
             None => stated,
         }
     }
@@ -208,11 +208,11 @@
     pub(super) fn expire_permits(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
         let mut returned: Vec<(UpstreamId, HeldPermit)> = Vec::new();
         let mut repeated: Vec<(UpstreamId, PendingPermit)> = Vec::new();
-        for upstream in self.pool.iter_mut().filter(|upstream| upstream.limit().is_some()) {
+        for upstream in self.pool.iter_mut().filter(|upstream| upstream.room.limit().is_some()) {
             let id = &upstream.registration.upstream;
-            let expired = upstream.permits.expire(now).into_iter();
+            let expired = upstream.room.permits.expire(now).into_iter();
             returned.extend(expired.map(|permit| (id.clone(), permit)));
-            match upstream.permits.overdue(now) {
+            match upstream.room.permits.overdue(now) {
                 Some(Overdue::Repeat(pending)) => repeated.push((id.clone(), pending)),
                 Some(Overdue::Unanswered(host)) => self.silent_issuers.record_silence(host, now),
                 None => {}
@@ -257,7 +257,7 @@
             id,
             upstream: upstream.clone(),
             started_unix_ms: known.registration.started_unix_ms,
-            limit: known.aged_limit(now),
+            limit: known.room.aged_limit(now),
             step,
         };
         Some(GatewayEffect::SendPermit { host: host.clone(), message: Box::new(message) })
--- a/crates/hickorydoor/src/gateway/upstreams/mod.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! An [`Upstream`] combines its registration with what its answers say ([`UpstreamNotice`]), its
 //! load, including the load that other gateways report, and its recent failures. Its
-//! [`Availability`] is what dispatching asks. The [`UpstreamPool`] holds all of them.
+//! [`UpstreamRoom`] tells whether a request may be sent now ([`Availability`]); agents ask it too. The [`UpstreamPool`] holds all of them.
 
 mod availability;
 mod cold_share;
@@ -11,6 +11,7 @@
 mod upstream_news;
 mod upstream_notice;
 mod upstream_pool;
+mod upstream_room;
 
 pub use availability::Availability;
 pub use cold_share::cold_share;
@@ -24,3 +25,4 @@
 pub use upstream_notice::parse_pause;
 pub use upstream_pool::Departure;
 pub use upstream_pool::UpstreamPool;
+pub use upstream_room::UpstreamRoom;
--- a/crates/hickorydoor/src/observation.rs
+++ b/crates/hickorydoor/src/observation.rs
@@ -4,6 +4,7 @@
 
 use crate::billing::usage::Usage;
 use crate::class::Class;
+use crate::gateway::rate_limits::RequestRate;
 use crate::id::AttemptId;
 use crate::id::CascadeId;
 use crate::id::CustomerId;
@@ -86,6 +87,15 @@
 pub enum Observation {
     /// A request ended.
     Request(Box<RequestRecord>),
+    /// The upstream has said that it leaves.
+    UpstreamLeaves,
+    /// The upstream has named, changed or dropped a limit on its requests.
+    UpstreamLimitChanged {
+        /// Limit in force; `None` if there is none any more.
+        limit: Option<RequestRate>,
+        /// Limit before.
+        previous: Option<RequestRate>,
+    },
     /// A cascade released an answer.
     Cascade(Box<CascadeRecord>),
     /// An attempt was sent to an agent.
