--- a/crates/hickorydoor/tests/gateway/limit_fleet.rs
+++ b/crates/hickorydoor/tests/gateway/limit_fleet.rs
@@ -118,6 +118,8 @@
     pub is_lost: fn(from: usize, to: usize, at_ms: u64) -> bool,
     /// Messages between gateways beside digests.
     pub messages: usize,
+    /// Their bytes.
+    pub message_bytes: usize,
     path: &'static str,
     open: HashMap<(usize, CallId), u64>,
     paused_until: Vec<u64>,
@@ -150,6 +152,7 @@
             ended: Vec::new(),
             is_lost: |_, _, _| false,
             messages: 0,
+            message_bytes: 0,
             path,
             open: HashMap::new(),
             paused_until: vec![0; gateways],
@@ -362,9 +365,10 @@
                 GatewayEffect::SendPermit { host, message } => {
                     self.messages += 1;
                     let peer: usize = host.as_str()[3..].parse().unwrap();
+                    let host = self.rigs[gateway].gateway.host().clone();
+                    let bytes = PeerMessage::Permit { host, message: *message }.encode();
+                    self.message_bytes += bytes.len();
                     if !(self.is_lost)(gateway, peer, self.now_ms) {
-                        let host = self.rigs[gateway].gateway.host().clone();
-                        let bytes = PeerMessage::Permit { host, message: *message }.encode();
                         let PeerMessage::Permit { host, message } =
                             PeerMessage::decode(&bytes).unwrap()
                         else {
--- a/crates/hickorydoor/tests/gateway_limits.rs
+++ b/crates/hickorydoor/tests/gateway_limits.rs
@@ -66,10 +66,22 @@
     }
 }
 
+/// Returns the number of gateways of a large fleet, which the environment can raise.
+fn many_gateways() -> usize {
+    let set = std::env::var("HICKORY_LIMIT_GATEWAYS").ok();
+    set.and_then(|text| text.parse().ok()).unwrap_or(60)
+}
+
 #[test]
 fn small_limit_is_shared_by_many_gateways() {
+    let gateways = many_gateways();
     for others in [0, 2] {
-        play("/draft/1", &[1.0; 60], 1.4, 1, others);
+        let fleet = play("/draft/1", &vec![1.0; gateways], 1.4, 1, others);
+        let per_s = fleet.messages as f64 * 1_000.0 / END_MS as f64;
+        let bytes = fleet.message_bytes / fleet.messages;
+        println!(
+            "{gateways} gateways, {others} others: {per_s:.1} messages of {bytes} bytes a second"
+        );
     }
 }
 
