Name what a digest tells of upstreams, and bound the memory of route durations

UpstreamReport was also the name of an agent's load report; what one gateway tells the others of an upstream is now a PeerNotice. The durations of a route are kept with one significant digit, which takes about a tenth of the memory.

--- a/crates/hickorydoor/src/gateway/peer_digest.rs
+++ b/crates/hickorydoor/src/gateway/peer_digest.rs
@@ -9,13 +9,13 @@
 use crate::gateway::prompt_cache::ChainPart;
 use crate::gateway::quarantine::QuarantineReport;
 use crate::gateway::quarantine::WireQuarantine;
+use crate::gateway::rate_limits::WirePeerNotice;
 use crate::gateway::rate_limits::WirePermit;
-use crate::gateway::rate_limits::WireUpstreamReport;
 use crate::gateway::rollout::RolloutRecord;
 use crate::gateway::store_position::StoreEra;
 use crate::gateway::store_position::StorePosition;
 use crate::gateway::upstreams::PeerLoad;
-use crate::gateway::upstreams::UpstreamReport;
+use crate::gateway::upstreams::PeerNotice;
 use crate::id::HostId;
 use crate::id::IdError;
 use crate::id::ServiceName;
@@ -74,7 +74,7 @@
     /// Prompt parts under which engines end.
     pub quarantine: QuarantineReport,
     /// What upstreams have said to the sender a moment ago.
-    pub upstreams: Vec<UpstreamReport>,
+    pub notices: Vec<PeerNotice>,
 }
 
 /// Error of decoding a datagram.
@@ -207,7 +207,7 @@
     #[prost(message, optional, tag = "7")]
     quarantine: Option<WireQuarantine>,
     #[prost(message, repeated, tag = "8")]
-    upstreams: Vec<WireUpstreamReport>,
+    notices: Vec<WirePeerNotice>,
     /// Present if the datagram is about a permit and not a digest.
     #[prost(message, optional, tag = "9")]
     pub(super) permit: Option<WirePermit>,
@@ -262,7 +262,7 @@
             evidence: digest.evidence.iter().map(evidence).collect(),
             prefills: digest.prefills.iter().map(WirePrefill::from).collect(),
             quarantine: Some(WireQuarantine::from(&digest.quarantine)),
-            upstreams: digest.upstreams.iter().map(WireUpstreamReport::from).collect(),
+            notices: digest.notices.iter().map(WirePeerNotice::from).collect(),
             permit: None,
         }
     }
@@ -294,10 +294,10 @@
             evidence,
             prefills,
             quarantine: QuarantineReport::try_from(wire.quarantine.unwrap_or_default())?,
-            upstreams: wire
-                .upstreams
+            notices: wire
+                .notices
                 .into_iter()
-                .map(UpstreamReport::try_from)
+                .map(PeerNotice::try_from)
                 .collect::<Result<_, _>>()?,
         })
     }
--- a/crates/hickorydoor/src/gateway/permit_exchange.rs
+++ b/crates/hickorydoor/src/gateway/permit_exchange.rs
@@ -13,7 +13,7 @@
 use crate::gateway::rate_limits::RequestRate;
 use crate::gateway::rate_limits::WantedPermit;
 use crate::gateway::reducer::Gateway;
-use crate::gateway::upstreams::UpstreamReport;
+use crate::gateway::upstreams::PeerNotice;
 use crate::id::HostId;
 use crate::id::UpstreamId;
 use crate::time::DurationMs;
@@ -53,14 +53,14 @@
     }
 
     /// Records what an upstream has said to another gateway.
-    pub(super) fn on_upstream_reported(
+    pub(super) fn on_peer_notice(
         &mut self,
         host: &HostId,
-        report: &UpstreamReport,
+        notice: &PeerNotice,
         now: TimeMs,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let UpstreamReport { upstream: id, started_unix_ms, is_leaving, limit } = report;
+        let PeerNotice { upstream: id, started_unix_ms, is_leaving, limit } = notice;
         if let Some(limit) = limit {
             let statement = LimitStatement { rate: limit.rate, stated_at: now - limit.age_ms };
             self.learn_limit(id, *started_unix_ms, statement, host, now, effects);
@@ -74,11 +74,11 @@
     }
 
     /// Returns what the next digest tells of upstreams.
-    pub(super) fn upstreams_to_tell(&mut self, now: TimeMs) -> Vec<UpstreamReport> {
+    pub(super) fn notices_to_tell(&mut self, now: TimeMs) -> Vec<PeerNotice> {
         let told = self.upstream_news.take_next();
         let known = told.into_iter().filter_map(|upstream| {
             let known = self.pool.get(&upstream)?;
-            Some(UpstreamReport {
+            Some(PeerNotice {
                 upstream,
                 started_unix_ms: known.registration.started_unix_ms,
                 is_leaving: known.room.has_said_it_leaves(),
--- a/crates/hickorydoor/src/gateway/rate_limits/mod.rs
+++ b/crates/hickorydoor/src/gateway/rate_limits/mod.rs
@@ -42,5 +42,5 @@
 pub use request_rate::RequestRate;
 pub use request_rate::RequestRateError;
 pub use silent_issuers::SilentIssuers;
+pub use wire::WirePeerNotice;
 pub use wire::WirePermit;
-pub use wire::WireUpstreamReport;
--- a/crates/hickorydoor/src/gateway/rate_limits/wire.rs
+++ b/crates/hickorydoor/src/gateway/rate_limits/wire.rs
@@ -8,7 +8,7 @@
 use crate::gateway::rate_limits::PermitMessage;
 use crate::gateway::rate_limits::PermitStep;
 use crate::gateway::rate_limits::RequestRate;
-use crate::gateway::upstreams::UpstreamReport;
+use crate::gateway::upstreams::PeerNotice;
 use crate::time::DurationMs;
 
 const REQUEST: u32 = 1;
@@ -19,7 +19,7 @@
 /// Wire type of what an upstream has said, in a digest.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
-pub struct WireUpstreamReport {
+pub struct WirePeerNotice {
     #[prost(string, tag = "1")]
     upstream: String,
     #[prost(uint64, tag = "2")]
@@ -77,21 +77,21 @@
     }
 }
 
-impl From<&UpstreamReport> for WireUpstreamReport {
-    fn from(report: &UpstreamReport) -> Self {
+impl From<&PeerNotice> for WirePeerNotice {
+    fn from(notice: &PeerNotice) -> Self {
         Self {
-            upstream: report.upstream.to_string(),
-            started_unix_ms: report.started_unix_ms,
-            limit: report.limit.map(WireLimit::from),
-            is_leaving: report.is_leaving,
+            upstream: notice.upstream.to_string(),
+            started_unix_ms: notice.started_unix_ms,
+            limit: notice.limit.map(WireLimit::from),
+            is_leaving: notice.is_leaving,
         }
     }
 }
 
-impl TryFrom<WireUpstreamReport> for UpstreamReport {
+impl TryFrom<WirePeerNotice> for PeerNotice {
     type Error = DigestError;
 
-    fn try_from(wire: WireUpstreamReport) -> Result<Self, DigestError> {
+    fn try_from(wire: WirePeerNotice) -> Result<Self, DigestError> {
         Ok(Self {
             upstream: wire.upstream.parse()?,
             started_unix_ms: wire.started_unix_ms,
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -252,7 +252,7 @@
     /// Builds the next digest for the other gateways.
     pub fn digest(&mut self, now: TimeMs) -> PeerDigest {
         self.sequence += 1;
-        let upstreams = self.upstreams_to_tell(now);
+        let notices = self.notices_to_tell(now);
         self.recent_prefills.retain(|(sent_at, _)| now.since(*sent_at) <= PREFILL_REPORT_MS);
         let evidence = self.rollouts.values().map(|rollout| DigestEvidence {
             service: rollout.order().service.clone(),
@@ -275,7 +275,7 @@
                 |upstream| self.pool.get(upstream)?.last_alive_at,
                 now,
             ),
-            upstreams,
+            notices,
         }
     }
 
@@ -342,8 +342,8 @@
         }
         self.peers.insert(digest.host.clone(), newest);
         self.quarantine.apply_report(&digest.host, digest.incarnation, digest.quarantine, now);
-        for report in &digest.upstreams {
-            self.on_upstream_reported(&digest.host, report, now, effects);
+        for notice in &digest.notices {
+            self.on_peer_notice(&digest.host, notice, now, effects);
         }
         for known in digest.evidence {
             let Some(rollout) = self.rollouts.get_mut(&known.service) else {
--- a/crates/hickorydoor/src/gateway/route_durations.rs
+++ b/crates/hickorydoor/src/gateway/route_durations.rs
@@ -9,6 +9,8 @@
 
 /// Longest duration that is told apart.
 const MAX_MS: u64 = 600_000;
+/// Precision of the durations, which bounds the memory of a route.
+const SIGNIFICANT_DIGITS: u8 = 1;
 /// Quantile up to which durations count as usual.
 const USUAL_QUANTILE: f64 = 0.99;
 /// Requests after which the counts are halved, so that the latest ones weigh most.
@@ -41,7 +43,7 @@
     fn histogram(&mut self, route: &CompactString) -> Option<&mut Histogram<u32>> {
         if !self.routes.contains_key(route) {
             // The bounds are valid, so this does not fail.
-            let empty = Histogram::new_with_bounds(1, MAX_MS, 2).ok()?;
+            let empty = Histogram::new_with_bounds(1, MAX_MS, SIGNIFICANT_DIGITS).ok()?;
             self.routes.insert(route.clone(), empty);
         }
         self.routes.get_mut(route)
--- a/crates/hickorydoor/src/gateway/upstreams/upstream_news.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream_news.rs
@@ -10,9 +10,9 @@
 /// Maximum number of upstreams that a digest tells of.
 const MAX_UPSTREAMS: usize = 64;
 
-/// What an upstream has said, as a digest tells it.
+/// What an upstream has said to one gateway, as its digest tells the others.
 #[derive(Clone, Debug, PartialEq)]
-pub struct UpstreamReport {
+pub struct PeerNotice {
     /// Upstream that has said it.
     pub upstream: UpstreamId,
     /// Start of the upstream process in Unix milliseconds.
