--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -5,10 +5,11 @@
 //! [`GatewayEffect`]s. A request passes through `arrival`, `dispatching` and `attempt_end`. The
 //! decisions have modules of their own: [`placement`] chooses upstream and model, [`rollout`] moves
 //! a service to a new version, [`freshness`] tracks the age of the configuration, and
-//! [`retry_budget`] and [`upstreams::cold_share`] divide fleet-wide limits among gateways without messages.
-//! Limits that upstreams name are kept by permits, which one gateway issues for each upstream
-//! ([`rate_limits`]). Gateways exchange their load and evidence in a [`peer_digest`]. Prompt parts under which engines
-//! end are kept from them by a [`quarantine`].
+//! [`retry_budget`] and [`upstreams::cold_share`] divide fleet-wide limits among gateways without
+//! messages. Limits that upstreams name are kept by permits, which one gateway issues for each
+//! upstream ([`rate_limits`]). Gateways exchange their load and evidence in a [`peer_digest`].
+//! Prompt parts under which engines end are kept from them by a [`quarantine`]. A planned stop
+//! ([`stopping`]) passes on only what can usually be finished.
 //!
 //! These terms are used throughout:
 //!
