--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,7 +5,7 @@
 export TROUBLE
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/hickory-platform ] && [ -x target/review/standins ] || exit 2
-target/review/standins two-issuers review/4
+target/review/standins silent-issuers review/4
 code=$?
 [ $code -le 2 ] || code=2
 exit $code
--- a/review/standins/cases/mod.rs
+++ b/review/standins/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases, and what several of them use.
 
+mod crashing_part;
 mod endless_answer;
 mod frozen_sources;
 mod limit;
@@ -21,6 +22,7 @@
 pub fn run(case: &str, bed: &Bed) -> Verdict {
     match case {
         "silent-issuers" => silent_issuers::run(bed),
+        "crashing-part" => crashing_part::run(bed),
         "two-issuers" => two_issuers::run(bed),
         "frozen-sources" => frozen_sources::run(bed),
         "endless-answer" => endless_answer::run(bed),
@@ -39,12 +41,16 @@
              \"service\":\"registry\",\"max_attempts\":{attempts},\"public\":false}}"
         )
     };
-    let report = "{\"name\":\"r-report\",\"host\":\"api.example\",\"prefix\":\"/report/\",\
-         \"kind\":\"streaming\",\"timeout_ms\":8000,\"slo_ms\":3000,\"gap_target_ms\":1000,\
-         \"priority\":1,\"service\":\"engines\",\"max_attempts\":1,\"public\":false,\
-         \"sticky\":true,\"resumable\":false}";
+    let stream = |name: &str, attempts: u32, resumable: bool| {
+        format!(
+            "{{\"name\":\"r-{name}\",\"host\":\"api.example\",\"prefix\":\"/{name}/\",\
+             \"kind\":\"streaming\",\"timeout_ms\":15000,\"slo_ms\":3000,\"gap_target_ms\":1000,\
+             \"priority\":1,\"service\":\"engines\",\"max_attempts\":{attempts},\"public\":false,\
+             \"sticky\":true,\"resumable\":{resumable}}}"
+        )
+    };
     format!(
-        "{{\"version\":{version},\"routes\":[{},{},{report}],\
+        "{{\"version\":{version},\"routes\":[{},{},{},{}],\
          \"services\":[{{\"name\":\"engines\",\"health_path\":\"/health\",\"max_conns\":370,\
          \"protocol\":\"h1\",\"tls\":false,\"cold_s\":3.0,\"cold_per_s\":7.3,\
          \"engine\":{{\"slots\":64,\"kv_tokens\":361732,\"kv_token_bytes\":163840,\
@@ -55,6 +61,8 @@
          \"tenants\":[{{\"name\":\"tenant-1\",\"api_keys\":[{}],\"priority\":1}}]}}",
         route("book", "non_idempotent", 1),
         route("look", "idempotent", 2),
+        stream("report", 1, false),
+        stream("draft", 3, true),
         keys.join(",")
     )
 }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,6 +2,7 @@
 //! broken, 0 if it held, and 2 if the case could not run. `TROUBLE=0` leaves out the disruption.
 
 mod cases;
+mod crashing;
 mod engine;
 mod gateway;
 mod http;
