--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -195,6 +195,9 @@
             let found = query.split('&').filter_map(|part| part.split_once('='));
             found.filter(|(key, _)| *key == name).map(|(_, value)| decode(value)).next()
         };
+        if matches!(path, "/-/kv-txn" | "/-/kv-lease") {
+            self.record.line(&format!("store: gets a write, POST {path}"));
+        }
         match (request.word(0), path) {
             ("GET", "/-/kv-key") => self.key(stream, &argument("key").unwrap_or_default()),
             ("GET", "/-/kv-range") => self.range(
