Learn a part that ends engines again after all gateways were lost

Callers saw nearly every sound request of a service fail (1 to 9 of 190 served) after all gateways were killed at once: requests with the part went on to end one engine after the other, 76 to 86 of them later than allowed.

Cause: a part was passed over while this gateway alone had seen fewer than 5 recent attempts without it survive. While engines end one after the other hardly any attempt survives, so neither suspicion nor trials began; with many gateways each sees too few in any case.

Now suspicion does not wait for survivals; a quarantine waits for survivals at all gateways together, which digests report. Requests with fewer suspected parts are tried first, gateways take turns, and trials are spaced out from the third end on. An end under a trial is blamed on what was tried; other ends with a known or tried part no longer count as ends by chance. A part is quarantined only if nothing else can have caused one of its ends, and 200 ms after an end was noticed, so that other gateways have told what they know. An end with a part that the operator allows blames nothing beside it.

Tried and dropped: holding single-end parts of new requests (no better), the rank order of gateways without turns (two trials at once).

--- a/crates/hickorydoor/src/gateway/active_call.rs
+++ b/crates/hickorydoor/src/gateway/active_call.rs
@@ -59,6 +59,8 @@
     pub cancelled: Option<Cancellation>,
     /// Whether the stream has gone on for long enough to prove the parts of its prompt sound.
     pub proven: bool,
+    /// Parts of its prompt that were suspected when it was sent.
+    pub tried_parts: SmallVec<[PartId; 2]>,
 }
 
 /// What an attempt says about the version of its upstream during a rollout.
--- a/crates/hickorydoor/src/gateway/containment.rs
+++ b/crates/hickorydoor/src/gateway/containment.rs
@@ -50,6 +50,20 @@
         }
     }
 
+    /// Returns the suspected parts of a request's prompt.
+    pub(super) fn suspected_parts(
+        &self,
+        active: &ActiveCall,
+        now: TimeMs,
+    ) -> SmallVec<[PartId; 2]> {
+        if self.quarantine.is_clear() {
+            return SmallVec::new();
+        }
+        let parts = active.shared_parts();
+        let suspected = self.quarantine.suspected_among(&active.service, &parts, now);
+        suspected.into_iter().map(|key| key.part).collect()
+    }
+
     /// Returns the number of attempts in flight with a part that have not proven it sound.
     pub(super) fn unproven_attempts(&self, part: &PartKey) -> u32 {
         let is_unproven = |attempt: &Attempt| {
@@ -98,6 +112,7 @@
             version: attempt.version.clone(),
             is_confirmed,
             parts: SmallVec::from_slice(parts),
+            tried: if parts.is_empty() { SmallVec::new() } else { attempt.tried_parts.clone() },
         };
         match outcome {
             Some(AttemptOutcome::Served) => {
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -61,22 +61,22 @@
 const VERSION_WAIT_DIVISOR: u64 = 4;
 
 impl Gateway {
-    /// Dispatches queued requests by ascending priority number, as 0 is the most urgent, and the
-    /// oldest first within a priority. A process that was paused dispatches nothing until it knows
+    /// Dispatches queued requests by ascending priority number, as 0 is the most urgent. Within a
+    /// priority those with the fewest suspected prompt parts come first, and then the oldest. A process that was paused dispatches nothing until it knows
     /// what has changed meanwhile.
     pub(super) fn dispatch_waiting(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
         if self.waiting.is_empty() || self.freshness.is_resuming(now) {
             return;
         }
-        let mut order: Vec<(u8, CallId)> = Vec::with_capacity(self.waiting.len());
+        let mut order: Vec<(u8, usize, CallId)> = Vec::with_capacity(self.waiting.len());
         for id in &self.waiting {
             if let Some(active) = self.calls.get(id) {
-                order.push((active.priority(), *id));
+                order.push((active.priority(), self.suspected_parts(active, now).len(), *id));
             }
         }
         order.sort_unstable();
         let mut claimed_permits: BTreeMap<ServiceName, usize> = BTreeMap::new();
-        for (_, id) in order {
+        for (_, _, id) in order {
             let verdict = self.calls.get(&id).map(|active| self.verdict(active, now));
             let is_trial = match verdict {
                 Some(Verdict::Allowed) => false,
@@ -134,6 +134,7 @@
     fn dispatch(&mut self, id: CallId, plan: Plan, now: TimeMs) -> Option<Dispatch> {
         let Plan { choice, min_confidence } = plan;
         let active = self.calls.get(&id)?;
+        let tried_parts = self.suspected_parts(active, now);
         let memory_tokens = self.spec(&active.service).map_or(0, |spec| spec.memory_tokens);
         let active = self.calls.get_mut(&id)?;
         let upstream = self.pool.get_mut(&choice.upstream)?;
@@ -178,6 +179,7 @@
             stalled: false,
             cancelled: None,
             proven: false,
+            tried_parts,
         });
         let remaining_ms = active.remaining_ms(now);
         let pause_ms = match active.route.pause_ms.get() {
--- a/crates/hickorydoor/src/gateway/quarantine/end_log.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/end_log.rs
@@ -50,6 +50,7 @@
     pub version: CompactString,
     pub at: TimeMs,
     pub parts: BTreeSet<PartId>,
+    pub tried: BTreeSet<PartId>,
     pub cut_off: u32,
     pub is_confirmed: bool,
 }
@@ -78,6 +79,11 @@
                     known.end.parts.push(part);
                 }
             }
+            for part in seen.tried {
+                if !known.end.tried.contains(&part) && known.end.tried.len() < MAX_PARTS {
+                    known.end.tried.push(part);
+                }
+            }
             return;
         }
         if self.own.len() >= MAX_ENDS {
@@ -115,6 +121,11 @@
         own.chain(self.of_peers().map(|(end, at)| (&end.upstream, *at)))
     }
 
+    /// Returns the number of ends that another gateway reports.
+    pub fn count_of_peer(&self, peer: &(HostId, u64)) -> usize {
+        self.peers.get(peer).map_or(0, Vec::len)
+    }
+
     /// Replaces the ends that another gateway reports. Returns whether it knows one that it did not
     /// know before.
     pub fn set_peer(&mut self, peer: (HostId, u64), mut ends: Vec<(EngineEnd, TimeMs)>) -> bool {
@@ -141,6 +152,8 @@
                 let key = PartKey { service: service.clone(), part: *part };
                 survivals.last_at(&key).is_none_or(|last_at| last_at <= at)
             });
+            let EngineEnd { parts, tried, .. } = &mut known.end;
+            tried.retain(|part| parts.contains(part));
         }
         for ends in self.peers.values_mut() {
             ends.retain(|(_, at)| now.since(*at) <= END_TTL_MS);
@@ -172,6 +185,7 @@
             match merged.last_mut() {
                 Some(last) if last.upstream == end.upstream && at.since(last.at) <= SAME_END_MS => {
                     last.parts.extend(end.parts.iter().copied());
+                    last.tried.extend(end.tried.iter().copied());
                     last.cut_off += cut_off;
                     last.is_confirmed |= end.is_confirmed;
                 }
@@ -181,6 +195,7 @@
                     version: end.version.clone(),
                     at,
                     parts: end.parts.iter().copied().collect(),
+                    tried: end.tried.iter().copied().collect(),
                     cut_off,
                     is_confirmed: end.is_confirmed,
                 }),
--- a/crates/hickorydoor/src/gateway/quarantine/engine_end.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/engine_end.rs
@@ -20,4 +20,6 @@
     pub is_confirmed: bool,
     /// Parts of the attempts that may have caused the end, and have not been proven sound since.
     pub parts: SmallVec<[PartId; 8]>,
+    /// Those of the parts that were suspected and tried by one of the attempts.
+    pub tried: SmallVec<[PartId; 2]>,
 }
--- a/crates/hickorydoor/src/gateway/quarantine/mod.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/mod.rs
@@ -18,7 +18,13 @@
 //! - How many ends in a row are too many depends on how often attempts without the part end so, and
 //!   on how often the part was proven ([`ChanceModel`]). A part under which slightly fewer engines
 //!   ended is suspected: one request with it at a time runs in the whole fleet, on the engine with
-//!   the least load, and its result decides.
+//!   the least load, and its result decides. Gateways take turns to begin such a trial.
+//! - Gateways that know of no attempt that survived, as after the loss of all of them, suspect the
+//!   sound parts beside the one as well. So requests with fewer suspected parts are tried first, and
+//!   the parts that survive are cleared. An end under a trial is blamed on what was tried, not on
+//!   what ran beside it.
+//! - A part is quarantined once attempts without it have survived at all gateways together, and
+//!   once nothing else can have caused one of its ends. Until then its trials are spaced out.
 //! - A [`QuarantineRecord`] names parts that are refused. It is exchanged in digests, where the
 //!   latest change wins. After a while, or when the engines have been replaced by another version,
 //!   one request is tried again.
--- a/crates/hickorydoor/src/gateway/quarantine/quarantine_report.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/quarantine_report.rs
@@ -13,6 +13,8 @@
     pub part: PartKey,
     /// Attempts in flight that have not proven it sound.
     pub unproven: u32,
+    /// Recent attempts at the same service, without the part, that survived.
+    pub survived_without: u32,
 }
 
 /// Evidence and records of one gateway. Times are stated as ages, since clocks differ.
--- a/crates/hickorydoor/src/gateway/quarantine/quarantine_table.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/quarantine_table.rs
@@ -46,20 +46,35 @@
 const REVIEW_MS: DurationMs = DurationMs::from_secs(5);
 /// How long a response is remembered that another gateway had from an engine.
 const ALIVE_TTL_MS: DurationMs = DurationMs::from_secs(3);
-/// Minimum number of recent attempts without a part that survived. With fewer, nothing tells an end
-/// under the part from an end for another cause.
+/// Minimum number of recent attempts without a part that survived, at all gateways, before the part
+/// is quarantined. With fewer, nothing tells an end under the part from an end for another cause.
 const MIN_OTHER_SURVIVALS: f64 = 5.0;
+/// Time after an end was noticed until what other gateways know of it has arrived. No part is
+/// quarantined before.
+const SETTLED_AFTER_MS: DurationMs = DurationMs::new(200);
+/// Additional ends before several parts are quarantined together that nothing tells apart. Until then
+/// trials of requests with fewer of them may do so.
+const JOINT_MARGIN_ENDS: usize = 2;
 /// How long new requests wait after an end under a part of theirs.
 const PAUSE_MS: DurationMs = DurationMs::new(600);
 /// Time before an end within which a part must have been proven for new requests not to wait.
 const PAUSE_EXEMPTION_MS: DurationMs = DurationMs::from_secs(10);
 /// How long the report of another gateway about its attempts is used.
 const PEER_SUSPECT_TTL_MS: DurationMs = DurationMs::from_secs(2);
-/// Time from an end to the first trial, and between the gateways that may begin one, in the order of
-/// their ranks.
-const TRIAL_STAGGER_MS: u64 = 200;
-/// Number of ranks; later ones begin together with the last one.
-const MAX_TRIAL_RANK: u64 = 5;
+/// Time from an end to the first trial, and length of the slots in which gateways may begin one by
+/// turns.
+const TRIAL_SLOT_MS: u64 = 200;
+/// Maximum number of slots until the first gateway has another one.
+const MAX_TRIAL_SLOTS: u64 = 40;
+/// How much longer a request waits for its trial for each further suspected part that it holds. Those
+/// with fewer tell the parts apart.
+const FURTHER_PART_MS: u64 = 1_000;
+/// Ends under a part after which its trials are spaced out, until there is enough evidence.
+const SPACED_AFTER_ENDS: usize = 3;
+/// Additional time before the next trial then, doubled with each further end.
+const FIRST_SPACING_MS: u64 = 1_000;
+/// Maximum additional time.
+const MAX_SPACING_MS: u64 = 8_000;
 /// Time of the first quarantine, doubled with each further one.
 const FIRST_QUARANTINE_MS: u64 = 300_000;
 /// Maximum time of a quarantine.
@@ -84,6 +99,17 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Suspect {
     last_end_at: TimeMs,
+    ends: usize,
+}
+
+impl Suspect {
+    /// Returns when trials may begin.
+    fn trials_from(&self) -> TimeMs {
+        let further = self.ends.checked_sub(SPACED_AFTER_ENDS);
+        let spacing_ms =
+            further.map_or(0, |further| (FIRST_SPACING_MS << further.min(8)).min(MAX_SPACING_MS));
+        self.last_end_at + DurationMs::new(TRIAL_SLOT_MS + spacing_ms)
+    }
 }
 
 /// A record in force.
@@ -126,6 +152,8 @@
     /// Parts that the operator allows, whatever the evidence.
     allowed: BTreeSet<PartKey>,
     changes: Vec<QuarantineChange>,
+    /// When an end was last noticed, here or at another gateway.
+    noticed_at: Option<TimeMs>,
     /// Whether evidence has arrived since the last assessment.
     is_stale: bool,
     /// Whether the other gateways have to learn something soon.
@@ -137,6 +165,11 @@
     /// [`PROVEN_AFTER_MS`].
     pub fn record_survival(&mut self, service: &ServiceName, parts: &[PartId], now: TimeMs) {
         self.survivals.record(service, parts, now);
+        let mut keys = parts.iter().map(|part| PartKey { service: service.clone(), part: *part });
+        if !self.suspects.is_empty() && keys.any(|key| self.suspects.contains_key(&key)) {
+            self.is_stale = true;
+            self.is_urgent = true;
+        }
     }
 
     /// Records that the gateway has closed an attempt, whose parts `closed` names with its engine.
@@ -157,6 +190,9 @@
         self.add_departures(&seen, now);
         let is_unproven = !seen.parts.is_empty();
         self.ends.record(seen, is_unproven, now);
+        if is_unproven {
+            self.noticed_at = Some(now);
+        }
         self.is_stale = true;
         self.is_urgent |= is_unproven;
     }
@@ -188,6 +224,9 @@
             }
         }
         self.departures = remaining;
+        if has_found {
+            self.noticed_at = Some(noticed_at.max(self.noticed_at.unwrap_or_default()));
+        }
         self.is_stale |= has_found;
         self.is_urgent |= has_found;
     }
@@ -207,7 +246,11 @@
                 self.add_departures(end, *at);
             }
         }
-        self.is_stale |= self.ends.set_peer((host.clone(), incarnation), ends);
+        let peer = (host.clone(), incarnation);
+        if ends.len() > self.ends.count_of_peer(&peer) {
+            self.noticed_at = Some(now);
+        }
+        self.is_stale |= self.ends.set_peer(peer, ends);
         self.alive_at_peers.retain(|_, at| now.since(*at) <= ALIVE_TTL_MS);
         for (upstream, age_ms) in report.alive {
             let known = self.alive_at_peers.entry(upstream).or_default();
@@ -264,7 +307,11 @@
             alive: alive.into_iter().collect(),
             survivals: survivals.into_iter().take(MAX_REPORTED_PARTS).collect(),
             suspects: suspects
-                .map(|part| SuspectLoad { unproven: unproven(&part), part })
+                .map(|part| SuspectLoad {
+                    unproven: unproven(&part),
+                    survived_without: self.survived_without(&part, now) as u32,
+                    part,
+                })
                 .collect(),
             records: records.map(|held| (held.record.clone(), held.until.since(now))).collect(),
         }
@@ -284,24 +331,46 @@
         if let Some(held) = self.quarantine_of(service, parts) {
             return Verdict::Refused { retry_after_ms: held.until.since(now) };
         }
-        let mut verdict = Verdict::Allowed;
-        for part in parts {
-            let key = PartKey { service: service.clone(), part: *part };
-            if !self.is_suspected(&key, now) {
-                continue;
-            }
-            verdict = Verdict::Trial;
-            let starts_at = self.suspects.get(&key).map(|suspect| {
-                let rank = 1 + trial_rank(&key, own, gateways);
-                suspect.last_end_at + DurationMs::new(rank * TRIAL_STAGGER_MS)
-            });
-            let is_waiting =
-                starts_at.is_some_and(|at| now < at) || self.has_departed_lately(&key, now);
-            if is_waiting || unproven(&key) + self.unproven_at_peers(&key, now) > 0 {
+        let suspected = self.suspected_among(service, parts, now);
+        if suspected.is_empty() {
+            return Verdict::Allowed;
+        }
+        let suspects = suspected.iter().filter_map(|key| self.suspects.get(key));
+        if let Some(from) = suspects.map(Suspect::trials_from).max() {
+            let further_ms = (suspected.len() as u64 - 1) * FURTHER_PART_MS;
+            let from = from + DurationMs::new(further_ms);
+            if now < from || !is_own_slot(service, own, gateways, now.since(from)) {
                 return Verdict::Held;
             }
         }
-        verdict
+        let is_tried = |key: &PartKey| unproven(key) + self.unproven_at_peers(key, now) > 0;
+        let is_held = suspected.iter().any(|key| {
+            let mut rivals = self.rivals(key);
+            self.has_departed_lately(key, now) || is_tried(key) || rivals.any(is_tried)
+        });
+        if is_held { Verdict::Held } else { Verdict::Trial }
+    }
+
+    /// Returns the other parts of the service under which as many engines ended that their trials are
+    /// spaced out. Trials of such parts at the same time could not tell them apart.
+    fn rivals(&self, key: &PartKey) -> impl Iterator<Item = &PartKey> {
+        let is_spaced = |suspect: &Suspect| suspect.ends >= SPACED_AFTER_ENDS;
+        let has_rivals = self.suspects.get(key).is_some_and(is_spaced);
+        let others = self.suspects.iter().filter(move |(other, suspect)| {
+            has_rivals && other.service == key.service && *other != key && is_spaced(suspect)
+        });
+        others.map(|(other, _)| other)
+    }
+
+    /// Returns the suspected ones of a request's parts.
+    pub fn suspected_among(
+        &self,
+        service: &ServiceName,
+        parts: &[PartId],
+        now: TimeMs,
+    ) -> SmallVec<[PartKey; 2]> {
+        let keys = parts.iter().map(|part| PartKey { service: service.clone(), part: *part });
+        keys.filter(|key| self.is_suspected(key, now)).collect()
     }
 
     /// Returns whether a new request with these parts has to wait for the attempts in flight.
@@ -408,16 +477,19 @@
         self.release_refuted(&merged, now);
         let by_part = self.ends_by_part(&merged);
         let mut suspects = BTreeMap::new();
+        let is_settled = self.noticed_at.is_none_or(|at| now.since(at) >= SETTLED_AFTER_MS);
         self.paused.clear();
         for (key, ends) in &by_part {
             let count = joint_count(&ends.times);
             let model = self.chance_model(key, ends, &merged, now);
             let is_on_probation = self.is_on_probation(key);
-            if model.survived < MIN_OTHER_SURVIVALS && !is_on_probation {
-                continue;
-            }
             let quarantine_ends = if is_on_probation { 1 } else { model.quarantine_ends() };
-            if count >= quarantine_ends && !is_dominated(key, ends, &by_part) {
+            let survived = model.survived + self.survived_without_at_peers(key, now);
+            let is_told_apart = survived >= MIN_OTHER_SURVIVALS && is_settled;
+            if (is_told_apart || is_on_probation)
+                && count >= quarantine_ends
+                && !is_dominated(key, ends, &by_part)
+            {
                 self.quarantine(key, ends, &by_part, &merged, quarantine_ends, now);
             }
             let paused_until = ends.last_at() + PAUSE_MS;
@@ -428,7 +500,7 @@
                 self.paused.insert(key.clone(), paused_until);
             }
             if count >= model.suspicion_ends() {
-                let suspect = Suspect { last_end_at: ends.last_at() };
+                let suspect = Suspect { last_end_at: ends.last_at(), ends: count };
                 if !self.suspects.contains_key(key) {
                     self.changes.push(QuarantineChange {
                         step: QuarantineStep::Suspected,
@@ -520,20 +592,8 @@
     fn ends_by_part(&self, merged: &[MergedEnd]) -> BTreeMap<PartKey, PartEnds> {
         let mut by_part: BTreeMap<PartKey, PartEnds> = BTreeMap::new();
         for (index, end) in merged.iter().enumerate() {
-            let culprit = self.records.iter().map(|held| &held.record).find(|record| {
-                record.state != QuarantineState::Released
-                    && record.service == end.service
-                    && record.parts.iter().all(|part| end.parts.contains(part))
-            });
-            for part in &end.parts {
-                if culprit.is_some_and(|record| !record.parts.contains(part)) {
-                    continue;
-                }
-                let key = PartKey { service: end.service.clone(), part: *part };
-                let is_refuted = self.counts_since(&key).is_some_and(|since| since >= end.at);
-                if is_refuted || self.allowed.contains(&key) {
-                    continue;
-                }
+            for part in self.blamed_parts(end) {
+                let key = PartKey { service: end.service.clone(), part };
                 let ends = by_part.entry(key).or_default();
                 ends.indices.insert(index);
                 ends.times.push(end.at);
@@ -542,6 +602,33 @@
         by_part
     }
 
+    /// Returns the parts that may have caused an end. One that is known to end engines, or that was on
+    /// trial, explains it better than what ran beside it; one that the operator allows does so too, and
+    /// is not blamed itself.
+    fn blamed_parts(&self, end: &MergedEnd) -> Vec<PartId> {
+        let key = |part: &PartId| PartKey { service: end.service.clone(), part: *part };
+        if end.parts.iter().any(|part| self.allowed.contains(&key(part))) {
+            return Vec::new();
+        }
+        let counts =
+            |part: &&PartId| self.counts_since(&key(part)).is_none_or(|since| since < end.at);
+        let parts = end.parts.iter().filter(counts);
+        if let Some(culprit) = self.culprit(end) {
+            return parts.filter(|part| culprit.parts.contains(part)).copied().collect();
+        }
+        let tried: Vec<PartId> = end.tried.iter().filter(counts).copied().collect();
+        if tried.is_empty() { parts.copied().collect() } else { tried }
+    }
+
+    /// Returns the record of parts that are known to end engines and were present at an end.
+    fn culprit(&self, end: &MergedEnd) -> Option<&QuarantineRecord> {
+        self.records.iter().map(|held| &held.record).find(|record| {
+            record.state != QuarantineState::Released
+                && record.service == end.service
+                && record.parts.iter().all(|part| end.parts.contains(part))
+        })
+    }
+
     /// Returns the time since which ends count against a part.
     fn counts_since(&self, key: &PartKey) -> Option<TimeMs> {
         let held = self.records.iter().filter(|held| {
@@ -564,17 +651,28 @@
         let others = merged
             .iter()
             .enumerate()
-            .filter(|(index, end)| end.service == key.service && !ends.indices.contains(index));
-        let proven = self.survivals.of_part(key, now);
+            .filter(|(index, end)| end.service == key.service && !ends.indices.contains(index))
+            .filter(|(_, end)| end.tried.is_empty() && self.culprit(end).is_none());
         ChanceModel {
             cut_off: others.map(|(_, end)| f64::from(end.cut_off)).sum(),
-            survived: self.survivals.of_service(&key.service, now) - proven,
-            proven,
+            survived: self.survived_without(key, now),
+            proven: self.survivals.of_part(key, now),
         }
     }
 
+    /// Returns the recent attempts of this gateway without a part that survived.
+    fn survived_without(&self, key: &PartKey, now: TimeMs) -> f64 {
+        self.survivals.of_service(&key.service, now) - self.survivals.of_part(key, now)
+    }
+
+    fn survived_without_at_peers(&self, key: &PartKey, now: TimeMs) -> f64 {
+        let loads = self.loads_at_peers(now).filter(|load| load.part == *key);
+        loads.map(|load| f64::from(load.survived_without)).sum()
+    }
+
     /// Quarantines a part, together with those that were present at exactly the same ends. Of
-    /// these, parts that were ever proven sound are left out if there are others.
+    /// these, parts that were ever proven sound are left out if there are others. Nothing is
+    /// quarantined before nothing else can have caused one of the ends.
     fn quarantine(
         &mut self,
         key: &PartKey,
@@ -591,6 +689,13 @@
         let (proven, unproven): (Vec<&PartKey>, Vec<&PartKey>) =
             together.partition(|other| self.survivals.last_at(other).is_some());
         let culprits = if unproven.is_empty() { proven } else { unproven };
+        let is_explained =
+            |index: &usize| self.blamed_parts(&merged[*index]).len() <= culprits.len();
+        let is_singled_out = ends.indices.iter().any(is_explained);
+        let is_joint = culprits.len() > 1;
+        if !is_singled_out || is_joint && ends.times.len() < quarantine_ends + JOINT_MARGIN_ENDS {
+            return;
+        }
         let parts: SmallVec<[PartId; 2]> = culprits.iter().map(|other| other.part).collect();
         let known = self.records.iter().map(|held| &held.record);
         let known = known.filter(|known| known.service == key.service && known.parts == parts);
@@ -807,11 +912,18 @@
     DurationMs::new(doubled.min(MAX_QUARANTINE_MS))
 }
 
-/// Returns the position of a gateway in the order in which they may begin a trial, which is the same at
-/// all of them.
-fn trial_rank(key: &PartKey, own: &HostId, gateways: &[HostId]) -> u64 {
-    let hash = |host: &HostId| xxh3_64(format!("{key}/{host}").as_bytes());
+/// Returns whether the gateway may begin a trial a time after the first slot has begun. All gateways
+/// know their order without messages.
+fn is_own_slot(
+    service: &ServiceName,
+    own: &HostId,
+    gateways: &[HostId],
+    after_ms: DurationMs,
+) -> bool {
+    let hash = |host: &HostId| xxh3_64(format!("{service}/{host}").as_bytes());
     let own_hash = hash(own);
-    let before = gateways.iter().filter(|host| *host != own && hash(host) < own_hash).count();
-    (before as u64).min(MAX_TRIAL_RANK)
+    let others = gateways.iter().filter(|host| *host != own);
+    let before = others.clone().filter(|host| hash(host) < own_hash).count() as u64;
+    let slots = (1 + others.count() as u64).min(MAX_TRIAL_SLOTS);
+    after_ms.get() / TRIAL_SLOT_MS % slots == before % slots
 }
--- a/crates/hickorydoor/src/gateway/quarantine/wire.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/wire.rs
@@ -28,6 +28,8 @@
     parts: Vec<u64>,
     #[prost(bool, tag = "6")]
     is_confirmed: bool,
+    #[prost(fixed64, repeated, tag = "7")]
+    tried: Vec<u64>,
 }
 
 #[derive(Clone, PartialEq)]
@@ -39,7 +41,7 @@
     age_ms: u64,
 }
 
-/// A part with a number: an age in ms, or a count of attempts.
+/// A part with a number: an age in ms, or a count of attempts in flight.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
 struct WirePart {
@@ -49,6 +51,9 @@
     part: u64,
     #[prost(uint64, tag = "3")]
     number: u64,
+    /// Recent attempts without the part that survived.
+    #[prost(uint32, tag = "4")]
+    survived_without: u32,
 }
 
 #[derive(Clone, PartialEq)]
@@ -94,7 +99,7 @@
         Self {
             ends: report.ends.iter().map(|(end, age_ms)| encode_end(end, *age_ms)).collect(),
             survivals: survivals.map(|(part, age_ms)| encode_part(part, age_ms.get())).collect(),
-            suspects: suspects.map(|load| encode_part(&load.part, load.unproven.into())).collect(),
+            suspects: suspects.map(encode_suspect).collect(),
             alive: report
                 .alive
                 .iter()
@@ -126,7 +131,11 @@
         }
         for known in wire.suspects {
             let unproven = u32::try_from(known.number).unwrap_or(u32::MAX);
-            report.suspects.push(SuspectLoad { part: decode_part(&known)?, unproven });
+            report.suspects.push(SuspectLoad {
+                part: decode_part(&known)?,
+                unproven,
+                survived_without: known.survived_without,
+            });
         }
         for known in wire.records {
             report.records.push(decode_record(known)?);
@@ -147,6 +156,7 @@
         age_ms: age_ms.get(),
         is_confirmed: end.is_confirmed,
         parts: end.parts.iter().map(|part| part.get()).collect(),
+        tried: end.tried.iter().map(|part| part.get()).collect(),
     }
 }
 
@@ -157,12 +167,25 @@
         version: wire.version.into(),
         is_confirmed: wire.is_confirmed,
         parts: wire.parts.into_iter().map(PartId::new).collect(),
+        tried: wire.tried.into_iter().map(PartId::new).collect(),
     };
     Ok((end, DurationMs::new(wire.age_ms)))
 }
 
 fn encode_part(part: &PartKey, number: u64) -> WirePart {
-    WirePart { service: part.service.to_string(), part: part.part.get(), number }
+    WirePart {
+        service: part.service.to_string(),
+        part: part.part.get(),
+        number,
+        survived_without: 0,
+    }
+}
+
+fn encode_suspect(load: &SuspectLoad) -> WirePart {
+    WirePart {
+        survived_without: load.survived_without,
+        ..encode_part(&load.part, load.unproven.into())
+    }
 }
 
 fn decode_part(wire: &WirePart) -> Result<PartKey, IdError> {
--- a/crates/hickorydoor/tests/gateway/crash_fleet.rs
+++ b/crates/hickorydoor/tests/gateway/crash_fleet.rs
@@ -7,6 +7,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 
 use hickorydoor::DurationMs;
@@ -52,6 +53,7 @@
 const SUBJECTS: u64 = 56;
 /// Ids of the parts under which engines end; the second one is of the second route.
 pub const CRASHING: u64 = 0xdead;
+const MAX_CRASHING_PARTS: u64 = 2;
 
 /// Where the part stands in the prompt, before the part of the request itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,6 +90,10 @@
     pub keeps_id: bool,
     /// Whether callers repeat a request that was refused or failed, once.
     pub repeats: bool,
+    /// Time for which a run has sound requests alone.
+    pub sound_first_ms: u64,
+    /// Number of parts under which engines end; each request holds one of them.
+    pub crashing_parts: u64,
     pub seed: u64,
 }
 
@@ -105,6 +111,8 @@
             digest_loss: 0.0,
             keeps_id: false,
             repeats: false,
+            sound_first_ms: 3_000,
+            crashing_parts: 1,
             seed: 1,
         }
     }
@@ -124,20 +132,48 @@
 pub struct Course {
     /// Times at which engines ended under the part.
     pub ends: Vec<u64>,
+    /// The part under which each of these engines ended.
+    pub ended_under: Vec<u64>,
     /// Times at which requests with the part reached an engine.
     pub reached: Vec<u64>,
+    /// The part of each of these requests.
+    pub reached_with: Vec<u64>,
     pub sound: Sound,
+    /// Times at which sound requests were sent, and whether they were served.
+    pub sound_sent: Vec<(u64, bool)>,
     /// Refusals of requests with the part.
     pub refusals: Vec<CallRefusal>,
 }
 
 impl Course {
-    /// Requests with the part that reached an engine although it had to be known.
+    /// Requests with one part that reached an engine although it had to be known.
     pub fn late(&self) -> usize {
-        let Some(fifth) = self.ends.get(KNOWN_AFTER_ENDS - 1) else {
+        self.late_since(0)
+    }
+
+    /// The same for gateways that were in touch again since a time.
+    pub fn late_since(&self, since_ms: u64) -> usize {
+        let parts: BTreeSet<u64> = self.ended_under.iter().copied().collect();
+        parts.into_iter().map(|part| self.late_with(part, since_ms)).max().unwrap_or(0)
+    }
+
+    fn late_with(&self, part: u64, since_ms: u64) -> usize {
+        let of_part = self.ends.iter().zip(&self.ended_under).filter(|(_, under)| **under == part);
+        let Some((fifth, _)) = of_part.clone().nth(KNOWN_AFTER_ENDS - 1) else {
             return 0;
         };
-        self.reached.iter().filter(|at| **at > fifth + CONTACT_MS).count()
+        let known_ms = (*fifth).max(since_ms) + CONTACT_MS;
+        let reached = self.reached.iter().zip(&self.reached_with);
+        reached.filter(|(at, with)| **at > known_ms && **with == part).count()
+    }
+
+    /// Share of the sound requests sent between two times that were served.
+    pub fn served_share(&self, from_ms: u64, to_ms: u64) -> f64 {
+        let sent = self.sound_sent.iter().filter(|(at, _)| (from_ms..to_ms).contains(at));
+        let (all, served) = sent.fold((0_usize, 0_usize), |(all, served), (_, is_served)| {
+            (all + 1, served + usize::from(*is_served))
+        });
+        served as f64 / all.max(1) as f64
     }
 
     /// Sound requests that were refused or broken off, in percent.
@@ -178,6 +214,15 @@
     crashes: bool,
     is_repeat: bool,
     first_event: bool,
+    /// Position in [`Course::sound_sent`].
+    sound: Option<usize>,
+}
+
+impl Request {
+    fn crashing_part(&self) -> u64 {
+        let mut parts = self.prompt.parts.iter().map(|part| part.id);
+        parts.find(|id| (CRASHING..CRASHING + MAX_CRASHING_PARTS).contains(id)).unwrap_or(0)
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -185,6 +230,8 @@
     id: String,
     incarnation: u64,
     is_up: bool,
+    /// The part under which it is about to end.
+    ends_under: u64,
 }
 
 /// Gateways and engines of a play.
@@ -217,7 +264,8 @@
 impl CrashFleet {
     pub fn new(play: Play) -> Self {
         let rigs = (0..play.gateways).map(|index| Rig::new(&format!("gw-{index}"))).collect();
-        let engine = |index| Engine { id: format!("e-{index}"), incarnation: 1, is_up: true };
+        let engine =
+            |index| Engine { id: format!("e-{index}"), incarnation: 1, is_up: true, ends_under: 0 };
         let mut fleet = Self {
             play,
             rigs,
@@ -267,8 +315,7 @@
     pub fn run(&mut self, for_ms: u64, meanwhile: impl Fn(&mut Self)) {
         let end_ms = self.now_ms + for_ms;
         let mut next_sound_ms = self.now_ms as f64;
-        // Sound requests are known before the first one with the part.
-        let mut next_crashing_ms = self.now_ms as f64 + 3_000.0;
+        let mut next_crashing_ms = (self.now_ms + self.play.sound_first_ms) as f64;
         while self.now_ms < end_ms {
             self.now_ms += STEP_MS;
             for rig in &mut self.rigs {
@@ -323,7 +370,11 @@
     fn arrive(&mut self, crashes: bool) {
         let subject = PromptPart { id: 100 + self.random.random_range(0..SUBJECTS), tokens: 800 };
         let first = PromptPart { id: 7, tokens: 350 };
-        let crashing = PromptPart { id: CRASHING, tokens: 200 };
+        let kind = match self.play.crashing_parts {
+            1 => 0,
+            parts => self.random.random_range(0..parts),
+        };
+        let crashing = PromptPart { id: CRASHING + kind, tokens: 200 };
         let own =
             PromptPart { id: self.random.random(), tokens: self.random.random_range(50..900) };
         let parts = match (crashes, self.play.place) {
@@ -337,10 +388,12 @@
             max_answer_tokens: 120,
             parts: parts.into_iter().collect(),
         };
-        if !crashes {
+        let sound = (!crashes).then_some(self.course.sound_sent.len());
+        if sound.is_some() {
             self.course.sound.sent += 1;
+            self.course.sound_sent.push((self.now_ms, false));
         }
-        self.send(Request { prompt, crashes, is_repeat: false, first_event: false });
+        self.send(Request { prompt, crashes, is_repeat: false, first_event: false, sound });
     }
 
     fn send(&mut self, request: Request) {
@@ -379,8 +432,9 @@
                 }
                 GatewayEffect::Deliver { call } => {
                     let closed = self.open.remove(&(gateway, call));
-                    if closed.is_some_and(|(request, _)| !request.crashes) {
+                    if let Some(sound) = closed.and_then(|(request, _)| request.sound) {
                         self.course.sound.served += 1;
+                        self.course.sound_sent[sound].1 = true;
                     }
                 }
                 _ => {}
@@ -414,6 +468,7 @@
         let request = request.clone();
         if request.crashes {
             self.course.reached.push(self.now_ms);
+            self.course.reached_with.push(request.crashing_part());
         }
         let is_weak = dispatch.min_confidence.is_some() && self.random.random_bool(WEAK_SHARE);
         let busy = self.attempts.values().filter(|attempt| attempt.engine == engine).count() as u64;
@@ -471,6 +526,7 @@
         };
         let crash_ms = self.random.random_range(CRASH_MS);
         if request.crashes {
+            self.engines[engine].ends_under = request.crashing_part();
             self.schedule(crash_ms, Due::EngineEnd, Some(engine as u64));
         }
         if discarded {
@@ -514,6 +570,7 @@
     fn end_engine_under_part(&mut self, engine: usize) {
         if self.engines[engine].is_up {
             self.course.ends.push(self.now_ms);
+            self.course.ended_under.push(self.engines[engine].ends_under);
         }
         self.end_engine(engine);
     }
