Share a limit among all issuers of permits, however many gateways are lost

Callers saw no failure, but an upstream that takes 10 requests a second from all gateways got 134 to 138 in 4 s (65 allowed) after two of 19 gateways were killed.

Cause: after two silent issuers each gateway issued permits to itself, at a quarter of the rate; with N gateways left that is N / 4 times the limit. More generally each issuer decided from its own view how much it may issue, without regard to how many others do the same.

Now the first gateway by hashing that answers and is heard of issues, however many come before it, and only the share of the rate that the gateways it hears of make up among those that the store lists. Groups that do not hear each other share the rate exactly, by a property test. Presence in the store ends with the lease, and the share is whole again. Whoever starts hears of nobody at first, and so issues next to nothing.

--- a/crates/hickorydoor/src/agent/upstream_notice.rs
+++ b/crates/hickorydoor/src/agent/upstream_notice.rs
@@ -4,6 +4,7 @@
 
 use crate::agent::Agent;
 use crate::agent::attempt::RETRY_AFTER_MS;
+use crate::gateway::rate_limits::IssuedPart;
 use crate::gateway::rate_limits::WantedPermit;
 use crate::gateway::upstreams::Availability;
 use crate::gateway::upstreams::UpstreamNotice;
@@ -62,7 +63,7 @@
             started_unix_ms: 0,
             rate,
             max_wait_ms: DurationMs::new(0),
-            rank: 0,
+            part: IssuedPart::WHOLE,
         };
         let issued = self.permit_issuer.issue(&wanted, now);
         issued.map(drop).map_err(|after_ms| (AgentRefusal::AtLimit, after_ms))
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 pub mod freshness;
 pub mod member;
 pub mod model_table;
+mod peer_contact;
 pub mod peer_digest;
 pub mod peer_message;
 mod permit_exchange;
--- a/crates/hickorydoor/src/gateway/permit_exchange.rs
+++ b/crates/hickorydoor/src/gateway/permit_exchange.rs
@@ -3,6 +3,7 @@
 
 use crate::gateway::effect::GatewayEffect;
 use crate::gateway::rate_limits::HeldPermit;
+use crate::gateway::rate_limits::IssuedPart;
 use crate::gateway::rate_limits::LimitChange;
 use crate::gateway::rate_limits::LimitStatement;
 use crate::gateway::rate_limits::Overdue;
@@ -98,7 +99,9 @@
         effects: &mut Vec<GatewayEffect>,
     ) -> bool {
         let own = &self.settings.host;
-        let (issuer, rank) = self.silent_issuers.issuer(id, own, &self.gateways, now);
+        let is_heard = |host: &HostId| self.contact.is_heard(host, self.gateways.len(), now);
+        let issuer = self.silent_issuers.issuer(id, own, &self.gateways, is_heard, now);
+        let part = self.issued_part(id, now);
         let Some(upstream) = self.pool.get_mut(id) else {
             return true;
         };
@@ -109,7 +112,6 @@
         let pending = PendingPermit {
             id: self.last_permit,
             issuer,
-            rank,
             max_wait_ms,
             requested_at: now,
             sent_at: now,
@@ -127,7 +129,7 @@
             started_unix_ms: upstream.registration.started_unix_ms,
             rate,
             max_wait_ms,
-            rank,
+            part,
         };
         match self.permit_issuer.issue(&wanted, now) {
             Ok(after_ms) => {
@@ -146,13 +148,14 @@
         now: TimeMs,
         effects: &mut Vec<GatewayEffect>,
     ) {
+        self.contact.record(host, now);
         let PermitMessage { id, upstream, started_unix_ms, limit, step } = message;
         if let Some(limit) = limit {
             let statement = LimitStatement { rate: limit.rate, stated_at: now - limit.age_ms };
             self.learn_limit(upstream, *started_unix_ms, statement, host, now, effects);
         }
         match *step {
-            PermitStep::Request { max_wait_ms, rank } => {
+            PermitStep::Request { max_wait_ms } => {
                 let Some(rate) = self.rate_to_issue(message) else {
                     let step = PermitStep::Granted { after_ms: DurationMs::new(0) };
                     effects.extend(self.permit_message(host, *id, upstream, step, now));
@@ -165,7 +168,7 @@
                     started_unix_ms: *started_unix_ms,
                     rate,
                     max_wait_ms,
-                    rank,
+                    part: self.issued_part(upstream, now),
                 };
                 let step = match self.permit_issuer.issue(&wanted, now) {
                     Ok(after_ms) => PermitStep::Granted { after_ms },
@@ -193,6 +196,12 @@
         }
     }
 
+    /// Returns the part of an upstream's rate that this gateway may issue.
+    fn issued_part(&self, upstream: &UpstreamId, now: TimeMs) -> IssuedPart {
+        let is_heard = |host: &HostId| self.contact.is_heard(host, self.gateways.len(), now);
+        IssuedPart::of(upstream, &self.settings.host, &self.gateways, is_heard)
+    }
+
     /// Returns the rate at which permits are issued for the upstream of a request; `None` if it is
     /// known to have no limit any more.
     fn rate_to_issue(&self, message: &PermitMessage) -> Option<RequestRate> {
@@ -238,8 +247,8 @@
         pending: PendingPermit,
         now: TimeMs,
     ) -> Option<GatewayEffect> {
-        let PendingPermit { id, issuer, rank, max_wait_ms, .. } = pending;
-        let step = PermitStep::Request { max_wait_ms, rank };
+        let PendingPermit { id, issuer, max_wait_ms, .. } = pending;
+        let step = PermitStep::Request { max_wait_ms };
         self.permit_message(&issuer, id, upstream, step, now)
     }
 
--- a/crates/hickorydoor/src/gateway/rate_limits/mod.rs
+++ b/crates/hickorydoor/src/gateway/rate_limits/mod.rs
@@ -10,12 +10,15 @@
 //! - [`Permits`] are those that a gateway holds for an upstream. A request that could go elsewhere
 //!   waits a few milliseconds for the answer at most. One that could not waits only if a permit is
 //!   in sight, and is rejected at once otherwise.
-//! - A gateway that does not answer is passed over. The next one issues permits at half the rate,
-//!   since some gateways may still reach the first one.
+//! - A gateway that does not answer, or is not heard of, is passed over. An issuer issues the share
+//!   of the rate that the gateways it hears of make up ([`IssuedPart`]), so all issuers together
+//!   stay within the limit, however many gateways are lost or cut off.
 //! - A [`LimitStatement`] is what is known of a limit. The latest answer counts, whichever gateway
 //!   received it; [`UpstreamNews`](super::upstreams::UpstreamNews) tells the others in digests, and each [`PermitMessage`] repeats it.
 //!   A limit near zero still allows a request now and then, as only an answer can raise it.
 
+mod issued_part;
+mod issuer_order;
 mod limit_change;
 mod limit_statement;
 mod permit_issuer;
@@ -25,6 +28,7 @@
 mod silent_issuers;
 mod wire;
 
+pub use issued_part::IssuedPart;
 pub use limit_change::LimitChange;
 pub use limit_statement::LimitNotice;
 pub use limit_statement::LimitStatement;
--- a/crates/hickorydoor/src/gateway/rate_limits/permit_issuer.rs
+++ b/crates/hickorydoor/src/gateway/rate_limits/permit_issuer.rs
@@ -2,10 +2,12 @@
 
 use std::collections::HashMap;
 
+use crate::gateway::rate_limits::IssuedPart;
 use crate::gateway::rate_limits::PermitId;
 use crate::gateway::rate_limits::RequestRate;
 use crate::id::HostId;
 use crate::id::UpstreamId;
+use crate::quantity::Share;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
@@ -31,6 +33,10 @@
     previous_at: Option<TimeMs>,
     last_holder: Option<(HostId, PermitId)>,
     used_at: TimeMs,
+    /// Share of the rate since it last fell to half or less.
+    share: Share,
+    /// From when permits are spaced since then.
+    reduced_from: Option<TimeMs>,
 }
 
 /// A request for a permit.
@@ -48,9 +54,8 @@
     pub rate: RequestRate,
     /// Longest time until the permit becomes valid.
     pub max_wait_ms: DurationMs,
-    /// Number of gateways that should issue permits before this one. Each halves the rate, since
-    /// other gateways may still reach them.
-    pub rank: u32,
+    /// Part of the rate that this gateway may issue.
+    pub part: IssuedPart,
 }
 
 /// Permits of the upstreams for which this gateway issues them.
@@ -76,6 +81,8 @@
             previous_at: None,
             last_holder: None,
             used_at: now,
+            share: Share::ONE,
+            reduced_from: None,
         };
         let issued = self.issued.entry(wanted.upstream.clone()).or_insert_with(|| fresh.clone());
         if issued.started_unix_ms < wanted.started_unix_ms {
@@ -88,13 +95,22 @@
             issued.last_holder = None;
         }
         issued.rate = wanted.rate;
+        let IssuedPart { share, offset } = wanted.part;
         let holder = (wanted.host.clone(), wanted.id);
         if issued.last_holder.as_ref() == Some(&holder) {
             // The answer to the same request was lost.
             return Ok(issued.last_at.map_or(DurationMs::new(0), |at| at.since(now)));
         }
-        let interval_ms = interval_ms(wanted.rate, wanted.rank);
-        let due_at = issued.last_at.map_or(now, |last_at| last_at + interval_ms);
+        if share == Share::ZERO {
+            return Err(MAX_INTERVAL_MS.max(wanted.max_wait_ms + DurationMs::new(1)));
+        }
+        let interval_ms = interval_ms(wanted.rate, share);
+        issued.set_share(
+            share,
+            now + DurationMs::new((interval_ms.as_f64() * offset.as_f64()) as u64),
+        );
+        let spaced_from = issued.last_at.max(issued.reduced_from);
+        let due_at = spaced_from.map_or(now, |from| from + interval_ms);
         let next_at = due_at.max(now - MAX_DELAY_MS);
         let after_ms = next_at.since(now);
         if after_ms > wanted.max_wait_ms {
@@ -122,8 +138,23 @@
     }
 }
 
-fn interval_ms(rate: RequestRate, rank: u32) -> DurationMs {
-    let factor = 2_f64.powi(rank.min(8).cast_signed()) / ISSUED_SHARE;
-    let interval_ms = rate.interval_ms().map_or(f64::INFINITY, |interval_ms| interval_ms * factor);
-    DurationMs::new(interval_ms.min(MAX_INTERVAL_MS.as_f64()).ceil() as u64)
+impl Issued {
+    /// Changes the share of the rate. After it has fallen, permits are spaced from another time on, as
+    /// many gateways may have a smaller share from the same moment on.
+    fn set_share(&mut self, share: Share, spaced_from: TimeMs) {
+        if share.ppm() <= self.share.ppm() / 2 {
+            self.share = share;
+            self.reduced_from = Some(spaced_from);
+        } else if share > self.share {
+            self.share = share;
+            self.reduced_from = None;
+        }
+    }
+}
+
+/// Returns the time between two permits.
+fn interval_ms(rate: RequestRate, share: Share) -> DurationMs {
+    let interval_ms = rate.interval_ms().map_or(f64::INFINITY, |ms| ms / ISSUED_SHARE);
+    let interval_ms = interval_ms.min(MAX_INTERVAL_MS.as_f64());
+    DurationMs::new((interval_ms / share.as_f64()).ceil() as u64)
 }
--- a/crates/hickorydoor/src/gateway/rate_limits/permit_message.rs
+++ b/crates/hickorydoor/src/gateway/rate_limits/permit_message.rs
@@ -24,8 +24,6 @@
     Request {
         /// Longest time until the permit becomes valid; a later permit is not wanted.
         max_wait_ms: DurationMs,
-        /// Number of gateways that should issue permits before this one, but do not answer.
-        rank: u32,
     },
     /// It has not used the permit.
     Return,
--- a/crates/hickorydoor/src/gateway/rate_limits/permits.rs
+++ b/crates/hickorydoor/src/gateway/rate_limits/permits.rs
@@ -36,8 +36,6 @@
     pub id: PermitId,
     /// Gateway that it was sent to.
     pub issuer: HostId,
-    /// Number of gateways that should issue permits before that one.
-    pub rank: u32,
     /// Longest time until the permit becomes valid.
     pub max_wait_ms: DurationMs,
     /// When it was first sent.
--- a/crates/hickorydoor/src/gateway/rate_limits/silent_issuers.rs
+++ b/crates/hickorydoor/src/gateway/rate_limits/silent_issuers.rs
@@ -1,20 +1,16 @@
 //! Which gateway issues the permits of an upstream.
 //!
 //! Rendezvous hashing ranks the gateways for each upstream, so all choose the same one without
-//! messages. A gateway that does not answer is passed over for a while.
+//! messages. One that does not answer, or is not heard of, is passed over.
 
 use std::collections::HashMap;
 
-use xxhash_rust::xxh3::xxh3_64;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
+use crate::gateway::rate_limits::issuer_order::IssuerOrder;
 use crate::id::HostId;
 use crate::id::UpstreamId;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
-/// How many gateways are asked, before a gateway issues permits to itself.
-const MAX_ISSUERS: usize = 2;
 /// How long a gateway that does not answer is passed over; doubled each time.
 const BASE_SILENCE_MS: u64 = 1_000;
 /// Longest time for which a gateway is passed over.
@@ -34,29 +30,21 @@
 }
 
 impl SilentIssuers {
-    /// Returns the gateway that issues permits for an upstream and its rank: the number of gateways
-    /// before it, which do not answer.
+    /// Returns the gateway that issues permits for an upstream. `is_heard` returns whether another
+    /// gateway is heard of.
     pub fn issuer(
         &self,
         upstream: &UpstreamId,
         own: &HostId,
         gateways: &[HostId],
+        is_heard: impl Fn(&HostId) -> bool,
         now: TimeMs,
-    ) -> (HostId, u32) {
-        let seed = xxh3_64(upstream.as_str().as_bytes());
-        let hash = |host: &HostId| xxh3_64_with_seed(host.as_str().as_bytes(), seed);
-        let mut passed: Vec<&HostId> = Vec::with_capacity(MAX_ISSUERS);
-        while passed.len() < MAX_ISSUERS {
-            let left = gateways.iter().filter(|host| !passed.contains(host));
-            let Some(host) = left.max_by_key(|host| hash(host)) else {
-                break;
-            };
-            if host == own || !self.is_silent(host, now) {
-                return (host.clone(), passed.len() as u32);
-            }
-            passed.push(host);
-        }
-        (own.clone(), passed.len() as u32)
+    ) -> HostId {
+        let can_issue =
+            |host: &&HostId| *host == own || (is_heard(host) && !self.is_silent(host, now));
+        let order = IssuerOrder::of(upstream);
+        let first = gateways.iter().filter(can_issue).max_by_key(|host| order.hash(host));
+        first.unwrap_or(own).clone()
     }
 
     /// Records that a gateway has not answered.
--- a/crates/hickorydoor/src/gateway/rate_limits/wire.rs
+++ b/crates/hickorydoor/src/gateway/rate_limits/wire.rs
@@ -55,8 +55,6 @@
     step: u32,
     #[prost(uint64, tag = "6")]
     time_ms: u64,
-    #[prost(uint32, tag = "7")]
-    rank: u32,
 }
 
 impl From<AgedLimit> for WireLimit {
@@ -103,11 +101,11 @@
 
 impl From<&PermitMessage> for WirePermit {
     fn from(message: &PermitMessage) -> Self {
-        let (step, time_ms, rank) = match message.step {
-            PermitStep::Request { max_wait_ms, rank } => (REQUEST, max_wait_ms, rank),
-            PermitStep::Return => (RETURN, DurationMs::new(0), 0),
-            PermitStep::Granted { after_ms } => (GRANTED, after_ms, 0),
-            PermitStep::Denied { after_ms } => (DENIED, after_ms, 0),
+        let (step, time_ms) = match message.step {
+            PermitStep::Request { max_wait_ms } => (REQUEST, max_wait_ms),
+            PermitStep::Return => (RETURN, DurationMs::new(0)),
+            PermitStep::Granted { after_ms } => (GRANTED, after_ms),
+            PermitStep::Denied { after_ms } => (DENIED, after_ms),
         };
         Self {
             id: message.id.0,
@@ -116,7 +114,6 @@
             limit: message.limit.map(WireLimit::from),
             step,
             time_ms: time_ms.get(),
-            rank,
         }
     }
 }
@@ -127,7 +124,7 @@
     fn try_from(wire: WirePermit) -> Result<Self, DigestError> {
         let time_ms = DurationMs::new(wire.time_ms);
         let step = match wire.step {
-            REQUEST => PermitStep::Request { max_wait_ms: time_ms, rank: wire.rank },
+            REQUEST => PermitStep::Request { max_wait_ms: time_ms },
             RETURN => PermitStep::Return,
             GRANTED => PermitStep::Granted { after_ms: time_ms },
             DENIED => PermitStep::Denied { after_ms: time_ms },
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -19,6 +19,7 @@
 use crate::gateway::freshness::Freshness;
 use crate::gateway::member::GatewayMember;
 use crate::gateway::model_table::ModelTable;
+use crate::gateway::peer_contact::PeerContact;
 use crate::gateway::peer_digest::DigestEvidence;
 use crate::gateway::peer_digest::PeerDigest;
 use crate::gateway::peer_digest::Prefill;
@@ -101,6 +102,7 @@
     pub(super) upstream_news: UpstreamNews,
     pub(super) permit_issuer: PermitIssuer,
     pub(super) silent_issuers: SilentIssuers,
+    pub(super) contact: PeerContact,
     /// Number of the last request for a permit.
     pub(super) last_permit: PermitId,
 }
@@ -142,6 +144,7 @@
             upstream_news: UpstreamNews::default(),
             permit_issuer: PermitIssuer::default(),
             silent_issuers: SilentIssuers::default(),
+            contact: PeerContact::default(),
             last_permit,
         }
     }
@@ -336,6 +339,7 @@
         if digest.host == self.settings.host {
             return;
         }
+        self.contact.record(&digest.host, now);
         let newest = (digest.incarnation, digest.sequence);
         if self.peers.get(&digest.host).is_some_and(|known| *known >= newest) {
             return;
--- a/crates/hickorydoor/src/gateway/store_view.rs
+++ b/crates/hickorydoor/src/gateway/store_view.rs
@@ -263,6 +263,7 @@
             gateways.push(self.settings.host.clone());
         }
         gateways.sort();
+        self.contact.retain(&gateways);
         self.gateways = gateways;
     }
 
--- a/crates/hickorydoor/tests/gateway/limit_fleet.rs
+++ b/crates/hickorydoor/tests/gateway/limit_fleet.rs
@@ -123,6 +123,7 @@
     path: &'static str,
     open: HashMap<(usize, CallId), u64>,
     paused_until: Vec<u64>,
+    is_lost_gateway: Vec<bool>,
     digest_at: Vec<u64>,
     agenda: BTreeMap<(u64, u64), Step>,
     scheduled: u64,
@@ -156,6 +157,7 @@
             path,
             open: HashMap::new(),
             paused_until: vec![0; gateways],
+            is_lost_gateway: vec![false; gateways],
             digest_at: vec![0; gateways],
             agenda: BTreeMap::new(),
             scheduled: 0,
@@ -231,6 +233,20 @@
         self.paused_until[gateway] = until_ms;
     }
 
+    /// Ends the process of a gateway; the others still find it in the store.
+    pub fn kill(&mut self, gateway: usize) {
+        self.is_lost_gateway[gateway] = true;
+        self.open.retain(|(known, _), _| *known != gateway);
+    }
+
+    /// Removes the key of a gateway from the store, as the end of its lease does.
+    pub fn end_lease(&mut self, gateway: usize) {
+        let host = self.rigs[gateway].gateway.host().clone();
+        for other in (0..self.rigs.len()).filter(|other| *other != gateway) {
+            self.apply(other, GatewayEvent::GatewayLeft(host.clone()));
+        }
+    }
+
     /// Starts an upstream again under its id; from then on it says what `words` holds.
     pub fn restart_upstream(&mut self, id: &str, words: Vec<(u64, LimitNotice)>) {
         let upstream = self.upstreams.get_mut(id).unwrap();
@@ -245,6 +261,7 @@
     /// Starts a gateway again, without what it knew.
     pub fn restart_gateway(&mut self, gateway: usize, incarnation: u64) {
         let host = |index: usize| format!("gw-{index}");
+        self.is_lost_gateway[gateway] = false;
         self.rigs[gateway] = Rig::restarted(&host(gateway), incarnation);
         self.open.retain(|(known, _), _| *known != gateway);
         let known: Vec<Registration> =
@@ -256,12 +273,20 @@
             let joined = member(&host(peer), "dc-1", 1_000);
             self.apply(gateway, GatewayEvent::GatewayJoined(joined));
         }
+        for other in (0..self.rigs.len()).filter(|other| *other != gateway) {
+            let joined = GatewayEvent::GatewayJoined(member(&host(gateway), "dc-1", 1_000));
+            self.apply(other, joined);
+        }
+        self.rigs[gateway].now = TimeMs::new(START_MS + self.now_ms);
         let rig = &mut self.rigs[gateway];
         let effects = rig.sync_store();
         self.handle(gateway, effects);
     }
 
     fn arrive(&mut self, gateway: usize) {
+        if self.is_lost_gateway[gateway] {
+            return;
+        }
         let id = format!("r-{}-{}", self.now_ms, self.random.random::<u32>());
         let request = call(self.path, &id);
         self.rigs[gateway].now = TimeMs::new(START_MS + self.now_ms);
@@ -271,6 +296,9 @@
     }
 
     fn apply(&mut self, gateway: usize, event: GatewayEvent) {
+        if self.is_lost_gateway[gateway] {
+            return;
+        }
         if self.now_ms < self.paused_until[gateway] {
             let after_ms = self.paused_until[gateway] - self.now_ms;
             return self.schedule(after_ms, Step::Deliver(gateway, Box::new(event)));
@@ -284,7 +312,7 @@
     fn carry_out(&mut self, step: Step) {
         match step {
             Step::Tick(gateway) => {
-                if self.now_ms >= self.paused_until[gateway] {
+                if self.now_ms >= self.paused_until[gateway] && !self.is_lost_gateway[gateway] {
                     self.rigs[gateway].now = TimeMs::new(START_MS + self.now_ms);
                     let effects = self.rigs[gateway].sync_store();
                     self.handle(gateway, effects);
@@ -316,7 +344,7 @@
     }
 
     fn send_digest(&mut self, gateway: usize) {
-        if self.now_ms < self.paused_until[gateway] {
+        if self.now_ms < self.paused_until[gateway] || self.is_lost_gateway[gateway] {
             return;
         }
         self.digest_at[gateway] = self.now_ms;
--- a/crates/hickorydoor/tests/rate_limits.rs
+++ b/crates/hickorydoor/tests/rate_limits.rs
@@ -7,6 +7,7 @@
 use hickorydoor::gateway::peer_digest::DigestError;
 use hickorydoor::gateway::peer_message::PeerMessage;
 use hickorydoor::gateway::rate_limits::AgedLimit;
+use hickorydoor::gateway::rate_limits::IssuedPart;
 use hickorydoor::gateway::rate_limits::PermitId;
 use hickorydoor::gateway::rate_limits::PermitIssuer;
 use hickorydoor::gateway::rate_limits::PermitMessage;
@@ -50,7 +51,7 @@
 fn message_about_a_permit_round_trips_through_its_encoding() {
     let wait_ms = DurationMs::new(1_500);
     for step in [
-        PermitStep::Request { max_wait_ms: wait_ms, rank: 1 },
+        PermitStep::Request { max_wait_ms: wait_ms },
         PermitStep::Return,
         PermitStep::Granted { after_ms: wait_ms },
         PermitStep::Denied { after_ms: wait_ms },
@@ -75,26 +76,54 @@
     let upstream: UpstreamId = "e-1".parse().unwrap();
     let now = TimeMs::new(1_000);
     let nobody = SilentIssuers::default();
-    let (first, rank) = nobody.issuer(&upstream, &hosts[0], &hosts, now);
-    assert_eq!(rank, 0);
+    let all = |_: &HostId| true;
+    let first = nobody.issuer(&upstream, &hosts[0], &hosts, all, now);
     for own in &hosts {
-        assert_eq!(nobody.issuer(&upstream, own, &hosts, now), (first.clone(), 0));
+        assert_eq!(nobody.issuer(&upstream, own, &hosts, all, now), first);
     }
     let asking = hosts.iter().find(|host| **host != first).unwrap();
     let mut known = SilentIssuers::default();
     known.record_silence(first.clone(), now);
-    let (second, rank) = known.issuer(&upstream, asking, &hosts, now);
-    assert!(second != first && rank == 1);
-    if second != *asking {
-        known.record_silence(second, now);
-        assert_eq!(known.issuer(&upstream, asking, &hosts, now), (asking.clone(), 2));
+    let second = known.issuer(&upstream, asking, &hosts, all, now);
+    assert_ne!(second, first);
+    let without_first = |host: &HostId| *host != first;
+    assert_eq!(nobody.issuer(&upstream, asking, &hosts, without_first, now), second);
+    for host in hosts.iter().filter(|host| *host != asking && **host != first) {
+        known.record_silence(host.clone(), now);
     }
+    assert_eq!(known.issuer(&upstream, asking, &hosts, all, now), *asking);
     let later = now + DurationMs::from_secs(1);
-    assert_eq!(known.issuer(&upstream, asking, &hosts, later), (first.clone(), 0));
+    assert_eq!(known.issuer(&upstream, asking, &hosts, all, later), first);
     known.record_silence(first.clone(), later);
-    assert_eq!(known.issuer(&upstream, asking, &hosts, later + DurationMs::new(1_999)).1, 1);
+    let still = later + DurationMs::new(1_999);
+    assert_ne!(known.issuer(&upstream, asking, &hosts, all, still), first);
     known.record_answer(&first);
-    assert_eq!(known.issuer(&upstream, asking, &hosts, later), (first, 0));
+    assert_eq!(known.issuer(&upstream, asking, &hosts, all, later), first);
+}
+
+proptest! {
+    #![proptest_config(property::config(40, 64))]
+
+    #[test]
+    fn groups_that_do_not_hear_each_other_share_a_rate(groups in proptest::collection::vec(0..5_usize, 1..60)) {
+        let hosts: Vec<HostId> = (0..groups.len()).map(host).collect();
+        let upstream: UpstreamId = "e-1".parse().unwrap();
+        let group = |host: &HostId| groups[hosts.iter().position(|known| known == host).unwrap()];
+        let mut issued = 0.0;
+        for number in 0..5 {
+            let of_group = hosts.iter().filter(|host| group(host) == number);
+            let shares = of_group.map(|own| {
+                let is_heard = |host: &HostId| group(host) == number;
+                let chosen =
+                    SilentIssuers::default().issuer(&upstream, own, &hosts, is_heard, TimeMs::new(9));
+                (chosen, own, IssuedPart::of(&upstream, own, &hosts, is_heard).share)
+            });
+            let shares: Vec<_> = shares.collect();
+            let of_issuers = shares.iter().filter(|(chosen, own, _)| chosen == *own);
+            issued += of_issuers.map(|(_, _, share)| share.as_f64()).sum::<f64>();
+        }
+        prop_assert!((0.999..=1.001).contains(&issued), "{issued}");
+    }
 }
 
 /// What gateways do one after the other.
@@ -144,7 +173,7 @@
                 started_unix_ms: 1,
                 rate: rate(per_s),
                 max_wait_ms: DurationMs::new(max_wait_ms),
-                rank: 0,
+                part: IssuedPart::WHOLE,
             };
             match issuer.issue(&wanted, now) {
                 Ok(after_ms) if granted[gateway] != Some(ids[gateway]) => {
