--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -131,6 +131,7 @@
     permits: mpsc::UnboundedSender<AddressedPermit>,
     permit_receiver: RefCell<Option<mpsc::UnboundedReceiver<AddressedPermit>>>,
     restored_era: watch::Sender<StoreEra>,
+    is_listed: watch::Sender<bool>,
     pub(super) metrics: GatewayMetrics,
 }
 
@@ -160,6 +161,7 @@
             permits,
             permit_receiver: RefCell::new(Some(permit_receiver)),
             restored_era: watch::Sender::new(StoreEra::default()),
+            is_listed: watch::Sender::new(false),
             metrics: GatewayMetrics::new()?,
         };
         Ok((Rc::new(core), AdapterEffects { rollout_steps }))
@@ -180,7 +182,18 @@
         if let GatewayEvent::StoreRestored { era } = event {
             self.restored_era.send_replace(era);
         }
+        let concerns_presence = matches!(
+            event,
+            GatewayEvent::GatewayJoined(_)
+                | GatewayEvent::GatewayLeft(_)
+                | GatewayEvent::StoreListed(_)
+        );
         let effects = self.gateway.borrow_mut().apply(event, now);
+        if concerns_presence {
+            let is_listed = self.gateway.borrow().is_listed();
+            self.is_listed
+                .send_if_modified(|known| std::mem::replace(known, is_listed) != is_listed);
+        }
         for effect in effects {
             self.handle_effect(effect);
         }
@@ -226,6 +239,11 @@
         self.restored_era.subscribe()
     }
 
+    /// Returns a receiver of whether the store holds the presence of this gateway, as far as is known.
+    pub fn is_listed(&self) -> watch::Receiver<bool> {
+        self.is_listed.subscribe()
+    }
+
     /// Returns whether the store states its era, so that it may come back from an older copy.
     pub fn is_store_restorable(&self) -> bool {
         self.store_states_era.get()
--- a/crates/hickorydoor/src/gateway/store_view.rs
+++ b/crates/hickorydoor/src/gateway/store_view.rs
@@ -51,6 +51,11 @@
         self.members.values().filter(|member| member.host != self.settings.host)
     }
 
+    /// Returns whether the store holds the presence of this gateway, as far as is known.
+    pub fn is_listed(&self) -> bool {
+        self.members.is_present(&self.settings.host)
+    }
+
     /// Returns whether a data centre is out, so that its upstreams get no requests.
     pub fn is_out(&self, data_centre: &DataCentreId) -> bool {
         self.closed_data_centres.contains_key(data_centre)
