Hold bodies in memory in proportion to their length, all within a budget

Callers lost bookings on kept connections when a gateway was killed for its memory: an engine that sent 32 bytes every 4 ms without end took it over 110 MB within 4 s.

Cause: the limit of a response counted payload. Each piece kept the whole read buffer alive that it was cut from. The limit was also one for each response, so 14 bodies at full speed exceed the memory of the smallest hosts.

Pieces are copied into segments now, in gateways and for the bodies that callers send to gateways and entries. All responses that a gateway holds share 12 MB: one without a length gives way if it is not among the small ones, one with a length waits. A body that is too long is a garbled response, no longer one that its engine's end cut off.

--- a/crates/hickoryd/src/engine.rs
+++ b/crates/hickoryd/src/engine.rs
@@ -14,9 +14,7 @@
 use http::Request;
 use http::Uri;
 use http::header::CONTENT_TYPE;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use log::warn;
 use serde::Deserialize;
 use tokio::net::TcpStream;
@@ -26,6 +24,7 @@
 use tokio::time::timeout;
 
 use crate::agent_input::AgentInput;
+use crate::body_collector::collect_body;
 use crate::upstream_connection;
 
 /// Maximum time for a response of the upstream, which runs on the same host.
@@ -92,8 +91,8 @@
     if !response.status().is_success() {
         return None;
     }
-    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await.ok()?;
-    let raw: RawReport = serde_json::from_slice(&body.to_bytes()).ok()?;
+    let body = collect_body(response.into_body(), MAX_REPORT_BYTES).await.ok()?;
+    let raw: RawReport = serde_json::from_slice(&body).ok()?;
     Some(raw.into())
 }
 
--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -19,13 +19,15 @@
 use http::header::CONTENT_TYPE;
 use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
+use log::warn;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::body_collector::CollectError;
+use crate::body_collector::collect_within;
 use crate::event_splitter::EventSplitter;
 use crate::event_splitter::event_id;
 use crate::event_splitter::is_progress;
@@ -196,19 +198,29 @@
             }
             return self.relay(open, limits).await;
         }
-        ExchangeOutcome::Ended(self.collect(open, limits).await)
+        ExchangeOutcome::Ended(self.collect(dispatch, open, limits).await)
     }
 
     /// Reads and buffers a complete response.
-    async fn collect(&mut self, open: OpenResponse, limits: &AttemptLimits) -> AttemptOutcome {
+    async fn collect(
+        &mut self,
+        dispatch: &Dispatch,
+        open: OpenResponse,
+        limits: &AttemptLimits,
+    ) -> AttemptOutcome {
         let OpenResponse { response, connection: _connection } = open;
         let (parts, body) = response.into_parts();
+        let budget = self.core.response_budget();
         let collected =
-            timeout_at(limits.deadline, Limited::new(body, MAX_RESPONSE_BYTES).collect());
+            timeout_at(limits.deadline, collect_within(body, MAX_RESPONSE_BYTES, budget));
         let body = match collected.await {
             Err(_elapsed) => return AttemptOutcome::Unknown(ResponseFault::Silent),
-            Ok(Err(_error)) => return AttemptOutcome::Unknown(ResponseFault::Closed),
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(CollectError::Broken)) => return AttemptOutcome::Unknown(ResponseFault::Closed),
+            Ok(Err(error @ (CollectError::TooLong | CollectError::NoMemory))) => {
+                warn!(upstream:% = dispatch.upstream, reason:% = error; "response is given up");
+                return AttemptOutcome::Unknown(ResponseFault::Garbled);
+            }
+            Ok(Ok(body)) => body,
         };
         let status = parts.status;
         self.buffered = Some(UpstreamResponse { status, headers: parts.headers, body });
--- a/crates/hickoryd/src/gateway/caller_port.rs
+++ b/crates/hickoryd/src/gateway/caller_port.rs
@@ -20,8 +20,6 @@
 use http::Version;
 use http::header;
 use http::request::Parts;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -37,6 +35,8 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
+use crate::body_collector::CollectError;
+use crate::body_collector::collect_body;
 use crate::gateway::call_driver::CallDriver;
 use crate::gateway::connection::accept;
 use crate::gateway::core::Core;
@@ -145,7 +145,7 @@
     }
     let limit_bytes = core.limits().body_bytes.get() as usize;
     let read = tokio::select! {
-        read = timeout(BODY_TIMEOUT, Limited::new(body, limit_bytes).collect()) => Some(read),
+        read = timeout(BODY_TIMEOUT, collect_body(body, limit_bytes)) => Some(read),
         () = core.last_answers_due() => None,
     };
     let Some(read) = read else {
@@ -153,11 +153,11 @@
     };
     let response = match read {
         Err(_elapsed) => text_response(408, "the request body took too long".to_owned()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+        Ok(Err(CollectError::TooLong)) => {
             text_response(413, "the request body is too long".to_owned())
         }
         Ok(Err(_error)) => text_response(400, "the request body is not complete".to_owned()),
-        Ok(Ok(body)) => run_call(parts, body.to_bytes(), &core, names).await,
+        Ok(Ok(body)) => run_call(parts, body, &core, names).await,
     };
     if core.is_stopping() { closing(response) } else { response }
 }
--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -53,6 +54,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
+use crate::body_collector::BufferBudget;
 use crate::gateway::boot_clock::BootClock;
 use crate::gateway::followers::FollowerState;
 use crate::gateway::followers::Followers;
@@ -61,6 +63,8 @@
 
 /// Maximum number of prompt parts that a log line names.
 const MAX_LOGGED_PARTS: usize = 16;
+/// Memory for responses that are held until they are complete, of all requests together.
+const MAX_BUFFERED_RESPONSE_BYTES: usize = 12 << 20;
 
 /// Instruction from the reducer to the task of a request.
 #[derive(Debug)]
@@ -132,6 +136,7 @@
     permit_receiver: RefCell<Option<mpsc::UnboundedReceiver<AddressedPermit>>>,
     restored_era: watch::Sender<StoreEra>,
     is_listed: watch::Sender<bool>,
+    response_budget: Arc<BufferBudget>,
     pub(super) metrics: GatewayMetrics,
 }
 
@@ -162,6 +167,7 @@
             permit_receiver: RefCell::new(Some(permit_receiver)),
             restored_era: watch::Sender::new(StoreEra::default()),
             is_listed: watch::Sender::new(false),
+            response_budget: Arc::new(BufferBudget::new(MAX_BUFFERED_RESPONSE_BYTES)),
             metrics: GatewayMetrics::new()?,
         };
         Ok((Rc::new(core), AdapterEffects { rollout_steps }))
@@ -239,6 +245,11 @@
         self.restored_era.subscribe()
     }
 
+    /// Returns the memory for responses that are held until they are complete.
+    pub(super) fn response_budget(&self) -> Arc<BufferBudget> {
+        Arc::clone(&self.response_budget)
+    }
+
     /// Returns a receiver of whether the store holds the presence of this gateway, as far as is known.
     pub fn is_listed(&self) -> watch::Receiver<bool> {
         self.is_listed.subscribe()
--- a/crates/hickoryd/src/http_api.rs
+++ b/crates/hickoryd/src/http_api.rs
@@ -37,9 +37,6 @@
 use http::Version;
 use http::header::CONTENT_LENGTH;
 use http::header::CONTENT_TYPE;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use serde_json::json;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
@@ -51,6 +48,8 @@
 use crate::api_error::ApiError;
 use crate::api_error::json_response;
 use crate::api_error::refusal_response;
+use crate::body_collector::CollectError;
+use crate::body_collector::collect_body;
 use crate::caller_guard::CallerGuard;
 use crate::caller_response::CallerResponse;
 use crate::chat_body::ChatBody;
@@ -132,12 +131,10 @@
         if content_length.is_some_and(|length| length > limit_bytes as u64) {
             return Err(ApiError::BodyTooLong { limit_bytes });
         }
-        let read = timeout(self.body_timeout, Limited::new(body, limit_bytes).collect()).await;
+        let read = timeout(self.body_timeout, collect_body(body, limit_bytes)).await;
         match read {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                Err(ApiError::BodyTooLong { limit_bytes })
-            }
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(CollectError::TooLong)) => Err(ApiError::BodyTooLong { limit_bytes }),
             Ok(Err(_)) | Err(_) => Err(ApiError::BodyIncomplete),
         }
     }
--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -14,6 +14,7 @@
 mod agent_process;
 pub mod answer_text;
 mod api_error;
+pub mod body_collector;
 mod caller_guard;
 mod caller_response;
 mod caller_table;
--- a/crates/hickoryd/src/platform.rs
+++ b/crates/hickoryd/src/platform.rs
@@ -21,9 +21,7 @@
 use http::header::CONTENT_TYPE;
 use http::header::ETAG;
 use http::header::IF_NONE_MATCH;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use log::warn;
 use serde::Deserialize;
 use tokio::sync::mpsc;
@@ -32,6 +30,7 @@
 use tokio::time::timeout;
 
 use crate::answer_text::answer_text;
+use crate::body_collector::collect_body;
 use crate::entry_input::EntryInput;
 use crate::http_client::HttpClient;
 
@@ -142,8 +141,8 @@
             return None;
         }
         let etag = response.headers().get(ETAG).cloned();
-        let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect().await.ok()?;
-        let raw: Vec<RawHost> = serde_json::from_slice(&body.to_bytes()).ok()?;
+        let body = collect_body(response.into_body(), MAX_LIST_BYTES).await.ok()?;
+        let raw: Vec<RawHost> = serde_json::from_slice(&body).ok()?;
         self.records = raw.into_iter().map(HostRecord::from).collect();
         self.etag = etag;
         Some(())
@@ -208,8 +207,8 @@
     let exchange = async {
         let response = client.request(request).await.ok()?;
         let is_success = response.status().is_success();
-        let body = Limited::new(response.into_body(), MAX_RATING_BYTES).collect().await.ok()?;
-        let raw: RawRating = serde_json::from_slice(&body.to_bytes()).ok()?;
+        let body = collect_body(response.into_body(), MAX_RATING_BYTES).await.ok()?;
+        let raw: RawRating = serde_json::from_slice(&body).ok()?;
         is_success.then_some(raw.score)
     };
     match timeout(RATING_TIMEOUT, exchange).await {
