Wait for each part's own evidence before it is quarantined

The first version of the mending waited until no end of any engine had been noticed for 200 ms. Found at reading: where engines end more often than that, for whatever cause, as in a large fleet that loses hosts, no part would ever be quarantined. Now the number of ends under the part itself has to be unchanged for that long.

A play with ends at such a rate was not written.

--- a/crates/hickorydoor/src/gateway/quarantine/end_log.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/end_log.rs
@@ -121,11 +121,6 @@
         own.chain(self.of_peers().map(|(end, at)| (&end.upstream, *at)))
     }
 
-    /// Returns the number of ends that another gateway reports.
-    pub fn count_of_peer(&self, peer: &(HostId, u64)) -> usize {
-        self.peers.get(peer).map_or(0, Vec::len)
-    }
-
     /// Replaces the ends that another gateway reports. Returns whether it knows one that it did not
     /// know before.
     pub fn set_peer(&mut self, peer: (HostId, u64), mut ends: Vec<(EngineEnd, TimeMs)>) -> bool {
--- a/crates/hickorydoor/src/gateway/quarantine/quarantine_table.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/quarantine_table.rs
@@ -49,8 +49,8 @@
 /// Minimum number of recent attempts without a part that survived, at all gateways, before the part
 /// is quarantined. With fewer, nothing tells an end under the part from an end for another cause.
 const MIN_OTHER_SURVIVALS: f64 = 5.0;
-/// Time after an end was noticed until what other gateways know of it has arrived. No part is
-/// quarantined before.
+/// Time after an end under a part was noticed until what other gateways know of it has arrived. The
+/// part is not quarantined before.
 const SETTLED_AFTER_MS: DurationMs = DurationMs::new(200);
 /// Additional ends before several parts are quarantined together that nothing tells apart. Until then
 /// trials of requests with fewer of them may do so.
@@ -100,6 +100,8 @@
 struct Suspect {
     last_end_at: TimeMs,
     ends: usize,
+    /// Since when this number of ends is known.
+    known_since: TimeMs,
 }
 
 impl Suspect {
@@ -152,8 +154,6 @@
     /// Parts that the operator allows, whatever the evidence.
     allowed: BTreeSet<PartKey>,
     changes: Vec<QuarantineChange>,
-    /// When an end was last noticed, here or at another gateway.
-    noticed_at: Option<TimeMs>,
     /// Whether evidence has arrived since the last assessment.
     is_stale: bool,
     /// Whether the other gateways have to learn something soon.
@@ -190,9 +190,6 @@
         self.add_departures(&seen, now);
         let is_unproven = !seen.parts.is_empty();
         self.ends.record(seen, is_unproven, now);
-        if is_unproven {
-            self.noticed_at = Some(now);
-        }
         self.is_stale = true;
         self.is_urgent |= is_unproven;
     }
@@ -224,9 +221,6 @@
             }
         }
         self.departures = remaining;
-        if has_found {
-            self.noticed_at = Some(noticed_at.max(self.noticed_at.unwrap_or_default()));
-        }
         self.is_stale |= has_found;
         self.is_urgent |= has_found;
     }
@@ -246,11 +240,7 @@
                 self.add_departures(end, *at);
             }
         }
-        let peer = (host.clone(), incarnation);
-        if ends.len() > self.ends.count_of_peer(&peer) {
-            self.noticed_at = Some(now);
-        }
-        self.is_stale |= self.ends.set_peer(peer, ends);
+        self.is_stale |= self.ends.set_peer((host.clone(), incarnation), ends);
         self.alive_at_peers.retain(|_, at| now.since(*at) <= ALIVE_TTL_MS);
         for (upstream, age_ms) in report.alive {
             let known = self.alive_at_peers.entry(upstream).or_default();
@@ -477,7 +467,6 @@
         self.release_refuted(&merged, now);
         let by_part = self.ends_by_part(&merged);
         let mut suspects = BTreeMap::new();
-        let is_settled = self.noticed_at.is_none_or(|at| now.since(at) >= SETTLED_AFTER_MS);
         self.paused.clear();
         for (key, ends) in &by_part {
             let count = joint_count(&ends.times);
@@ -485,6 +474,9 @@
             let is_on_probation = self.is_on_probation(key);
             let quarantine_ends = if is_on_probation { 1 } else { model.quarantine_ends() };
             let survived = model.survived + self.survived_without_at_peers(key, now);
+            let known = self.suspects.get(key).filter(|suspect| suspect.ends == count);
+            let known_since = known.map_or(now, |suspect| suspect.known_since);
+            let is_settled = now.since(known_since) >= SETTLED_AFTER_MS;
             let is_told_apart = survived >= MIN_OTHER_SURVIVALS && is_settled;
             if (is_told_apart || is_on_probation)
                 && count >= quarantine_ends
@@ -500,7 +492,7 @@
                 self.paused.insert(key.clone(), paused_until);
             }
             if count >= model.suspicion_ends() {
-                let suspect = Suspect { last_end_at: ends.last_at(), ends: count };
+                let suspect = Suspect { last_end_at: ends.last_at(), ends: count, known_since };
                 if !self.suspects.contains_key(key) {
                     self.changes.push(QuarantineChange {
                         step: QuarantineStep::Suspected,
