Log why connections, tasks and the process end, and write the log to its end

The present logs and metrics cannot tell the hypotheses of the incident of a lost request apart: a connection that ends in a request leaves no line, nor does a panic, an attempt without a socket is like an engine that refuses, and the last lines of a process may never be written.

Each caller's connection now has a record of the request that has no whole response. Its end is counted by kind, and logged if there is such a request. A stop that times out names the requests it drops.

--- a/crates/hickoryd/src/gateway/caller_port.rs
+++ b/crates/hickoryd/src/gateway/caller_port.rs
@@ -15,6 +15,7 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
+use http::Method;
 use http::Request;
 use http::Response;
 use http::Version;
@@ -26,6 +27,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use log::debug;
+use log::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -39,6 +41,8 @@
 use crate::body_collector::collect_body;
 use crate::gateway::call_driver::CallDriver;
 use crate::gateway::connection::accept;
+use crate::gateway::connection_trace::ConnectionEnd;
+use crate::gateway::connection_trace::ConnectionTrace;
 use crate::gateway::core::Core;
 use crate::gateway::header_names::HeaderNames;
 use crate::gateway::response::refusal_response;
@@ -103,9 +107,19 @@
     }
     let _count = core.count_connection();
     let limits = core.limits();
-    let service = service_fn(move |request| {
-        let (core, names) = (Rc::clone(&core), Rc::clone(&names));
-        async move { Ok::<_, Infallible>(handle(request, core, names).await) }
+    let trace = core.trace_connection();
+    let service = service_fn(|request: Request<Incoming>| {
+        let (core, names, trace) = (Rc::clone(&core), Rc::clone(&names), Rc::clone(&trace));
+        let attempt = header_text(request.headers(), &names.client_attempt);
+        trace.begin_request(attempt.unwrap_or_default());
+        let has_no_body = request.method() == Method::HEAD;
+        async move {
+            let response = handle(request, core, names).await;
+            if has_no_body {
+                trace.end_request();
+            }
+            Ok::<_, Infallible>(response.map(|body| body.traced(trace)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -128,8 +142,28 @@
             }
         }
     };
-    if let Err(error) = result {
-        debug!(reason:% = error; "caller connection closed after an error");
+    report_end(&core, &trace, &result);
+}
+
+/// Counts the end of a caller's connection, and logs it if a request has no whole response.
+fn report_end(core: &Core, trace: &ConnectionTrace, result: &hyper::Result<()>) {
+    let end = trace.end(result);
+    core.metrics.record_connection_end(end.as_str());
+    let reason = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
+    let open_ms = core.now().since(trace.accepted_at).get();
+    if end == ConnectionEnd::Unanswered {
+        warn!(
+            connection = trace.number, request = trace.unanswered().unwrap_or_default().as_str(),
+            requests = trace.requests(), open_ms = open_ms, stopping = core.is_stopping(),
+            reason = reason.as_str();
+            "caller connection ended in a request"
+        );
+    } else {
+        debug!(
+            connection = trace.number, end = end.as_str(), requests = trace.requests(),
+            open_ms = open_ms, reason = reason.as_str();
+            "caller connection ended"
+        );
     }
 }
 
--- /dev/null
+++ b/crates/hickoryd/src/gateway/connection_trace.rs
@@ -0,0 +1,81 @@
+//! Record of what a caller's connection has carried, from its accept to its end.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+
+use compact_str::CompactString;
+use hickorydoor::TimeMs;
+
+/// How a caller's connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// Each request that was read has its whole response.
+    Complete,
+    /// No request, or only a part of its head, arrived in time.
+    Idle,
+    /// The connection failed, or broke off in a request that was not read to its end.
+    Failed,
+    /// A request had been read and its response was not sent whole.
+    Unanswered,
+}
+
+impl ConnectionEnd {
+    /// Returns the name for logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Idle => "idle",
+            Self::Failed => "failed",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
+/// Requests of one connection, and how far the last one has come.
+#[derive(Debug)]
+pub struct ConnectionTrace {
+    /// Number of the connection, counted from the start of the process.
+    pub number: u64,
+    /// When the connection was accepted.
+    pub accepted_at: TimeMs,
+    requests: Cell<u32>,
+    unanswered: RefCell<Option<CompactString>>,
+}
+
+impl ConnectionTrace {
+    /// Creates the record of a connection without requests.
+    pub const fn new(number: u64, accepted_at: TimeMs) -> Self {
+        Self { number, accepted_at, requests: Cell::new(0), unanswered: RefCell::new(None) }
+    }
+
+    /// Records that the head of a request has been read.
+    pub fn begin_request(&self, client_attempt: &str) {
+        self.requests.set(self.requests.get() + 1);
+        self.unanswered.replace(Some(client_attempt.into()));
+    }
+
+    /// Records that the response to the last request has been handed over whole.
+    pub fn end_request(&self) {
+        self.unanswered.take();
+    }
+
+    /// Returns the number of requests that have been read.
+    pub const fn requests(&self) -> u32 {
+        self.requests.get()
+    }
+
+    /// Returns the client's id of the request that has no whole response.
+    pub fn unanswered(&self) -> Option<CompactString> {
+        self.unanswered.borrow().clone()
+    }
+
+    /// Returns how the connection ended, from the result of serving it.
+    pub fn end(&self, result: &hyper::Result<()>) -> ConnectionEnd {
+        match result {
+            _ if self.unanswered.borrow().is_some() => ConnectionEnd::Unanswered,
+            Ok(()) => ConnectionEnd::Complete,
+            Err(error) if error.is_timeout() => ConnectionEnd::Idle,
+            Err(_error) => ConnectionEnd::Failed,
+        }
+    }
+}
--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -56,6 +56,7 @@
 
 use crate::body_collector::BufferBudget;
 use crate::gateway::boot_clock::BootClock;
+use crate::gateway::connection_trace::ConnectionTrace;
 use crate::gateway::followers::FollowerState;
 use crate::gateway::followers::Followers;
 use crate::gateway::metrics::GatewayMetrics;
@@ -63,6 +64,8 @@
 
 /// Maximum number of prompt parts that a log line names.
 const MAX_LOGGED_PARTS: usize = 16;
+/// Maximum number of requests that a log line names.
+const MAX_LOGGED_REQUESTS: usize = 16;
 /// Memory for responses that are held until they are complete, of all requests together.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 12 << 20;
 
@@ -124,6 +127,7 @@
     calls: RefCell<HashMap<CallId, OpenCall>>,
     next_call: Cell<u64>,
     connections: Cell<usize>,
+    accepted_connections: Cell<u64>,
     rollout_steps: mpsc::UnboundedSender<RolloutStep>,
     stopping: watch::Sender<bool>,
     stop_timeout_ms: DurationMs,
@@ -156,6 +160,7 @@
             calls: RefCell::default(),
             next_call: Cell::new(0),
             connections: Cell::new(0),
+            accepted_connections: Cell::new(0),
             rollout_steps: sender,
             stopping: watch::Sender::new(false),
             stop_timeout_ms,
@@ -367,6 +372,21 @@
         ConnectionCount(Rc::clone(self))
     }
 
+    /// Begins the record of a caller's connection.
+    pub(super) fn trace_connection(&self) -> Rc<ConnectionTrace> {
+        let number = self.accepted_connections.get() + 1;
+        self.accepted_connections.set(number);
+        Rc::new(ConnectionTrace::new(number, self.now()))
+    }
+
+    /// Returns the clients' ids of requests that have not ended, of some if there are many.
+    pub fn open_requests(&self) -> CompactString {
+        let calls = self.calls.borrow();
+        let ids = calls.values().map(|open_call| open_call.client_attempt.as_str());
+        let ids: Vec<&str> = ids.take(MAX_LOGGED_REQUESTS).collect();
+        ids.join(",").into()
+    }
+
     /// Returns the limits on callers from the configuration in force, or the default limits while
     /// the gateway has no configuration.
     pub fn limits(&self) -> CallerLimits {
@@ -391,7 +411,7 @@
     /// Returns all metrics in the Prometheus text format.
     pub(super) fn metrics_text(&self) -> String {
         let age_ms = self.gateway.borrow().configuration_age_ms(self.now());
-        self.metrics.encode(self.open_calls(), age_ms)
+        self.metrics.encode(self.open_calls(), self.connections(), age_ms)
     }
 
     /// Registers a request and applies its arrival. The returned receiver yields the directives for
--- a/crates/hickoryd/src/gateway/log_writer.rs
+++ b/crates/hickoryd/src/gateway/log_writer.rs
@@ -2,7 +2,7 @@
 //!
 //! A thread writes the lines that it receives through a bounded queue. When the queue is full or
 //! the rate limit is reached, further lines are dropped. The next line that is written is preceded
-//! by their count.
+//! by their count. At the end of the process, what is queued is written first.
 
 use std::io;
 use std::io::Write;
@@ -29,6 +29,8 @@
 const MAX_QUEUED_LINES: usize = 2_048;
 /// Maximum number of lines written in a second.
 const MAX_LINES_PER_S: u32 = 500;
+/// Maximum time that the end of the process waits for queued lines to be written.
+const MAX_SHUTDOWN_WAIT: Duration = Duration::from_millis(200);
 
 /// Installs the logger of a gateway; it is shut down when the handle is dropped.
 ///
@@ -39,18 +41,31 @@
         .module("hickoryd", level)
         .module("hickory_platform", level)
         .build();
-    let (lines, queue) = sync_channel::<Vec<u8>>(MAX_QUEUED_LINES);
+    let (lines, queue) = sync_channel::<QueuedItem>(MAX_QUEUED_LINES);
     thread::spawn(move || {
         let mut output = io::stdout();
-        while let Ok(line) = queue.recv() {
-            // A failure to write the log cannot be logged.
-            drop(output.write_all(&line).and_then(|()| output.flush()));
+        while let Ok(item) = queue.recv() {
+            match item {
+                // A failure to write the log cannot be logged.
+                QueuedItem::Line(line) => {
+                    drop(output.write_all(&line).and_then(|()| output.flush()));
+                }
+                // Dropping the sender tells that all lines before it are written.
+                QueuedItem::Flush(written) => drop(written),
+            }
         }
     });
     let writer = QueueWriter { lines, rate_limit: Mutex::new(LineRateLimit::default()) };
     Logger::with(specification).log_to_writer(Box::new(writer)).start()
 }
 
+/// What the writing thread receives.
+#[derive(Debug)]
+enum QueuedItem {
+    Line(Vec<u8>),
+    Flush(SyncSender<()>),
+}
+
 /// Rate limit on lines, counted in windows of one second.
 #[derive(Debug, Default)]
 struct LineRateLimit {
@@ -79,7 +94,7 @@
 }
 
 struct QueueWriter {
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<QueuedItem>,
     rate_limit: Mutex<LineRateLimit>,
 }
 
@@ -98,7 +113,7 @@
         }
         json_line(&mut line, now, record)?;
         line.push(b'\n');
-        if self.lines.try_send(line).is_err() {
+        if self.lines.try_send(QueuedItem::Line(line)).is_err() {
             rate_limit.dropped += dropped + 1;
         }
         Ok(())
@@ -108,6 +123,14 @@
         Ok(())
     }
 
+    fn shutdown(&self) {
+        let (sender, written) = sync_channel(1);
+        if self.lines.try_send(QueuedItem::Flush(sender)).is_ok() {
+            // Either all lines are written, or the reader of the output is too slow.
+            let _ = written.recv_timeout(MAX_SHUTDOWN_WAIT);
+        }
+    }
+
     fn max_log_level(&self) -> LevelFilter {
         LevelFilter::Trace
     }
--- a/crates/hickoryd/src/gateway/metrics.rs
+++ b/crates/hickoryd/src/gateway/metrics.rs
@@ -28,6 +28,8 @@
     first_event: HistogramVec,
     duration: HistogramVec,
     open_calls: IntGauge,
+    open_connections: IntGauge,
+    connection_ends: IntCounterVec,
     configuration_age: IntGauge,
     rollout_attempts: IntGaugeVec,
     quarantine_changes: IntCounterVec,
@@ -55,6 +57,15 @@
             first_event: histogram("hickorydoor_first_event_seconds", "time to the first event")?,
             duration: histogram("hickorydoor_call_seconds", "time to the end of the request")?,
             open_calls: IntGauge::new("hickorydoor_open_calls", "requests that have not ended")?,
+            open_connections: IntGauge::new(
+                "hickorydoor_caller_connections",
+                "open connections of callers",
+            )?,
+            connection_ends: counter(
+                "hickorydoor_caller_connection_ends_total",
+                "connections of callers that have ended",
+                &["end"],
+            )?,
             configuration_age: IntGauge::new(
                 "hickorydoor_configuration_age_ms",
                 "age of the configuration",
@@ -89,6 +100,8 @@
         metrics.registry.register(Box::new(metrics.first_event.clone()))?;
         metrics.registry.register(Box::new(metrics.duration.clone()))?;
         metrics.registry.register(Box::new(metrics.open_calls.clone()))?;
+        metrics.registry.register(Box::new(metrics.open_connections.clone()))?;
+        metrics.registry.register(Box::new(metrics.connection_ends.clone()))?;
         metrics.registry.register(Box::new(metrics.configuration_age.clone()))?;
         metrics.registry.register(Box::new(metrics.rollout_attempts.clone()))?;
         metrics.registry.register(Box::new(metrics.quarantine_changes.clone()))?;
@@ -124,6 +137,11 @@
         self.calls.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts the end of a caller's connection.
+    pub fn record_connection_end(&self, end: &str) {
+        self.connection_ends.with_label_values(&[end]).inc();
+    }
+
     /// Counts an attempt that has ended.
     pub fn record_attempt(&self, outcome: &str) {
         self.attempts.with_label_values(&[outcome]).inc();
@@ -160,8 +178,14 @@
     }
 
     /// Sets the gauges and encodes all metrics; a missing configuration has the age -1.
-    pub fn encode(&self, open_calls: usize, configuration_age_ms: Option<DurationMs>) -> String {
+    pub fn encode(
+        &self,
+        open_calls: usize,
+        open_connections: usize,
+        configuration_age_ms: Option<DurationMs>,
+    ) -> String {
         self.open_calls.set(open_calls.cast_signed() as i64);
+        self.open_connections.set(open_connections.cast_signed() as i64);
         let age_ms = configuration_age_ms.map_or(-1, |age_ms| age_ms.get().cast_signed());
         self.configuration_age.set(age_ms);
         match TextEncoder::new().encode_to_string(&self.registry.gather()) {
--- a/crates/hickoryd/src/gateway/mod.rs
+++ b/crates/hickoryd/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod call_driver;
 mod caller_port;
 pub mod connection;
+mod connection_trace;
 mod core;
 mod digest_exchange;
 mod feed_client;
--- a/crates/hickoryd/src/gateway/process.rs
+++ b/crates/hickoryd/src/gateway/process.rs
@@ -113,9 +113,14 @@
             sleep(IDLE_CHECK_INTERVAL).await;
         }
         sleep(FLUSH_DELAY).await;
+        let connections = self.core.connections();
         match self.core.open_calls() {
-            0 => info!("stopped"),
-            open => warn!(open_calls = open; "stop timeout; dropping open requests"),
+            0 => info!(connections = connections; "stopped"),
+            open => warn!(
+                open_calls = open, requests = self.core.open_requests().as_str(),
+                connections = connections;
+                "stop timeout; dropping open requests"
+            ),
         }
     }
 }
--- a/crates/hickoryd/src/gateway/response_body.rs
+++ b/crates/hickoryd/src/gateway/response_body.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 
@@ -12,6 +13,7 @@
 use hyper::body::SizeHint;
 use tokio::sync::mpsc;
 
+use crate::gateway::connection_trace::ConnectionTrace;
 use crate::response_body::ResponseTruncated;
 
 /// Body of a response to a caller.
@@ -23,6 +25,52 @@
     Stream(mpsc::Receiver<Result<Bytes, ResponseTruncated>>),
 }
 
+impl ResponseBody {
+    /// Has the record of the connection say when the body has been handed over whole.
+    pub const fn traced(self, trace: Rc<ConnectionTrace>) -> TracedBody {
+        TracedBody { body: self, trace }
+    }
+}
+
+/// Body that tells the record of its connection when the server has taken all of it.
+#[derive(Debug)]
+pub struct TracedBody {
+    body: ResponseBody,
+    trace: Rc<ConnectionTrace>,
+}
+
+impl Body for TracedBody {
+    type Data = Bytes;
+    type Error = ResponseTruncated;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, ResponseTruncated>>> {
+        let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if frame.is_none() {
+            self.trace.end_request();
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for TracedBody {
+    fn drop(&mut self) {
+        if self.body.is_end_stream() {
+            self.trace.end_request();
+        }
+    }
+}
+
 impl Body for ResponseBody {
     type Data = Bytes;
     type Error = ResponseTruncated;
--- a/crates/hickoryd/src/gateway/upstream_request.rs
+++ b/crates/hickoryd/src/gateway/upstream_request.rs
@@ -4,6 +4,7 @@
 //! earlier request cannot be mistaken for the response to this one, and closing the connection
 //! cancels the work at the upstream.
 
+use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -23,6 +24,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use log::debug;
+use log::info;
 use log::warn;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -170,9 +172,11 @@
     let unreachable = AttemptOutcome::NotRun(NotRun::Unreachable);
     let connect_timeout = Duration::from(dispatch.connect_timeout_ms);
     let connected = timeout(connect_timeout, TcpStream::connect(dispatch.address)).await;
-    let Ok(Ok(stream)) = connected else {
-        return Err(unreachable);
-    };
+    let connected = connected.unwrap_or_else(|_elapsed| Err(io::ErrorKind::TimedOut.into()));
+    let stream = connected.map_err(|error| {
+        info!(upstream:% = dispatch.upstream, reason:% = error; "cannot connect to the upstream");
+        unreachable
+    })?;
     let Ok((sender, connection)) = client_handshake(stream).await else {
         return Err(unreachable);
     };
--- a/crates/hickoryd/src/main.rs
+++ b/crates/hickoryd/src/main.rs
@@ -6,6 +6,7 @@
 use getopts::Options;
 use hickoryd::Settings;
 use hickoryd::command_line::Program;
+use hickoryd::log_panics;
 use mimalloc::MiMalloc;
 use tokio::runtime::Builder;
 
@@ -47,6 +48,7 @@
         eprintln!("hickoryd: cannot start the logger: {error}");
         return ExitCode::FAILURE;
     }
+    log_panics();
     let runtime =
         Builder::new_multi_thread().worker_threads(settings.worker_threads).enable_all().build();
     let runtime = match runtime {
