--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -58,6 +58,7 @@
 mod response_header;
 mod settings;
 mod settings_error;
+pub mod signals;
 mod start_error;
 mod status;
 mod telemetry;
--- a/crates/hickoryd/tests/binary.rs
+++ b/crates/hickoryd/tests/binary.rs
@@ -79,6 +79,10 @@
     };
     let answer = tokio::time::timeout(START_TIMEOUT, served).await?;
     assert!(answer.text().contains(PROMPT));
+    for signal in ["-HUP", "-USR1", "-USR2"] {
+        Command::new("kill").args([signal, &daemon.id().to_string()]).status()?;
+    }
+    assert_eq!(send_chat(&address).await?.status, 200, "a signal to reopen files ends no process");
     Command::new("kill").args(["-TERM", &daemon.id().to_string()]).status()?;
     let stopped = tokio::task::spawn_blocking(move || {
         let log: Vec<String> = log.collect();
