Keep the port for callers open until a stopping gateway has nothing left to answer

Callers saw a reset although the system had accepted their connection and their request: a gateway that did not run while its port closed dropped what waited in the accept queue. Causes: the time to close was over before the queue was looked at, and tokio answers from what its reactor saw last, which is nothing after SIGCONT, since epoll_wait ends with EINTR and the timers fire first. The entry's HTTP port had the second one too.

The port now closes last, and the system itself is asked for the rest of its queue, by one function for both data paths.

--- a/crates/hickoryd/src/gateway/caller_port.rs
+++ b/crates/hickoryd/src/gateway/caller_port.rs
@@ -34,9 +34,9 @@
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
-use tokio::time::Instant;
 use tokio::time::timeout;
 
+use crate::accept_queue;
 use crate::body_collector::CollectError;
 use crate::body_collector::collect_body;
 use crate::gateway::call_driver::CallDriver;
@@ -45,6 +45,8 @@
 use crate::gateway::connection_trace::ConnectionTrace;
 use crate::gateway::core::Core;
 use crate::gateway::header_names::HeaderNames;
+use crate::gateway::port_phase::PortPhase;
+use crate::gateway::port_phase::reached;
 use crate::gateway::response::refusal_response;
 use crate::gateway::response::text_response;
 use crate::gateway::response_body::ResponseBody;
@@ -52,11 +54,9 @@
 
 /// Maximum time to receive a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time without a new connection, or without a request on an open one, after which a stopping port
-/// closes it.
+/// Time without a request after which a closing port closes an open connection, and time without a
+/// new connection after which the port itself closes.
 const QUIET_TIME: Duration = Duration::from_millis(200);
-/// Maximum time for which a stopping port accepts connections.
-const MAX_CLOSING_TIME: Duration = Duration::from_secs(1);
 /// Added to the idle timeout, so that a caller that uses the whole timeout is not disconnected.
 const IDLE_TIMEOUT_GRACE: Duration = Duration::from_secs(1);
 /// Minimum size of the read buffer of a connection.
@@ -64,48 +64,44 @@
 /// Maximum number of headers of a request.
 const MAX_HEADERS: usize = 100;
 
-/// Accepts callers until `stop` becomes true; open connections then finish their current request.
+/// Accepts callers until the port is closed and no more connections arrive. All connections are counted when this returns.
 pub async fn serve(
     listener: TcpListener,
     core: Rc<Core>,
     names: Rc<HeaderNames>,
-    stop: watch::Receiver<bool>,
+    mut phase: watch::Receiver<PortPhase>,
 ) {
+    let connection_phase = phase.clone();
     let start = |stream| {
-        let stop = stop.clone();
-        spawn_local(serve_connection(stream, Rc::clone(&core), Rc::clone(&names), stop));
+        let count = core.count_connection();
+        let connection =
+            serve_connection(stream, Rc::clone(&core), Rc::clone(&names), connection_phase.clone());
+        spawn_local(async move {
+            connection.await;
+            drop(count);
+        });
     };
-    let mut stop = stop.clone();
     loop {
         tokio::select! {
             (stream, _peer) = accept(&listener) => start(stream),
-            () = stop_requested(&mut stop) => break,
+            () = reached(&mut phase, PortPhase::Closed) => break,
         }
     }
-    // Connections that the system has accepted would be reset when the listener is closed.
-    let until = Instant::now() + MAX_CLOSING_TIME;
-    while Instant::now() < until
-        && let Ok((stream, _peer)) = timeout(QUIET_TIME, accept(&listener)).await
-    {
+    while let Ok((stream, _peer)) = timeout(QUIET_TIME, accept(&listener)).await {
         start(stream);
     }
-}
-
-/// Waits until the port must stop accepting callers. A closed channel counts as a request to stop.
-async fn stop_requested(stop: &mut watch::Receiver<bool>) {
-    drop(stop.wait_for(|stop| *stop).await);
+    accept_queue::close(listener).into_iter().for_each(start);
 }
 
 async fn serve_connection(
     stream: TcpStream,
     core: Rc<Core>,
     names: Rc<HeaderNames>,
-    mut stop: watch::Receiver<bool>,
+    mut phase: watch::Receiver<PortPhase>,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         debug!(reason:% = error; "cannot set TCP_NODELAY; small writes may be delayed");
     }
-    let _count = core.count_connection();
     let limits = core.limits();
     let trace = core.trace_connection();
     let service = service_fn(|request: Request<Incoming>| {
@@ -130,7 +126,7 @@
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = stop_requested(&mut stop) => {
+        () = reached(&mut phase, PortPhase::Closing) => {
             // A request may have arrived that was not read yet; it is answered, which closes the
             // connection.
             match timeout(QUIET_TIME, connection.as_mut()).await {
--- a/crates/hickoryd/src/gateway/mod.rs
+++ b/crates/hickoryd/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod log_writer;
 mod metrics;
 mod options;
+mod port_phase;
 mod process;
 mod response;
 mod response_body;
--- a/crates/hickoryd/src/gateway/process.rs
+++ b/crates/hickoryd/src/gateway/process.rs
@@ -11,11 +11,13 @@
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio::time::sleep;
+use tokio::time::timeout_at;
 
 use crate::gateway::caller_port::serve;
 use crate::gateway::core::AdapterEffects;
@@ -23,6 +25,7 @@
 use crate::gateway::digest_exchange::exchange_digests;
 use crate::gateway::feed_server::serve_feed;
 use crate::gateway::options::GatewayOptions;
+use crate::gateway::port_phase::PortPhase;
 use crate::gateway::status_port::serve_status;
 use crate::start_error::StartError;
 
@@ -30,6 +33,10 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which a stopping gateway checks whether all callers have disconnected.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Maximum time after the stop timeout in which connections are accepted.
+const LAST_ACCEPT_TIME: Duration = Duration::from_millis(100);
+/// Minimum time to answer on the connections that were accepted as the port closed.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
 /// Delay at the end of a shutdown, in which the system sends the last bytes of responses.
 const FLUSH_DELAY: Duration = Duration::from_millis(100);
 
@@ -39,7 +46,8 @@
     core: Rc<Core>,
     http_address: SocketAddr,
     ready_address: SocketAddr,
-    close_callers: watch::Sender<bool>,
+    port_phase: watch::Sender<PortPhase>,
+    callers: JoinHandle<()>,
     stop_notice: Duration,
     stop_timeout: Duration,
 }
@@ -56,16 +64,16 @@
         let (core, adapter_effects) = Core::new(options.settings)
             .map_err(|cause| StartError::Metrics { cause: io::Error::other(cause) })?;
         let names = Rc::new(options.header_names);
-        let close_callers = watch::Sender::new(false);
-        let callers = bind(options.http_listen).await?;
-        let http_address = local_address(&callers, options.http_listen)?;
+        let port_phase = watch::Sender::new(PortPhase::Open);
+        let listener = bind(options.http_listen).await?;
+        let http_address = local_address(&listener, options.http_listen)?;
         let ready = bind(options.ready_listen).await?;
         let ready_address = local_address(&ready, options.ready_listen)?;
         let peer_address = SocketAddr::new(options.peer_ip, options.peer_port);
         let peers = UdpSocket::bind(peer_address)
             .await
             .map_err(|cause| StartError::Listen { address: peer_address, cause })?;
-        spawn_local(serve(callers, Rc::clone(&core), names, close_callers.subscribe()));
+        let callers = spawn_local(serve(listener, Rc::clone(&core), names, port_phase.subscribe()));
         spawn_local(serve_status(ready, Rc::clone(&core), options.ready_path.clone()));
         if let Some(address) = options.metrics_listen {
             let metrics = bind(address).await?;
@@ -81,8 +89,15 @@
             options.peer_interval,
         ));
         spawn_local(tick(Rc::clone(&core)));
-        let process =
-            Self { core, http_address, ready_address, close_callers, stop_notice, stop_timeout };
+        let process = Self {
+            core,
+            http_address,
+            ready_address,
+            port_phase,
+            callers,
+            stop_notice,
+            stop_timeout,
+        };
         Ok((process, adapter_effects))
     }
 
@@ -102,16 +117,18 @@
     }
 
     /// Shuts down gracefully. The gateway reports that it is not ready, and serves new requests for
-    /// the time in which the platform is to observe this. Then it closes the port for callers and
-    /// finishes the open requests, until the stop timeout has passed.
+    /// the time in which the platform is to observe this. Then it closes each connection after its
+    /// current request, until the stop timeout has passed. The port closes last.
     pub async fn stop(self) {
         let deadline = Instant::now() + self.stop_timeout;
         self.core.stop();
         sleep(self.stop_notice).await;
-        self.close_callers.send_replace(true);
-        while self.core.connections() > 0 && Instant::now() < deadline {
-            sleep(IDLE_CHECK_INTERVAL).await;
-        }
+        self.port_phase.send_replace(PortPhase::Closing);
+        wait_for_callers(&self.core, deadline).await;
+        self.port_phase.send_replace(PortPhase::Closed);
+        // The port is closed at the deadline even if connections keep arriving.
+        drop(timeout_at(deadline.max(Instant::now()) + LAST_ACCEPT_TIME, self.callers).await);
+        wait_for_callers(&self.core, deadline.max(Instant::now() + LAST_ANSWERS_TIME)).await;
         sleep(FLUSH_DELAY).await;
         let connections = self.core.connections();
         match self.core.open_calls() {
@@ -125,6 +142,13 @@
     }
 }
 
+/// Waits until no caller is connected, at most until `deadline`.
+async fn wait_for_callers(core: &Core, deadline: Instant) {
+    while core.connections() > 0 && Instant::now() < deadline {
+        sleep(IDLE_CHECK_INTERVAL).await;
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).await.map_err(|cause| StartError::Listen { address, cause })
 }
--- a/crates/hickoryd/src/http_server.rs
+++ b/crates/hickoryd/src/http_server.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use axum::Router;
-use futures_util::FutureExt;
 use http::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -26,6 +25,7 @@
 use tokio_rustls::TlsAcceptor;
 use tower::util::MapRequest;
 
+use crate::accept_queue;
 use crate::tls::TlsWatch;
 use crate::write_timeout::WriteTimeout;
 
@@ -89,14 +89,12 @@
             () = stop_requested(&mut stop) => break,
         }
     }
-    // Connections in the accept queue would be reset when the listener is closed.
-    while let Some(Ok((stream, _peer))) = listener.accept().now_or_never() {
+    for stream in accept_queue::close(listener) {
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
             break;
         };
         start_connection(stream, permit, &router, limits, tls.as_ref(), &stop);
     }
-    drop(listener);
     // All permits are available once every connection has ended.
     drop(permits.acquire_many(limits.max_connections as u32).await);
 }
--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`Settings`] reads and checks the settings file, and [`run()`] runs the process that it
 //! describes. The [`gateway`] module contains a third role, which a platform adapter embeds.
 
+mod accept_queue;
 mod agent_input;
 mod agent_link;
 mod agent_loop;
