Close callers' connections so that no reset overtakes a response

Callers saw a response end early: where a connection was closed with unread bytes, or where bytes arrived after the close, such as the next request of the caller, the system reset it and dropped what it had not delivered yet. With a caller that reads slowly 24 KB of 1 MB arrived.

The sending side is now closed first; what still arrives is read and dropped until the caller closes, for 2 s at most. Entries and gateways share the code.

--- a/crates/hickoryd/src/gateway/caller_port.rs
+++ b/crates/hickoryd/src/gateway/caller_port.rs
@@ -51,6 +51,7 @@
 use crate::gateway::response::text_response;
 use crate::gateway::response_body::ResponseBody;
 use crate::gateway::upstream_request::RequestTemplate;
+use crate::lingering_close::LingeringClose;
 
 /// Maximum time to receive a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -122,7 +123,7 @@
         .header_read_timeout(Duration::from(limits.idle_timeout_ms) + IDLE_TIMEOUT_GRACE)
         .max_buf_size((limits.head_bytes.get() as usize).max(MIN_READ_BUFFER_BYTES))
         .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(LingeringClose::new(stream)), service);
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
--- a/crates/hickoryd/src/http_server.rs
+++ b/crates/hickoryd/src/http_server.rs
@@ -26,6 +26,7 @@
 use tower::util::MapRequest;
 
 use crate::accept_queue;
+use crate::lingering_close::LingeringClose;
 use crate::tls::TlsWatch;
 use crate::write_timeout::WriteTimeout;
 
@@ -148,12 +149,13 @@
         request
     });
     let service = TowerToHyperService::new(service);
+    let stream = LingeringClose::new(WriteTimeout::new(stream, limits.write_timeout));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.max_head_bytes)
         .max_headers(limits.max_headers)
-        .serve_connection(TokioIo::new(WriteTimeout::new(stream, limits.write_timeout)), service);
+        .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -39,6 +39,7 @@
 mod http_client;
 mod http_server;
 mod kv_executor;
+mod lingering_close;
 mod link;
 mod link_report;
 mod link_table;
