Break a stream off if its task ends without saying that it is complete

The end of a stream to a caller was told by dropping the sender of its events. Any other end of the task, such as a panic, drops it too, and the response then looked complete. The end is now a message of its own, which always finds a place in the channel; without it the response is broken off, as at entries.

--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -38,11 +38,11 @@
 use crate::gateway::response::forwarded_response;
 use crate::gateway::response::refusal_response;
 use crate::gateway::response_body::ResponseBody;
+use crate::gateway::response_body::StreamPiece;
 use crate::gateway::stream_pace::StreamPace;
 use crate::gateway::upstream_request::OpenResponse;
 use crate::gateway::upstream_request::RequestTemplate;
 use crate::gateway::upstream_request::send;
-use crate::response_body::ResponseTruncated;
 
 /// Maximum size of a response that is not a stream.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -59,7 +59,9 @@
     template: RequestTemplate,
     reply: Option<oneshot::Sender<Response<ResponseBody>>>,
     /// Stream to the caller; `None` before its first event and after its end.
-    events: Option<mpsc::Sender<Result<Bytes, ResponseTruncated>>>,
+    events: Option<mpsc::Sender<StreamPiece>>,
+    /// Place for the end of the stream to the caller, which needs not wait for a slow caller.
+    end: Option<mpsc::OwnedPermit<StreamPiece>>,
     /// Complete response of the last attempt, until the reducer decides whether to deliver it.
     buffered: Option<UpstreamResponse>,
     /// Number of the last event that the caller has received.
@@ -100,6 +102,7 @@
             template,
             reply,
             events: None,
+            end: None,
             buffered: None,
             last_event,
             stream_kind: None,
@@ -133,9 +136,10 @@
                     if let Some(response) = self.buffered.take() {
                         self.respond(response.into_response());
                     }
-                    return self.abort_stream().await;
+                    return;
                 }
-                Directive::Abort => return self.abort_stream().await,
+                // The stream to the caller is broken off, as it ends without its end.
+                Directive::Abort => return,
             }
         }
     }
@@ -147,13 +151,6 @@
         }
     }
 
-    /// Aborts the stream to the caller, if one has started and not ended.
-    async fn abort_stream(&mut self) {
-        if let Some(events) = self.events.take() {
-            drop(events.send(Err(ResponseTruncated)).await);
-        }
-    }
-
     /// Runs one attempt; returns `None` if the caller has disconnected.
     async fn run_attempt(
         &mut self,
@@ -260,7 +257,7 @@
                     if let Some(gap_us) = pace.end() {
                         self.core.apply(GatewayEvent::StreamPaced { call: self.call, gap_us });
                     }
-                    self.events = None;
+                    self.end_stream();
                     return ExchangeOutcome::Ended(AttemptOutcome::Served);
                 }
                 Err(ResponseFault::Silent) if Instant::now() < limits.deadline => {
@@ -330,17 +327,26 @@
             // A resumed stream: the caller has received the head from an earlier attempt.
             return;
         }
-        let (sender, receiver) = mpsc::channel(MAX_BUFFERED_EVENTS);
+        let (sender, receiver) = mpsc::channel(MAX_BUFFERED_EVENTS + 1);
+        self.end = sender.clone().try_reserve_owned().ok();
         self.events = Some(sender);
         self.respond(forwarded_response(status, headers, ResponseBody::Stream(receiver)));
     }
 
+    /// Completes the stream to the caller.
+    fn end_stream(&mut self) {
+        self.events = None;
+        if let Some(end) = self.end.take() {
+            end.send(StreamPiece::End);
+        }
+    }
+
     /// Sends an event to the caller; returns false if the caller has disconnected.
     async fn forward(&mut self, event: Bytes, id: Option<u64>) -> bool {
         let Some(events) = &self.events else {
             return false;
         };
-        if events.send(Ok(event)).await.is_err() {
+        if events.send(StreamPiece::Event(event)).await.is_err() {
             return false;
         }
         if id.is_some() {
@@ -398,7 +404,7 @@
 }
 
 /// Waits until the caller closes the stream; never returns before a stream has started.
-async fn disconnected(events: Option<&mpsc::Sender<Result<Bytes, ResponseTruncated>>>) {
+async fn disconnected(events: Option<&mpsc::Sender<StreamPiece>>) {
     match events {
         Some(events) => events.closed().await,
         None => std::future::pending().await,
--- a/crates/hickoryd/src/gateway/mod.rs
+++ b/crates/hickoryd/src/gateway/mod.rs
@@ -41,6 +41,8 @@
 pub use log_writer::start_log;
 pub use options::GatewayOptions;
 pub use process::GatewayProcess;
+pub use response_body::ResponseBody;
+pub use response_body::StreamPiece;
 pub use view_source::ViewOptions;
 pub use view_source::learn_view;
 pub use view_source::maintain_view;
--- a/crates/hickoryd/src/gateway/response_body.rs
+++ b/crates/hickoryd/src/gateway/response_body.rs
@@ -21,8 +21,17 @@
 pub enum ResponseBody {
     /// The complete body.
     Whole(Full<Bytes>),
-    /// Chunks as they arrive; an error aborts the response without its end.
-    Stream(mpsc::Receiver<Result<Bytes, ResponseTruncated>>),
+    /// Events as they arrive. The response is broken off if the channel closes without an end.
+    Stream(mpsc::Receiver<StreamPiece>),
+}
+
+/// Piece of a stream to a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamPiece {
+    /// The next event.
+    Event(Bytes),
+    /// The stream is complete.
+    End,
 }
 
 impl ResponseBody {
@@ -83,9 +92,11 @@
             Self::Whole(body) => {
                 Pin::new(body).poll_frame(cx).map_err(|never: Infallible| match never {})
             }
-            Self::Stream(receiver) => {
-                receiver.poll_recv(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-            }
+            Self::Stream(receiver) => receiver.poll_recv(cx).map(|piece| match piece {
+                Some(StreamPiece::Event(event)) => Some(Ok(Frame::data(event))),
+                Some(StreamPiece::End) => None,
+                None => Some(Err(ResponseTruncated)),
+            }),
         }
     }
 
