Split the state of a rollout by concern, and record its outcomes as one typed value

Evidence, pins and writes now are types of their own, and six functions of the same shape that recorded outcomes are one with a typed outcome. No behaviour changes: 34 tests of gateway_rollouts, gateway_canary, gateway_load, gateway_restore and regression_session_at_other_gateway pass.

--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -13,6 +13,7 @@
 use crate::gateway::reducer::Gateway;
 use crate::gateway::refusal::CallRefusal;
 use crate::gateway::refusal::RefusalReason;
+use crate::gateway::rollout::RolloutOutcome;
 use crate::gateway::route::CallKind;
 use crate::gateway::upstreams::Upstream;
 use crate::time::DurationMs;
@@ -357,7 +358,12 @@
     fn remove_call(&mut self, id: CallId) -> Option<ActiveCall> {
         let active = self.calls.remove(&id)?;
         if let Some(failure) = &active.unexplained_failure {
-            self.record_answer(&active.service, &active.route.name, failure, true);
+            self.record_outcome(
+                &active.service,
+                &active.route.name,
+                failure,
+                RolloutOutcome::Failed,
+            );
         }
         Some(active)
     }
--- a/crates/hickorydoor/src/gateway/rollout/mod.rs
+++ b/crates/hickorydoor/src/gateway/rollout/mod.rs
@@ -14,8 +14,11 @@
 //! Each gateway counts the outcomes of its own attempts and learns those of the others from their
 //! digests, so all of them decide on about the same numbers.
 
+mod evidence;
 mod exposure_budget;
 mod order;
+mod outcome;
+mod peer_pins;
 mod peer_rollout;
 mod peer_view;
 mod phase;
@@ -24,10 +27,13 @@
 mod schedule;
 mod sent;
 mod state;
+mod step_writes;
 
+pub use evidence::RolloutEvidence;
 pub use exposure_budget::ExposureBudget;
 pub use exposure_budget::canary_upstreams;
 pub use order::RolloutOrder;
+pub use outcome::RolloutOutcome;
 pub use peer_rollout::PeerRollout;
 pub use peer_view::PeerView;
 pub use phase::RolloutPhase;
--- a/crates/hickorydoor/src/gateway/rollout/state.rs
+++ b/crates/hickorydoor/src/gateway/rollout/state.rs
@@ -1,18 +1,17 @@
 //! The state of a rollout at one gateway.
 
-use std::collections::BTreeMap;
-use std::collections::HashMap;
-use std::collections::VecDeque;
-
 use crate::gateway::rollout::PeerRollout;
-use crate::gateway::rollout::PeerView;
+use crate::gateway::rollout::RolloutEvidence;
 use crate::gateway::rollout::RolloutOrder;
+use crate::gateway::rollout::RolloutOutcome;
 use crate::gateway::rollout::RolloutPhase;
 use crate::gateway::rollout::RolloutProgress;
 use crate::gateway::rollout::RolloutRecord;
 use crate::gateway::rollout::RolloutStep;
 use crate::gateway::rollout::Schedule;
 use crate::gateway::rollout::Sent;
+use crate::gateway::rollout::peer_pins::PeerPins;
+use crate::gateway::rollout::step_writes::StepWrites;
 use crate::gateway::store_position::StoreEra;
 use crate::gateway::store_position::StorePosition;
 use crate::id::HostId;
@@ -22,7 +21,6 @@
 use crate::rollouts::outcome_table::OutcomeTable;
 use crate::rollouts::outcome_table::RouteKey;
 use crate::rollouts::outcome_table::Side;
-use crate::rollouts::outcome_table::Slowdown;
 use crate::rollouts::outcome_table::UpstreamGroup;
 use crate::rollouts::version_comparison::VersionComparison;
 use crate::time::DurationMs;
@@ -43,23 +41,10 @@
 const RESUMED_PART: f64 = 0.3;
 /// Increase over the canary share below which the share is not widened.
 const MIN_WIDENING: f64 = 1.2;
-/// Interval between two evaluations of the outcomes.
-const EVALUATION_INTERVAL_MS: DurationMs = DurationMs::new(100);
 /// Time after the order from which on the rate of requests since then is used.
 const MIN_RATE_PERIOD_MS: DurationMs = DurationMs::new(500);
-/// Period over which the current rate of requests is measured.
-const RATE_PERIOD_MS: DurationMs = DurationMs::new(2_000);
-/// How long a session that another gateway pins stays pinned after the last digest that lists it.
-const PEER_PIN_TTL_MS: DurationMs = DurationMs::new(1_500);
 /// Interval at which the progress of a rollout is reported.
 const REPORT_INTERVAL_MS: DurationMs = DurationMs::new(1_000);
-/// Delay between gateways of consecutive ranks before they write a step, in ms.
-const RANK_DELAY_MS: u64 = 150;
-/// Time after which a step that is not recorded is written again; doubled with each write.
-const WRITE_RETRY_MS: u64 = 200;
-/// Number of times by which it is doubled at most.
-const MAX_WRITE_RETRY_DOUBLINGS: u32 = 2;
-
 /// A rollout as one gateway sees it.
 #[derive(Clone, Debug)]
 pub struct Rollout {
@@ -76,14 +61,8 @@
     stored: StorePosition,
     /// Record in the store, which may belong to an earlier order.
     stored_record: Option<RolloutRecord>,
-    own: OutcomeTable,
-    peers: BTreeMap<HostId, PeerView>,
-    comparison: VersionComparison,
-    evaluated_at: Option<TimeMs>,
-    /// Number of attempts at the evaluations of the last [`RATE_PERIOD_MS`].
-    sent_history: VecDeque<(TimeMs, f64)>,
-    /// Hashes of the sessions that other gateways pin to the old version, with their expiry.
-    pinned_by_peers: HashMap<u64, TimeMs>,
+    evidence: RolloutEvidence,
+    peer_pins: PeerPins,
     /// Requests that are expected to move from the old version to the new one when it is stopped.
     resumed: f64,
     /// Share of the requests without a session in the partial phases.
@@ -93,11 +72,7 @@
     worse_since: Option<TimeMs>,
     /// When the full phase came into force.
     full_since: Option<TimeMs>,
-    /// Next phase and since when it is due.
-    due_since: Option<(RolloutPhase, TimeMs)>,
-    written_at: Option<TimeMs>,
-    /// Writes of the next step since the last record.
-    writes: u32,
+    writes: StepWrites,
     reported: Option<(TimeMs, Option<RolloutPhase>)>,
 }
 
@@ -122,20 +97,14 @@
             order,
             record: None,
             stored_record: None,
-            own: OutcomeTable::default(),
-            peers: BTreeMap::new(),
-            comparison: VersionComparison::default(),
-            evaluated_at: None,
-            sent_history: VecDeque::new(),
-            pinned_by_peers: HashMap::new(),
+            evidence: RolloutEvidence::default(),
+            peer_pins: PeerPins::default(),
             resumed: 0.0,
             unbound_share: Share::ZERO,
             has_room: true,
             worse_since: None,
             full_since: None,
-            due_since: None,
-            written_at: None,
-            writes: 0,
+            writes: StepWrites::default(),
             reported: None,
         };
         if let Some(record) = record {
@@ -156,12 +125,12 @@
 
     /// Returns the outcomes that this gateway counted, without those of other gateways.
     pub const fn own_outcomes(&self) -> &OutcomeTable {
-        &self.own
+        &self.evidence.own
     }
 
     /// Returns whether the outcomes known to this gateway speak against the new version.
     pub fn objects(&self) -> bool {
-        self.worse_since.is_some() || self.comparison.log_factor() >= REJECT_FACTOR.ln()
+        self.worse_since.is_some() || self.evidence.comparison.log_factor() >= REJECT_FACTOR.ln()
     }
 
     /// Returns the phase in force; `None` before the first record. A version found to be worse
@@ -215,8 +184,7 @@
             .is_some_and(|known| (known.position, known.phase) == (record.position, record.phase));
         self.record = Some(record);
         if !is_known {
-            self.written_at = None;
-            self.writes = 0;
+            self.writes.set_recorded();
         }
     }
 
@@ -301,80 +269,32 @@
 
     /// Returns whether another gateway pins this session to the old version.
     pub fn is_pinned_by_peer(&self, session: u64, now: TimeMs) -> bool {
-        self.pinned_by_peers.get(&session).is_some_and(|until| now < *until)
-    }
-
-    /// Records the hashes of the sessions that another gateway pins to the old version.
-    pub fn set_peer_pinned_sessions(&mut self, sessions: &[u64], now: TimeMs) {
-        self.pinned_by_peers.retain(|_, until| now < *until);
-        for session in sessions {
-            self.pinned_by_peers.insert(*session, now + PEER_PIN_TTL_MS);
-        }
+        self.peer_pins.contains(session, now)
     }
 
     fn side(&self, version: &str) -> Side {
         if version == self.order.target { Side::Target } else { Side::Baseline }
     }
 
-    fn key(&self, version: &str, upstream: &UpstreamId, route: &str) -> OutcomeKey {
-        OutcomeKey {
-            side: self.side(version),
-            route: RouteKey::of(route),
-            group: UpstreamGroup::of(upstream),
-        }
-    }
-
     /// Counts an attempt that is sent.
     pub fn record_sent(&mut self, version: &str) {
-        self.own.record_sent(self.side(version));
-    }
-
-    /// Counts an attempt that has ended with an answer or a failure of the upstream.
-    pub fn record_answer(
-        &mut self,
-        version: &str,
-        upstream: &UpstreamId,
-        route: &str,
-        has_failed: bool,
-    ) {
-        let key = self.key(version, upstream, route);
-        self.own.record_answer(key, has_failed);
-    }
-
-    /// Counts an answer that was broken off after it had been counted.
-    pub fn record_broken(&mut self, version: &str, upstream: &UpstreamId, route: &str) {
-        let key = self.key(version, upstream, route);
-        self.own.record_broken(key);
-    }
-
-    /// Counts an attempt that has no answer in time.
-    pub fn record_unanswered(&mut self, version: &str, upstream: &UpstreamId, route: &str) {
-        let key = self.key(version, upstream, route);
-        self.own.record_unanswered(key);
-    }
-
-    /// Counts a stream of an engine.
-    pub fn record_pace(
-        &mut self,
-        version: &str,
-        upstream: &UpstreamId,
-        route: &str,
-        is_full: bool,
-    ) {
-        let key = self.key(version, upstream, route);
-        self.own.record_pace(key, is_full);
+        self.evidence.own.record_sent(self.side(version));
     }
 
-    /// Counts the time of an answer of a service without engines, relative to the usual one.
-    pub fn record_slowdown(
+    /// Counts what an attempt shows.
+    pub fn record_outcome(
         &mut self,
         version: &str,
         upstream: &UpstreamId,
         route: &str,
-        slowdown: Slowdown,
+        outcome: RolloutOutcome,
     ) {
-        let key = self.key(version, upstream, route);
-        self.own.record_slowdown(key, slowdown);
+        let key = OutcomeKey {
+            side: self.side(version),
+            route: RouteKey::of(route),
+            group: UpstreamGroup::of(upstream),
+        };
+        outcome.count(&mut self.evidence.own, key);
     }
 
     /// Replaces what another gateway says about the rollout.
@@ -388,38 +308,9 @@
         if let Some(age_ms) = known.age_ms {
             self.learn_age(age_ms, now);
         }
-        let view = self.peers.entry(peer).or_default();
+        let view = self.evidence.peers.entry(peer).or_default();
         view.update(incarnation, known.outcomes.clone(), known.objects, now);
-        self.set_peer_pinned_sessions(known.pinned_sessions, now);
-    }
-
-    /// Returns the outcomes that are known from all gateways.
-    fn all_outcomes(&self) -> OutcomeTable {
-        let mut all = self.own.clone();
-        for table in self.peers.values().flat_map(PeerView::tables) {
-            all.merge(table);
-        }
-        all
-    }
-
-    fn sent(&self) -> Sent {
-        let peers = self.peers.values().flat_map(PeerView::tables);
-        let tables = peers.chain(std::iter::once(&self.own));
-        tables.fold(Sent::default(), |sent, table| Sent {
-            to_target: sent.to_target + table.sent_to_target() as f64,
-            all: sent.all + table.sent() as f64,
-        })
-    }
-
-    /// Returns the rate of requests, in 1/ms: the higher one of the rates since the order and of
-    /// the last [`RATE_PERIOD_MS`].
-    fn rate_per_ms(&self, sent: Sent, now: TimeMs) -> f64 {
-        let elapsed_ms = now.since(self.schedule.ordered_at).as_f64().max(1.0);
-        let recent = self
-            .sent_history
-            .front()
-            .map_or(0.0, |(at, before)| (sent.all - before) / now.since(*at).as_f64().max(1.0));
-        (sent.all / elapsed_ms).max(recent)
+        self.peer_pins.extend(known.pinned_sessions, now);
     }
 
     /// Returns the progress to report, if the phase has changed since the last report or, before
@@ -434,48 +325,36 @@
             return None;
         }
         self.reported = Some((now, phase));
-        let all = self.all_outcomes();
+        let all = self.evidence.all();
         Some(RolloutProgress {
             service: self.order.service.clone(),
             target: self.order.target.clone(),
             phase,
             since_order_ms: now.since(self.schedule.ordered_at),
-            gateways: self.peers.len() + 1,
+            gateways: self.evidence.peers.len() + 1,
             sent_to_target: all.sent_to_target(),
             sent: all.sent(),
             target_counts: all.total(Side::Target),
             baseline_counts: all.total(Side::Baseline),
-            comparison: self.comparison,
+            comparison: self.evidence.comparison,
         })
     }
 
     /// Compares the outcomes that have arrived, and stops a version that is at fault.
     pub fn evaluate(&mut self, now: TimeMs) {
         let is_ended = self.phase().is_some_and(RolloutPhase::is_final);
-        let is_due = self.evaluated_at.is_none_or(|at| now.since(at) >= EVALUATION_INTERVAL_MS);
-        if is_ended || !is_due {
+        if is_ended || !self.evidence.is_evaluation_due(now) {
             return;
         }
-        self.evaluated_at = Some(now);
-        let all = self.all_outcomes();
-        self.sent_history.push_back((now, all.sent() as f64));
-        while self.sent_history.front().is_some_and(|(at, _)| now.since(*at) > RATE_PERIOD_MS) {
-            self.sent_history.pop_front();
-        }
+        let all = self.evidence.begin_evaluation(now);
         self.has_room = self.has_room(now);
         self.unbound_share = self.widened_share(now);
-        self.comparison = VersionComparison::of(&all);
-        if self.comparison.log_factor() >= STOP_FACTOR.ln() {
+        self.evidence.comparison = VersionComparison::of(&all);
+        if self.evidence.comparison.log_factor() >= STOP_FACTOR.ln() {
             self.worse_since.get_or_insert(now);
         }
     }
 
-    /// Returns the rank of this gateway among those that were heard lately.
-    fn rank(&self, own: &HostId, now: TimeMs) -> u64 {
-        let earlier = self.peers.range(..own.clone());
-        earlier.filter(|(_, view)| view.is_heard(now)).count() as u64
-    }
-
     /// Records how many upstreams the new version has.
     pub fn set_target_upstreams(&mut self, upstreams: usize) {
         self.schedule.is_load_tested = self.order.exposure.tests_load(upstreams);
@@ -496,17 +375,12 @@
             return None;
         }
         let Some((phase, share)) = self.next_phase(now) else {
-            self.due_since = None;
+            self.writes.clear_due();
             return None;
         };
-        let since = self.due_since.filter(|(known, _)| *known == phase);
-        let (_, due_at) = *self.due_since.insert(since.unwrap_or((phase, now)));
-        let delay_ms = DurationMs::new(self.rank(own, now) * RANK_DELAY_MS);
-        if now < due_at + delay_ms || self.awaits_write(now) {
+        if !self.writes.begin(phase, self.evidence.rank(own, now), now) {
             return None;
         }
-        self.written_at = Some(now);
-        self.writes += 1;
         let record = RolloutRecord {
             service: self.order.service.clone(),
             target: self.order.target.clone(),
@@ -519,13 +393,6 @@
         Some(RolloutStep { record, replaces: self.stored })
     }
 
-    /// Returns whether the last write of a step may still take effect.
-    fn awaits_write(&self, now: TimeMs) -> bool {
-        let doublings = self.writes.saturating_sub(1).min(MAX_WRITE_RETRY_DOUBLINGS);
-        let retry_ms = DurationMs::new(WRITE_RETRY_MS << doublings);
-        self.written_at.is_some_and(|at| now.since(at) < retry_ms)
-    }
-
     /// Returns the phase to record next, if any, with the share of the sessions in it.
     fn next_phase(&mut self, now: TimeMs) -> Option<(RolloutPhase, Share)> {
         let Some(record) = &self.record else {
@@ -558,19 +425,24 @@
         None
     }
 
+    /// Returns the rate of requests of the service, in 1/ms.
+    fn rate_per_ms(&self, now: TimeMs) -> f64 {
+        self.evidence.rate_per_ms(self.evidence.sent(), self.schedule.ordered_at, now)
+    }
+
     /// Returns how many requests the new version gets until the deadline if all move to it at
     /// `full_at`.
     fn full_requests(&self, full_at: TimeMs, now: TimeMs) -> f64 {
-        let rate_per_ms = self.rate_per_ms(self.sent(), now);
+        let rate_per_ms = self.rate_per_ms(now);
         rate_per_ms * self.schedule.deadline().since(full_at).as_f64() + self.resumed
     }
 
     /// Returns whether the new version may get one more request and then all of them when that is
     /// due.
     fn has_room(&self, now: TimeMs) -> bool {
-        let sent = self.sent();
+        let sent = self.evidence.sent();
         let full_at = self.schedule.full_at().max(now);
-        let partial = self.rate_per_ms(sent, now) * full_at.since(now).as_f64();
+        let partial = self.rate_per_ms(now) * full_at.since(now).as_f64();
         let full = self.full_requests(full_at, now);
         self.order.exposure.admits(Sent { all: sent.all + partial, ..sent }, full + 1.0)
     }
@@ -578,11 +450,11 @@
     /// Returns the share of the requests that may go to the new version from now on until all move
     /// to it. The rate of requests is not known at the beginning.
     fn widened_share(&self, now: TimeMs) -> Share {
-        let sent = self.sent();
+        let sent = self.evidence.sent();
         if now.since(self.schedule.ordered_at) < MIN_RATE_PERIOD_MS {
             return self.order.exposure.canary_share();
         }
-        let rate_per_ms = self.rate_per_ms(sent, now);
+        let rate_per_ms = self.rate_per_ms(now);
         let full_at = self.schedule.full_at();
         let partial = rate_per_ms * full_at.since(now).as_f64();
         let full = self.full_requests(full_at, now);
@@ -591,8 +463,8 @@
 
     /// Decides about the version by what its answers show; `None` if more of them are needed.
     fn judge(&mut self, now: TimeMs) -> Option<(RolloutPhase, Share)> {
-        let sent = self.sent();
-        let log_factor = self.comparison.log_factor();
+        let sent = self.evidence.sent();
+        let log_factor = self.evidence.comparison.log_factor();
         let has_observed_all = now.since(self.observed_since) >= self.schedule.time_to_full();
         let is_idle = has_observed_all && sent.all < MIN_REQUESTS;
         let is_last_chance = now >= self.schedule.judged_at() || is_idle;
@@ -605,7 +477,7 @@
         }
         let exceeds_budget = now < self.schedule.deadline()
             && !self.order.exposure.admits(sent, self.full_requests(now, now));
-        let is_objected = self.peers.values().any(|view| view.objects(now));
+        let is_objected = self.evidence.peers.values().any(|view| view.objects(now));
         (is_sound && !exceeds_budget && !is_objected).then_some((RolloutPhase::Full, Share::ONE))
     }
 }
--- a/crates/hickorydoor/src/gateway/rollout_outcomes.rs
+++ b/crates/hickorydoor/src/gateway/rollout_outcomes.rs
@@ -12,6 +12,7 @@
 use crate::gateway::event::AttemptOutcome;
 use crate::gateway::event::ResponseFault;
 use crate::gateway::reducer::Gateway;
+use crate::gateway::rollout::RolloutOutcome;
 use crate::id::ServiceName;
 use crate::rollouts::outcome_table::Slowdown;
 use crate::time::TimeMs;
@@ -82,7 +83,7 @@
             return;
         }
         if let Some(failure) = &earlier_failure {
-            self.record_answer(&service, &route, failure, true);
+            self.record_outcome(&service, &route, failure, RolloutOutcome::Failed);
         }
         match evidence {
             Evidence::ErrorAnswer if may_be_repeated => {
@@ -91,14 +92,18 @@
                 }
             }
             Evidence::BrokenConnection if attempt.trial.is_counted => {
-                self.record_broken_answer(&service, &route, attempt);
+                self.record_outcome(&service, &route, attempt, RolloutOutcome::Broken);
+            }
+            Evidence::Unanswered => {
+                self.record_outcome(&service, &route, attempt, RolloutOutcome::Unanswered);
             }
-            Evidence::Unanswered => self.record_unanswered(&service, &route, attempt),
             Evidence::Answer if attempt.trial.is_counted => {}
             Evidence::Nothing => {}
-            Evidence::Answer => self.record_answer(&service, &route, attempt, false),
+            Evidence::Answer => {
+                self.record_outcome(&service, &route, attempt, RolloutOutcome::Answered);
+            }
             Evidence::ErrorAnswer | Evidence::BrokenConnection => {
-                self.record_answer(&service, &route, attempt, true);
+                self.record_outcome(&service, &route, attempt, RolloutOutcome::Failed);
             }
         }
         if evidence == Evidence::Answer && !attempt.trial.is_counted {
@@ -153,9 +158,9 @@
         attempt.trial.is_counted = true;
         let attempt = attempt.clone();
         if let Some(failure) = active.unexplained_failure.take() {
-            self.record_answer(&service, &route, &failure, true);
+            self.record_outcome(&service, &route, &failure, RolloutOutcome::Failed);
         }
-        self.record_answer(&service, &route, &attempt, false);
+        self.record_outcome(&service, &route, &attempt, RolloutOutcome::Answered);
         let slowdown = self.slowdown(&route, &attempt, AttemptOutcome::Weak, now);
         self.record_slowdown(&service, &route, &attempt, slowdown);
     }
@@ -174,9 +179,8 @@
             return;
         };
         let is_full = self.model_table.observe_gap(model, gap_us as f64 / 1_000.0);
-        let rollout = self.rollouts.get_mut(&service).filter(|_| attempt.trial.compares_times);
-        if let Some(rollout) = rollout {
-            rollout.record_pace(&attempt.version, &attempt.upstream, &route, is_full);
+        if attempt.trial.compares_times {
+            self.record_outcome(&service, &route, &attempt, RolloutOutcome::Paced { is_full });
         }
     }
 
@@ -186,38 +190,16 @@
         rollout.is_some_and(|rollout| rollout.order().target == attempt.version)
     }
 
-    /// Counts an answer or a failure for the version that an attempt ran on.
-    pub(super) fn record_answer(
-        &mut self,
-        service: &ServiceName,
-        route: &CompactString,
-        attempt: &Attempt,
-        has_failed: bool,
-    ) {
-        if let Some(rollout) = self.rollouts.get_mut(service) {
-            rollout.record_answer(&attempt.version, &attempt.upstream, route, has_failed);
-        }
-    }
-
-    fn record_broken_answer(
-        &mut self,
-        service: &ServiceName,
-        route: &CompactString,
-        attempt: &Attempt,
-    ) {
-        if let Some(rollout) = self.rollouts.get_mut(service) {
-            rollout.record_broken(&attempt.version, &attempt.upstream, route);
-        }
-    }
-
-    fn record_unanswered(
+    /// Counts what an attempt shows of the version that it ran on.
+    pub(super) fn record_outcome(
         &mut self,
         service: &ServiceName,
         route: &CompactString,
         attempt: &Attempt,
+        outcome: RolloutOutcome,
     ) {
         if let Some(rollout) = self.rollouts.get_mut(service) {
-            rollout.record_unanswered(&attempt.version, &attempt.upstream, route);
+            rollout.record_outcome(&attempt.version, &attempt.upstream, route, outcome);
         }
     }
 
@@ -228,9 +210,8 @@
         attempt: &Attempt,
         slowdown: Option<Slowdown>,
     ) {
-        let rollout = self.rollouts.get_mut(service).filter(|_| attempt.trial.compares_times);
-        if let (Some(rollout), Some(slowdown)) = (rollout, slowdown) {
-            rollout.record_slowdown(&attempt.version, &attempt.upstream, route, slowdown);
+        if let Some(slowdown) = slowdown.filter(|_| attempt.trial.compares_times) {
+            self.record_outcome(service, route, attempt, RolloutOutcome::Timed(slowdown));
         }
     }
 }
