Keep what an upstream has said while its registration is gone

A registration may lapse while its upstream runs on, for example while that is cut off from the store. It then came back with the same start, and requests were sent to it in its pause, after it had said that it leaves, and beyond its limit: UpstreamPool::remove dropped all that was known of it.

DepartedRooms keeps what a removed incarnation has said, and a registration of the same incarnation takes it back. A later start clears it. An answer that arrives, or another gateway's word, while the registration is gone counts too. It is kept for 10 minutes, longer than the longest pause of a minute, and of 1,024 upstreams. Permits are not kept; they are valid for 150 ms.

Departures of upstreams were only dropped when another one was removed, now on each tick.

--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -494,12 +494,10 @@
         };
         let id = attempt.upstream.clone();
         let started_unix_ms = attempt.started_unix_ms;
-        if let Some(upstream) = self.pool.get_mut(&id)
-            && upstream.registration.started_unix_ms == started_unix_ms
-        {
-            let was_leaving = upstream.room.has_said_it_leaves();
-            upstream.room.record_notice(notice, now);
-            if upstream.room.has_said_it_leaves() && !was_leaving {
+        if let Some(room) = self.pool.room_mut(&id, started_unix_ms) {
+            let was_leaving = room.has_said_it_leaves();
+            room.record_notice(notice, now);
+            if room.has_said_it_leaves() && !was_leaving {
                 self.upstream_news.add(id.clone());
                 effects.push(GatewayEffect::SendDigest);
             }
--- a/crates/hickorydoor/src/gateway/permit_exchange.rs
+++ b/crates/hickorydoor/src/gateway/permit_exchange.rs
@@ -31,13 +31,8 @@
         now: TimeMs,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let upstream = self.pool.get_mut(id);
-        let Some(upstream) =
-            upstream.filter(|known| known.registration.started_unix_ms == started_unix_ms)
-        else {
-            return;
-        };
-        let Some(previous) = upstream.room.record_limit(statement) else {
+        let room = self.pool.room_mut(id, started_unix_ms);
+        let Some(previous) = room.and_then(|room| room.record_limit(statement)) else {
             return;
         };
         effects.push(GatewayEffect::LimitChanged(Box::new(LimitChange {
@@ -66,11 +61,8 @@
             let statement = LimitStatement { rate: limit.rate, stated_at: now - limit.age_ms };
             self.learn_limit(id, *started_unix_ms, statement, host, now, effects);
         }
-        if let Some(upstream) = self.pool.get_mut(id)
-            && *is_leaving
-            && upstream.registration.started_unix_ms == *started_unix_ms
-        {
-            upstream.room.record_reported_leaving(now);
+        if *is_leaving && let Some(room) = self.pool.room_mut(id, *started_unix_ms) {
+            room.record_reported_leaving(now);
         }
     }
 
@@ -78,13 +70,10 @@
     pub(super) fn notices_to_tell(&mut self, now: TimeMs) -> Vec<PeerNotice> {
         let told = self.upstream_news.take_next();
         let known = told.into_iter().filter_map(|upstream| {
-            let known = self.pool.get(&upstream)?;
-            Some(PeerNotice {
-                upstream,
-                started_unix_ms: known.registration.started_unix_ms,
-                is_leaving: known.room.has_said_it_leaves(),
-                limit: known.room.aged_limit(now),
-            })
+            let (started_unix_ms, room) = self.pool.room(&upstream)?;
+            let is_leaving = room.has_said_it_leaves();
+            let limit = room.aged_limit(now);
+            Some(PeerNotice { upstream, started_unix_ms, is_leaving, limit })
         });
         known.collect()
     }
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -163,7 +163,7 @@
                 self.pool.deregister(&upstream, store_unstable, now);
             }
             GatewayEvent::UpstreamDeparted { upstream, departure } => {
-                self.pool.depart(&upstream, departure);
+                self.pool.depart(&upstream, departure, now);
             }
             GatewayEvent::StoreListed(listing) => self.on_store_listed(&listing, now),
             GatewayEvent::RolloutOrdered { order, age_ms } => {
@@ -323,6 +323,7 @@
         if self.pool.has_missing() && !self.is_store_unstable(now) {
             self.pool.drop_missing(now);
         }
+        self.pool.expire_departed(now);
         self.expire_retained(now);
         self.pool.refresh_peer_loads(now);
         self.assess_quarantine(now);
--- a/crates/hickorydoor/src/gateway/upstreams/mod.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/mod.rs
@@ -2,10 +2,13 @@
 //!
 //! An [`Upstream`] combines its registration with what its answers say ([`UpstreamNotice`]), its
 //! load, including the load that other gateways report, and its recent failures. Its
-//! [`UpstreamRoom`] tells whether a request may be sent now ([`Availability`]); agents ask it too. The [`UpstreamPool`] holds all of them.
+//! [`UpstreamRoom`] tells whether a request may be sent now ([`Availability`]); agents ask it too.
+//! [`DepartedRooms`] keeps it while its upstream is not registered. The [`UpstreamPool`] holds all of
+//! them.
 
 mod availability;
 mod cold_share;
+mod departed_rooms;
 mod failure_score;
 mod upstream;
 mod upstream_news;
@@ -15,6 +18,7 @@
 
 pub use availability::Availability;
 pub use cold_share::cold_share;
+pub use departed_rooms::DepartedRooms;
 pub use failure_score::FailureScore;
 pub use upstream::PeerLoad;
 pub use upstream::Registration;
--- a/crates/hickorydoor/src/gateway/upstreams/upstream_pool.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream_pool.rs
@@ -2,9 +2,11 @@
 
 use std::collections::BTreeMap;
 
+use crate::gateway::upstreams::DepartedRooms;
 use crate::gateway::upstreams::PeerLoad;
 use crate::gateway::upstreams::Registration;
 use crate::gateway::upstreams::Upstream;
+use crate::gateway::upstreams::UpstreamRoom;
 use crate::id::DataCentreId;
 use crate::id::HostId;
 use crate::id::ServiceName;
@@ -40,18 +42,25 @@
 pub struct UpstreamPool {
     upstreams: BTreeMap<UpstreamId, Upstream>,
     departures: BTreeMap<UpstreamId, Departure>,
+    departed_rooms: DepartedRooms,
     reports: BTreeMap<HostId, PeerReport>,
 }
 
 impl UpstreamPool {
     /// Applies a registration.
     pub fn register(&mut self, registration: Registration, now: TimeMs) {
-        if let Some(known) = self.upstreams.get_mut(&registration.upstream) {
-            return known.update(registration, now);
-        }
         let id = registration.upstream.clone();
-        self.departures.remove(&id);
-        self.upstreams.insert(id, Upstream::new(registration, now));
+        if let Some(known) = self.upstreams.get_mut(&id) {
+            known.update(registration, now);
+        } else {
+            self.departures.remove(&id);
+            self.upstreams.insert(id.clone(), Upstream::new(registration, now));
+        }
+        if let Some(known) = self.upstreams.get_mut(&id)
+            && let Some(room) = self.departed_rooms.take(&id, known.registration.started_unix_ms)
+        {
+            known.room = room;
+        }
     }
 
     /// Applies a registration that an older copy of the store contains. One that preceded the
@@ -66,16 +75,29 @@
     }
 
     /// Removes an upstream whose departure another gateway knows, unless it has registered since.
-    pub fn depart(&mut self, upstream: &UpstreamId, departure: Departure) {
+    pub fn depart(&mut self, upstream: &UpstreamId, departure: Departure, now: TimeMs) {
         let gone = (departure.started_unix_ms, departure.sequence);
         let known = self.upstreams.get(upstream).map(|known| &known.registration);
         if known.is_some_and(|known| (known.started_unix_ms, known.sequence) > gone) {
             return;
         }
-        self.upstreams.remove(upstream);
+        self.take_out(upstream, now);
         self.departures.insert(upstream.clone(), departure);
     }
 
+    /// Forgets upstreams that were removed long ago.
+    pub fn expire_departed(&mut self, now: TimeMs) {
+        self.departures.retain(|_, gone| now.since(gone.at) <= DEPARTURE_TTL_MS);
+        self.departed_rooms.expire(now);
+    }
+
+    /// Removes an upstream, but keeps what it has said.
+    fn take_out(&mut self, upstream: &UpstreamId, now: TimeMs) -> Option<Registration> {
+        let Upstream { registration, room, .. } = self.upstreams.remove(upstream)?;
+        self.departed_rooms.keep(upstream.clone(), registration.started_unix_ms, room, now);
+        Some(registration)
+    }
+
     /// Iterates over the removed upstreams that are still remembered.
     pub fn departures(&self) -> impl Iterator<Item = (&UpstreamId, &Departure)> {
         self.departures.iter()
@@ -93,12 +115,11 @@
     }
 
     fn remove(&mut self, upstream: &UpstreamId, now: TimeMs) {
-        let Some(known) = self.upstreams.remove(upstream) else {
+        let Some(registration) = self.take_out(upstream, now) else {
             return;
         };
-        let Registration { started_unix_ms, sequence, .. } = known.registration;
+        let Registration { started_unix_ms, sequence, .. } = registration;
         let departure = Departure { started_unix_ms, sequence, at: now };
-        self.departures.retain(|_, gone| now.since(gone.at) <= DEPARTURE_TTL_MS);
         self.departures.insert(upstream.clone(), departure);
     }
 
@@ -140,6 +161,24 @@
         self.upstreams.get_mut(id)
     }
 
+    /// Returns the start of the latest incarnation of an upstream and what it has said, registered or
+    /// not.
+    pub fn room(&self, id: &UpstreamId) -> Option<(u64, &UpstreamRoom)> {
+        let known = self.upstreams.get(id);
+        let registered = known.map(|known| (known.registration.started_unix_ms, &known.room));
+        registered.or_else(|| self.departed_rooms.get(id))
+    }
+
+    /// Returns what an incarnation of an upstream has said, registered or not, for modification.
+    pub fn room_mut(&mut self, id: &UpstreamId, started_unix_ms: u64) -> Option<&mut UpstreamRoom> {
+        match self.upstreams.get_mut(id) {
+            Some(known) if known.registration.started_unix_ms == started_unix_ms => {
+                Some(&mut known.room)
+            }
+            _ => self.departed_rooms.get_mut(id, started_unix_ms),
+        }
+    }
+
     /// Iterates over all upstreams, by id.
     pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
         self.upstreams.values()
--- a/crates/hickorydoor/src/gateway/upstreams/upstream_room.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream_room.rs
@@ -1,7 +1,7 @@
 //! What an upstream has said of itself in its answers: that it leaves, wants a pause, or has a limit.
 //!
 //! It answers one question: may a request be sent now, and if not, when. A new incarnation of the
-//! upstream starts with a new value.
+//! upstream starts with a new value; nothing else does.
 
 use crate::gateway::rate_limits::AgedLimit;
 use crate::gateway::rate_limits::LimitStatement;
@@ -63,6 +63,11 @@
         (previous != statement.rate).then_some(previous)
     }
 
+    /// Drops the permits, which expire while the upstream is not registered.
+    pub fn drop_permits(&mut self) {
+        self.permits = Permits::default();
+    }
+
     /// Returns whether the upstream has said how much it takes: that it has a limit, or wants a
     /// pause now.
     pub fn states_room(&self, now: TimeMs) -> bool {
--- a/crates/hickorydoor/tests/gateway_notices.rs
+++ b/crates/hickorydoor/tests/gateway_notices.rs
@@ -4,13 +4,16 @@
 mod property;
 
 use hickorydoor::DurationMs;
+use hickorydoor::TimeMs;
 use hickorydoor::gateway::GatewayEvent;
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::event::NotRun;
 use hickorydoor::gateway::peer_digest::PeerDigest;
 use hickorydoor::gateway::rate_limits::LimitNotice;
 use hickorydoor::gateway::refusal::RefusalReason;
+use hickorydoor::gateway::upstreams::DepartedRooms;
 use hickorydoor::gateway::upstreams::UpstreamNotice;
+use hickorydoor::gateway::upstreams::UpstreamRoom;
 use hickorydoor::gateway::upstreams::parse_pause;
 use proptest::prelude::Strategy;
 use proptest::prop_assert;
@@ -105,6 +108,55 @@
     assert!(dispatch(&rig.send(call("/look/1", "again")).1).is_some());
 }
 
+/// Guards against requests to an upstream in its pause, or that leaves, after its registration has
+/// lapsed and come back while the upstream ran on.
+#[test]
+fn notices_outlive_a_registration_that_lapses() {
+    let mut again = registration("p-0", PLAIN);
+    again.sequence += 1;
+    for (notice, is_said_after) in
+        [(pause(12_000), false), (pause(12_000), true), (LEAVING, false), (LEAVING, true)]
+    {
+        let mut rig = rig(1);
+        let (id, effects) = rig.send(call("/look/1", "first"));
+        assert!(dispatch(&effects).is_some());
+        if is_said_after {
+            rig.apply(GatewayEvent::Deregistered(again.upstream.clone()));
+        }
+        rig.apply(GatewayEvent::UpstreamNoticed { call: id, notice });
+        rig.apply(GatewayEvent::CallerGone { call: id });
+        rig.apply(GatewayEvent::Deregistered(again.upstream.clone()));
+        rig.advance(2_500);
+        rig.register(again.clone());
+        let (_, effects) = rig.send(call("/look/1", "same"));
+        assert!(dispatch(&effects).is_none(), "{notice:?}, said after the lapse: {is_said_after}");
+        let mut started = again.clone();
+        started.started_unix_ms += 1;
+        rig.register(started);
+        assert!(dispatch(&rig.send(call("/look/1", "again")).1).is_some());
+    }
+}
+
+/// Guards against what many departed upstreams have said being kept without a bound.
+#[test]
+fn notices_of_departed_upstreams_are_bounded() {
+    let mut rooms = DepartedRooms::default();
+    let mut now = TimeMs::new(0);
+    let keep = |rooms: &mut DepartedRooms, index: u32, now| {
+        let upstream = format!("p-{index}").parse().unwrap();
+        rooms.keep(upstream, 1, UpstreamRoom::default(), now);
+    };
+    for index in 0..3_000 {
+        keep(&mut rooms, index, now);
+        now = now + DurationMs::new(100);
+    }
+    assert_eq!(rooms.len(), 1_024);
+    assert!(rooms.take(&"p-1000".parse().unwrap(), 1).is_none(), "the oldest are dropped");
+    assert!(rooms.take(&"p-2999".parse().unwrap(), 1).is_some());
+    rooms.expire(now + DurationMs::from_secs(601));
+    assert!(rooms.is_empty());
+}
+
 /// Returns how many of some requests are sent to the first upstream.
 fn sent_to_first(rig: &mut Rig, name: &str) -> usize {
     let sent = (0..12).filter_map(|number| {
