Keep what an upstream has said to its agent while that has ended no process

An agent forgot that its upstream leaves, wants a pause or has a limit when one load report was late, invalid or an error: a missing report was taken for the end of the process. Calls then reached the upstream in its pause.

The daemon now tells the reducer why there is no report. A refused connection means that the process has ended, since the agent is on the same host, and only that clears what it has said. A report that is late or missing still makes the upstream count as down until the next one.

--- a/crates/hickoryd/src/engine.rs
+++ b/crates/hickoryd/src/engine.rs
@@ -1,11 +1,14 @@
 //! Polls the load of the upstream, and sends its engine the orders to load and unload versions.
 
+use std::io;
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use bytes::Bytes;
 use compact_str::CompactString;
 use hickorydoor::AgentEvent;
 use hickorydoor::agent::effect::EngineOrder;
+use hickorydoor::agent::event::ReportFault;
 use hickorydoor::agent::event::UpstreamReport;
 use hickorydoor::id::FencingNumber;
 use hickorydoor::id::VersionId;
@@ -26,6 +29,7 @@
 use crate::agent_input::AgentInput;
 use crate::body_collector::collect_body;
 use crate::upstream_connection;
+use crate::upstream_connection::RequestError;
 
 /// Maximum time for a response of the upstream, which runs on the same host.
 const TIMEOUT: Duration = Duration::from_secs(1);
@@ -77,7 +81,7 @@
             Offer::Engine { .. } => timeout(TIMEOUT, fetch_load(&base_uri)).await,
             Offer::Service { .. } => timeout(TIMEOUT, probe_connect(&base_uri)).await,
         };
-        let report = report.ok().flatten();
+        let report = report.unwrap_or(Err(ReportFault::NoReport));
         let event = AgentEvent::UpstreamReport(report);
         if inputs.send(AgentInput::Event(Box::new(event))).await.is_err() {
             return;
@@ -85,22 +89,36 @@
     }
 }
 
-async fn fetch_load(base_uri: &str) -> Option<UpstreamReport> {
-    let request = Request::get(format!("{base_uri}/load")).body(Full::default()).ok()?;
-    let (response, _connection) = upstream_connection::request(request).await.ok()?;
+async fn fetch_load(base_uri: &str) -> Result<UpstreamReport, ReportFault> {
+    let request = Request::get(format!("{base_uri}/load")).body(Full::default());
+    let request = request.map_err(|_error| ReportFault::NoReport)?;
+    let (response, _connection) =
+        upstream_connection::request(request).await.map_err(|error| match error {
+            RequestError::Connect(error) => connect_fault(&error),
+            RequestError::Address | RequestError::NoResponse(_) => ReportFault::NoReport,
+        })?;
     if !response.status().is_success() {
-        return None;
+        return Err(ReportFault::NoReport);
     }
-    let body = collect_body(response.into_body(), MAX_REPORT_BYTES).await.ok()?;
-    let raw: RawReport = serde_json::from_slice(&body).ok()?;
-    Some(raw.into())
+    let body = collect_body(response.into_body(), MAX_REPORT_BYTES).await;
+    let body = body.map_err(|_error| ReportFault::NoReport)?;
+    let raw: RawReport = serde_json::from_slice(&body).map_err(|_error| ReportFault::NoReport)?;
+    Ok(raw.into())
 }
 
-async fn probe_connect(base_uri: &str) -> Option<UpstreamReport> {
-    let uri: Uri = base_uri.parse().ok()?;
-    let port = uri.port_u16().unwrap_or(DEFAULT_PORT);
-    TcpStream::connect((uri.host()?, port)).await.ok()?;
-    Some(UpstreamReport::default())
+async fn probe_connect(base_uri: &str) -> Result<UpstreamReport, ReportFault> {
+    let uri: Uri = base_uri.parse().map_err(|_error| ReportFault::NoReport)?;
+    let address =
+        (uri.host().ok_or(ReportFault::NoReport)?, uri.port_u16().unwrap_or(DEFAULT_PORT));
+    TcpStream::connect(address).await.map_err(|error| connect_fault(&error))?;
+    Ok(UpstreamReport::default())
+}
+
+fn connect_fault(error: &io::Error) -> ReportFault {
+    match error.kind() {
+        ErrorKind::ConnectionRefused => ReportFault::NotListening,
+        _ => ReportFault::NoReport,
+    }
 }
 
 /// Sends an order to the engine. A failure is only logged, since the reducer repeats an order that
--- a/crates/hickorydoor/examples/policy/world.rs
+++ b/crates/hickorydoor/examples/policy/world.rs
@@ -23,6 +23,7 @@
 use hickorydoor::EntryMessage;
 use hickorydoor::KeyDigest;
 use hickorydoor::TimeMs;
+use hickorydoor::agent::event::ReportFault;
 use hickorydoor::agent::event::UpstreamFault;
 use hickorydoor::entry::caller_request::ChatRequest;
 use hickorydoor::entry::caller_request::RequestPayload as Payload;
@@ -559,7 +560,7 @@
         if state.hung {
             return;
         }
-        let report = (!state.down).then(|| state.report());
+        let report = if state.down { Err(ReportFault::NotListening) } else { Ok(state.report()) };
         self.schedule(REPORT_DELAY_US, Event::ToAgent(engine, AgentEvent::UpstreamReport(report)));
     }
 
@@ -602,7 +603,10 @@
                     Event::ToAgent(index, AgentEvent::UpstreamFailed { attempt, fault }),
                 );
             }
-            self.schedule(100, Event::ToAgent(index, AgentEvent::UpstreamReport(None)));
+            self.schedule(
+                100,
+                Event::ToAgent(index, AgentEvent::UpstreamReport(Err(ReportFault::NotListening))),
+            );
             self.schedule(2_000_000, Event::EngineUp(index));
         }
     }
--- a/crates/hickorydoor/src/agent/config.rs
+++ b/crates/hickorydoor/src/agent/config.rs
@@ -4,6 +4,7 @@
 
 use crate::agent::Agent;
 use crate::agent::EntryLink;
+use crate::agent::event::ReportFault;
 use crate::agent::event::UpstreamReport;
 use crate::configuration::exception::Override;
 use crate::id::HostId;
@@ -148,11 +149,17 @@
         }
     }
 
-    pub(crate) fn on_upstream_report(&mut self, report: Option<UpstreamReport>, now: TimeMs) {
-        let was_up = std::mem::replace(&mut self.upstream_up, report.is_some());
-        let Some(report) = report else {
+    pub(crate) fn on_upstream_report(
+        &mut self,
+        report: Result<UpstreamReport, ReportFault>,
+        now: TimeMs,
+    ) {
+        let was_up = std::mem::replace(&mut self.upstream_up, report.is_ok());
+        if report == Err(ReportFault::NotListening) {
+            self.forget_upstream_notices();
+        }
+        let Ok(report) = report else {
             if was_up {
-                self.forget_upstream_notices();
                 self.reset_admission(now);
             }
             return;
--- a/crates/hickorydoor/src/agent/event.rs
+++ b/crates/hickorydoor/src/agent/event.rs
@@ -41,6 +41,15 @@
     pub versions: Vec<VersionId>,
 }
 
+/// Why an upstream has not reported its load. It counts as down until its next report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ReportFault {
+    /// It refuses connections, so its process has ended.
+    NotListening,
+    /// It gave no valid report in time; its process may run.
+    NoReport,
+}
+
 /// Input of the agent reducer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum AgentEvent {
@@ -96,8 +105,8 @@
     },
     /// An answer of the upstream says something of it.
     UpstreamNoticed(UpstreamNotice),
-    /// The upstream reported its load; `None` if it did not answer, so that it counts as down.
-    UpstreamReport(Option<UpstreamReport>),
+    /// The upstream reported its load, or has not.
+    UpstreamReport(Result<UpstreamReport, ReportFault>),
     /// A key-value call has ended.
     Kv {
         /// Identifier from the effect that requested the call.
--- a/crates/hickorydoor/tests/orders.rs
+++ b/crates/hickorydoor/tests/orders.rs
@@ -18,7 +18,7 @@
 fn report(fleet: &mut Fleet, versions: &[&str]) {
     let versions = versions.iter().map(|version| version.parse().expect("id")).collect();
     let report = UpstreamReport { versions, ..UpstreamReport::default() };
-    fleet.apply_to_agent(0, AgentEvent::UpstreamReport(Some(report)));
+    fleet.apply_to_agent(0, AgentEvent::UpstreamReport(Ok(report)));
 }
 
 #[test]
