Log and count when what an upstream says keeps requests from it

The log had a line for each answer with a notice, with the number of a call and no upstream, so on-call could not get from a refused request to the answer that caused it. Now there is one line when an upstream is first spared and one when it gets requests again, with its service, the gateway that received the answer and the age of that, and a counter by service and state. The new test plays a pause and a leaving upstream.

--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -41,6 +41,8 @@
 use hickorydoor::gateway::stopping::LAST_ANSWERS_MS;
 use hickorydoor::gateway::store_position::StoreEra;
 use hickorydoor::gateway::store_position::StorePosition;
+use hickorydoor::gateway::upstreams::RoomChange;
+use hickorydoor::gateway::upstreams::RoomState;
 use hickorydoor::gateway::view_role::ViewRole;
 use hickorydoor::id::CustomerId;
 use hickorydoor::id::DataCentreId;
@@ -504,6 +506,10 @@
                 log_limit(&change);
                 self.metrics.record_limit(&change);
             }
+            GatewayEffect::RoomChanged(change) => {
+                log_room(&change);
+                self.metrics.record_room(&change.service, change.state);
+            }
             GatewayEffect::SendPermit { host, message } => self.send_permit(&host, *message),
             GatewayEffect::SendDigest => self.digest_due.notify_one(),
             GatewayEffect::WriteRollout(step) => {
@@ -676,6 +682,19 @@
     );
 }
 
+fn log_room(change: &RoomChange) {
+    let message = match change.state {
+        RoomState::Open => "upstream gets requests again",
+        RoomState::Paused => "upstream wants a pause",
+        RoomState::Leaving => "upstream says that it leaves",
+    };
+    info!(
+        upstream:% = change.upstream, service:% = change.service, source:% = change.source,
+        age_ms = change.age_ms.get();
+        "{message}"
+    );
+}
+
 fn log_progress(progress: &RolloutProgress) {
     let (target, baseline) = (&progress.target_counts, &progress.baseline_counts);
     let comparison = &progress.comparison;
@@ -706,15 +725,6 @@
         GatewayEvent::Deregistered(upstream) => {
             info!(upstream:% = upstream; "upstream deregistered");
         }
-        GatewayEvent::UpstreamNoticed { call, notice }
-            if notice.is_leaving || notice.pause_ms.is_some() =>
-        {
-            info!(
-                call = call.0, leaving = notice.is_leaving,
-                pause_ms = notice.pause_ms.map(DurationMs::get);
-                "upstream leaves or asks for a pause"
-            );
-        }
         GatewayEvent::RolloutOrdered { order, age_ms } => info!(
             service:% = order.service, version = order.target.as_str(), order:% = order.position,
             age_ms = age_ms.map(DurationMs::get);
--- a/crates/hickoryd/src/gateway/metrics.rs
+++ b/crates/hickoryd/src/gateway/metrics.rs
@@ -3,6 +3,8 @@
 use hickorydoor::DurationMs;
 use hickorydoor::gateway::rate_limits::LimitChange;
 use hickorydoor::gateway::rollout::RolloutProgress;
+use hickorydoor::gateway::upstreams::RoomState;
+use hickorydoor::id::ServiceName;
 use hickorydoor::id::UpstreamId;
 use log::debug;
 use log::error;
@@ -35,6 +37,7 @@
     quarantine_changes: IntCounterVec,
     limits: GaugeVec,
     limited_requests: IntCounterVec,
+    room_changes: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -94,6 +97,11 @@
                 "requests that this gateway sent to upstreams with a limit",
                 &["upstream"],
             )?,
+            room_changes: counter(
+                "hickorydoor_upstream_room_changes_total",
+                "times that an upstream left, wanted a pause or was open again, as its answers say",
+                &["service", "state"],
+            )?,
         };
         metrics.registry.register(Box::new(metrics.calls.clone()))?;
         metrics.registry.register(Box::new(metrics.attempts.clone()))?;
@@ -107,6 +115,7 @@
         metrics.registry.register(Box::new(metrics.quarantine_changes.clone()))?;
         metrics.registry.register(Box::new(metrics.limits.clone()))?;
         metrics.registry.register(Box::new(metrics.limited_requests.clone()))?;
+        metrics.registry.register(Box::new(metrics.room_changes.clone()))?;
         Ok(metrics)
     }
 
@@ -127,6 +136,11 @@
         self.limits.with_label_values(&[upstream]).set(rate.per_s());
     }
 
+    /// Counts a change of whether an upstream gets new requests.
+    pub fn record_room(&self, service: &ServiceName, state: RoomState) {
+        self.room_changes.with_label_values(&[service.as_str(), state.as_str()]).inc();
+    }
+
     /// Counts a request that is sent to an upstream with a limit.
     pub fn record_limited_request(&self, upstream: &UpstreamId) {
         self.limited_requests.with_label_values(&[upstream.as_str()]).inc();
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -497,6 +497,7 @@
         if let Some(room) = self.pool.room_mut(&id, started_unix_ms) {
             let was_leaving = room.has_said_it_leaves();
             room.record_notice(notice, now);
+            self.room_log.notice(&id, &self.settings.host, now);
             if room.has_said_it_leaves() && !was_leaving {
                 self.upstream_news.add(id.clone());
                 effects.push(GatewayEffect::SendDigest);
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -12,6 +12,7 @@
 use crate::gateway::refusal::CallRefusal;
 use crate::gateway::rollout::RolloutProgress;
 use crate::gateway::rollout::RolloutStep;
+use crate::gateway::upstreams::RoomChange;
 use crate::id::CustomerId;
 use crate::id::HostId;
 use crate::id::ModelId;
@@ -143,6 +144,8 @@
     Quarantine(Box<QuarantineChange>),
     /// Record that an upstream has named, changed or dropped a limit.
     LimitChanged(Box<LimitChange>),
+    /// Record that an upstream is spared because of what it says, or is not any more.
+    RoomChanged(Box<RoomChange>),
     /// Send a message about a permit to another gateway.
     SendPermit {
         /// Gateway that the message is for.
--- a/crates/hickorydoor/src/gateway/permit_exchange.rs
+++ b/crates/hickorydoor/src/gateway/permit_exchange.rs
@@ -63,6 +63,7 @@
         }
         if *is_leaving && let Some(room) = self.pool.room_mut(id, *started_unix_ms) {
             room.record_reported_leaving(now);
+            self.room_log.notice(id, host, now);
         }
     }
 
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -40,6 +40,7 @@
 use crate::gateway::store_position::StoreEra;
 use crate::gateway::store_position::StorePosition;
 use crate::gateway::typical_times::TypicalTimes;
+use crate::gateway::upstreams::RoomLog;
 use crate::gateway::upstreams::Upstream;
 use crate::gateway::upstreams::UpstreamNews;
 use crate::gateway::upstreams::UpstreamPool;
@@ -100,6 +101,7 @@
     pub(super) recent_prefills: VecDeque<(TimeMs, Prefill)>,
     pub(super) quarantine: QuarantineTable,
     pub(super) upstream_news: UpstreamNews,
+    pub(super) room_log: RoomLog,
     pub(super) permit_issuer: PermitIssuer,
     pub(super) silent_issuers: SilentIssuers,
     pub(super) contact: PeerContact,
@@ -142,6 +144,7 @@
             recent_prefills: VecDeque::new(),
             quarantine: QuarantineTable::default(),
             upstream_news: UpstreamNews::default(),
+            room_log: RoomLog::default(),
             permit_issuer: PermitIssuer::default(),
             silent_issuers: SilentIssuers::default(),
             contact: PeerContact::default(),
@@ -324,6 +327,9 @@
             self.pool.drop_missing(now);
         }
         self.pool.expire_departed(now);
+        let changes = self.room_log.take_changes(&self.pool, now);
+        let report = |change| GatewayEffect::RoomChanged(Box::new(change));
+        effects.extend(changes.into_iter().map(report));
         self.expire_retained(now);
         self.pool.refresh_peer_loads(now);
         self.assess_quarantine(now);
--- a/crates/hickorydoor/src/gateway/upstreams/mod.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/mod.rs
@@ -3,6 +3,7 @@
 //! An [`Upstream`] combines its registration with what its answers say ([`UpstreamNotice`]), its
 //! load, including the load that other gateways report, and its recent failures. Its
 //! [`UpstreamRoom`] tells whether a request may be sent now ([`Availability`]); agents ask it too.
+//! [`RoomLog`] tells when that changes.
 //! [`DepartedRooms`] keeps it while its upstream is not registered. The [`UpstreamPool`] holds all of
 //! them.
 
@@ -10,6 +11,7 @@
 mod cold_share;
 mod departed_rooms;
 mod failure_score;
+mod room_log;
 mod upstream;
 mod upstream_news;
 mod upstream_notice;
@@ -20,6 +22,9 @@
 pub use cold_share::cold_share;
 pub use departed_rooms::DepartedRooms;
 pub use failure_score::FailureScore;
+pub use room_log::RoomChange;
+pub use room_log::RoomLog;
+pub use room_log::RoomState;
 pub use upstream::PeerLoad;
 pub use upstream::Registration;
 pub use upstream::Upstream;
--- a/crates/hickorydoor/src/gateway/upstreams/upstream_room.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream_room.rs
@@ -71,7 +71,12 @@
     /// Returns whether the upstream has said how much it takes: that it has a limit, or wants a
     /// pause now.
     pub fn states_room(&self, now: TimeMs) -> bool {
-        self.limit().is_some() || self.paused_until.is_some_and(|until| now < until)
+        self.limit().is_some() || self.is_paused(now)
+    }
+
+    /// Returns whether the upstream wants no requests of this gateway now.
+    pub fn is_paused(&self, now: TimeMs) -> bool {
+        self.paused_until.is_some_and(|until| now < until)
     }
 
     /// Returns what the upstream last said about its limit, if it ever named one.
--- a/crates/hickorydoor/tests/gateway_notices.rs
+++ b/crates/hickorydoor/tests/gateway_notices.rs
@@ -5,6 +5,7 @@
 
 use hickorydoor::DurationMs;
 use hickorydoor::TimeMs;
+use hickorydoor::gateway::GatewayEffect;
 use hickorydoor::gateway::GatewayEvent;
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::event::NotRun;
@@ -12,6 +13,7 @@
 use hickorydoor::gateway::rate_limits::LimitNotice;
 use hickorydoor::gateway::refusal::RefusalReason;
 use hickorydoor::gateway::upstreams::DepartedRooms;
+use hickorydoor::gateway::upstreams::RoomState;
 use hickorydoor::gateway::upstreams::UpstreamNotice;
 use hickorydoor::gateway::upstreams::UpstreamRoom;
 use hickorydoor::gateway::upstreams::parse_pause;
@@ -293,3 +295,28 @@
         }
     }
 }
+
+/// Guards against on-call engineers who cannot tell when an upstream was taken out, and by which answer.
+#[test]
+fn changes_of_what_upstreams_say_are_reported_once() {
+    let mut rig = rig(2);
+    for number in 0..8 {
+        let says = |upstream: &str| if upstream == "p-0" { pause(2_000) } else { LEAVING };
+        send(&mut rig, number, says);
+    }
+    let mut states = Vec::new();
+    for _ in 0..60 {
+        for effect in rig.advance(50) {
+            if let GatewayEffect::RoomChanged(change) = effect {
+                states.push((change.upstream.to_string(), change.state, change.source.to_string()));
+            }
+        }
+    }
+    let change = |upstream: &str, state| (upstream.to_owned(), state, "gw-1".to_owned());
+    let expected = [
+        change("p-0", RoomState::Paused),
+        change("p-1", RoomState::Leaving),
+        change("p-0", RoomState::Open),
+    ];
+    assert_eq!(states, expected);
+}
