Write the log of entries and agents through the queue of gateways

A reader of the log that had gone aborted the process, and one that did not read blocked its threads, because entries and agents wrote on the thread that logs.

--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -43,6 +43,7 @@
 mod link;
 mod link_report;
 mod link_table;
+mod log_writer;
 pub mod logging;
 mod metrics;
 mod model_body;
--- a/crates/hickoryd/src/gateway/log_writer.rs
+++ b/crates/hickoryd/src/log_writer.rs
@@ -1,8 +1,9 @@
-//! Structured logs on standard output, rate-limited and non-blocking.
+//! Structured logs, rate-limited and non-blocking.
 //!
-//! A thread writes the lines that it receives through a bounded queue. When the queue is full or
-//! the rate limit is reached, further lines are dropped. The next line that is written is preceded
-//! by their count. At the end of the process, what is queued is written first.
+//! A thread writes the lines that it receives through a bounded queue, so that a reader of the log
+//! that is slow, blocked or gone delays and ends nothing else. When the queue is full or the rate
+//! limit is reached, further lines are dropped. The next line that is written is preceded by their
+//! count. At the end of the process, what is queued is written first.
 
 use std::io;
 use std::io::Write;
@@ -32,18 +33,17 @@
 /// Maximum time that the end of the process waits for queued lines to be written.
 const MAX_SHUTDOWN_WAIT: Duration = Duration::from_millis(200);
 
-/// Installs the logger of a gateway; it is shut down when the handle is dropped.
+/// Installs the logger of the process, which writes to `output`; it is shut down when the handle is
+/// dropped.
 ///
 /// # Errors
 /// Fails if the process already has a logger.
-pub fn start_log(level: LevelFilter) -> Result<LoggerHandle, FlexiLoggerError> {
-    let specification = LogSpecification::builder()
-        .module("hickoryd", level)
-        .module("hickory_platform", level)
-        .build();
+pub fn start<W: Write + Send + 'static>(
+    specification: LogSpecification,
+    mut output: W,
+) -> Result<LoggerHandle, FlexiLoggerError> {
     let (lines, queue) = sync_channel::<QueuedItem>(MAX_QUEUED_LINES);
     thread::spawn(move || {
-        let mut output = io::stdout();
         while let Ok(item) = queue.recv() {
             match item {
                 // A failure to write the log cannot be logged.
--- a/crates/hickoryd/src/logging.rs
+++ b/crates/hickoryd/src/logging.rs
@@ -1,4 +1,5 @@
-//! Structured logs on standard error, one JSON object per line.
+//! Structured logs, one JSON object per line: of an entry or agent on standard error, of a gateway on
+//! standard output.
 
 use std::io;
 use std::io::Write;
@@ -6,7 +7,6 @@
 use flexi_logger::DeferredNow;
 use flexi_logger::FlexiLoggerError;
 use flexi_logger::LogSpecification;
-use flexi_logger::Logger;
 use flexi_logger::LoggerHandle;
 use log::LevelFilter;
 use log::Record;
@@ -18,13 +18,27 @@
 use serde_json::Map;
 use serde_json::Value;
 
-/// Installs the logger of the process; it is shut down when the handle is dropped.
+use crate::log_writer;
+
+/// Installs the logger of an entry or agent; it is shut down when the handle is dropped.
 ///
 /// # Errors
 /// Fails if the process already has a logger.
 pub fn start(level: LevelFilter) -> Result<LoggerHandle, FlexiLoggerError> {
     let specification = LogSpecification::builder().module("hickoryd", level).build();
-    Logger::with(specification).format(json_line).start()
+    log_writer::start(specification, io::stderr())
+}
+
+/// Installs the logger of a gateway; it is shut down when the handle is dropped.
+///
+/// # Errors
+/// Fails if the process already has a logger.
+pub fn start_gateway(level: LevelFilter) -> Result<LoggerHandle, FlexiLoggerError> {
+    let specification = LogSpecification::builder()
+        .module("hickoryd", level)
+        .module("hickory_platform", level)
+        .build();
+    log_writer::start(specification, io::stdout())
 }
 
 pub(crate) fn json_line(
