--- a/crates/hickoryd/tests/upstream_faults.rs
+++ b/crates/hickoryd/tests/upstream_faults.rs
@@ -182,3 +182,21 @@
     }
     Ok(())
 }
+
+/// Guards against a connection that is closed after an interim response, without a final one.
+#[tokio::test]
+async fn status_101_of_a_service_is_no_answer_for_the_caller() -> Result<(), AnyError> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let url = format!("http://{}", listener.local_addr()?);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _peer)) = listener.accept().await {
+            drop(read_path(&mut stream).await);
+            let head = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n";
+            drop(stream.write_all(head.as_bytes()).await);
+        }
+    });
+    let fleet = start_with_service(url).await?;
+    let (status, body) = get(&fleet, "lot-1").await?;
+    assert!((500..600).contains(&status), "{status} {body}");
+    Ok(())
+}
