--- a/crates/hickoryd/src/gateway/upstream_request.rs
+++ b/crates/hickoryd/src/gateway/upstream_request.rs
@@ -198,7 +198,8 @@
     names: &HeaderNames,
 ) -> Result<(), AttemptOutcome> {
     let headers = response.headers();
-    if !template.matches_response(headers, names) {
+    // A status 101 is no final response, and no other protocol was asked for.
+    if !template.matches_response(headers, names) || response.status().is_informational() {
         return Err(AttemptOutcome::Unknown(ResponseFault::Garbled));
     }
     let refusal = if response.status() == StatusCode::MISDIRECTED_REQUEST {
