Wait for ports that a stopping process still has

A process that was started during a stop ended with code 1, since the one before it keeps its ports until its last answer. Gateways open the port for callers last, so that no caller is accepted by a process that does not start.

--- a/crates/hickoryd/src/daemon.rs
+++ b/crates/hickoryd/src/daemon.rs
@@ -26,7 +26,10 @@
         Role::Entry(mut options) => {
             options.settings.incarnation = incarnation;
             options.seed = started.as_nanos() as u64;
-            let process = EntryProcess::start(*options).await?;
+            let process = tokio::select! {
+                started = EntryProcess::start(*options) => started?,
+                () = signals.wait_for_stop() => return Ok(()),
+            };
             info!(http:% = process.http_address(); "entry started");
             signals.wait_for_stop().await;
             process.shutdown().await;
@@ -34,7 +37,10 @@
         }
         Role::Agent(mut options) => {
             options.settings.incarnation = incarnation;
-            let process = AgentProcess::start(*options).await?;
+            let process = tokio::select! {
+                started = AgentProcess::start(*options) => started?,
+                () = signals.wait_for_stop() => return Ok(()),
+            };
             info!(links:% = process.link_address(); "agent started");
             signals.wait_for_stop().await;
             process.shutdown().await;
--- a/crates/hickoryd/src/gateway/mod.rs
+++ b/crates/hickoryd/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 mod view_source;
 
 pub use boot_clock::BootClock;
+pub use core::AdapterEffects;
 pub use core::Core;
 pub use header_names::HeaderNames;
 pub use options::GatewayOptions;
--- a/crates/hickoryd/src/gateway/process.rs
+++ b/crates/hickoryd/src/gateway/process.rs
@@ -9,7 +9,6 @@
 use log::info;
 use log::warn;
 use tokio::net::TcpListener;
-use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::spawn_local;
@@ -27,6 +26,7 @@
 use crate::gateway::options::GatewayOptions;
 use crate::gateway::port_phase::PortPhase;
 use crate::gateway::status_port::serve_status;
+use crate::port;
 use crate::start_error::StartError;
 
 /// Interval of the tick events of the reducer.
@@ -65,21 +65,23 @@
             .map_err(|cause| StartError::Metrics { cause: io::Error::other(cause) })?;
         let names = Rc::new(options.header_names);
         let port_phase = watch::Sender::new(PortPhase::Open);
-        let listener = bind(options.http_listen).await?;
-        let http_address = local_address(&listener, options.http_listen)?;
-        let ready = bind(options.ready_listen).await?;
+        let ready = port::listen(options.ready_listen).await?;
         let ready_address = local_address(&ready, options.ready_listen)?;
+        let metrics = match options.metrics_listen {
+            Some(address) => Some(port::listen(address).await?),
+            None => None,
+        };
         let peer_address = SocketAddr::new(options.peer_ip, options.peer_port);
-        let peers = UdpSocket::bind(peer_address)
-            .await
-            .map_err(|cause| StartError::Listen { address: peer_address, cause })?;
+        let peers = port::open_datagram(peer_address).await?;
+        let feed = port::listen(SocketAddr::new(options.peer_ip, options.feed_port)).await?;
+        // Last, since the system accepts callers from here on.
+        let listener = port::listen(options.http_listen).await?;
+        let http_address = local_address(&listener, options.http_listen)?;
         let callers = spawn_local(serve(listener, Rc::clone(&core), names, port_phase.subscribe()));
         spawn_local(serve_status(ready, Rc::clone(&core), options.ready_path.clone()));
-        if let Some(address) = options.metrics_listen {
-            let metrics = bind(address).await?;
+        if let Some(metrics) = metrics {
             spawn_local(serve_status(metrics, Rc::clone(&core), options.ready_path));
         }
-        let feed = bind(SocketAddr::new(options.peer_ip, options.feed_port)).await?;
         spawn_local(serve_feed(feed, Rc::clone(&core)));
         let peer_port = options.peer_port;
         spawn_local(exchange_digests(
@@ -149,10 +151,6 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.map_err(|cause| StartError::Listen { address, cause })
-}
-
 fn local_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, StartError> {
     listener.local_addr().map_err(|cause| StartError::Listen { address, cause })
 }
--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -51,6 +51,7 @@
 mod operator_query;
 mod panic_log;
 mod platform;
+pub mod port;
 mod process;
 mod raw_settings;
 mod reducer_loop;
--- a/crates/hickoryd/src/process.rs
+++ b/crates/hickoryd/src/process.rs
@@ -19,6 +19,7 @@
 use crate::metrics::Metrics;
 use crate::operator_port::OperatorPort;
 use crate::operator_query::OperatorQuery;
+use crate::port;
 use crate::start_error::StartError;
 use crate::telemetry::Telemetry;
 use crate::tls::TlsError;
@@ -107,9 +108,8 @@
 
 /// Opens a port and returns the bound address. Port 0 lets the system choose one.
 pub async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
-    let failed = |cause| StartError::Listen { address, cause };
-    let listener = TcpListener::bind(address).await.map_err(failed)?;
-    let bound = listener.local_addr().map_err(failed)?;
+    let listener = port::listen(address).await?;
+    let bound = listener.local_addr().map_err(|cause| StartError::Listen { address, cause })?;
     Ok((listener, bound))
 }
 
