--- a/crates/hickoryd/src/gateway/mod.rs
+++ b/crates/hickoryd/src/gateway/mod.rs
@@ -23,7 +23,6 @@
 mod feed_server;
 mod followers;
 mod header_names;
-mod log_writer;
 mod metrics;
 mod options;
 mod port_phase;
@@ -36,9 +35,9 @@
 mod view_source;
 
 pub use boot_clock::BootClock;
+pub use core::AdapterEffects;
 pub use core::Core;
 pub use header_names::HeaderNames;
-pub use log_writer::start_log;
 pub use options::GatewayOptions;
 pub use process::GatewayProcess;
 pub use response_body::ResponseBody;
