Bound every collection of a gateway's reducer

A gateway without others used more memory with each request: the prompts that it had sent were only dropped when a digest was built, and it builds none. What it had learned of routes, and the latest digests of other gateways, were kept for each name that was ever seen.

--- a/crates/hickorydoor/src/gateway/arrival.rs
+++ b/crates/hickorydoor/src/gateway/arrival.rs
@@ -32,7 +32,7 @@
                 self.retry_budgets
                     .entry(active.service.clone())
                     .or_default()
-                    .record_first_attempt(now);
+                    .record_first_attempt(&self.settings.retries, now);
                 self.sizes.observe(&active.route.name, &active.call.prompt);
                 self.calls.insert(id, active);
                 self.waiting.insert(id);
--- a/crates/hickorydoor/src/gateway/data_centre_reach.rs
+++ b/crates/hickorydoor/src/gateway/data_centre_reach.rs
@@ -21,7 +21,8 @@
 
 #[derive(Clone, Debug)]
 struct Outage {
-    /// Upstreams that accepted no connection since any of the data centre last did.
+    /// Upstreams that accepted no connection since any of the data centre last did, as many as are
+    /// needed to avoid it.
     unreachable: BTreeSet<UpstreamId>,
     last_failure_at: TimeMs,
 }
@@ -44,10 +45,22 @@
             .outages
             .entry(data_centre.clone())
             .or_insert_with(|| Outage { unreachable: BTreeSet::new(), last_failure_at: now });
-        outage.unreachable.insert(upstream.clone());
+        if outage.unreachable.len() < MIN_UNREACHABLE {
+            outage.unreachable.insert(upstream.clone());
+        }
         outage.last_failure_at = now;
     }
 
+    /// Returns the number of upstreams that are remembered.
+    pub fn len(&self) -> usize {
+        self.outages.values().map(|outage| outage.unreachable.len()).sum()
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Records that an upstream of the data centre answered.
     pub fn record_reached(&mut self, data_centre: &DataCentreId) {
         self.outages.remove(data_centre);
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -147,14 +147,14 @@
         }
         upstream.record_dispatch(now);
         upstream.prefill_ms += choice.prefill_ms;
+        let registration = upstream.registration.clone();
         if let Some(model) = &choice.model {
             let prompt = &active.call.prompt;
             let parts = chains(model, prompt);
             upstream.cache.record(&parts, prompt.own_tokens(), memory_tokens, now);
             let upstream = choice.upstream.clone();
-            self.recent_prefills.push_back((now, Prefill { upstream, parts: parts.into_vec() }));
+            self.recent_prefills.record(Prefill { upstream, parts: parts.into_vec() }, now);
         }
-        let registration = upstream.registration.clone();
         let rollout = self.rollouts.get_mut(&active.service);
         let compares_times =
             !was_cold && rollout.as_ref().is_some_and(|rollout| rollout.compares_times());
--- a/crates/hickorydoor/src/gateway/model_table.rs
+++ b/crates/hickorydoor/src/gateway/model_table.rs
@@ -70,6 +70,25 @@
         }
     }
 
+    /// Forgets the models that are not `known`.
+    pub fn retain(&mut self, known: impl Fn(&ModelId) -> bool) {
+        for models in
+            [&mut self.token_ms, &mut self.prior_token_ms, &mut self.price, &mut self.full_gap_ms]
+        {
+            models.retain(|model, _| known(model));
+        }
+    }
+
+    /// Returns the number of models.
+    pub fn len(&self) -> usize {
+        self.price.len().max(self.token_ms.len()).max(self.full_gap_ms.len())
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Records the usual time between events of a stream, in ms; returns whether the stream ran at
     /// the full pace of the model.
     pub fn observe_gap(&mut self, model: &ModelId, gap_ms: f64) -> bool {
--- a/crates/hickorydoor/src/gateway/peer_contact.rs
+++ b/crates/hickorydoor/src/gateway/peer_contact.rs
@@ -36,6 +36,11 @@
         heard_at.is_some_and(|at| now.since(*at) <= DurationMs::new(silence_ms))
     }
 
+    /// Returns the number of gateways.
+    pub fn len(&self) -> usize {
+        self.heard_at.len()
+    }
+
     /// Forgets gateways that are not present any more.
     pub fn retain(&mut self, present: &[HostId]) {
         self.heard_at.retain(|host, _| present.contains(host));
--- a/crates/hickorydoor/src/gateway/prompt_cache.rs
+++ b/crates/hickorydoor/src/gateway/prompt_cache.rs
@@ -16,6 +16,8 @@
 
 /// Share of the engine's memory available to cached parts; running requests use the rest.
 const CACHE_MEMORY_SHARE: f64 = 0.7;
+/// Maximum number of cached parts of an engine, however small they are and whatever its memory is.
+const MAX_PARTS: usize = 4_096;
 
 /// The last part of a chain of prompt parts, for one model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,7 +53,7 @@
 
 impl PromptCache {
     /// Records that the engine prefills these parts and `own_tokens` that no other request shares.
-    /// `memory_tokens` is the total memory of the engine; 0 means unknown and disables eviction.
+    /// `memory_tokens` is the total memory of the engine; 0 means unknown.
     pub fn record(
         &mut self,
         parts: &[ChainPart],
@@ -69,11 +71,21 @@
             self.insert(own_chain, own_tokens, now);
         }
         let limit = (memory_tokens as f64 * CACHE_MEMORY_SHARE) as u64;
-        while limit > 0 && self.tokens > limit {
+        while self.parts.len() > MAX_PARTS || (limit > 0 && self.tokens > limit) {
             self.evict_oldest();
         }
     }
 
+    /// Returns the number of cached parts.
+    pub fn len(&self) -> usize {
+        self.parts.len()
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
     /// Returns the number of tokens at the start of the prompt that need no prefill.
     pub fn cached_tokens(&self, parts: &[ChainPart]) -> u32 {
         let cached = parts.iter().take_while(|part| self.parts.contains_key(&part.chain));
--- a/crates/hickorydoor/src/gateway/rate_limits/permit_issuer.rs
+++ b/crates/hickorydoor/src/gateway/rate_limits/permit_issuer.rs
@@ -132,6 +132,16 @@
         }
     }
 
+    /// Returns the number of upstreams.
+    pub fn len(&self) -> usize {
+        self.issued.len()
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.issued.is_empty()
+    }
+
     /// Forgets upstreams for which no permits are wanted any more.
     pub fn expire(&mut self, now: TimeMs) {
         self.issued.retain(|_, issued| now.since(issued.used_at) < FORGET_AFTER_MS);
--- a/crates/hickorydoor/src/gateway/rate_limits/silent_issuers.rs
+++ b/crates/hickorydoor/src/gateway/rate_limits/silent_issuers.rs
@@ -61,6 +61,21 @@
         self.silences.remove(host);
     }
 
+    /// Forgets gateways that are not present any more.
+    pub fn retain(&mut self, present: &[HostId]) {
+        self.silences.retain(|host, _| present.contains(host));
+    }
+
+    /// Returns the number of gateways.
+    pub fn len(&self) -> usize {
+        self.silences.len()
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.silences.is_empty()
+    }
+
     fn is_silent(&self, host: &HostId, now: TimeMs) -> bool {
         self.silences.get(host).is_some_and(|silence| now < silence.until)
     }
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::sync::Arc;
 
 use compact_str::CompactString;
@@ -22,7 +21,7 @@
 use crate::gateway::peer_contact::PeerContact;
 use crate::gateway::peer_digest::DigestEvidence;
 use crate::gateway::peer_digest::PeerDigest;
-use crate::gateway::peer_digest::Prefill;
+use crate::gateway::prefill_log::PrefillLog;
 use crate::gateway::quarantine::QuarantineTable;
 use crate::gateway::rate_limits::PermitId;
 use crate::gateway::rate_limits::PermitIssuer;
@@ -49,8 +48,6 @@
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
-/// How long a sent prompt is repeated in digests.
-const PREFILL_REPORT_MS: DurationMs = DurationMs::new(1_000);
 /// Bits of the number of a permit that count within an incarnation.
 const PERMIT_NUMBER_BITS: u32 = 20;
 /// Maximum number of pinned sessions in a digest.
@@ -94,10 +91,10 @@
     /// Hosts of all live gateways including this one, in order.
     pub(super) gateways: Vec<HostId>,
     /// Incarnation and sequence of the latest digest of each gateway.
-    peers: HashMap<HostId, (u64, u64)>,
+    pub(super) peers: HashMap<HostId, (u64, u64)>,
     /// Number of the last digest that this gateway built.
     sequence: u64,
-    pub(super) recent_prefills: VecDeque<(TimeMs, Prefill)>,
+    pub(super) recent_prefills: PrefillLog,
     pub(super) quarantine: QuarantineTable,
     pub(super) upstream_news: UpstreamNews,
     pub(super) permit_issuer: PermitIssuer,
@@ -139,7 +136,7 @@
             gateways,
             peers: HashMap::new(),
             sequence: 0,
-            recent_prefills: VecDeque::new(),
+            recent_prefills: PrefillLog::default(),
             quarantine: QuarantineTable::default(),
             upstream_news: UpstreamNews::default(),
             permit_issuer: PermitIssuer::default(),
@@ -256,7 +253,7 @@
     pub fn digest(&mut self, now: TimeMs) -> PeerDigest {
         self.sequence += 1;
         let notices = self.notices_to_tell(now);
-        self.recent_prefills.retain(|(sent_at, _)| now.since(*sent_at) <= PREFILL_REPORT_MS);
+        self.recent_prefills.expire(now);
         let evidence = self.rollouts.values().map(|rollout| DigestEvidence {
             service: rollout.order().service.clone(),
             order: rollout.order().position,
@@ -272,7 +269,7 @@
             sequence: self.sequence,
             loads: self.pool.own_loads(),
             evidence: evidence.collect(),
-            prefills: self.recent_prefills.iter().map(|(_, prefill)| prefill.clone()).collect(),
+            prefills: self.recent_prefills.iter().cloned().collect(),
             quarantine: self.quarantine.report(
                 |part| self.unproven_attempts(part),
                 |upstream| self.pool.get(upstream)?.last_alive_at,
@@ -324,6 +321,7 @@
             self.pool.drop_missing(now);
         }
         self.pool.expire_departed(now);
+        self.recent_prefills.expire(now);
         self.expire_retained(now);
         self.pool.refresh_peer_loads(now);
         self.assess_quarantine(now);
--- a/crates/hickorydoor/src/gateway/retained_map.rs
+++ b/crates/hickorydoor/src/gateway/retained_map.rs
@@ -77,6 +77,16 @@
         present.map(|(key, _)| key)
     }
 
+    /// Returns the number of entries, missing or not.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Iterates over all keys in order, missing or not.
     pub fn keys(&self) -> impl Iterator<Item = &K> {
         self.entries.keys()
--- a/crates/hickorydoor/src/gateway/retry_budget.rs
+++ b/crates/hickorydoor/src/gateway/retry_budget.rs
@@ -36,10 +36,21 @@
 
 impl RetryBudget {
     /// Records a first attempt, which raises the number of allowed retries.
-    pub fn record_first_attempt(&mut self, now: TimeMs) {
+    pub fn record_first_attempt(&mut self, bound: &RetryBound, now: TimeMs) {
+        drop_older(&mut self.first_attempts, bound.window_ms, now);
         self.first_attempts.push_back(now);
     }
 
+    /// Returns the number of attempts that are remembered.
+    pub fn len(&self) -> usize {
+        self.first_attempts.len() + self.retries.len()
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Takes a retry from the budget; returns `false` if none is left. `gateways` is the number of
     /// gateways that share the bound.
     pub fn try_spend(&mut self, bound: &RetryBound, gateways: usize, now: TimeMs) -> bool {
--- a/crates/hickorydoor/src/gateway/rollout/peer_view.rs
+++ b/crates/hickorydoor/src/gateway/rollout/peer_view.rs
@@ -9,11 +9,16 @@
 /// Time without a digest after which another gateway neither objects nor writes steps.
 const HEARD_TTL_MS: DurationMs = DurationMs::new(1_000);
 
+/// Maximum number of incarnations whose outcomes are told apart.
+const MAX_INCARNATIONS: usize = 4;
+
 /// Latest digest of another gateway about one rollout, and what its earlier incarnations counted.
 #[derive(Clone, Debug, Default)]
 pub struct PeerView {
-    /// Outcomes by incarnation. Those of earlier ones stay valid: the attempts were made.
+    /// Outcomes by incarnation, of the latest ones. Those of earlier ones stay valid: the attempts were made.
     tables: BTreeMap<u64, OutcomeTable>,
+    /// Sum of the outcomes of further incarnations, which were the first.
+    earlier: OutcomeTable,
     objects: bool,
     heard_at: TimeMs,
 }
@@ -22,13 +27,23 @@
     /// Replaces what the gateway says.
     pub fn update(&mut self, incarnation: u64, table: OutcomeTable, objects: bool, now: TimeMs) {
         self.tables.insert(incarnation, table);
+        if self.tables.len() > MAX_INCARNATIONS
+            && let Some((_, first)) = self.tables.pop_first()
+        {
+            self.earlier.merge(&first);
+        }
         self.objects = objects;
         self.heard_at = now;
     }
 
     /// Iterates over the outcomes that the gateway counted.
     pub fn tables(&self) -> impl Iterator<Item = &OutcomeTable> {
-        self.tables.values()
+        self.tables.values().chain(std::iter::once(&self.earlier))
+    }
+
+    /// Returns the number of incarnations whose outcomes are told apart.
+    pub fn incarnations(&self) -> usize {
+        self.tables.len()
     }
 
     /// Returns whether the gateway was heard lately.
--- a/crates/hickorydoor/src/gateway/rollout/state.rs
+++ b/crates/hickorydoor/src/gateway/rollout/state.rs
@@ -393,6 +393,13 @@
         self.set_peer_pinned_sessions(known.pinned_sessions, now);
     }
 
+    /// Returns the number of entries that grow with time: outcome tables of other gateways, sent
+    /// counts, and sessions pinned by others.
+    pub fn entries(&self) -> usize {
+        let tables: usize = self.peers.values().map(PeerView::incarnations).sum();
+        tables + self.sent_history.len() + self.pinned_by_peers.len()
+    }
+
     /// Returns the outcomes that are known from all gateways.
     fn all_outcomes(&self) -> OutcomeTable {
         let mut all = self.own.clone();
--- a/crates/hickorydoor/src/gateway/route_durations.rs
+++ b/crates/hickorydoor/src/gateway/route_durations.rs
@@ -34,6 +34,16 @@
         known.saturating_record(took_ms.get().max(1));
     }
 
+    /// Forgets the routes that are not `known`.
+    pub fn retain(&mut self, known: impl Fn(&CompactString) -> bool) {
+        self.routes.retain(|route, _| known(route));
+    }
+
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.routes.len()
+    }
+
     /// Returns the longest usual duration; `None` if no request of the route has ended.
     pub fn longest_usual_ms(&self, route: &CompactString) -> Option<DurationMs> {
         let known = self.routes.get(route).filter(|known| !known.is_empty())?;
--- a/crates/hickorydoor/src/gateway/size_table.rs
+++ b/crates/hickorydoor/src/gateway/size_table.rs
@@ -33,6 +33,21 @@
         *mean += GAIN * (size - *mean);
     }
 
+    /// Forgets the routes that are not `known`.
+    pub fn retain(&mut self, known: impl Fn(&CompactString) -> bool) {
+        self.mean.retain(|route, _| known(route));
+    }
+
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.mean.len()
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.mean.is_empty()
+    }
+
     /// Returns the mean size of the requests of a route, in tokens; a generated token counts as
     /// ten.
     pub fn mean(&self, route: &CompactString) -> f64 {
--- a/crates/hickorydoor/src/gateway/store_view.rs
+++ b/crates/hickorydoor/src/gateway/store_view.rs
@@ -7,8 +7,11 @@
 //! configuration is replaced only by one with a higher version, a data centre stays out, an upstream
 //! that has left or is draining stays so, and an order that replaced another one stays in force.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
+use compact_str::CompactString;
+
 use crate::gateway::catalog::Catalog;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::freshness::RESTORE_WINDOW_MS;
@@ -26,6 +29,7 @@
 use crate::gateway::view_role::view_role;
 use crate::id::DataCentreId;
 use crate::id::HostId;
+use crate::id::ModelId;
 use crate::id::ServiceName;
 use crate::id::UpstreamId;
 use crate::time::DurationMs;
@@ -189,9 +193,23 @@
         if known.is_some() {
             self.freshness.record_new_configuration();
         }
+        self.forget_unconfigured(&catalog);
         self.catalog = Some(catalog);
     }
 
+    /// Drops what was learned of routes, services and models that are not configured any more.
+    fn forget_unconfigured(&mut self, catalog: &Catalog) {
+        let routes: HashSet<&CompactString> = catalog.routes().map(|route| &route.name).collect();
+        let is_route = |route: &CompactString| routes.contains(route);
+        self.sizes.retain(is_route);
+        self.typical_times.retain(is_route);
+        self.route_durations.retain(is_route);
+        self.retry_budgets.retain(|service, _| catalog.service(service).is_some());
+        let models = catalog.services().flat_map(|spec| &spec.models);
+        let models: HashSet<&ModelId> = models.map(|offered| &offered.model).collect();
+        self.model_table.retain(|model| models.contains(model));
+    }
+
     pub(super) fn on_registered(&mut self, registration: Registration, now: TimeMs) {
         if self.is_reading_copy {
             self.pool.register_from_copy(registration, now);
@@ -269,6 +287,8 @@
         }
         gateways.sort();
         self.contact.retain(&gateways);
+        self.silent_issuers.retain(&gateways);
+        self.peers.retain(|host, _| gateways.binary_search(host).is_ok());
         self.gateways = gateways;
     }
 
--- a/crates/hickorydoor/src/gateway/typical_times.rs
+++ b/crates/hickorydoor/src/gateway/typical_times.rs
@@ -21,6 +21,16 @@
 }
 
 impl TypicalTimes {
+    /// Forgets the routes that are not `known`.
+    pub fn retain(&mut self, known: impl Fn(&CompactString) -> bool) {
+        self.routes.retain(|route, _| known(route));
+    }
+
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.routes.len()
+    }
+
     /// Records an answer time and returns the previous mean; the time itself if there is none. Both
     /// are in ms.
     pub fn observe(&mut self, route: &CompactString, took_ms: f64) -> f64 {
--- a/crates/hickorydoor/src/gateway/upstreams/upstream.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream.rs
@@ -159,6 +159,11 @@
         self.cold_sends.push_back(now);
     }
 
+    /// Returns the number of dispatches that count against the rate bound while it is cold.
+    pub fn recent_dispatches(&self) -> usize {
+        self.cold_sends.len()
+    }
+
     fn evict_old_sends(&mut self, now: TimeMs) {
         while self.cold_sends.front().is_some_and(|at| now.since(*at) > COLD_WINDOW_MS) {
             self.cold_sends.pop_front();
--- a/crates/hickorydoor/src/gateway/upstreams/upstream_news.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream_news.rs
@@ -23,6 +23,9 @@
     pub limit: Option<AgedLimit>,
 }
 
+/// Maximum number of upstreams that are still to be told of.
+const MAX_PENDING: usize = 1_024;
+
 /// Upstreams of which this gateway has learned something from an answer a moment ago.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamNews {
@@ -33,9 +36,22 @@
     /// Adds an upstream that has said something new.
     pub fn add(&mut self, upstream: UpstreamId) {
         self.pending.retain(|(known, _)| *known != upstream);
+        if self.pending.len() >= MAX_PENDING {
+            self.pending.pop_front();
+        }
         self.pending.push_back((upstream, DIGESTS));
     }
 
+    /// Returns the number of upstreams that are still to be told of.
+    pub fn len(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
     /// Returns the upstreams that the next digest tells of.
     pub fn take_next(&mut self) -> Vec<UpstreamId> {
         let count = self.pending.len().min(MAX_UPSTREAMS);
--- a/crates/hickorydoor/src/gateway/upstreams/upstream_pool.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream_pool.rs
@@ -179,6 +179,13 @@
         }
     }
 
+    /// Returns the numbers of upstreams, of removed ones, of those whose word is kept, and of load
+    /// reports.
+    pub fn sizes(&self) -> [usize; 4] {
+        let Self { upstreams, departures, departed_rooms, reports } = self;
+        [upstreams.len(), departures.len(), departed_rooms.len(), reports.len()]
+    }
+
     /// Iterates over all upstreams, by id.
     pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
         self.upstreams.values()
--- a/crates/hickorydoor/tests/gateway_bounds.rs
+++ b/crates/hickorydoor/tests/gateway_bounds.rs
@@ -44,7 +44,7 @@
             now = now + DurationMs::new(passed_ms);
             let budget = &mut retry_budgets[gateway % gateways];
             if is_first {
-                budget.record_first_attempt(now);
+                budget.record_first_attempt(&BOUND, now);
                 first_attempts.push(now);
             } else if budget.try_spend(&BOUND, gateways, now) {
                 retries.push(now);
