--- a/crates/hickorydoor/src/gateway/rollout/evidence.rs
+++ b/crates/hickorydoor/src/gateway/rollout/evidence.rs
@@ -77,6 +77,12 @@
         all
     }
 
+    /// Returns the number of entries that grow with time.
+    pub fn entries(&self) -> usize {
+        let tables: usize = self.peers.values().map(PeerView::incarnations).sum();
+        tables + self.sent_history.len()
+    }
+
     /// Returns the rank of this gateway among those that were heard lately.
     pub fn rank(&self, own: &HostId, now: TimeMs) -> u64 {
         let earlier = self.peers.range(..own.clone());
--- a/crates/hickorydoor/src/gateway/rollout/peer_pins.rs
+++ b/crates/hickorydoor/src/gateway/rollout/peer_pins.rs
@@ -18,6 +18,11 @@
         self.0.get(&session).is_some_and(|until| now < *until)
     }
 
+    /// Returns the number of sessions, of which some may have expired.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
     /// Records the hashes of the sessions that another gateway pins.
     pub fn extend(&mut self, sessions: &[u64], now: TimeMs) {
         self.0.retain(|_, until| now < *until);
--- a/crates/hickorydoor/src/gateway/rollout/state.rs
+++ b/crates/hickorydoor/src/gateway/rollout/state.rs
@@ -313,6 +313,12 @@
         self.peer_pins.extend(known.pinned_sessions, now);
     }
 
+    /// Returns the number of entries that grow with time: outcome tables of other gateways, sent
+    /// counts, and sessions pinned by others.
+    pub fn entries(&self) -> usize {
+        self.evidence.entries() + self.peer_pins.len()
+    }
+
     /// Returns the progress to report, if the phase has changed since the last report or, before
     /// the end of the rollout, [`REPORT_INTERVAL_MS`] have passed.
     pub fn report(&mut self, now: TimeMs) -> Option<RolloutProgress> {
