Decide in pure code who may hold how much memory

Nothing bounds what a process holds for all callers together. MemoryBudget decides who may take bytes, who waits, who is refused at its deadline, and which holder without progress gives way. It has no sockets, clock or threads, and nothing uses it yet.

--- a/crates/hickorydoor/src/lib.rs
+++ b/crates/hickorydoor/src/lib.rs
@@ -49,6 +49,7 @@
 //! | [`cascades`], [`rollouts`] | statistics and decisions about cheaper models and new versions |
 //! | [`billing`] | usage of requests, and the ledger that stores each bill exactly once |
 //! | [`store`] | calls to the key-value service |
+//! | [`memory`] | who may hold how much memory, who waits and who is refused |
 //! | [`message`], [`wire`] | messages between processes, and their encoding |
 //!
 //! The remaining modules hold types that all of these share, such as [`id`], [`time`], [`quantity`]
@@ -69,6 +70,7 @@
 pub mod key_digest;
 pub mod load_report;
 pub mod lru_map;
+pub mod memory;
 pub mod message;
 pub mod observation;
 pub mod quantity;
--- /dev/null
+++ b/crates/hickorydoor/src/memory/kind.rs
@@ -0,0 +1,33 @@
+//! What memory is held for.
+
+/// What a holder keeps in memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum MemoryKind {
+    /// A caller's connection with its buffers.
+    Connection,
+    /// Head of a request that has not arrived whole.
+    Head,
+    /// Body of a request.
+    RequestBody,
+    /// Response, until it is sent.
+    Response,
+}
+
+impl MemoryKind {
+    /// All kinds, in the order of their indexes.
+    pub const ALL: [Self; 4] = [Self::Connection, Self::Head, Self::RequestBody, Self::Response];
+
+    /// Returns the name for logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Connection => "connection",
+            Self::Head => "head",
+            Self::RequestBody => "request_body",
+            Self::Response => "response",
+        }
+    }
+
+    pub(super) const fn index(self) -> usize {
+        self as usize
+    }
+}
--- /dev/null
+++ b/crates/hickorydoor/src/memory/mod.rs
@@ -0,0 +1,24 @@
+//! Memory that a process holds for others: connections, heads, request bodies and responses.
+//!
+//! [`MemoryBudget`] decides who may hold how much, who waits, and who is refused. Each holder asks
+//! before it reads more bytes, and releases them once they are sent on or dropped.
+//!
+//! - What a holder may take depends on how much it then holds: large request bodies use at most half
+//!   of the total, so that responses to them find room; all large holders together leave a quarter
+//!   to small ones, and small ones an eighth to the smallest.
+//! - Those that wait are served smallest class first, and of the same class and kind the oldest
+//!   first. One that does not fit keeps the later ones of its class and kind waiting.
+//! - Each has a deadline, at which it is refused.
+//! - While others wait, a holder without progress gives its memory up.
+
+pub mod budget;
+pub mod decision;
+pub mod holder;
+pub mod kind;
+pub mod size_class;
+
+pub use budget::MemoryBudget;
+pub use decision::MemoryDecision;
+pub use holder::HolderId;
+pub use kind::MemoryKind;
+pub use size_class::SizeClass;
