Bound what a gateway holds for callers by one budget

What is received was bounded for each request, but not for the process. Now connections, heads, request bodies and responses ask one MemoryBudget, in place of the separate one of 12 MB for responses. A body is read only once it has room, else refused as not run (503, no_memory). A response keeps its room until it is sent. A connection has no buffers before its first bytes. Those that make no progress for 3 s give way while others wait.

--- a/crates/hickoryd/src/body_collector.rs
+++ b/crates/hickoryd/src/body_collector.rs
@@ -1,24 +1,23 @@
 //! Reads bodies into memory that is in proportion to their length.
 //!
 //! A piece of a body keeps the whole read buffer alive that it was cut from, hundreds of times its
-//! size if the sender writes a few bytes at a time. So the pieces are copied. A [`BufferBudget`]
-//! bounds the bodies that a process holds at the same time: one without a stated length gives way to
-//! smaller ones, and one with a length waits.
+//! size if the sender writes a few bytes at a time. So the pieces are copied. A
+//! [`MemoryPool`] bounds the bodies that a process holds at the same
+//! time: one without a stated length gives way to smaller ones, and one with a length waits.
 
 use std::fmt;
-use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use hickorydoor::memory::MemoryKind;
 use http_body_util::BodyExt;
 use hyper::body::Body;
-use tokio::time::sleep;
 
-/// Time after which a body that waits for memory looks for it again.
-const WAIT_INTERVAL: Duration = Duration::from_millis(5);
+use crate::memory_pool::MemoryPool;
+
+/// Bytes that count as progress of a body; fewer in some seconds are next to nothing.
+const PROGRESS_BYTES: usize = 4 << 10;
 
 /// Length of the segments in which a body is held until it is complete.
 const SEGMENT_BYTES: usize = 64 << 10;
@@ -30,7 +29,7 @@
     TooLong,
     /// The body ended before it was complete.
     Broken,
-    /// Too many bodies are held, and this one is not among the small ones.
+    /// There was no memory for the body in time, or it gave its memory up to others.
     NoMemory,
 }
 
@@ -46,131 +45,120 @@
 
 impl std::error::Error for CollectError {}
 
-/// Memory for the bodies that a process holds at the same time.
-#[derive(Debug)]
-pub struct BufferBudget {
-    limit_bytes: usize,
-    used_bytes: AtomicUsize,
-    holders: AtomicUsize,
-}
-
-impl BufferBudget {
-    /// Creates a budget of which nothing is used.
-    pub const fn new(limit_bytes: usize) -> Self {
-        Self { limit_bytes, used_bytes: AtomicUsize::new(0), holders: AtomicUsize::new(0) }
-    }
-
-    /// Takes memory if there is enough.
-    fn try_take(&self, bytes: usize) -> bool {
-        let added = |used: usize| Some(used + bytes).filter(|sum| *sum <= self.limit_bytes);
-        self.used_bytes.fetch_update(Ordering::Relaxed, Ordering::Relaxed, added).is_ok()
-    }
-
-    fn mean_bytes(&self) -> usize {
-        self.used_bytes.load(Ordering::Relaxed) / self.holders.load(Ordering::Relaxed).max(1)
-    }
-}
-
-/// What one body uses of a budget; it is given back when this is dropped.
-#[derive(Debug)]
-struct BufferShare {
-    budget: Arc<BufferBudget>,
-    held_bytes: usize,
-}
-
-impl BufferShare {
-    fn new(budget: Arc<BufferBudget>) -> Self {
-        budget.holders.fetch_add(1, Ordering::Relaxed);
-        Self { budget, held_bytes: 0 }
-    }
-
-    /// Takes memory for a piece of a body, which may have to wait if the body states its length.
-    async fn take(&mut self, bytes: usize, may_wait: bool) -> Result<(), CollectError> {
-        while !self.budget.try_take(bytes) {
-            if !may_wait && self.held_bytes >= self.budget.mean_bytes() {
-                return Err(CollectError::NoMemory);
-            }
-            sleep(WAIT_INTERVAL).await;
-        }
-        self.held_bytes += bytes;
-        Ok(())
-    }
-}
-
-impl Drop for BufferShare {
-    fn drop(&mut self) {
-        self.budget.used_bytes.fetch_sub(self.held_bytes, Ordering::Relaxed);
-        self.budget.holders.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Reads a complete body of at most `limit_bytes`.
 ///
 /// # Errors
 /// Returns an error if the body is longer, or ends before it is complete.
-pub async fn collect_body<B>(body: B, limit_bytes: usize) -> Result<Bytes, CollectError>
+pub async fn collect_body<B>(mut body: B, limit_bytes: usize) -> Result<Bytes, CollectError>
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    collect(body, limit_bytes, None).await
+    let mut collected = Segments::new(None);
+    while let Some(frame) = body.frame().await {
+        let Ok(bytes) = frame.map_err(|_error| CollectError::Broken)?.into_data() else {
+            continue;
+        };
+        if collected.length + bytes.len() > limit_bytes {
+            return Err(CollectError::TooLong);
+        }
+        collected.push(&bytes);
+    }
+    Ok(collected.into_bytes())
 }
 
-/// Reads a complete body of at most `limit_bytes` with memory of a budget.
+/// Reads a complete body of at most `limit_bytes` with memory of a pool, which the result keeps.
+///
+/// A body that states its length waits for all of its memory at most for `within`, and is not read
+/// meanwhile. One without gives way once it is large. A request body also gives way if next to nothing
+/// of it arrives while others wait.
 ///
 /// # Errors
 /// Returns an error if the body is longer, ends before it is complete, or finds no memory.
 pub async fn collect_within<B>(
-    body: B,
-    limit_bytes: usize,
-    budget: Arc<BufferBudget>,
-) -> Result<Bytes, CollectError>
-where
-    B: Body<Data = Bytes> + Unpin,
-{
-    collect(body, limit_bytes, Some(BufferShare::new(budget))).await
-}
-
-async fn collect<B>(
     mut body: B,
     limit_bytes: usize,
-    mut share: Option<BufferShare>,
+    pool: &MemoryPool,
+    kind: MemoryKind,
+    within: Duration,
 ) -> Result<Bytes, CollectError>
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    let states_length = body.size_hint().exact().is_some();
-    let mut collected = Segments::default();
-    while let Some(frame) = body.frame().await {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let hold = pool.hold(kind);
+    let mut hold = if matches!(kind, MemoryKind::RequestBody) { hold.paced() } else { hold };
+    let stated_bytes = body.size_hint().exact().map(|length| length as usize);
+    if stated_bytes.is_some_and(|length| length > limit_bytes) {
+        return Err(CollectError::TooLong);
+    }
+    if let Some(length) = stated_bytes
+        && !hold.take(length, within).await
+    {
+        return Err(CollectError::NoMemory);
+    }
+    hold.progress();
+    let mut collected = Segments::new(stated_bytes);
+    let mut unreported_bytes = 0;
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = hold.evicted() => return Err(CollectError::NoMemory),
+        };
+        let Some(frame) = frame else {
+            break;
+        };
         let Ok(bytes) = frame.map_err(|_error| CollectError::Broken)?.into_data() else {
             continue;
         };
         if collected.length + bytes.len() > limit_bytes {
             return Err(CollectError::TooLong);
         }
-        if let Some(share) = &mut share {
-            share.take(bytes.len(), states_length).await?;
+        if stated_bytes.is_none() {
+            let is_small = collected.length < SEGMENT_BYTES;
+            let within = if is_small { within } else { Duration::ZERO };
+            if !hold.take(bytes.len(), within).await {
+                return Err(CollectError::NoMemory);
+            }
+        }
+        unreported_bytes += bytes.len();
+        if unreported_bytes >= PROGRESS_BYTES {
+            unreported_bytes = 0;
+            hold.progress();
         }
         collected.push(&bytes);
     }
-    Ok(collected.into_bytes())
+    hold.rest();
+    Ok(hold.attach(collected.into_bytes()))
 }
 
 /// Bytes in segments, which never move as more are added.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Segments {
     full: Vec<Bytes>,
     last: BytesMut,
     length: usize,
+    /// Maximum length of a segment; that of the body if it is stated.
+    segment_bytes: usize,
 }
 
 impl Segments {
+    fn new(stated_bytes: Option<usize>) -> Self {
+        let segment_bytes = stated_bytes.unwrap_or(SEGMENT_BYTES).max(1);
+        let last = BytesMut::with_capacity(stated_bytes.unwrap_or_default());
+        Self { full: Vec::new(), last, length: 0, segment_bytes }
+    }
+
     fn push(&mut self, mut bytes: &[u8]) {
         self.length += bytes.len();
         while !bytes.is_empty() {
-            let (fitting, rest) = bytes.split_at(bytes.len().min(SEGMENT_BYTES - self.last.len()));
+            let (fitting, rest) =
+                bytes.split_at(bytes.len().min(self.segment_bytes - self.last.len()));
             self.last.extend_from_slice(fitting);
             bytes = rest;
-            if self.last.len() == SEGMENT_BYTES {
+            if self.last.len() == self.segment_bytes {
                 self.full.push(std::mem::take(&mut self.last).freeze());
             }
         }
@@ -180,6 +168,9 @@
         if self.full.is_empty() {
             return self.last.freeze();
         }
+        if self.full.len() == 1 && self.last.is_empty() {
+            return self.full.into_iter().next().unwrap_or_default();
+        }
         let mut joined = BytesMut::with_capacity(self.length);
         for segment in self.full {
             joined.extend_from_slice(&segment);
--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -11,6 +11,7 @@
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::event::ResponseFault;
 use hickorydoor::gateway::quarantine::PROVEN_AFTER_MS;
+use hickorydoor::memory::MemoryKind;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Response;
@@ -207,9 +208,11 @@
     ) -> AttemptOutcome {
         let OpenResponse { response, connection: _connection } = open;
         let (parts, body) = response.into_parts();
-        let budget = self.core.response_budget();
+        let within = limits.deadline.saturating_duration_since(Instant::now());
+        let memory = self.core.memory();
         let collected =
-            timeout_at(limits.deadline, collect_within(body, MAX_RESPONSE_BYTES, budget));
+            collect_within(body, MAX_RESPONSE_BYTES, memory, MemoryKind::Response, within);
+        let collected = timeout_at(limits.deadline, collected);
         let body = match collected.await {
             Err(_elapsed) => return AttemptOutcome::Unknown(ResponseFault::Silent),
             Ok(Err(CollectError::Broken)) => return AttemptOutcome::Unknown(ResponseFault::Closed),
--- a/crates/hickoryd/src/gateway/caller_port.rs
+++ b/crates/hickoryd/src/gateway/caller_port.rs
@@ -12,6 +12,9 @@
 use hickorydoor::gateway::call::Prompt;
 use hickorydoor::gateway::call::PromptPart;
 use hickorydoor::gateway::refusal::RefusalReason;
+use hickorydoor::memory::MemoryBudget;
+use hickorydoor::memory::MemoryKind;
+use hickorydoor::quantity::ByteCount;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -38,7 +41,7 @@
 
 use crate::accept_queue;
 use crate::body_collector::CollectError;
-use crate::body_collector::collect_body;
+use crate::body_collector::collect_within;
 use crate::gateway::call_driver::CallDriver;
 use crate::gateway::connection::accept;
 use crate::gateway::connection_trace::ConnectionEnd;
@@ -52,6 +55,9 @@
 use crate::gateway::response_body::ResponseBody;
 use crate::gateway::upstream_request::RequestTemplate;
 use crate::lingering_close::LingeringClose;
+use crate::memory_hold::MemoryHold;
+use crate::memory_pool::MemoryPool;
+use crate::write_timeout::WriteTimeout;
 
 /// Maximum time to receive a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -60,6 +66,16 @@
 const QUIET_TIME: Duration = Duration::from_millis(200);
 /// Added to the idle timeout, so that a caller that uses the whole timeout is not disconnected.
 const IDLE_TIMEOUT_GRACE: Duration = Duration::from_secs(1);
+/// Maximum time that a body waits for memory, and margin within the caller's deadline, in which a
+/// refusal still reaches the caller.
+const BODY_WAIT: Duration = Duration::from_secs(9);
+const REFUSAL_MARGIN: Duration = Duration::from_millis(300);
+/// Memory of a connection on which nothing has arrived, and what it takes in addition from the first
+/// byte on: the buffers of hyper and the tasks of a request.
+const CONNECTION_BYTES: usize = 4 << 10;
+const ACTIVE_CONNECTION_BYTES: usize = 28 << 10;
+/// Time without a read after which a caller that keeps others waiting is disconnected.
+const WRITE_STALL_TIME: Duration = Duration::from_secs(3);
 /// Minimum size of the read buffer of a connection.
 const MIN_READ_BUFFER_BYTES: usize = 16 << 10;
 /// Maximum number of headers of a request.
@@ -73,10 +89,10 @@
     mut phase: watch::Receiver<PortPhase>,
 ) {
     let connection_phase = phase.clone();
-    let start = |stream| {
+    let start = |stream, hold| {
         let count = core.count_connection();
-        let connection =
-            serve_connection(stream, Rc::clone(&core), Rc::clone(&names), connection_phase.clone());
+        let (core, names) = (Rc::clone(&core), Rc::clone(&names));
+        let connection = serve_connection(stream, hold, core, names, connection_phase.clone());
         spawn_local(async move {
             connection.await;
             drop(count);
@@ -84,18 +100,42 @@
     };
     loop {
         tokio::select! {
-            (stream, _peer) = accept(&listener) => start(stream),
+            (stream, hold) = accept_admitted(&listener, core.memory()) => start(stream, hold),
             () = reached(&mut phase, PortPhase::Closed) => break,
         }
     }
     while let Ok((stream, _peer)) = timeout(QUIET_TIME, accept(&listener)).await {
-        start(stream);
+        start(stream, new_connection(core.memory()));
     }
-    accept_queue::close(listener).into_iter().for_each(start);
+    for stream in accept_queue::close(listener) {
+        start(stream, new_connection(core.memory()));
+    }
+}
+
+/// Creates the pool of the memory that is held for callers.
+pub fn caller_memory(total_bytes: ByteCount, max_connections: u32) -> MemoryPool {
+    let connections_bytes = u64::from(max_connections) * CONNECTION_BYTES as u64;
+    let budget = MemoryBudget::new(total_bytes);
+    MemoryPool::new(budget.with_connection_limit(ByteCount::new(connections_bytes)))
+}
+
+fn new_connection(memory: &MemoryPool) -> MemoryHold {
+    memory.hold(MemoryKind::Connection).paced()
+}
+
+/// Waits for memory and then for the next connection. Meanwhile connections that have long been idle
+/// give way, and new ones wait in the queue of the system.
+async fn accept_admitted(listener: &TcpListener, memory: &MemoryPool) -> (TcpStream, MemoryHold) {
+    let mut hold = new_connection(memory);
+    while !hold.take(CONNECTION_BYTES, Duration::MAX).await {}
+    let (stream, _peer) = accept(listener).await;
+    (stream, hold)
 }
 
+/// Serves a connection, without any buffers before its first bytes have arrived.
 async fn serve_connection(
     stream: TcpStream,
+    hold: MemoryHold,
     core: Rc<Core>,
     names: Rc<HeaderNames>,
     mut phase: watch::Receiver<PortPhase>,
@@ -103,8 +143,38 @@
     if let Err(error) = stream.set_nodelay(true) {
         debug!(reason:% = error; "cannot set TCP_NODELAY; small writes may be delayed");
     }
+    let idle_timeout = Duration::from(core.limits().idle_timeout_ms) + IDLE_TIMEOUT_GRACE;
+    let mut active = core.memory().hold(MemoryKind::Head).paced();
+    hold.progress();
+    let begun = async {
+        let is_readable = tokio::select! {
+            readable = stream.readable() => readable.is_ok(),
+            () = hold.evicted() => false,
+            () = reached(&mut phase, PortPhase::Closing) => {
+                timeout(QUIET_TIME, stream.readable()).await.is_ok()
+            }
+        };
+        hold.rest();
+        is_readable && active.take(ACTIVE_CONNECTION_BYTES, idle_timeout).await
+    };
+    if timeout(idle_timeout, begun).await == Ok(true) {
+        active.progress();
+        Box::pin(serve_requests(stream, active, core, names, phase)).await;
+    } else {
+        core.metrics.record_connection_end(ConnectionEnd::Idle.as_str());
+    }
+}
+
+async fn serve_requests(
+    stream: TcpStream,
+    hold: MemoryHold,
+    core: Rc<Core>,
+    names: Rc<HeaderNames>,
+    mut phase: watch::Receiver<PortPhase>,
+) {
     let limits = core.limits();
-    let trace = core.trace_connection();
+    let trace = core.trace_connection(hold);
+    let stream = WriteTimeout::new(stream, WRITE_STALL_TIME).while_contended(core.memory().clone());
     let service = service_fn(|request: Request<Incoming>| {
         let (core, names, trace) = (Rc::clone(&core), Rc::clone(&names), Rc::clone(&trace));
         let attempt = header_text(request.headers(), &names.client_attempt);
@@ -127,6 +197,15 @@
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
+        () = trace.evicted() => {
+            connection.as_mut().graceful_shutdown();
+            match timeout(QUIET_TIME, connection.as_mut()).await {
+                Ok(result) => result,
+                // Only a part of a head has arrived.
+                Err(_elapsed) if trace.requests() == 0 => Ok(()),
+                Err(_elapsed) => connection.await,
+            }
+        }
         () = reached(&mut phase, PortPhase::Closing) => {
             // A request may have arrived that was not read yet; it is answered, which closes the
             // connection.
@@ -175,8 +254,11 @@
         return text_response(505, "HTTP/1.1 is required".to_owned());
     }
     let limit_bytes = core.limits().body_bytes.get() as usize;
+    let deadline = header_number(&parts.headers, &names.deadline_ms).map(Duration::from_millis);
+    let within = deadline.map_or(BODY_WAIT, |at| at.saturating_sub(REFUSAL_MARGIN).min(BODY_WAIT));
+    let body = collect_within(body, limit_bytes, core.memory(), MemoryKind::RequestBody, within);
     let read = tokio::select! {
-        read = timeout(BODY_TIMEOUT, collect_body(body, limit_bytes)) => Some(read),
+        read = timeout(BODY_TIMEOUT, body) => Some(read),
         () = core.last_answers_due() => None,
     };
     let Some(read) = read else {
@@ -187,7 +269,13 @@
         Ok(Err(CollectError::TooLong)) => {
             text_response(413, "the request body is too long".to_owned())
         }
-        Ok(Err(_error)) => text_response(400, "the request body is not complete".to_owned()),
+        Ok(Err(CollectError::NoMemory)) => {
+            core.metrics.record_call(RefusalReason::NoMemory.code());
+            return closing(refusal_response(&RefusalReason::NoMemory.into()));
+        }
+        Ok(Err(CollectError::Broken)) => {
+            text_response(400, "the request body is not complete".to_owned())
+        }
         Ok(Ok(body)) => run_call(parts, body, &core, names).await,
     };
     if core.is_stopping() { closing(response) } else { response }
--- a/crates/hickoryd/src/gateway/connection_trace.rs
+++ b/crates/hickoryd/src/gateway/connection_trace.rs
@@ -6,6 +6,8 @@
 use compact_str::CompactString;
 use hickorydoor::TimeMs;
 
+use crate::memory_hold::MemoryHold;
+
 /// How a caller's connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionEnd {
@@ -40,23 +42,34 @@
     pub accepted_at: TimeMs,
     requests: Cell<u32>,
     unanswered: RefCell<Option<CompactString>>,
+    /// Memory of the connection, whose caller has to go on between requests.
+    hold: MemoryHold,
 }
 
 impl ConnectionTrace {
     /// Creates the record of a connection without requests.
-    pub const fn new(number: u64, accepted_at: TimeMs) -> Self {
-        Self { number, accepted_at, requests: Cell::new(0), unanswered: RefCell::new(None) }
+    pub const fn new(number: u64, accepted_at: TimeMs, hold: MemoryHold) -> Self {
+        let unanswered = RefCell::new(None);
+        Self { number, accepted_at, requests: Cell::new(0), unanswered, hold }
     }
 
     /// Records that the head of a request has been read.
     pub fn begin_request(&self, client_attempt: &str) {
         self.requests.set(self.requests.get() + 1);
         self.unanswered.replace(Some(client_attempt.into()));
+        self.hold.rest();
     }
 
     /// Records that the response to the last request has been handed over whole.
     pub fn end_request(&self) {
-        self.unanswered.take();
+        if self.unanswered.take().is_some() {
+            self.hold.progress();
+        }
+    }
+
+    /// Waits until the connection is to give way to others.
+    pub async fn evicted(&self) {
+        self.hold.evicted().await;
     }
 
     /// Returns the number of requests that have been read.
--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -8,7 +8,6 @@
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -54,20 +53,19 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
-use crate::body_collector::BufferBudget;
 use crate::gateway::boot_clock::BootClock;
 use crate::gateway::connection_trace::ConnectionTrace;
 use crate::gateway::followers::FollowerState;
 use crate::gateway::followers::Followers;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::link::LinkQueue;
+use crate::memory_hold::MemoryHold;
+use crate::memory_pool::MemoryPool;
 
 /// Maximum number of prompt parts that a log line names.
 const MAX_LOGGED_PARTS: usize = 16;
 /// Maximum number of requests that a log line names.
 const MAX_LOGGED_REQUESTS: usize = 16;
-/// Memory for responses that are held until they are complete, of all requests together.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 12 << 20;
 
 /// Instruction from the reducer to the task of a request.
 #[derive(Debug)]
@@ -140,7 +138,7 @@
     permit_receiver: RefCell<Option<mpsc::UnboundedReceiver<AddressedPermit>>>,
     restored_era: watch::Sender<StoreEra>,
     is_listed: watch::Sender<bool>,
-    response_budget: Arc<BufferBudget>,
+    memory: MemoryPool,
     pub(super) metrics: GatewayMetrics,
 }
 
@@ -149,7 +147,10 @@
     ///
     /// # Errors
     /// Fails if the metrics cannot be registered.
-    pub fn new(settings: GatewaySettings) -> Result<(Rc<Self>, AdapterEffects), prometheus::Error> {
+    pub fn new(
+        settings: GatewaySettings,
+        memory: MemoryPool,
+    ) -> Result<(Rc<Self>, AdapterEffects), prometheus::Error> {
         let (sender, rollout_steps) = mpsc::unbounded_channel();
         let stop_timeout_ms = settings.stop_timeout_ms;
         let (permits, permit_receiver) = mpsc::unbounded_channel();
@@ -172,7 +173,7 @@
             permit_receiver: RefCell::new(Some(permit_receiver)),
             restored_era: watch::Sender::new(StoreEra::default()),
             is_listed: watch::Sender::new(false),
-            response_budget: Arc::new(BufferBudget::new(MAX_BUFFERED_RESPONSE_BYTES)),
+            memory,
             metrics: GatewayMetrics::new()?,
         };
         Ok((Rc::new(core), AdapterEffects { rollout_steps }))
@@ -250,9 +251,9 @@
         self.restored_era.subscribe()
     }
 
-    /// Returns the memory for responses that are held until they are complete.
-    pub(super) fn response_budget(&self) -> Arc<BufferBudget> {
-        Arc::clone(&self.response_budget)
+    /// Returns the memory that is held for callers.
+    pub(super) const fn memory(&self) -> &MemoryPool {
+        &self.memory
     }
 
     /// Returns a receiver of whether the store holds the presence of this gateway, as far as is known.
@@ -373,10 +374,10 @@
     }
 
     /// Begins the record of a caller's connection.
-    pub(super) fn trace_connection(&self) -> Rc<ConnectionTrace> {
+    pub(super) fn trace_connection(&self, hold: MemoryHold) -> Rc<ConnectionTrace> {
         let number = self.accepted_connections.get() + 1;
         self.accepted_connections.set(number);
-        Rc::new(ConnectionTrace::new(number, self.now()))
+        Rc::new(ConnectionTrace::new(number, self.now(), hold))
     }
 
     /// Returns the clients' ids of requests that have not ended, of some if there are many.
--- a/crates/hickoryd/src/gateway/options.rs
+++ b/crates/hickoryd/src/gateway/options.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hickorydoor::gateway::GatewaySettings;
+use hickorydoor::quantity::ByteCount;
 
 use crate::gateway::header_names::HeaderNames;
 
@@ -30,6 +31,10 @@
     /// Interval between two digests to the other gateways. In large fleets, it is lengthened in
     /// proportion to their number.
     pub peer_interval: Duration,
+    /// Memory that is held for callers.
+    pub held_bytes: ByteCount,
+    /// Maximum number of callers' connections.
+    pub max_connections: u32,
     /// Names of the headers that the gateway reads and sets.
     pub header_names: HeaderNames,
 }
--- a/crates/hickoryd/src/gateway/process.rs
+++ b/crates/hickoryd/src/gateway/process.rs
@@ -19,6 +19,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout_at;
 
+use crate::gateway::caller_port::caller_memory;
 use crate::gateway::caller_port::serve;
 use crate::gateway::core::AdapterEffects;
 use crate::gateway::core::Core;
@@ -61,7 +62,8 @@
     pub async fn start(options: GatewayOptions) -> Result<(Self, AdapterEffects), StartError> {
         let stop_notice = options.settings.stop_notice_ms.into();
         let stop_timeout = options.settings.stop_timeout_ms.into();
-        let (core, adapter_effects) = Core::new(options.settings)
+        let memory = caller_memory(options.held_bytes, options.max_connections);
+        let (core, adapter_effects) = Core::new(options.settings, memory)
             .map_err(|cause| StartError::Metrics { cause: io::Error::other(cause) })?;
         let names = Rc::new(options.header_names);
         let port_phase = watch::Sender::new(PortPhase::Open);
@@ -163,5 +165,6 @@
     loop {
         ticks.tick().await;
         core.apply(GatewayEvent::Tick);
+        core.memory().expire();
     }
 }
--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -44,6 +44,8 @@
 mod link_report;
 mod link_table;
 pub mod logging;
+pub mod memory_hold;
+pub mod memory_pool;
 mod metrics;
 mod model_body;
 mod operator_port;
--- a/crates/hickoryd/src/write_timeout.rs
+++ b/crates/hickoryd/src/write_timeout.rs
@@ -13,6 +13,8 @@
 use tokio::time::Sleep;
 use tokio::time::sleep;
 
+use crate::memory_pool::MemoryPool;
+
 /// Connection whose writes fail if the peer reads nothing for the duration of the timeout. hyper has
 /// no such limit, so a caller that never reads would keep its connection open indefinitely.
 #[derive(Debug)]
@@ -21,11 +23,20 @@
     timeout: Duration,
     /// Runs while a write is pending.
     stalled: Option<Pin<Box<Sleep>>>,
+    /// Pool whose memory the writes hold, if they fail only while others wait for it.
+    pool: Option<MemoryPool>,
 }
 
 impl<S> WriteTimeout<S> {
     pub const fn new(stream: S, timeout: Duration) -> Self {
-        Self { stream, timeout, stalled: None }
+        Self { stream, timeout, stalled: None, pool: None }
+    }
+
+    /// Has writes fail only while others wait for memory of the pool.
+    #[must_use]
+    pub fn while_contended(mut self, pool: MemoryPool) -> Self {
+        self.pool = Some(pool);
+        self
     }
 
     /// Returns the result of a write, or an error if writes have been pending for longer than the
@@ -41,10 +52,13 @@
         }
         let timeout = self.timeout;
         let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(timeout)));
-        match stalled.as_mut().poll(cx) {
-            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
-            Poll::Pending => Poll::Pending,
+        while stalled.as_mut().poll(cx).is_ready() {
+            if self.pool.as_ref().is_none_or(MemoryPool::is_contended) {
+                return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+            }
+            stalled.set(sleep(timeout));
         }
+        Poll::Pending
     }
 }
 
--- a/crates/hickoryd/tests/gateway_feed.rs
+++ b/crates/hickoryd/tests/gateway_feed.rs
@@ -26,6 +26,7 @@
 use hickorydoor::gateway::store_position::StoreEra;
 use hickorydoor::gateway::store_position::StorePosition;
 use hickorydoor::id::HostId;
+use hickorydoor::quantity::ByteCount;
 use hickorydoor::quantity::KbitPerS;
 use tokio::task::AbortHandle;
 use tokio::task::LocalSet;
@@ -92,6 +93,8 @@
             peer_port: FEED_PORT - 1,
             feed_port: FEED_PORT,
             peer_interval: Duration::from_mins(1),
+            held_bytes: ByteCount::new(64 << 20),
+            max_connections: 1_000,
             header_names: HeaderNames::default(),
         };
         let (process, _effects) = GatewayProcess::start(options).await.unwrap();
--- a/crates/hickorydoor/src/gateway/refusal.rs
+++ b/crates/hickorydoor/src/gateway/refusal.rs
@@ -24,6 +24,8 @@
     UpstreamsPaused,
     /// All upstreams that could serve the request take no more requests for a while.
     UpstreamsLimited,
+    /// The process had no memory for the body of the request.
+    NoMemory,
     /// The process is stopping.
     Stopping,
     /// No upstream was available in time.
@@ -77,6 +79,7 @@
             | Self::QuarantinedPrompt
             | Self::UpstreamsPaused
             | Self::UpstreamsLimited
+            | Self::NoMemory
             | Self::Stopping
             | Self::NoUpstream
             | Self::TimedOutWaiting => 503,
@@ -97,6 +100,7 @@
             Self::QuarantinedPrompt => "quarantined_prompt",
             Self::UpstreamsPaused => "upstreams_paused",
             Self::UpstreamsLimited => "upstreams_limited",
+            Self::NoMemory => "no_memory",
             Self::Stopping => "stopping",
             Self::NoUpstream => "no_upstream",
             Self::TimedOutWaiting => "timed_out_waiting",
--- a/crates/hickorydoor/src/memory/budget.rs
+++ b/crates/hickorydoor/src/memory/budget.rs
@@ -63,8 +63,8 @@
     }
 
     /// Asks for more bytes. Returns whether they are granted at once; otherwise the holder waits for
-    /// a decision, and asks for nothing else meanwhile. A request that can never be granted is
-    /// refused at the next [`expire`](Self::expire).
+    /// a decision, and asks for nothing else meanwhile. A request that can never be granted, or
+    /// a body behind many others, is refused at the next [`expire`](Self::expire).
     pub fn ask(&mut self, id: HolderId, bytes: ByteCount, deadline: TimeMs) -> bool {
         let bytes = bytes.get();
         let Some(holder) = self.holders.get(&id).filter(|holder| holder.waiting.is_none()) else {
@@ -76,8 +76,9 @@
             self.grant(id, bytes);
             return true;
         }
-        let can_fit = size_bytes <= self.limit_bytes(kind, class);
-        let deadline = if can_fit { deadline } else { TimeMs::new(0) };
+        let is_hopeless = size_bytes > self.limit_bytes(kind, class)
+            || kind == MemoryKind::RequestBody && self.is_line_full(class, bytes);
+        let deadline = if is_hopeless { TimeMs::new(0) } else { deadline };
         let position = (class, kind, self.next_position);
         self.next_position += 1;
         self.queue.insert(position, id);
@@ -169,14 +170,15 @@
 
     /// Returns the most that may be used, by this kind alone or by all, once a request is granted.
     const fn limit_bytes(&self, kind: MemoryKind, class: SizeClass) -> u64 {
-        let usable_bytes = class.usable_bytes(self.total_bytes);
         match kind {
             MemoryKind::Connection => self.max_connection_bytes,
             // The rest is for bodies and responses.
             MemoryKind::Head => self.total_bytes - self.total_bytes / 4,
-            // So that responses to them find room.
-            MemoryKind::RequestBody if matches!(class, SizeClass::Large) => self.total_bytes / 2,
-            MemoryKind::RequestBody | MemoryKind::Response => usable_bytes,
+            // So that responses find room beside request bodies, and the other way round.
+            MemoryKind::RequestBody | MemoryKind::Response => match class {
+                SizeClass::Large => self.total_bytes / 2,
+                SizeClass::Tiny | SizeClass::Small => class.usable_bytes(self.total_bytes),
+            },
         }
     }
 
@@ -187,6 +189,15 @@
             && of_kind_bytes.saturating_add(bytes) <= self.limit_bytes(kind, class)
     }
 
+    /// Returns whether so many request bodies of a class wait that one more would wait too long.
+    fn is_line_full(&self, class: SizeClass, bytes: u64) -> bool {
+        let kind = MemoryKind::RequestBody;
+        let line = self.queue.range((class, kind, 0)..=(class, kind, u64::MAX));
+        let waiting = line.filter_map(|(_, id)| self.holders.get(id)?.waiting);
+        let waiting_bytes: u64 = waiting.map(|waiting| waiting.bytes).sum();
+        waiting_bytes > 0 && waiting_bytes.saturating_add(bytes) > self.total_bytes / 4
+    }
+
     fn grant(&mut self, id: HolderId, bytes: u64) {
         if let Some(holder) = self.holders.get_mut(&id) {
             holder.held_bytes += bytes;
@@ -238,7 +249,7 @@
 
     /// Evicts those without progress, the oldest first, until all that wait would fit.
     fn evict_stalled(&mut self, now: TimeMs) {
-        let mut missing_bytes: u64 = self.waiting_bytes().saturating_sub(self.evicted_bytes());
+        let mut missing_bytes = self.waiting_bytes().saturating_sub(self.evicted_bytes());
         let mut stalled: Vec<(TimeMs, HolderId)> = self
             .holders
             .iter()
--- a/crates/hickorydoor/src/memory/mod.rs
+++ b/crates/hickorydoor/src/memory/mod.rs
@@ -4,11 +4,12 @@
 //! before it reads more bytes, and releases them once they are sent on or dropped.
 //!
 //! - What a holder may take depends on how much it then holds: large request bodies use at most half
-//!   of the total, so that responses to them find room; all large holders together leave a quarter
+//!   of the total, and so do large responses; all large holders together leave a quarter
 //!   to small ones, and small ones an eighth to the smallest.
 //! - Those that wait are served smallest class first, and of the same class and kind the oldest
 //!   first. One that does not fit keeps the later ones of its class and kind waiting.
-//! - Each has a deadline, at which it is refused.
+//! - Each has a deadline, at which it is refused. A request body is refused at once if those of its
+//!   class that wait would take a quarter of the total.
 //! - While others wait, a holder without progress gives its memory up.
 
 pub mod budget;
--- a/crates/hickorydoor/src/memory/size_class.rs
+++ b/crates/hickorydoor/src/memory/size_class.rs
@@ -24,10 +24,12 @@
 
     /// Returns the class of a holder of `bytes`.
     pub const fn of(bytes: ByteCount) -> Self {
-        match bytes.get() {
-            0..=MAX_TINY_BYTES => Self::Tiny,
-            ..=MAX_SMALL_BYTES => Self::Small,
-            _ => Self::Large,
+        if bytes.get() <= MAX_TINY_BYTES {
+            Self::Tiny
+        } else if bytes.get() <= MAX_SMALL_BYTES {
+            Self::Small
+        } else {
+            Self::Large
         }
     }
 
