--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -45,6 +45,7 @@
 use hickorydoor::id::DataCentreId;
 use hickorydoor::id::HostId;
 use hickorydoor::id::UpstreamId;
+use hickorydoor::memory::MemoryKind;
 use log::info;
 use log::warn;
 use tokio::sync::Notify;
@@ -412,6 +413,9 @@
     /// Returns all metrics in the Prometheus text format.
     pub(super) fn metrics_text(&self) -> String {
         let age_ms = self.gateway.borrow().configuration_age_ms(self.now());
+        for kind in MemoryKind::ALL {
+            self.metrics.record_held(kind, self.memory.used_bytes(kind));
+        }
         self.metrics.encode(self.open_calls(), self.connections(), age_ms)
     }
 
--- a/crates/hickoryd/src/gateway/metrics.rs
+++ b/crates/hickoryd/src/gateway/metrics.rs
@@ -4,6 +4,8 @@
 use hickorydoor::gateway::rate_limits::LimitChange;
 use hickorydoor::gateway::rollout::RolloutProgress;
 use hickorydoor::id::UpstreamId;
+use hickorydoor::memory::MemoryKind;
+use hickorydoor::quantity::ByteCount;
 use log::debug;
 use log::error;
 use prometheus::GaugeVec;
@@ -30,6 +32,7 @@
     open_calls: IntGauge,
     open_connections: IntGauge,
     connection_ends: IntCounterVec,
+    held_bytes: IntGaugeVec,
     configuration_age: IntGauge,
     rollout_attempts: IntGaugeVec,
     quarantine_changes: IntCounterVec,
@@ -66,6 +69,10 @@
                 "connections of callers that have ended",
                 &["end"],
             )?,
+            held_bytes: IntGaugeVec::new(
+                Opts::new("hickorydoor_held_bytes", "memory that is held for callers"),
+                &["kind"],
+            )?,
             configuration_age: IntGauge::new(
                 "hickorydoor_configuration_age_ms",
                 "age of the configuration",
@@ -102,6 +109,7 @@
         metrics.registry.register(Box::new(metrics.open_calls.clone()))?;
         metrics.registry.register(Box::new(metrics.open_connections.clone()))?;
         metrics.registry.register(Box::new(metrics.connection_ends.clone()))?;
+        metrics.registry.register(Box::new(metrics.held_bytes.clone()))?;
         metrics.registry.register(Box::new(metrics.configuration_age.clone()))?;
         metrics.registry.register(Box::new(metrics.rollout_attempts.clone()))?;
         metrics.registry.register(Box::new(metrics.quarantine_changes.clone()))?;
@@ -142,6 +150,11 @@
         self.connection_ends.with_label_values(&[end]).inc();
     }
 
+    /// Sets the gauge of the memory that is held for one kind.
+    pub fn record_held(&self, kind: MemoryKind, bytes: ByteCount) {
+        self.held_bytes.with_label_values(&[kind.as_str()]).set(bytes.get().cast_signed());
+    }
+
     /// Counts an attempt that has ended.
     pub fn record_attempt(&self, outcome: &str) {
         self.attempts.with_label_values(&[outcome]).inc();
