--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -45,6 +45,8 @@
 mod link_table;
 mod log_writer;
 pub mod logging;
+pub mod memory_hold;
+pub mod memory_pool;
 mod metrics;
 mod model_body;
 mod operator_port;
