Ask an engine that closed a connection whether it has ended

Cause: a connection that an engine closes counts as the end of the engine until a response between 0.1 and 1.5 s later refutes it. Since a part is suspected without survivals, so all requests with the part are held after such ends, for a pause of 600 ms and then for spaced trials. Held requests bring no response, so that no end was refuted, and they waited until they were rejected.

Change: a held request is sent to an engine whose end under one of its parts is not certain, 100 ms to 1 s after the end, one at a time for each engine and gateway and at most once for each request without having run. An engine that has ended refuses the connection, which confirms the end and runs nothing; a response refutes it, and the caller gets its true outcome. The evidence is assessed at that response, so that an end that follows under the same request is counted as a new one. Ends carry whether a connection was closed (digest field 8); silent engines are not asked. A request that was only turned away so far still observes the pause.

Not covered: requests further apart than 1 s leave ends undecided, so that requests are held as before.

--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -72,6 +72,7 @@
         {
             upstream.prefill_ms = (upstream.prefill_ms - prefill_ms).max(0.0);
             upstream.record_first_event(priority, attempt.sent_at, now);
+            self.quarantine.record_response(&attempt.upstream, now);
         }
         if let Some(model) = &attempt.model
             && attempt.backlog_ms < prefill_ms / 4.0
--- a/crates/hickorydoor/src/gateway/containment.rs
+++ b/crates/hickorydoor/src/gateway/containment.rs
@@ -39,7 +39,7 @@
             &self.gateways,
             now,
         );
-        let is_new = active.attempts == 0;
+        let is_new = active.executed_attempts == 0;
         match verdict {
             Verdict::Allowed
                 if is_new && self.quarantine.is_paused(&active.service, &parts, now) =>
@@ -50,6 +50,26 @@
         }
     }
 
+    /// Returns an engine whose end under a part of a held request is not certain, unless this gateway
+    /// asks it already. It refuses the connection if it has ended, else its response shows that it
+    /// has not. One such attempt a request is enough: only engines that have ended turn it away.
+    pub(super) fn engine_to_check(&self, id: CallId, now: TimeMs) -> Option<UpstreamId> {
+        let active = self.calls.get(&id)?;
+        if active.attempts > active.executed_attempts {
+            return None;
+        }
+        let parts = active.shared_parts();
+        let mut undecided = self.quarantine.undecided_engines(&active.service, &parts, now);
+        let is_asked = |engine: &UpstreamId, ended_at: TimeMs| {
+            let attempts = self.calls.values().filter_map(|active| active.attempt.as_ref());
+            attempts.into_iter().any(|known| known.upstream == *engine && known.sent_at > ended_at)
+        };
+        let engine = undecided.find(|(engine, ended_at)| {
+            !active.attempted_upstreams.contains(engine) && !is_asked(engine, *ended_at)
+        });
+        engine.map(|(engine, _)| engine.clone())
+    }
+
     /// Returns the suspected parts of a request's prompt.
     pub(super) fn suspected_parts(
         &self,
@@ -111,6 +131,7 @@
             service: service.clone(),
             version: attempt.version.clone(),
             is_confirmed,
+            is_closed: outcome == Some(AttemptOutcome::Unknown(ResponseFault::Closed)),
             parts: SmallVec::from_slice(parts),
             tried: if parts.is_empty() { SmallVec::new() } else { attempt.tried_parts.clone() },
         };
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -78,22 +78,27 @@
         let mut claimed_permits: BTreeMap<ServiceName, usize> = BTreeMap::new();
         for (_, _, id) in order {
             let verdict = self.calls.get(&id).map(|active| self.verdict(active, now));
-            let is_trial = match verdict {
-                Some(Verdict::Allowed) => false,
-                Some(Verdict::Trial) => true,
+            let purpose = match verdict {
+                Some(Verdict::Allowed) => Purpose::Service,
+                Some(Verdict::Trial) => Purpose::Trial,
                 Some(Verdict::Refused { retry_after_ms }) => {
                     let refusal = CallRefusal::quarantined(retry_after_ms);
                     self.refuse_or_abort(id, refusal, now, effects);
                     continue;
                 }
-                Some(Verdict::Held) | None => continue,
+                Some(Verdict::Held) => match self.engine_to_check(id, now) {
+                    Some(engine) => Purpose::Check(engine),
+                    None => continue,
+                },
+                None => continue,
             };
-            match self.try_dispatch(id, is_trial, now, effects) {
+            match self.try_dispatch(id, &purpose, now, effects) {
                 Attempted::Sent(dispatch) => {
                     self.waiting.remove(&id);
                     effects.push(GatewayEffect::Dispatch { call: id, dispatch });
                 }
                 Attempted::AwaitsPermit => {}
+                Attempted::NotPlaced if matches!(purpose, Purpose::Check(_)) => {}
                 Attempted::NotPlaced => {
                     self.hold_or_refuse(id, &mut claimed_permits, now, effects);
                 }
@@ -105,12 +110,12 @@
     fn try_dispatch(
         &mut self,
         id: CallId,
-        is_trial: bool,
+        purpose: &Purpose,
         now: TimeMs,
         effects: &mut Vec<GatewayEffect>,
     ) -> Attempted {
         loop {
-            let Some(plan) = self.choose(id, is_trial, now) else {
+            let Some(plan) = self.choose(id, purpose, now) else {
                 return Attempted::NotPlaced;
             };
             let upstream = self.pool.get(&plan.choice.upstream);
@@ -221,7 +226,7 @@
     /// the healthy ones. A preference that leaves no candidate is dropped. The trial of a suspected
     /// prompt part runs on an upstream with the least load, so that few other requests are cut off
     /// if it ends.
-    fn choose(&mut self, id: CallId, is_trial: bool, now: TimeMs) -> Option<Plan> {
+    fn choose(&mut self, id: CallId, purpose: &Purpose, now: TimeMs) -> Option<Plan> {
         let active = self.calls.get(&id)?;
         if !active.has_time(now) {
             return None;
@@ -249,6 +254,9 @@
         if preferred.as_ref().is_some_and(|version| version.on_target) {
             self.concentrate_canary_load(&active.service, &mut candidates);
         }
+        if let Purpose::Check(engine) = purpose {
+            candidates.retain(|upstream| upstream.registration.upstream == *engine);
+        }
         let staying: Vec<&Upstream> =
             candidates.iter().copied().filter(|upstream| !upstream.room.is_leaving(now)).collect();
         if !staying.is_empty() {
@@ -281,7 +289,7 @@
         if !healthy.is_empty() {
             candidates = healthy;
         }
-        if is_trial {
+        if matches!(purpose, Purpose::Trial) {
             let least = candidates.iter().map(|upstream| upstream.total_in_flight()).min();
             candidates.retain(|upstream| Some(upstream.total_in_flight()) == least);
         }
@@ -554,6 +562,17 @@
     }
 }
 
+/// Why a queued request is sent now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Purpose {
+    /// Nothing keeps it from an upstream.
+    Service,
+    /// It is the only one with a suspected prompt part.
+    Trial,
+    /// It shows whether this engine has ended.
+    Check(UpstreamId),
+}
+
 /// What became of a queued request.
 #[derive(Debug)]
 enum Attempted {
--- a/crates/hickorydoor/src/gateway/quarantine/end_log.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/end_log.rs
@@ -28,6 +28,9 @@
 const MIN_REFUTATION_MS: DurationMs = DurationMs::new(100);
 /// Time after an end until which a response shows that. An engine that has ended is back later.
 const MAX_REFUTATION_MS: DurationMs = DurationMs::new(1_500);
+/// Time after an end until which a request is sent to its engine to learn whether it goes on. The
+/// response has to arrive before [`MAX_REFUTATION_MS`].
+const MAX_CHECK_MS: DurationMs = DurationMs::new(1_000);
 /// Maximum number of ends of one gateway; the oldest are dropped.
 const MAX_ENDS: usize = 48;
 /// Maximum number of parts of one end.
@@ -74,6 +77,7 @@
             known.at = known.at.min(at);
             known.cut_off += u32::from(is_cut_off);
             known.end.is_confirmed |= seen.is_confirmed;
+            known.end.is_closed |= seen.is_closed;
             for part in seen.parts {
                 if !known.end.parts.contains(&part) && known.end.parts.len() < MAX_PARTS {
                     known.end.parts.push(part);
@@ -115,10 +119,32 @@
         }
     }
 
+    /// Iterates over the recent ends of engines that may go on, with their times. A request shows
+    /// whether they do.
+    pub fn undecided(&self, now: TimeMs) -> impl Iterator<Item = (&EngineEnd, TimeMs)> {
+        self.all().filter(move |(end, at)| {
+            let age_ms = now.since(*at);
+            end.is_closed
+                && age_ms > MIN_REFUTATION_MS
+                && age_ms <= MAX_CHECK_MS
+                && !self.is_confirmed(&end.upstream, *at)
+        })
+    }
+
+    fn is_confirmed(&self, upstream: &UpstreamId, ended_at: TimeMs) -> bool {
+        self.all().any(|(end, at)| {
+            end.is_confirmed && end.upstream == *upstream && distance(at, ended_at) <= SAME_END_MS
+        })
+    }
+
+    fn all(&self) -> impl Iterator<Item = (&EngineEnd, TimeMs)> {
+        let own = self.own.iter().map(|known| (&known.end, known.at));
+        own.chain(self.of_peers().map(|(end, at)| (end, *at)))
+    }
+
     /// Returns the engines of all known ends, with their times.
     pub fn engines(&self) -> impl Iterator<Item = (&UpstreamId, TimeMs)> {
-        let own = self.own.iter().map(|known| (&known.end.upstream, known.at));
-        own.chain(self.of_peers().map(|(end, at)| (&end.upstream, *at)))
+        self.all().map(|(end, at)| (&end.upstream, at))
     }
 
     /// Replaces the ends that another gateway reports. Returns whether it knows one that it did not
--- a/crates/hickorydoor/src/gateway/quarantine/engine_end.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/engine_end.rs
@@ -18,6 +18,8 @@
     pub version: CompactString,
     /// Whether the engine accepted no connection afterwards.
     pub is_confirmed: bool,
+    /// Whether the engine closed a connection, so that a request shows at once whether it goes on.
+    pub is_closed: bool,
     /// Parts of the attempts that may have caused the end, and have not been proven sound since.
     pub parts: SmallVec<[PartId; 8]>,
     /// Those of the parts that were suspected and tried by one of the attempts.
--- a/crates/hickorydoor/src/gateway/quarantine/mod.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/mod.rs
@@ -13,6 +13,9 @@
 //!   had closed shortly before ([`EngineEnd`]).
 //! - An attempt that completes or writes for long enough proves its parts sound. The ends of
 //!   engines count against a part only since it was last proven ([`SurvivalTable`]).
+//! - An engine may close a connection and go on. A held request is sent to an engine whose end under
+//!   one of its parts is not certain: it refuses the connection if it has ended, else its response
+//!   shows that it has not, and the end counts no longer.
 //! - After one end under a part that has not been proven lately, new requests with it wait for a
 //!   moment, until the attempts in flight have shown more.
 //! - How many ends in a row are too many depends on how often attempts without the part end so, and
--- a/crates/hickorydoor/src/gateway/quarantine/quarantine_table.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/quarantine_table.rs
@@ -172,6 +172,29 @@
         }
     }
 
+    /// Records that an engine has begun a response. If its end is not certain, the evidence is
+    /// assessed again before the response goes on, since the engine may end under it.
+    pub fn record_response(&mut self, upstream: &UpstreamId, now: TimeMs) {
+        if self.ends.undecided(now).any(|(end, _)| end.upstream == *upstream) {
+            self.is_stale = true;
+            self.is_urgent = true;
+        }
+    }
+
+    /// Returns the engines whose end under one of these parts is not certain, with its time.
+    pub fn undecided_engines(
+        &self,
+        service: &ServiceName,
+        parts: &[PartId],
+        now: TimeMs,
+    ) -> impl Iterator<Item = (&UpstreamId, TimeMs)> {
+        let holds = |end: &EngineEnd| {
+            end.service == *service && end.parts.iter().any(|part| parts.contains(part))
+        };
+        let undecided = self.ends.undecided(now).filter(move |(end, _)| holds(end));
+        undecided.map(|(end, at)| (&end.upstream, at))
+    }
+
     /// Records that the gateway has closed an attempt, whose parts `closed` names with its engine.
     /// The engine may have begun to write its answer.
     pub fn record_departure(&mut self, closed: EngineEnd, now: TimeMs) {
--- a/crates/hickorydoor/src/gateway/quarantine/wire.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/wire.rs
@@ -30,6 +30,8 @@
     is_confirmed: bool,
     #[prost(fixed64, repeated, tag = "7")]
     tried: Vec<u64>,
+    #[prost(bool, tag = "8")]
+    is_closed: bool,
 }
 
 #[derive(Clone, PartialEq)]
@@ -155,6 +157,7 @@
         version: end.version.to_string(),
         age_ms: age_ms.get(),
         is_confirmed: end.is_confirmed,
+        is_closed: end.is_closed,
         parts: end.parts.iter().map(|part| part.get()).collect(),
         tried: end.tried.iter().map(|part| part.get()).collect(),
     }
@@ -166,6 +169,7 @@
         service: wire.service.parse()?,
         version: wire.version.into(),
         is_confirmed: wire.is_confirmed,
+        is_closed: wire.is_closed,
         parts: wire.parts.into_iter().map(PartId::new).collect(),
         tried: wire.tried.into_iter().map(PartId::new).collect(),
     };
