Break the circle of imports between the reducer and stopping

reducer.rs imported Stop from stopping.rs, which imports Gateway from reducer.rs. No change of behaviour.

--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -56,6 +56,7 @@
 mod route_durations;
 pub mod settings;
 pub mod size_table;
+mod stop;
 pub mod stopping;
 pub mod store_listing;
 pub mod store_position;
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -36,7 +36,7 @@
 use crate::gateway::route_durations::RouteDurations;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::size_table::SizeTable;
-use crate::gateway::stopping::Stop;
+use crate::gateway::stop::Stop;
 use crate::gateway::store_position::StoreEra;
 use crate::gateway::store_position::StorePosition;
 use crate::gateway::typical_times::TypicalTimes;
--- a/crates/hickorydoor/src/gateway/stopping.rs
+++ b/crates/hickorydoor/src/gateway/stopping.rs
@@ -5,21 +5,13 @@
 use crate::gateway::call::CallId;
 use crate::gateway::effect::GatewayEffect;
 use crate::gateway::reducer::Gateway;
+use crate::gateway::stop::Stop;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
 /// Time at the end of the grace in which requests are answered that have not ended.
 pub const LAST_ANSWERS_MS: DurationMs = DurationMs::new(300);
 
-/// Times of a planned stop.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Stop {
-    /// From when on all new requests are rejected.
-    pub refuse_from: TimeMs,
-    /// When the requests that have not ended are answered.
-    pub answer_at: TimeMs,
-}
-
 impl Gateway {
     pub(super) fn on_stop(&mut self, now: TimeMs) {
         let grace_ms = self.settings.stop_timeout_ms.saturating_sub(LAST_ANSWERS_MS);
