--- /dev/null
+++ b/crates/hickorydoor/src/gateway/quarantine/assessment.rs
@@ -0,0 +1,262 @@
+//! What the ends of engines say about the parts.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use compact_str::CompactString;
+use smallvec::SmallVec;
+use smallvec::smallvec;
+
+use crate::gateway::quarantine::chance_model::ChanceModel;
+use crate::gateway::quarantine::end_log::MergedEnd;
+use crate::gateway::quarantine::held_record::quarantine_ms;
+use crate::gateway::quarantine::part_ends::PartEnds;
+use crate::gateway::quarantine::part_ends::engines_of;
+use crate::gateway::quarantine::part_ends::is_dominated;
+use crate::gateway::quarantine::part_ends::joint_count;
+use crate::gateway::quarantine::part_id::PartId;
+use crate::gateway::quarantine::part_key::PartKey;
+use crate::gateway::quarantine::quarantine_change::QuarantineChange;
+use crate::gateway::quarantine::quarantine_change::QuarantineStep;
+use crate::gateway::quarantine::quarantine_record::QuarantineRecord;
+use crate::gateway::quarantine::quarantine_record::QuarantineState;
+use crate::gateway::quarantine::quarantine_table::QuarantineTable;
+use crate::gateway::quarantine::suspect::Suspect;
+use crate::id::ServiceName;
+use crate::id::UpstreamId;
+use crate::time::DurationMs;
+use crate::time::TimeMs;
+
+/// Time after a quarantine within which the gateway that decided it takes it back if ends turn out to
+/// be none, because the engines respond or the parts are proven sound.
+pub(super) const REVIEW_MS: DurationMs = DurationMs::from_secs(5);
+/// Minimum number of recent attempts without a part that survived, at all gateways, before the part
+/// is quarantined. With fewer, nothing tells an end under the part from an end for another cause.
+const MIN_OTHER_SURVIVALS: f64 = 5.0;
+/// Time after an end under a part was noticed until what other gateways know of it has arrived. The
+/// part is not quarantined before.
+const SETTLED_AFTER_MS: DurationMs = DurationMs::new(200);
+/// Additional ends before several parts are quarantined together that nothing tells apart. Until then
+/// trials of requests with fewer of them may do so.
+const JOINT_MARGIN_ENDS: usize = 2;
+/// How long new requests wait after an end under a part of theirs.
+const PAUSE_MS: DurationMs = DurationMs::new(600);
+/// Time before an end within which a part must have been proven for new requests not to wait.
+const PAUSE_EXEMPTION_MS: DurationMs = DurationMs::from_secs(10);
+
+impl QuarantineTable {
+    /// Assesses evidence that has arrived, and ends states that have expired. `versions` returns
+    /// the versions of the upstreams of a service, `alive_at` when an engine last responded here.
+    pub fn assess(
+        &mut self,
+        versions: impl Fn(&ServiceName) -> BTreeSet<CompactString>,
+        alive_at: impl Fn(&UpstreamId) -> Option<TimeMs>,
+        now: TimeMs,
+    ) {
+        self.expire_records(versions, now);
+        let at_peers = &self.alive_at_peers;
+        self.ends
+            .remove_refuted(|upstream| alive_at(upstream).max(at_peers.get(upstream).copied()));
+        let is_reviewing = self
+            .records
+            .iter()
+            .any(|held| held.decided_on.is_some() && now.since(held.changed_at) <= REVIEW_MS);
+        if !self.is_stale && !is_reviewing && self.suspects.is_empty() && self.paused.is_empty() {
+            return;
+        }
+        self.is_stale = false;
+        self.ends.expire(&self.survivals, now);
+        let merged = self.ends.merged();
+        self.review_decisions(&merged, now);
+        self.release_refuted(&merged, now);
+        let by_part = self.ends_by_part(&merged);
+        let mut suspects = BTreeMap::new();
+        self.paused.clear();
+        for (key, ends) in &by_part {
+            let count = joint_count(&ends.times);
+            let model = self.chance_model(key, ends, &merged, now);
+            let is_on_probation = self.is_on_probation(key);
+            let quarantine_ends = if is_on_probation { 1 } else { model.quarantine_ends() };
+            let survived = model.survived + self.survived_without_at_peers(key, now);
+            let known = self.suspects.get(key).filter(|suspect| suspect.ends == count);
+            let known_since = known.map_or(now, |suspect| suspect.known_since);
+            let is_settled = now.since(known_since) >= SETTLED_AFTER_MS;
+            let is_told_apart = survived >= MIN_OTHER_SURVIVALS && is_settled;
+            if (is_told_apart || is_on_probation)
+                && count >= quarantine_ends
+                && !is_dominated(key, ends, &by_part)
+            {
+                self.quarantine(key, ends, &by_part, &merged, quarantine_ends, now);
+            }
+            let paused_until = ends.last_at() + PAUSE_MS;
+            let proven_at = self.survivals.last_at(key);
+            if now < paused_until
+                && proven_at.is_none_or(|at| ends.last_at().since(at) > PAUSE_EXEMPTION_MS)
+            {
+                self.paused.insert(key.clone(), paused_until);
+            }
+            if count >= model.suspicion_ends() {
+                let suspect = Suspect { last_end_at: ends.last_at(), ends: count, known_since };
+                if !self.suspects.contains_key(key) {
+                    self.changes.push(QuarantineChange {
+                        step: QuarantineStep::Suspected,
+                        service: key.service.clone(),
+                        parts: smallvec![key.part],
+                        engines: engines_of(ends, &merged),
+                        quarantine_ends,
+                    });
+                }
+                suspects.insert(key.clone(), suspect);
+            }
+        }
+        let cleared = self.suspects.keys().filter(|key| !suspects.contains_key(key));
+        let cleared: Vec<PartKey> = cleared.cloned().collect();
+        self.suspects = suspects;
+        for key in cleared {
+            if !self.records.iter().any(|held| held.record.parts.contains(&key.part)) {
+                self.push_change(QuarantineStep::Released, &key.service, &[key.part]);
+            }
+        }
+    }
+
+    /// Groups the ends by the parts that may have caused them.
+    fn ends_by_part(&self, merged: &[MergedEnd]) -> BTreeMap<PartKey, PartEnds> {
+        let mut by_part: BTreeMap<PartKey, PartEnds> = BTreeMap::new();
+        for (index, end) in merged.iter().enumerate() {
+            for part in self.blamed_parts(end) {
+                let key = PartKey { service: end.service.clone(), part };
+                let ends = by_part.entry(key).or_default();
+                ends.indices.insert(index);
+                ends.times.push(end.at);
+            }
+        }
+        by_part
+    }
+
+    /// Returns the parts that may have caused an end. One that is known to end engines, or that was on
+    /// trial, explains it better than what ran beside it; one that the operator allows does so too, and
+    /// is not blamed itself.
+    fn blamed_parts(&self, end: &MergedEnd) -> Vec<PartId> {
+        let key = |part: &PartId| PartKey { service: end.service.clone(), part: *part };
+        if end.parts.iter().any(|part| self.allowed.contains(&key(part))) {
+            return Vec::new();
+        }
+        let counts =
+            |part: &&PartId| self.counts_since(&key(part)).is_none_or(|since| since < end.at);
+        let parts = end.parts.iter().filter(counts);
+        if let Some(culprit) = self.culprit(end) {
+            return parts.filter(|part| culprit.parts.contains(part)).copied().collect();
+        }
+        let tried: Vec<PartId> = end.tried.iter().filter(counts).copied().collect();
+        if tried.is_empty() { parts.copied().collect() } else { tried }
+    }
+
+    /// Returns the record of parts that are known to end engines and were present at an end.
+    fn culprit(&self, end: &MergedEnd) -> Option<&QuarantineRecord> {
+        self.records.iter().map(|held| &held.record).find(|record| {
+            record.state != QuarantineState::Released
+                && record.service == end.service
+                && record.parts.iter().all(|part| end.parts.contains(part))
+        })
+    }
+
+    /// Returns the time since which ends count against a part.
+    fn counts_since(&self, key: &PartKey) -> Option<TimeMs> {
+        let held = self.records.iter().filter(|held| {
+            held.record.service == key.service && held.record.parts[..] == [key.part]
+        });
+        let changed_at = held
+            .filter(|held| held.record.state != QuarantineState::Quarantined)
+            .map(|held| held.changed_at)
+            .max();
+        self.survivals.last_at(key).max(changed_at)
+    }
+
+    fn chance_model(
+        &self,
+        key: &PartKey,
+        ends: &PartEnds,
+        merged: &[MergedEnd],
+        now: TimeMs,
+    ) -> ChanceModel {
+        let others = merged
+            .iter()
+            .enumerate()
+            .filter(|(index, end)| end.service == key.service && !ends.indices.contains(index))
+            .filter(|(_, end)| end.tried.is_empty() && self.culprit(end).is_none());
+        ChanceModel {
+            cut_off: others.map(|(_, end)| f64::from(end.cut_off)).sum(),
+            survived: self.survived_without(key, now),
+            proven: self.survivals.of_part(key, now),
+        }
+    }
+
+    /// Returns the recent attempts of this gateway without a part that survived.
+    pub(super) fn survived_without(&self, key: &PartKey, now: TimeMs) -> f64 {
+        self.survivals.of_service(&key.service, now) - self.survivals.of_part(key, now)
+    }
+
+    fn survived_without_at_peers(&self, key: &PartKey, now: TimeMs) -> f64 {
+        let loads = self.loads_at_peers(now).filter(|load| load.part == *key);
+        loads.map(|load| f64::from(load.survived_without)).sum()
+    }
+
+    /// Quarantines a part, together with those that were present at exactly the same ends. Of
+    /// these, parts that were ever proven sound are left out if there are others. Nothing is
+    /// quarantined before nothing else can have caused one of the ends.
+    fn quarantine(
+        &mut self,
+        key: &PartKey,
+        ends: &PartEnds,
+        by_part: &BTreeMap<PartKey, PartEnds>,
+        merged: &[MergedEnd],
+        quarantine_ends: usize,
+        now: TimeMs,
+    ) {
+        let is_together = |(other, known): &(&PartKey, &PartEnds)| {
+            other.service == key.service && known.indices == ends.indices
+        };
+        let together = by_part.iter().filter(is_together).map(|(other, _)| other);
+        let (proven, unproven): (Vec<&PartKey>, Vec<&PartKey>) =
+            together.partition(|other| self.survivals.last_at(other).is_some());
+        let culprits = if unproven.is_empty() { proven } else { unproven };
+        let is_explained =
+            |index: &usize| self.blamed_parts(&merged[*index]).len() <= culprits.len();
+        let is_singled_out = ends.indices.iter().any(is_explained);
+        let is_joint = culprits.len() > 1;
+        if !is_singled_out || is_joint && ends.times.len() < quarantine_ends + JOINT_MARGIN_ENDS {
+            return;
+        }
+        let parts: SmallVec<[PartId; 2]> = culprits.iter().map(|other| other.part).collect();
+        let known = self.records.iter().map(|held| &held.record);
+        let known = known.filter(|known| known.service == key.service && known.parts == parts);
+        let known = known.max_by_key(|known| known.change);
+        if known.is_some_and(|known| known.state == QuarantineState::Quarantined) {
+            return;
+        }
+        let change = known.map_or(0, |known| known.change) + 1;
+        let quarantines = match known {
+            Some(known) if known.state == QuarantineState::Probation => known.quarantines + 1,
+            _ => 1,
+        };
+        let versions: BTreeSet<CompactString> =
+            ends.indices.iter().map(|index| merged[*index].version.clone()).collect();
+        self.changes.push(QuarantineChange {
+            step: QuarantineStep::Quarantined,
+            service: key.service.clone(),
+            parts: parts.clone(),
+            engines: engines_of(ends, merged),
+            quarantine_ends,
+        });
+        let state = QuarantineState::Quarantined;
+        let record = QuarantineRecord {
+            service: key.service.clone(),
+            parts,
+            state,
+            change,
+            quarantines,
+            versions: versions.into_iter().collect(),
+        };
+        self.hold(record, now + quarantine_ms(quarantines), Some(quarantine_ends), now);
+    }
+}
--- a/crates/hickorydoor/src/gateway/quarantine/mod.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/mod.rs
@@ -33,17 +33,25 @@
 //!   one request is tried again.
 //! - The operator can allow a part, whatever the evidence.
 
+mod admission;
+mod assessment;
 mod chance_model;
 mod decaying_count;
+mod departure;
 mod end_log;
 mod engine_end;
+mod exchange;
+mod held_record;
+mod part_ends;
 mod part_id;
 mod part_key;
 mod quarantine_change;
 mod quarantine_record;
 mod quarantine_report;
 mod quarantine_table;
+mod records;
 mod survival_table;
+mod suspect;
 mod verdict;
 mod wire;
 
