--- a/crates/hickorydoor/src/gateway/collection_sizes.rs
+++ b/crates/hickorydoor/src/gateway/collection_sizes.rs
@@ -38,6 +38,7 @@
             ("permits", self.permit_issuer.len()),
             ("recent_prefills", self.recent_prefills.len()),
             ("upstream_news", self.upstream_news.len()),
+            ("room_log", self.room_log.entries()),
         ]
     }
 }
--- a/crates/hickorydoor/src/gateway/upstreams/room_log.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/room_log.rs
@@ -69,6 +69,11 @@
         });
     }
 
+    /// Returns the number of upstreams that are spared, or were since the last call for changes.
+    pub fn entries(&self) -> usize {
+        self.0.len()
+    }
+
     /// Returns what has changed since the last call. Upstreams that are gone are dropped.
     pub fn take_changes(&mut self, pool: &UpstreamPool, now: TimeMs) -> Vec<RoomChange> {
         let mut changes = Vec::new();
--- a/crates/hickorydoor/tests/gateway_memory.rs
+++ b/crates/hickorydoor/tests/gateway_memory.rs
@@ -182,7 +182,7 @@
         let upstreams = (ENGINE_COUNT + PLAIN_COUNT) as usize;
         let renamed_a_minute = 2 * (60_000 / STEP_MS / RENAME_STEPS) as usize;
         match collection {
-            "upstreams" | "permits" => upstreams,
+            "upstreams" | "permits" | "room_log" => upstreams,
             "departures" => renamed_a_minute + 2,
             "departed_rooms" => 10 * renamed_a_minute + 2,
             "cached_parts" => 4_096,
