--- a/crates/hickorydoor/tests/gateway_part_after_loss.rs
+++ b/crates/hickorydoor/tests/gateway_part_after_loss.rs
@@ -120,6 +120,15 @@
     check(play, &[(12_000, 0..3)], "two parts, two engines");
 }
 
+/// Guards against requests that are sent to learn whether an engine goes on, and end it again.
+#[test]
+fn part_is_learned_again_on_two_engines_with_each_seed() {
+    for seed in 1..=4 {
+        let play = Play { engines: 2, seed, ..small() };
+        check(play, &[(12_000, 0..3)], &format!("two engines, seed {seed}"));
+    }
+}
+
 #[test]
 fn part_is_learned_again_while_engines_end_for_other_causes() {
     for seed in 1..=3 {
