Derive the memory for callers in the daemon, with more of the host left to other work

What may be held is a decision, so it belongs beside the pool and not into the adapter. It is half of what memory_mb is above 15 now, as 2,500 bodies of 60 KB peaked at 70 to 81 MB of 88. Settings from 32 MB and 128 descriptors on are accepted.

--- a/crates/hickoryd/src/lib.rs
+++ b/crates/hickoryd/src/lib.rs
@@ -46,6 +46,7 @@
 mod log_writer;
 pub mod logging;
 pub mod memory_hold;
+pub mod memory_limits;
 pub mod memory_pool;
 mod metrics;
 mod model_body;
--- a/platform/src/memory_limits.rs
+++ b/crates/hickoryd/src/memory_limits.rs
@@ -10,16 +10,16 @@
 /// Memory of the process at rest.
 const REST_MB: u64 = 15;
 /// Smallest memory in which the gateway can work.
-const MIN_MEMORY_MB: u64 = 48;
+const MIN_MEMORY_MB: u64 = 32;
 /// Memory that is assumed if neither the settings nor the system state any.
 const DEFAULT_MEMORY_MB: u64 = 256;
 /// Share of the memory beyond [`REST_MB`] that is held for callers. The rest is for the configuration
 /// and the view, the work on requests, and the overhead of the allocator.
-const HELD_PERCENT: u64 = 60;
+const HELD_PERCENT: u64 = 50;
 /// Descriptors for ports, peers and the store.
 const OWN_DESCRIPTORS: u64 = 64;
 /// Smallest number of descriptors with which the gateway can work.
-const MIN_DESCRIPTORS: u64 = 256;
+const MIN_DESCRIPTORS: u64 = 128;
 /// Descriptors that are assumed if neither the settings nor the system state any.
 const DEFAULT_DESCRIPTORS: u64 = 1_024;
 /// File in which the system states the memory limit of the process.
