Let new connections wait for their first request in a stop, and look once more before closing

A connection that is to give way is first given the time in which a request that has arrived is read.

--- a/crates/hickoryd/src/gateway/caller_port.rs
+++ b/crates/hickoryd/src/gateway/caller_port.rs
@@ -81,7 +81,8 @@
 /// Maximum number of headers of a request.
 const MAX_HEADERS: usize = 100;
 
-/// Accepts callers until the port is closed and no more connections arrive. All connections are counted when this returns.
+/// Accepts callers until the port is closed and no more connections arrive. All connections are
+/// counted when this returns.
 pub async fn serve(
     listener: TcpListener,
     core: Rc<Core>,
@@ -138,7 +139,7 @@
     hold: MemoryHold,
     core: Rc<Core>,
     names: Rc<HeaderNames>,
-    mut phase: watch::Receiver<PortPhase>,
+    phase: watch::Receiver<PortPhase>,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         debug!(reason:% = error; "cannot set TCP_NODELAY; small writes may be delayed");
@@ -148,11 +149,9 @@
     hold.progress();
     let begun = async {
         let is_readable = tokio::select! {
+            biased;
             readable = stream.readable() => readable.is_ok(),
             () = hold.evicted() => false,
-            () = reached(&mut phase, PortPhase::Closing) => {
-                timeout(QUIET_TIME, stream.readable()).await.is_ok()
-            }
         };
         hold.rest();
         is_readable && active.take(ACTIVE_CONNECTION_BYTES, idle_timeout).await
@@ -195,22 +194,21 @@
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(LingeringClose::new(stream)), service);
     let mut connection = std::pin::pin!(connection);
+    let closing = async {
+        tokio::select! {
+            () = trace.evicted() => true,
+            () = reached(&mut phase, PortPhase::Closing) => false,
+        }
+    };
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = trace.evicted() => {
-            connection.as_mut().graceful_shutdown();
-            match timeout(QUIET_TIME, connection.as_mut()).await {
-                Ok(result) => result,
-                // Only a part of a head has arrived.
-                Err(_elapsed) if trace.requests() == 0 => Ok(()),
-                Err(_elapsed) => connection.await,
-            }
-        }
-        () = reached(&mut phase, PortPhase::Closing) => {
+        is_evicted = closing => {
             // A request may have arrived that was not read yet; it is answered, which closes the
             // connection.
             match timeout(QUIET_TIME, connection.as_mut()).await {
                 Ok(result) => result,
+                // Only a part of a head has arrived.
+                Err(_elapsed) if is_evicted && trace.requests() == 0 => Ok(()),
                 Err(_elapsed) => {
                     connection.as_mut().graceful_shutdown();
                     connection.await
