Take memory of the pool for large events that wait for a slow caller

64 events are buffered for a caller, of up to 256 KB each, which no bound held for the process. Events of more than 4 KB now take memory until they are sent.

--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -51,6 +51,9 @@
 /// read from the upstream.
 const MAX_BUFFERED_EVENTS: usize = 64;
 
+/// Length of an event up to which it takes no memory of the pool while it is buffered.
+const MAX_FREE_EVENT_BYTES: usize = 4 << 10;
+
 /// Task of one request.
 #[derive(Debug)]
 pub struct CallDriver {
@@ -288,7 +291,7 @@
                 if has_progressed && let Some(gap_us) = pace.add_event(Instant::now()) {
                     self.core.apply(GatewayEvent::StreamPaced { call: self.call, gap_us });
                 }
-                match timeout_at(limits.deadline, self.forward(event, id)).await {
+                match timeout_at(limits.deadline, self.forward(event, id, limits.deadline)).await {
                     Ok(true) => {}
                     Ok(false) => return ExchangeOutcome::CallerGone,
                     // The caller does not read.
@@ -344,8 +347,17 @@
         }
     }
 
-    /// Sends an event to the caller; returns false if the caller has disconnected.
-    async fn forward(&mut self, event: Bytes, id: Option<u64>) -> bool {
+    /// Sends an event to the caller; returns false if the caller has disconnected. A large event waits
+    /// for memory.
+    async fn forward(&mut self, mut event: Bytes, id: Option<u64>, deadline: Instant) -> bool {
+        if event.len() > MAX_FREE_EVENT_BYTES {
+            let mut hold = self.core.memory().hold(MemoryKind::Response);
+            let within = deadline.saturating_duration_since(Instant::now());
+            if !hold.take(event.len(), within).await {
+                return false;
+            }
+            event = hold.attach(event);
+        }
         let Some(events) = &self.events else {
             return false;
         };
