--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -67,6 +67,8 @@
 
 /// Maximum number of prompt parts that a log line names.
 const MAX_LOGGED_PARTS: usize = 16;
+/// Time without anyone waiting for memory after which that is logged.
+const CONTENTION_LOG_MS: DurationMs = DurationMs::from_secs(1);
 /// Maximum number of requests that a log line names.
 const MAX_LOGGED_REQUESTS: usize = 16;
 
@@ -142,6 +144,8 @@
     restored_era: watch::Sender<StoreEra>,
     is_listed: watch::Sender<bool>,
     memory: MemoryPool,
+    /// When someone last waited for memory; `None` if that is long ago.
+    contended_at: Cell<Option<TimeMs>>,
     pub(super) metrics: GatewayMetrics,
 }
 
@@ -177,6 +181,7 @@
             restored_era: watch::Sender::new(StoreEra::default()),
             is_listed: watch::Sender::new(false),
             memory,
+            contended_at: Cell::new(None),
             metrics: GatewayMetrics::new()?,
         };
         Ok((Rc::new(core), AdapterEffects { rollout_steps }))
@@ -254,6 +259,29 @@
         self.restored_era.subscribe()
     }
 
+    /// Carries out what is due in the memory for callers, and logs when others begin or cease to
+    /// wait for it.
+    pub(super) fn expire_memory(&self) {
+        self.memory.expire();
+        let now = self.now();
+        let is_contended = self.memory.is_contended();
+        let since = self.contended_at.get();
+        if is_contended {
+            self.contended_at.set(Some(now));
+        }
+        if is_contended && since.is_none() {
+            warn!(held_bytes = self.held_bytes(); "memory for callers is short; some wait");
+        }
+        if since.is_some_and(|at| now.since(at) >= CONTENTION_LOG_MS) && !is_contended {
+            self.contended_at.set(None);
+            info!(held_bytes = self.held_bytes(); "memory for callers suffices again");
+        }
+    }
+
+    fn held_bytes(&self) -> u64 {
+        MemoryKind::ALL.into_iter().map(|kind| self.memory.used_bytes(kind).get()).sum()
+    }
+
     /// Returns the memory that is held for callers.
     pub(super) const fn memory(&self) -> &MemoryPool {
         &self.memory
@@ -417,6 +445,7 @@
         let age_ms = self.gateway.borrow().configuration_age_ms(self.now());
         for kind in MemoryKind::ALL {
             self.metrics.record_held(kind, self.memory.used_bytes(kind));
+            self.metrics.record_memory(kind, self.memory.counts(kind));
         }
         self.metrics.encode(self.open_calls(), self.connections(), age_ms)
     }
--- a/crates/hickoryd/src/gateway/metrics.rs
+++ b/crates/hickoryd/src/gateway/metrics.rs
@@ -6,6 +6,7 @@
 use hickorydoor::gateway::upstreams::RoomState;
 use hickorydoor::id::ServiceName;
 use hickorydoor::id::UpstreamId;
+use hickorydoor::memory::MemoryCounts;
 use hickorydoor::memory::MemoryKind;
 use hickorydoor::quantity::ByteCount;
 use log::debug;
@@ -35,6 +36,7 @@
     open_connections: IntGauge,
     connection_ends: IntCounterVec,
     held_bytes: IntGaugeVec,
+    memory_events: IntCounterVec,
     configuration_age: IntGauge,
     rollout_attempts: IntGaugeVec,
     quarantine_changes: IntCounterVec,
@@ -72,6 +74,11 @@
                 "connections of callers that have ended",
                 &["end"],
             )?,
+            memory_events: counter(
+                "hickorydoor_memory_events_total",
+                "requests for memory that waited or were refused, and holders that gave way",
+                &["kind", "event"],
+            )?,
             held_bytes: IntGaugeVec::new(
                 Opts::new("hickorydoor_held_bytes", "memory that is held for callers"),
                 &["kind"],
@@ -118,6 +125,7 @@
         metrics.registry.register(Box::new(metrics.open_connections.clone()))?;
         metrics.registry.register(Box::new(metrics.connection_ends.clone()))?;
         metrics.registry.register(Box::new(metrics.held_bytes.clone()))?;
+        metrics.registry.register(Box::new(metrics.memory_events.clone()))?;
         metrics.registry.register(Box::new(metrics.configuration_age.clone()))?;
         metrics.registry.register(Box::new(metrics.rollout_attempts.clone()))?;
         metrics.registry.register(Box::new(metrics.quarantine_changes.clone()))?;
@@ -164,6 +172,15 @@
         self.connection_ends.with_label_values(&[end]).inc();
     }
 
+    /// Brings the counters of one kind of memory up to date.
+    pub fn record_memory(&self, kind: MemoryKind, counts: MemoryCounts) {
+        let MemoryCounts { waited, refused, evicted } = counts;
+        for (event, count) in [("waited", waited), ("refused", refused), ("evicted", evicted)] {
+            let counter = self.memory_events.with_label_values(&[kind.as_str(), event]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+    }
+
     /// Sets the gauge of the memory that is held for one kind.
     pub fn record_held(&self, kind: MemoryKind, bytes: ByteCount) {
         self.held_bytes.with_label_values(&[kind.as_str()]).set(bytes.get().cast_signed());
--- a/crates/hickoryd/src/gateway/process.rs
+++ b/crates/hickoryd/src/gateway/process.rs
@@ -163,6 +163,6 @@
     loop {
         ticks.tick().await;
         core.apply(GatewayEvent::Tick);
-        core.memory().expire();
+        core.expire_memory();
     }
 }
--- a/crates/hickoryd/src/memory_pool.rs
+++ b/crates/hickoryd/src/memory_pool.rs
@@ -11,6 +11,7 @@
 use hickorydoor::TimeMs;
 use hickorydoor::memory::HolderId;
 use hickorydoor::memory::MemoryBudget;
+use hickorydoor::memory::MemoryCounts;
 use hickorydoor::memory::MemoryDecision;
 use hickorydoor::memory::MemoryKind;
 use hickorydoor::quantity::ByteCount;
@@ -72,6 +73,11 @@
         self.lock().budget.used_bytes(kind)
     }
 
+    /// Returns how often holders of a kind had to wait or to give way since the start.
+    pub fn counts(&self, kind: MemoryKind) -> MemoryCounts {
+        self.lock().budget.counts(kind)
+    }
+
     /// Takes bytes if they are granted at once; otherwise returns the receiver of the answer.
     pub(crate) fn ask(
         &self,
--- a/crates/hickorydoor/src/memory/budget.rs
+++ b/crates/hickorydoor/src/memory/budget.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 
+use super::counts::MemoryCounts;
 use super::decision::MemoryDecision;
 use super::holder::Holder;
 use super::holder::HolderId;
@@ -28,6 +29,7 @@
     queue: BTreeMap<QueuePosition, HolderId>,
     next_position: u64,
     decisions: Vec<MemoryDecision>,
+    counts: [MemoryCounts; MemoryKind::ALL.len()],
 }
 
 impl MemoryBudget {
@@ -42,6 +44,7 @@
             queue: BTreeMap::new(),
             next_position: 0,
             decisions: Vec::new(),
+            counts: Default::default(),
         }
     }
 
@@ -79,6 +82,7 @@
         let is_hopeless = size_bytes > self.limit_bytes(kind, class)
             || kind == MemoryKind::RequestBody && self.is_line_full(class, bytes);
         let deadline = if is_hopeless { TimeMs::new(0) } else { deadline };
+        self.counts[kind.index()].waited += 1;
         let position = (class, kind, self.next_position);
         self.next_position += 1;
         self.queue.insert(position, id);
@@ -134,6 +138,9 @@
         };
         let due: Vec<HolderId> = self.queue.values().copied().filter(is_due).collect();
         for id in due {
+            if let Some(holder) = self.holders.get(&id) {
+                self.counts[holder.kind.index()].refused += 1;
+            }
             self.leave_queue(id);
             self.decisions.push(MemoryDecision::Refused(id));
         }
@@ -163,6 +170,11 @@
         ByteCount::new(self.used_bytes[kind.index()])
     }
 
+    /// Returns how often holders of a kind had to wait or to give way since the start.
+    pub const fn counts(&self, kind: MemoryKind) -> MemoryCounts {
+        self.counts[kind.index()]
+    }
+
     /// Returns the most that may be held.
     pub const fn total_bytes(&self) -> ByteCount {
         ByteCount::new(self.total_bytes)
@@ -263,6 +275,7 @@
             };
             missing_bytes = missing_bytes.saturating_sub(holder.held_bytes);
             holder.is_evicted = true;
+            self.counts[holder.kind.index()].evicted += 1;
             self.decisions.push(MemoryDecision::Evicted(id));
         }
     }
--- a/crates/hickorydoor/src/memory/mod.rs
+++ b/crates/hickorydoor/src/memory/mod.rs
@@ -13,12 +13,14 @@
 //! - While others wait, a holder without progress gives its memory up.
 
 pub mod budget;
+pub mod counts;
 pub mod decision;
 pub mod holder;
 pub mod kind;
 pub mod size_class;
 
 pub use budget::MemoryBudget;
+pub use counts::MemoryCounts;
 pub use decision::MemoryDecision;
 pub use holder::HolderId;
 pub use kind::MemoryKind;
