Mend what a reader of the diff stumbled on

Docs that the code had left behind (the log lines of notices, no_memory, memory_mb, the signals to reload), names of memory kinds, two constants under one comment, and a shortage of memory that was counted as a caller who left. The smaller of the stated and the system's memory holds.

--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -64,7 +64,7 @@
     reply: Option<oneshot::Sender<Response<ResponseBody>>>,
     /// Stream to the caller; `None` before its first event and after its end.
     events: Option<mpsc::Sender<StreamPiece>>,
-    /// Place for the end of the stream to the caller, which needs not wait for a slow caller.
+    /// Reserved place for the end of the stream, so that it is sent without waiting for a slow caller.
     end: Option<mpsc::OwnedPermit<StreamPiece>>,
     /// Complete response of the last attempt, until the reducer decides whether to deliver it.
     buffered: Option<UpstreamResponse>,
@@ -292,8 +292,12 @@
                     self.core.apply(GatewayEvent::StreamPaced { call: self.call, gap_us });
                 }
                 match timeout_at(limits.deadline, self.forward(event, id, limits.deadline)).await {
-                    Ok(true) => {}
-                    Ok(false) => return ExchangeOutcome::CallerGone,
+                    Ok(Forwarded::Sent) => {}
+                    Ok(Forwarded::CallerGone) => return ExchangeOutcome::CallerGone,
+                    Ok(Forwarded::NoMemory) => {
+                        warn!(reason:% = CollectError::NoMemory; "response is given up");
+                        return fault(ResponseFault::Garbled);
+                    }
                     // The caller does not read.
                     Err(_elapsed) => return fault(ResponseFault::TimedOut),
                 }
@@ -347,30 +351,37 @@
         }
     }
 
-    /// Sends an event to the caller; returns false if the caller has disconnected. A large event waits
-    /// for memory.
-    async fn forward(&mut self, mut event: Bytes, id: Option<u64>, deadline: Instant) -> bool {
+    /// Sends an event to the caller. A large one waits for memory.
+    async fn forward(&mut self, mut event: Bytes, id: Option<u64>, deadline: Instant) -> Forwarded {
         if event.len() > MAX_FREE_EVENT_BYTES {
             let mut hold = self.core.memory().hold(MemoryKind::Response);
             let within = deadline.saturating_duration_since(Instant::now());
             if !hold.take(event.len(), within).await {
-                return false;
+                return Forwarded::NoMemory;
             }
             event = hold.attach(event);
         }
         let Some(events) = &self.events else {
-            return false;
+            return Forwarded::CallerGone;
         };
         if events.send(StreamPiece::Event(event)).await.is_err() {
-            return false;
+            return Forwarded::CallerGone;
         }
         if id.is_some() {
             self.last_event = id;
         }
-        true
+        Forwarded::Sent
     }
 }
 
+/// What became of an event for the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Forwarded {
+    Sent,
+    CallerGone,
+    NoMemory,
+}
+
 /// Time limits of an attempt.
 #[derive(Debug)]
 struct AttemptLimits {
--- a/crates/hickoryd/src/gateway/caller_port.rs
+++ b/crates/hickoryd/src/gateway/caller_port.rs
@@ -61,18 +61,18 @@
 
 /// Maximum time to receive a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time without a request after which a closing port closes an open connection, and time without a
-/// new connection after which the port itself closes.
+/// Time that a connection that is to close has for a request that is under way, and time without a
+/// new connection after which the port closes.
 const QUIET_TIME: Duration = Duration::from_millis(200);
 /// Added to the idle timeout, so that a caller that uses the whole timeout is not disconnected.
 const IDLE_TIMEOUT_GRACE: Duration = Duration::from_secs(1);
-/// Maximum time that a body waits for memory, and margin within the caller's deadline, in which a
-/// refusal still reaches the caller.
+/// Maximum time that a body waits for memory; a refusal is then sent within [`BODY_TIMEOUT`].
 const BODY_WAIT: Duration = Duration::from_secs(9);
+/// Part of the caller's deadline that is kept for sending a refusal.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(300);
-/// Memory of a connection on which nothing has arrived, and what it takes in addition from the first
-/// byte on: the buffers of hyper and the tasks of a request.
+/// Memory of a connection on which nothing has arrived.
 const CONNECTION_BYTES: usize = 4 << 10;
+/// Additional memory from the first byte on: the buffers of hyper and the tasks of a request.
 const ACTIVE_CONNECTION_BYTES: usize = 28 << 10;
 /// Time without a read after which a caller that keeps others waiting is disconnected.
 const WRITE_STALL_TIME: Duration = Duration::from_secs(3);
@@ -106,10 +106,11 @@
         }
     }
     while let Ok((stream, _peer)) = timeout(QUIET_TIME, accept(&listener)).await {
-        start(stream, new_connection(core.memory()));
+        // Not limited: the system has accepted these, and they must be answered.
+        start(stream, connection_hold(core.memory()));
     }
     for stream in accept_queue::close(listener) {
-        start(stream, new_connection(core.memory()));
+        start(stream, connection_hold(core.memory()));
     }
 }
 
@@ -120,14 +121,14 @@
     MemoryPool::new(budget.with_connection_limit(ByteCount::new(connections_bytes)))
 }
 
-fn new_connection(memory: &MemoryPool) -> MemoryHold {
+fn connection_hold(memory: &MemoryPool) -> MemoryHold {
     memory.hold(MemoryKind::Connection).paced()
 }
 
 /// Waits for memory and then for the next connection. Meanwhile connections that have long been idle
 /// give way, and new ones wait in the queue of the system.
 async fn accept_admitted(listener: &TcpListener, memory: &MemoryPool) -> (TcpStream, MemoryHold) {
-    let mut hold = new_connection(memory);
+    let mut hold = connection_hold(memory);
     while !hold.take(CONNECTION_BYTES, Duration::MAX).await {}
     let (stream, _peer) = accept(listener).await;
     (stream, hold)
@@ -145,7 +146,7 @@
         debug!(reason:% = error; "cannot set TCP_NODELAY; small writes may be delayed");
     }
     let idle_timeout = Duration::from(core.limits().idle_timeout_ms) + IDLE_TIMEOUT_GRACE;
-    let mut active = core.memory().hold(MemoryKind::Head).paced();
+    let mut active = core.memory().hold(MemoryKind::ActiveConnection).paced();
     hold.progress();
     let begun = async {
         let is_readable = tokio::select! {
@@ -224,7 +225,7 @@
     let end = trace.end(result);
     core.metrics.record_connection_end(end.as_str());
     let reason = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
-    let open_ms = core.now().since(trace.accepted_at).get();
+    let open_ms = core.now().since(trace.first_byte_at).get();
     if end == ConnectionEnd::Unanswered {
         warn!(
             connection = trace.number, request = trace.unanswered().unwrap_or_default().as_str(),
@@ -260,7 +261,7 @@
         () = core.last_answers_due() => None,
     };
     let Some(read) = read else {
-        return closing(refusal_response(&RefusalReason::Stopping.into()));
+        return with_close_header(refusal_response(&RefusalReason::Stopping.into()));
     };
     let response = match read {
         Err(_elapsed) => text_response(408, "the request body took too long".to_owned()),
@@ -269,18 +270,18 @@
         }
         Ok(Err(CollectError::NoMemory)) => {
             core.metrics.record_call(RefusalReason::NoMemory.code());
-            return closing(refusal_response(&RefusalReason::NoMemory.into()));
+            return with_close_header(refusal_response(&RefusalReason::NoMemory.into()));
         }
         Ok(Err(CollectError::Broken)) => {
             text_response(400, "the request body is not complete".to_owned())
         }
         Ok(Ok(body)) => run_call(parts, body, &core, names).await,
     };
-    if core.is_stopping() { closing(response) } else { response }
+    if core.is_stopping() { with_close_header(response) } else { response }
 }
 
 /// Says in a response that its connection is closed after it.
-fn closing(mut response: Response<ResponseBody>) -> Response<ResponseBody> {
+fn with_close_header(mut response: Response<ResponseBody>) -> Response<ResponseBody> {
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
 }
--- a/crates/hickoryd/src/gateway/connection_trace.rs
+++ b/crates/hickoryd/src/gateway/connection_trace.rs
@@ -1,4 +1,4 @@
-//! Record of what a caller's connection has carried, from its accept to its end.
+//! Record of what a caller's connection has carried, from its first byte to its end.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -13,7 +13,7 @@
 pub enum ConnectionEnd {
     /// Each request that was read has its whole response.
     Complete,
-    /// No request, or only a part of its head, arrived in time.
+    /// No request arrived in time, or the connection gave way to others.
     Idle,
     /// The connection failed, or broke off in a request that was not read to its end.
     Failed,
@@ -36,10 +36,10 @@
 /// Requests of one connection, and how far the last one has come.
 #[derive(Debug)]
 pub struct ConnectionTrace {
-    /// Number of the connection, counted from the start of the process.
+    /// Number of the connection among those on which something has arrived.
     pub number: u64,
-    /// When the connection was accepted.
-    pub accepted_at: TimeMs,
+    /// When the first byte arrived.
+    pub first_byte_at: TimeMs,
     requests: Cell<u32>,
     unanswered: RefCell<Option<CompactString>>,
     /// Memory of the connection, whose caller has to go on between requests.
@@ -48,9 +48,9 @@
 
 impl ConnectionTrace {
     /// Creates the record of a connection without requests.
-    pub const fn new(number: u64, accepted_at: TimeMs, hold: MemoryHold) -> Self {
+    pub const fn new(number: u64, first_byte_at: TimeMs, hold: MemoryHold) -> Self {
         let unanswered = RefCell::new(None);
-        Self { number, accepted_at, requests: Cell::new(0), unanswered, hold }
+        Self { number, first_byte_at, requests: Cell::new(0), unanswered, hold }
     }
 
     /// Records that the head of a request has been read.
--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -130,7 +130,7 @@
     calls: RefCell<HashMap<CallId, OpenCall>>,
     next_call: Cell<u64>,
     connections: Cell<usize>,
-    accepted_connections: Cell<u64>,
+    active_connections: Cell<u64>,
     rollout_steps: mpsc::UnboundedSender<RolloutStep>,
     stopping: watch::Sender<bool>,
     stop_timeout_ms: DurationMs,
@@ -168,7 +168,7 @@
             calls: RefCell::default(),
             next_call: Cell::new(0),
             connections: Cell::new(0),
-            accepted_connections: Cell::new(0),
+            active_connections: Cell::new(0),
             rollout_steps: sender,
             stopping: watch::Sender::new(false),
             stop_timeout_ms,
@@ -406,8 +406,8 @@
 
     /// Begins the record of a caller's connection.
     pub(super) fn trace_connection(&self, hold: MemoryHold) -> Rc<ConnectionTrace> {
-        let number = self.accepted_connections.get() + 1;
-        self.accepted_connections.set(number);
+        let number = self.active_connections.get() + 1;
+        self.active_connections.set(number);
         Rc::new(ConnectionTrace::new(number, self.now(), hold))
     }
 
--- a/crates/hickoryd/src/gateway/port_phase.rs
+++ b/crates/hickoryd/src/gateway/port_phase.rs
@@ -9,7 +9,7 @@
     Open,
     /// Connections are accepted, and closed after their current request.
     Closing,
-    /// Connections that the system has accepted are served, and no others.
+    /// No further connections are accepted once none has arrived for a short time.
     Closed,
 }
 
--- a/crates/hickoryd/src/gateway/process.rs
+++ b/crates/hickoryd/src/gateway/process.rs
@@ -37,7 +37,7 @@
 /// Maximum time after the stop timeout in which connections are accepted.
 const LAST_ACCEPT_TIME: Duration = Duration::from_millis(100);
 /// Minimum time to answer on the connections that were accepted as the port closed.
-const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
+const MIN_LAST_CONNECTION_TIME: Duration = Duration::from_millis(100);
 /// Delay at the end of a shutdown, in which the system sends the last bytes of responses.
 const FLUSH_DELAY: Duration = Duration::from_millis(100);
 
@@ -130,9 +130,9 @@
         self.port_phase.send_replace(PortPhase::Closing);
         wait_for_callers(&self.core, deadline).await;
         self.port_phase.send_replace(PortPhase::Closed);
-        // The port is closed at the deadline even if connections keep arriving.
+        // Connections that still arrive after this end with the process.
         drop(timeout_at(deadline.max(Instant::now()) + LAST_ACCEPT_TIME, self.callers).await);
-        wait_for_callers(&self.core, deadline.max(Instant::now() + LAST_ANSWERS_TIME)).await;
+        wait_for_callers(&self.core, deadline.max(Instant::now() + MIN_LAST_CONNECTION_TIME)).await;
         sleep(FLUSH_DELAY).await;
         let connections = self.core.connections();
         match self.core.open_calls() {
--- a/crates/hickoryd/src/memory_limits.rs
+++ b/crates/hickoryd/src/memory_limits.rs
@@ -82,10 +82,12 @@
         if let Some(max_descriptors) = max_descriptors.filter(|stated| *stated < MIN_DESCRIPTORS) {
             return Err(MemoryLimitsError::Descriptors { max_descriptors });
         }
-        let memory_mb = memory_mb.or_else(system_memory_mb).unwrap_or(DEFAULT_MEMORY_MB);
+        let memory_mb = memory_mb.into_iter().chain(system_memory_mb()).min();
+        let memory_mb = memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
         let held_mb = memory_mb.max(MIN_MEMORY_MB) - REST_MB;
         let descriptors = max_descriptors.unwrap_or(u64::MAX).min(system_descriptors());
-        // A request needs a descriptor for its engine, too; few of many connections have one.
+        let descriptors = descriptors.max(MIN_DESCRIPTORS);
+        // A quarter is kept for connections to upstreams, one for each request that runs.
         let connections = descriptors.saturating_sub(descriptors / 4 + OWN_DESCRIPTORS);
         Ok(Self {
             held_bytes: ByteCount::new((held_mb << 20) / 100 * HELD_PERCENT),
--- a/crates/hickoryd/src/signals.rs
+++ b/crates/hickoryd/src/signals.rs
@@ -17,7 +17,7 @@
 pub enum SignalRequest {
     /// Graceful shutdown: SIGTERM, SIGINT or SIGQUIT.
     Stop,
-    /// Settings and files are to be read again: SIGHUP, SIGUSR1 or SIGUSR2.
+    /// SIGHUP, SIGUSR1 or SIGUSR2; a gateway checks its settings file, other roles only log it.
     Reload,
 }
 
--- a/crates/hickorydoor/src/gateway/rollout/peer_view.rs
+++ b/crates/hickorydoor/src/gateway/rollout/peer_view.rs
@@ -15,9 +15,9 @@
 /// Latest digest of another gateway about one rollout, and what its earlier incarnations counted.
 #[derive(Clone, Debug, Default)]
 pub struct PeerView {
-    /// Outcomes by incarnation, of the latest ones. Those of earlier ones stay valid: the attempts were made.
+    /// Outcomes by incarnation, of the latest ones.
     tables: BTreeMap<u64, OutcomeTable>,
-    /// Sum of the outcomes of further incarnations, which were the first.
+    /// Sum of the outcomes of earlier incarnations; they stay valid, since the attempts were made.
     earlier: OutcomeTable,
     objects: bool,
     heard_at: TimeMs,
@@ -26,6 +26,11 @@
 impl PeerView {
     /// Replaces what the gateway says.
     pub fn update(&mut self, incarnation: u64, table: OutcomeTable, objects: bool, now: TimeMs) {
+        let is_full = self.tables.len() == MAX_INCARNATIONS;
+        if is_full && self.tables.first_key_value().is_some_and(|(first, _)| incarnation < *first) {
+            // Its outcomes are in the sum already.
+            return;
+        }
         self.tables.insert(incarnation, table);
         if self.tables.len() > MAX_INCARNATIONS
             && let Some((_, first)) = self.tables.pop_first()
--- a/crates/hickorydoor/src/gateway/upstreams/departed_rooms.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/departed_rooms.rs
@@ -1,4 +1,4 @@
-//! What upstreams have said of themselves whose registrations were removed.
+//! What upstreams whose registrations were removed have said of themselves.
 //!
 //! A registration may lapse while its upstream runs, such as one that is cut off from the store. It
 //! returns with the same incarnation, and what the upstream has said still holds.
@@ -10,7 +10,8 @@
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
-/// How long it is kept; longer than any pause, and than an upstream that leaves goes on.
+/// How long it is kept; longer than any pause, and than an upstream runs after it has said that it
+/// leaves.
 const TTL_MS: DurationMs = DurationMs::from_secs(600);
 /// Maximum number of upstreams; those removed first are dropped first.
 const MAX_UPSTREAMS: usize = 1_024;
--- a/crates/hickorydoor/src/gateway/upstreams/room_log.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/room_log.rs
@@ -42,9 +42,9 @@
     pub service: ServiceName,
     /// What holds from now on.
     pub state: RoomState,
-    /// Gateway that received the answer.
+    /// Gateway that received the first answer since the upstream was last open.
     pub source: HostId,
-    /// Age of the answer; of the first one if several said the same.
+    /// Age of that answer.
     pub age_ms: DurationMs,
 }
 
--- a/crates/hickorydoor/src/gateway/upstreams/upstream_pool.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream_pool.rs
@@ -179,7 +179,7 @@
         }
     }
 
-    /// Returns the numbers of upstreams, of removed ones, of those whose word is kept, and of load
+    /// Returns the numbers of upstreams, of removed ones, of those whose notices are kept, and of load
     /// reports.
     pub fn sizes(&self) -> [usize; 4] {
         let Self { upstreams, departures, departed_rooms, reports } = self;
--- a/crates/hickorydoor/src/memory/budget.rs
+++ b/crates/hickorydoor/src/memory/budget.rs
@@ -79,9 +79,9 @@
             self.grant(id, bytes);
             return true;
         }
-        let is_hopeless = size_bytes > self.limit_bytes(kind, class)
-            || kind == MemoryKind::RequestBody && self.is_line_full(class, bytes);
-        let deadline = if is_hopeless { TimeMs::new(0) } else { deadline };
+        let is_ungrantable = size_bytes > self.limit_bytes(kind, class)
+            || kind == MemoryKind::RequestBody && self.is_queue_full(class, bytes);
+        let deadline = if is_ungrantable { TimeMs::new(0) } else { deadline };
         self.counts[kind.index()].waited += 1;
         let position = (class, kind, self.next_position);
         self.next_position += 1;
@@ -185,7 +185,7 @@
         match kind {
             MemoryKind::Connection => self.max_connection_bytes,
             // The rest is for bodies and responses.
-            MemoryKind::Head => self.total_bytes - self.total_bytes / 4,
+            MemoryKind::ActiveConnection => self.total_bytes - self.total_bytes / 4,
             // So that responses find room beside request bodies, and the other way round.
             MemoryKind::RequestBody | MemoryKind::Response => match class {
                 SizeClass::Large => self.total_bytes / 2,
@@ -202,7 +202,7 @@
     }
 
     /// Returns whether so many request bodies of a class wait that one more would wait too long.
-    fn is_line_full(&self, class: SizeClass, bytes: u64) -> bool {
+    fn is_queue_full(&self, class: SizeClass, bytes: u64) -> bool {
         let kind = MemoryKind::RequestBody;
         let line = self.queue.range((class, kind, 0)..=(class, kind, u64::MAX));
         let waiting = line.filter_map(|(_, id)| self.holders.get(id)?.waiting);
--- a/crates/hickorydoor/src/memory/kind.rs
+++ b/crates/hickorydoor/src/memory/kind.rs
@@ -5,8 +5,8 @@
 pub enum MemoryKind {
     /// A caller's connection with its buffers.
     Connection,
-    /// Head of a request that has not arrived whole.
-    Head,
+    /// Buffers and tasks of a connection on which something has arrived.
+    ActiveConnection,
     /// Body of a request.
     RequestBody,
     /// Response, until it is sent.
@@ -15,13 +15,14 @@
 
 impl MemoryKind {
     /// All kinds, in the order of their indexes.
-    pub const ALL: [Self; 4] = [Self::Connection, Self::Head, Self::RequestBody, Self::Response];
+    pub const ALL: [Self; 4] =
+        [Self::Connection, Self::ActiveConnection, Self::RequestBody, Self::Response];
 
     /// Returns the name for logs and metrics.
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Connection => "connection",
-            Self::Head => "head",
+            Self::ActiveConnection => "active_connection",
             Self::RequestBody => "request_body",
             Self::Response => "response",
         }
--- a/crates/hickorydoor/src/memory/mod.rs
+++ b/crates/hickorydoor/src/memory/mod.rs
@@ -1,15 +1,16 @@
-//! Memory that a process holds for others: connections, heads, request bodies and responses.
+//! Memory that a process holds for others: connections, request bodies and responses.
 //!
 //! [`MemoryBudget`] decides who may hold how much, who waits, and who is refused. Each holder asks
-//! before it reads more bytes, and releases them once they are sent on or dropped.
+//! before it keeps more bytes, and releases them once they are sent on or dropped.
 //!
-//! - What a holder may take depends on how much it then holds: large request bodies use at most half
-//!   of the total, and so do large responses; all large holders together leave a quarter
-//!   to small ones, and small ones an eighth to the smallest.
+//! - What a holder may take depends on how much it then holds. A large request body or response is
+//!   granted memory while its kind uses at most half of the total, and all kinds together at most
+//!   three quarters. Small holders may use all but an eighth, the smallest all of it.
+//! - Connections use at most half of the total, those on which something has arrived three quarters.
 //! - Those that wait are served smallest class first, and of the same class and kind the oldest
 //!   first. One that does not fit keeps the later ones of its class and kind waiting.
-//! - Each has a deadline, at which it is refused. A request body is refused at once if those of its
-//!   class that wait would take a quarter of the total.
+//! - Each has a deadline, at which it is refused. A request body is refused at the next expiry if
+//!   those of its size class that wait would take a quarter of the total.
 //! - While others wait, a holder without progress gives its memory up.
 
 pub mod budget;
