Evict idle connections for new ones, and answer connections for which there is no memory

A review of the budget found by reading: with all connections taken, idle ones that had had a request were not evicted, since their two kinds of memory were weighed apart; an evicted holder that went on counted as memory that is soon free, so that nobody else was evicted; active connections could take what large responses need; and a connection whose request had arrived was reset after the idle timeout if there was no memory to read it. It now gets 503 after 5 s.

The last one has no test.

--- a/crates/hickoryd/src/gateway/caller_port.rs
+++ b/crates/hickoryd/src/gateway/caller_port.rs
@@ -31,6 +31,7 @@
 use hyper_util::rt::TokioTimer;
 use log::debug;
 use log::warn;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -68,6 +69,11 @@
 const IDLE_TIMEOUT_GRACE: Duration = Duration::from_secs(1);
 /// Maximum time that a body waits for memory; a refusal is then sent within [`BODY_TIMEOUT`].
 const BODY_WAIT: Duration = Duration::from_secs(9);
+/// Maximum time that a connection on which something has arrived waits for memory.
+const HEAD_WAIT: Duration = Duration::from_secs(5);
+/// Response on a connection for which there is no memory.
+const UNREAD_REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
+    content-length: 0\r\nconnection: close\r\n\r\n";
 /// Part of the caller's deadline that is kept for sending a refusal.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(300);
 /// Memory of a connection on which nothing has arrived.
@@ -149,19 +155,37 @@
     let mut active = core.memory().hold(MemoryKind::ActiveConnection).paced();
     hold.progress();
     let begun = async {
-        let is_readable = tokio::select! {
+        tokio::select! {
             biased;
             readable = stream.readable() => readable.is_ok(),
-            () = hold.evicted() => false,
-        };
-        hold.rest();
-        is_readable && active.take(ACTIVE_CONNECTION_BYTES, idle_timeout).await
+            () = hold.evicted() => {
+                matches!(timeout(QUIET_TIME, stream.readable()).await, Ok(Ok(())))
+            }
+        }
     };
-    if timeout(idle_timeout, begun).await == Ok(true) {
+    if timeout(idle_timeout, begun).await != Ok(true) {
+        core.metrics.record_connection_end(ConnectionEnd::Idle.as_str());
+        return;
+    }
+    hold.rest();
+    if active.take(ACTIVE_CONNECTION_BYTES, HEAD_WAIT).await {
         active.progress();
         Box::pin(serve_requests(stream, active, core, names, phase)).await;
     } else {
-        core.metrics.record_connection_end(ConnectionEnd::Idle.as_str());
+        core.metrics.record_connection_end(ConnectionEnd::Refused.as_str());
+        refuse_unread(stream).await;
+    }
+}
+
+/// Rejects the request on a connection for which there is no memory, without reading it.
+async fn refuse_unread(stream: TcpStream) {
+    let mut stream = LingeringClose::new(stream);
+    let refused = async {
+        stream.write_all(UNREAD_REFUSAL).await?;
+        stream.shutdown().await
+    };
+    if let Err(error) = refused.await {
+        debug!(reason:% = error; "caller connection closed before its refusal");
     }
 }
 
--- a/crates/hickoryd/src/gateway/connection_trace.rs
+++ b/crates/hickoryd/src/gateway/connection_trace.rs
@@ -15,6 +15,8 @@
     Complete,
     /// No request arrived in time, or the connection gave way to others.
     Idle,
+    /// There was no memory to read a request.
+    Refused,
     /// The connection failed, or broke off in a request that was not read to its end.
     Failed,
     /// A request had been read and its response was not sent whole.
@@ -27,6 +29,7 @@
         match self {
             Self::Complete => "complete",
             Self::Idle => "idle",
+            Self::Refused => "refused",
             Self::Failed => "failed",
             Self::Unanswered => "unanswered",
         }
--- a/crates/hickorydoor/src/memory/budget.rs
+++ b/crates/hickorydoor/src/memory/budget.rs
@@ -14,6 +14,10 @@
 use crate::quantity::ByteCount;
 use crate::time::TimeMs;
 
+/// A connection on which something has arrived has memory of both kinds, and releases it at once.
+const BOTH_OF_A_CONNECTION: (MemoryKind, MemoryKind) =
+    (MemoryKind::Connection, MemoryKind::ActiveConnection);
+
 /// Memory that is held for others, and who waits for it.
 ///
 /// Requests that were granted later, were refused, or holders that give way are reported by
@@ -23,6 +27,8 @@
     total_bytes: u64,
     max_connection_bytes: u64,
     used_bytes: [u64; MemoryKind::ALL.len()],
+    /// What large holders have of that.
+    large_bytes: u64,
     holders: HashMap<HolderId, Holder>,
     next_holder: u64,
     /// Holders that wait, in the order in which they are served.
@@ -37,8 +43,9 @@
     pub fn new(total_bytes: ByteCount) -> Self {
         Self {
             total_bytes: total_bytes.get(),
-            max_connection_bytes: total_bytes.get() / 2,
+            max_connection_bytes: total_bytes.get() / 4,
             used_bytes: [0; MemoryKind::ALL.len()],
+            large_bytes: 0,
             holders: HashMap::new(),
             next_holder: 0,
             queue: BTreeMap::new(),
@@ -48,7 +55,7 @@
         }
     }
 
-    /// Has connections use at most this much, and half of the total.
+    /// Has connections use at most this much, and a quarter of the total.
     #[must_use]
     pub fn with_connection_limit(mut self, bytes: ByteCount) -> Self {
         self.max_connection_bytes = self.max_connection_bytes.min(bytes.get());
@@ -75,7 +82,7 @@
         };
         let (kind, size_bytes) = (holder.kind, holder.held_bytes.saturating_add(bytes));
         let class = SizeClass::of(ByteCount::new(size_bytes));
-        if self.first_waiting(class, kind).is_none() && self.fits(kind, class, bytes) {
+        if self.first_waiting(class, kind).is_none() && self.fits(kind, size_bytes, bytes) {
             self.grant(id, bytes);
             return true;
         }
@@ -98,8 +105,9 @@
             return;
         };
         let released_bytes = bytes.get().min(holder.held_bytes);
+        let (held_bytes, kind) = (holder.held_bytes, holder.kind);
         holder.held_bytes -= released_bytes;
-        self.used_bytes[holder.kind.index()] -= released_bytes;
+        self.count(kind, held_bytes, held_bytes - released_bytes);
         self.serve_queue();
     }
 
@@ -108,7 +116,7 @@
         let Some(holder) = self.holders.remove(&id) else {
             return;
         };
-        self.used_bytes[holder.kind.index()] -= holder.held_bytes;
+        self.count(holder.kind, holder.held_bytes, 0);
         if let Some(waiting) = holder.waiting {
             self.queue.remove(&waiting.position);
         }
@@ -184,8 +192,7 @@
     const fn limit_bytes(&self, kind: MemoryKind, class: SizeClass) -> u64 {
         match kind {
             MemoryKind::Connection => self.max_connection_bytes,
-            // The rest is for bodies and responses.
-            MemoryKind::ActiveConnection => self.total_bytes - self.total_bytes / 4,
+            MemoryKind::ActiveConnection => self.total_bytes / 2,
             // So that responses find room beside request bodies, and the other way round.
             MemoryKind::RequestBody | MemoryKind::Response => match class {
                 SizeClass::Large => self.total_bytes / 2,
@@ -194,10 +201,23 @@
         }
     }
 
-    fn fits(&self, kind: MemoryKind, class: SizeClass, bytes: u64) -> bool {
+    /// Returns whether a holder may get `bytes` and then have `size_bytes`.
+    fn fits(&self, kind: MemoryKind, size_bytes: u64, bytes: u64) -> bool {
+        let class = SizeClass::of(ByteCount::new(size_bytes));
         let all_bytes: u64 = self.used_bytes.iter().sum();
         let of_kind_bytes = self.used_bytes[kind.index()];
-        all_bytes.saturating_add(bytes) <= class.usable_bytes(self.total_bytes)
+        let usable_bytes = match (kind, class) {
+            // Responses end what has begun, so they may use what connections leave.
+            (MemoryKind::Response, SizeClass::Large) => {
+                let large_bytes = self.large_bytes - large_bytes(size_bytes - bytes) + size_bytes;
+                if large_bytes > class.usable_bytes(self.total_bytes) {
+                    return false;
+                }
+                self.total_bytes
+            }
+            _ => class.usable_bytes(self.total_bytes),
+        };
+        all_bytes.saturating_add(bytes) <= usable_bytes
             && of_kind_bytes.saturating_add(bytes) <= self.limit_bytes(kind, class)
     }
 
@@ -212,11 +232,19 @@
 
     fn grant(&mut self, id: HolderId, bytes: u64) {
         if let Some(holder) = self.holders.get_mut(&id) {
+            let (held_bytes, kind) = (holder.held_bytes, holder.kind);
             holder.held_bytes += bytes;
-            self.used_bytes[holder.kind.index()] += bytes;
+            self.count(kind, held_bytes, held_bytes + bytes);
         }
     }
 
+    /// Counts that a holder has `after` bytes, and had `before`.
+    fn count(&mut self, kind: MemoryKind, before: u64, after: u64) {
+        let used_bytes = &mut self.used_bytes[kind.index()];
+        *used_bytes = *used_bytes - before + after;
+        self.large_bytes = self.large_bytes - large_bytes(before) + large_bytes(after);
+    }
+
     fn leave_queue(&mut self, id: HolderId) -> Option<Waiting> {
         let waiting = self.holders.get_mut(&id)?.waiting.take()?;
         self.queue.remove(&waiting.position);
@@ -238,7 +266,7 @@
 
     fn serve(&mut self, class: SizeClass, kind: MemoryKind) {
         while let Some(id) = self.first_waiting(class, kind) {
-            if !self.can_be_granted(id, class) {
+            if !self.can_be_granted(id) {
                 return;
             }
             if let Some(waiting) = self.leave_queue(id) {
@@ -253,9 +281,11 @@
         of_class.next().map(|(_, id)| *id)
     }
 
-    fn can_be_granted(&self, id: HolderId, class: SizeClass) -> bool {
+    fn can_be_granted(&self, id: HolderId) -> bool {
         self.holders.get(&id).is_some_and(|holder| {
-            holder.waiting.is_some_and(|waiting| self.fits(holder.kind, class, waiting.bytes))
+            holder.waiting.is_some_and(|waiting| {
+                self.fits(holder.kind, holder.held_bytes + waiting.bytes, waiting.bytes)
+            })
         })
     }
 
@@ -285,7 +315,10 @@
     }
 
     fn evicted_bytes(&self) -> u64 {
-        let evicted = self.holders.values().filter(|holder| holder.is_evicted);
+        // One that rests has gone on and will keep its memory for long.
+        let is_released_soon =
+            |holder: &&Holder| holder.is_evicted && holder.progressed_at.is_some();
+        let evicted = self.holders.values().filter(is_released_soon);
         evicted.map(|holder| holder.held_bytes).sum()
     }
 
@@ -297,9 +330,16 @@
                 let waiting = first.and_then(|id| self.holders.get(&id)?.waiting);
                 waiting.is_some_and(|waiting| {
                     let of_kind_bytes = self.used_bytes[kind.index()] + waiting.bytes;
-                    kind == released || of_kind_bytes <= self.limit_bytes(kind, class)
+                    kind == released
+                        || (kind, released) == BOTH_OF_A_CONNECTION
+                        || of_kind_bytes <= self.limit_bytes(kind, class)
                 })
             })
         })
     }
 }
+
+/// Returns what a holder of `bytes` counts among the large ones.
+fn large_bytes(bytes: u64) -> u64 {
+    if SizeClass::of(ByteCount::new(bytes)) == SizeClass::Large { bytes } else { 0 }
+}
--- a/crates/hickorydoor/src/memory/mod.rs
+++ b/crates/hickorydoor/src/memory/mod.rs
@@ -4,9 +4,11 @@
 //! before it keeps more bytes, and releases them once they are sent on or dropped.
 //!
 //! - What a holder may take depends on how much it then holds. A large request body or response is
-//!   granted memory while its kind uses at most half of the total, and all kinds together at most
-//!   three quarters. Small holders may use all but an eighth, the smallest all of it.
-//! - Connections use at most half of the total, those on which something has arrived three quarters.
+//!   granted memory while its kind uses at most half of the total, and a request body while all kinds
+//!   together use at most three quarters. Small holders may use all but an eighth, the smallest all
+//!   of it, and so may responses.
+//! - Connections use at most a quarter of the total, and half of it more for those on which something
+//!   has arrived.
 //! - Those that wait are served smallest class first, and of the same class and kind the oldest
 //!   first. One that does not fit keeps the later ones of its class and kind waiting.
 //! - Each has a deadline, at which it is refused. A request body is refused at the next expiry if
--- a/crates/hickorydoor/tests/memory_budget.rs
+++ b/crates/hickorydoor/tests/memory_budget.rs
@@ -178,3 +178,54 @@
     budget.remove(large[0]);
     assert_eq!(budget.take_decisions(), [MemoryDecision::Granted(large[1])]);
 }
+
+/// Guards against idle connections that keep new ones from being accepted.
+#[test]
+fn idle_connection_that_had_a_request_gives_way_to_a_new_one() {
+    let mut budget = MemoryBudget::new(ByteCount::new(TOTAL_BYTES));
+    budget = budget.with_connection_limit(ByteCount::new(4 << 10));
+    let late = TimeMs::new(10_000);
+    let [open, active, new] =
+        [MemoryKind::Connection, MemoryKind::ActiveConnection, MemoryKind::Connection]
+            .map(|kind| budget.add(kind));
+    assert!(budget.ask(open, ByteCount::new(4 << 10), late));
+    assert!(budget.ask(active, ByteCount::new(28 << 10), late));
+    budget.progress(active, TimeMs::new(0));
+    assert!(!budget.ask(new, ByteCount::new(4 << 10), late));
+    budget.expire(TimeMs::new(3_000));
+    assert_eq!(budget.take_decisions(), [MemoryDecision::Evicted(active)]);
+}
+
+/// Guards against an evicted holder that goes on and keeps the others from being evicted.
+#[test]
+fn evicted_holder_that_goes_on_counts_for_nothing() {
+    let mut budget = MemoryBudget::new(ByteCount::new(TOTAL_BYTES));
+    let late = TimeMs::new(10_000);
+    let [first, second] = [(); 2].map(|()| budget.add(MemoryKind::RequestBody));
+    let waiting = budget.add(MemoryKind::RequestBody);
+    for holder in [first, second] {
+        assert!(budget.ask(holder, ByteCount::new(TOTAL_BYTES / 4), late));
+        budget.progress(holder, TimeMs::new(0));
+    }
+    assert!(!budget.ask(waiting, ByteCount::new(TOTAL_BYTES / 4), late));
+    budget.expire(TimeMs::new(3_000));
+    assert_eq!(budget.take_decisions(), [MemoryDecision::Evicted(first)]);
+    budget.rest(first);
+    budget.expire(TimeMs::new(3_050));
+    assert_eq!(budget.take_decisions(), [MemoryDecision::Evicted(second)]);
+}
+
+/// Guards against connections that keep each response from being read.
+#[test]
+fn large_response_uses_what_connections_leave() {
+    let mut budget = MemoryBudget::new(ByteCount::new(TOTAL_BYTES));
+    let late = TimeMs::new(10_000);
+    while budget.used_bytes(MemoryKind::ActiveConnection).get() < TOTAL_BYTES / 2 - (28 << 10) {
+        let connection = budget.add(MemoryKind::ActiveConnection);
+        assert!(budget.ask(connection, ByteCount::new(28 << 10), late));
+    }
+    let small = budget.add(MemoryKind::RequestBody);
+    assert!(budget.ask(small, ByteCount::new(60 << 10), late));
+    let response = budget.add(MemoryKind::Response);
+    assert!(budget.ask(response, ByteCount::new(TOTAL_BYTES / 3), late));
+}
