Answer a request that arrives on an entry's kept connection at a stop

A stopping entry closed a connection that had had a request at once, and the caller's next request, which was on its way, got no answer. It now has 200 ms, as at gateways, and what has arrived is looked at first.

--- a/crates/hickoryd/src/http_server.rs
+++ b/crates/hickoryd/src/http_server.rs
@@ -36,6 +36,9 @@
 /// Maximum time that a stopping port waits for the first request on a new connection.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time without a request after which a stopping port closes a connection.
+const QUIET_TIME: Duration = Duration::from_millis(200);
+
 /// Limits that an HTTP port enforces on its clients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HttpLimits {
@@ -158,13 +161,19 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
+        biased;
         result = connection.as_mut() => result,
         () = stop_requested(&mut stop) => {
-            // The first request on a new connection may still be in transit. Without this wait,
-            // the connection would be closed before its request is answered.
+            // The first request on a new connection, or the next one on another, may still be in
+            // transit. Without this wait, the connection would be closed before it is answered.
+            let close_at = async {
+                wait_for_first_request(&mut first_request).await;
+                sleep(QUIET_TIME).await;
+            };
             tokio::select! {
+                biased;
                 result = connection.as_mut() => result,
-                () = wait_for_first_request(&mut first_request) => {
+                () = close_at => {
                     connection.as_mut().graceful_shutdown();
                     connection.await
                 }
