Open the port for callers of an entry last

While another port was in use, up to 30 s, the system accepted callers for whom nobody was there, and reset them if the start failed. By reading; no test.

--- a/crates/hickoryd/src/entry_process.rs
+++ b/crates/hickoryd/src/entry_process.rs
@@ -78,7 +78,6 @@
         let (caller_updates, caller_update_reader) = mpsc::unbounded_channel();
         let (configuration, api_configuration) = watch::channel(Arc::default());
         let mut tasks = Tasks::default();
-        let (listener, http_address) = listen(options.http_listen).await?;
         let operators = options.common.start_operator_port(
             inputs.clone(),
             EntryInput::OperatorQuery,
@@ -93,7 +92,6 @@
             options.body_timeout,
         );
         let router = Arc::new(api).router();
-        tasks.spawn_server(serve(listener, router, options.http_limits, None, tasks.stop_signal()));
         let client = http_client::new();
         let region = options.settings.region.clone();
         let host_list_polling = poll_hosts(
@@ -124,6 +122,9 @@
             pending_events: VecDeque::new(),
             stopped: false,
         };
+        // Last, since the system accepts callers from here on.
+        let (listener, http_address) = listen(options.http_listen).await?;
+        tasks.spawn_server(serve(listener, router, options.http_limits, None, tasks.stop_signal()));
         let main_task = tokio::spawn(entry_loop.run(input_reader, caller_update_reader));
         Ok(Self { http_address, operators_address, inputs, main_task, tasks })
     }
