Format a log line outside the lock of the rate limit

A panic while a value is formatted is logged by the panic hook on the same thread, which would have waited for the lock that it holds. By reading; no test.

--- a/crates/hickoryd/src/log_writer.rs
+++ b/crates/hickoryd/src/log_writer.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::io::Write;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::sync_channel;
@@ -98,12 +99,18 @@
     rate_limit: Mutex<LineRateLimit>,
 }
 
+impl QueueWriter {
+    fn rate_limit(&self) -> MutexGuard<'_, LineRateLimit> {
+        self.rate_limit.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl LogWriter for QueueWriter {
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
-        let mut rate_limit = self.rate_limit.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(dropped) = rate_limit.try_acquire() else {
+        let Some(dropped) = self.rate_limit().try_acquire() else {
             return Ok(());
         };
+        // Not under the lock: a panic while a value is formatted is logged, too.
         let mut line = Vec::with_capacity(256);
         if dropped > 0 {
             writeln!(
@@ -114,7 +121,7 @@
         json_line(&mut line, now, record)?;
         line.push(b'\n');
         if self.lines.try_send(QueuedItem::Line(line)).is_err() {
-            rate_limit.dropped += dropped + 1;
+            self.rate_limit().dropped += dropped + 1;
         }
         Ok(())
     }
