End the port of a stopping gateway at its time, and take what waits past broken connections

If connections kept arriving within 200 ms of each other, the task that accepts them outlived its time and its queue was reset with the process. An error of one waiting connection ended the look at the others.

--- a/crates/hickoryd/src/accept_queue.rs
+++ b/crates/hickoryd/src/accept_queue.rs
@@ -4,12 +4,16 @@
 //! them. The system is asked directly, since the reactor only knows what had arrived when it last
 //! looked.
 
+use std::io;
 use std::net::TcpListener as StdTcpListener;
 
 use log::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+/// Maximum number of failures in a row; more mean that no connection can be accepted.
+const MAX_BROKEN: usize = 16;
+
 /// Closes a listener and returns the connections that were waiting for it.
 pub fn close(listener: TcpListener) -> Vec<TcpStream> {
     let listener = match listener.into_std() {
@@ -22,9 +26,18 @@
     std::iter::from_fn(|| next_waiting(&listener)).collect()
 }
 
-/// Returns the next connection; `None` if there is none, or if no descriptor is left for it.
+/// Returns the next connection; `None` if there is none, or if the rest cannot be accepted.
 fn next_waiting(listener: &StdTcpListener) -> Option<TcpStream> {
-    let (stream, _peer) = listener.accept().ok()?;
-    stream.set_nonblocking(true).ok()?;
-    TcpStream::from_std(stream).ok()
+    for _ in 0..MAX_BROKEN {
+        match listener.accept() {
+            Ok((stream, _peer)) => {
+                stream.set_nonblocking(true).ok()?;
+                return TcpStream::from_std(stream).ok();
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return None,
+            // An error may be that of one connection, which is broken already.
+            Err(error) => warn!(reason:% = error; "cannot accept a connection that waits"),
+        }
+    }
+    None
 }
--- a/crates/hickoryd/src/gateway/caller_port.rs
+++ b/crates/hickoryd/src/gateway/caller_port.rs
@@ -87,8 +87,8 @@
 /// Maximum number of headers of a request.
 const MAX_HEADERS: usize = 100;
 
-/// Accepts callers until the port is closed and no more connections arrive. All connections are
-/// counted when this returns.
+/// Accepts callers until the port is closed and no more connections arrive, or until its end. All
+/// connections are counted when this returns.
 pub async fn serve(
     listener: TcpListener,
     core: Rc<Core>,
@@ -111,7 +111,14 @@
             () = reached(&mut phase, PortPhase::Closed) => break,
         }
     }
-    while let Ok((stream, _peer)) = timeout(QUIET_TIME, accept(&listener)).await {
+    loop {
+        let accepted = tokio::select! {
+            accepted = timeout(QUIET_TIME, accept(&listener)) => accepted,
+            () = reached(&mut phase, PortPhase::Ended) => break,
+        };
+        let Ok((stream, _peer)) = accepted else {
+            break;
+        };
         // Not limited: the system has accepted these, and they must be answered.
         start(stream, connection_hold(core.memory()));
     }
--- a/crates/hickoryd/src/gateway/port_phase.rs
+++ b/crates/hickoryd/src/gateway/port_phase.rs
@@ -11,6 +11,8 @@
     Closing,
     /// No further connections are accepted once none has arrived for a short time.
     Closed,
+    /// No further connections are accepted.
+    Ended,
 }
 
 /// Waits until the port has reached a phase. A closed channel counts as the last one.
--- a/crates/hickoryd/src/gateway/process.rs
+++ b/crates/hickoryd/src/gateway/process.rs
@@ -130,8 +130,13 @@
         self.port_phase.send_replace(PortPhase::Closing);
         wait_for_callers(&self.core, deadline).await;
         self.port_phase.send_replace(PortPhase::Closed);
-        // Connections that still arrive after this end with the process.
-        drop(timeout_at(deadline.max(Instant::now()) + LAST_ACCEPT_TIME, self.callers).await);
+        let mut callers = self.callers;
+        let last_accept_at = deadline.max(Instant::now()) + LAST_ACCEPT_TIME;
+        if timeout_at(last_accept_at, &mut callers).await.is_err() {
+            self.port_phase.send_replace(PortPhase::Ended);
+            // The task ends by itself or panics; both mean that the port is closed.
+            drop(callers.await);
+        }
         wait_for_callers(&self.core, deadline.max(Instant::now() + MIN_LAST_CONNECTION_TIME)).await;
         sleep(FLUSH_DELAY).await;
         let connections = self.core.connections();
