--- a/crates/hickoryd/src/gateway/mod.rs
+++ b/crates/hickoryd/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod connection_trace;
 mod core;
 mod digest_exchange;
+mod event_log;
 mod feed_client;
 mod feed_server;
 mod followers;
