Evict idle connections in batches, and serve the newest connections first

Traced in the log of the gateway: connections were limited to a quarter of the total, 2,330, and idle ones gave way one in each 250 ms, so that the requests behind 670 others waited.

--- a/crates/hickorydoor/src/memory/budget.rs
+++ b/crates/hickorydoor/src/memory/budget.rs
@@ -14,6 +14,9 @@
 use crate::quantity::ByteCount;
 use crate::time::TimeMs;
 
+/// Smallest part of the total that is evicted at once, so that many that come one after the other need
+/// not each wait for an eviction.
+const EVICTED_PART: u64 = 32;
 /// A connection on which something has arrived has memory of both kinds, and releases it at once.
 const BOTH_OF_A_CONNECTION: (MemoryKind, MemoryKind) =
     (MemoryKind::Connection, MemoryKind::ActiveConnection);
@@ -43,7 +46,7 @@
     pub fn new(total_bytes: ByteCount) -> Self {
         Self {
             total_bytes: total_bytes.get(),
-            max_connection_bytes: total_bytes.get() / 4,
+            max_connection_bytes: total_bytes.get() / 8 * 3,
             used_bytes: [0; MemoryKind::ALL.len()],
             large_bytes: 0,
             holders: HashMap::new(),
@@ -55,7 +58,7 @@
         }
     }
 
-    /// Has connections use at most this much, and a quarter of the total.
+    /// Has connections use at most this much, and three eighths of the total.
     #[must_use]
     pub fn with_connection_limit(mut self, bytes: ByteCount) -> Self {
         self.max_connection_bytes = self.max_connection_bytes.min(bytes.get());
@@ -82,7 +85,10 @@
         };
         let (kind, size_bytes) = (holder.kind, holder.held_bytes.saturating_add(bytes));
         let class = SizeClass::of(ByteCount::new(size_bytes));
-        if self.first_waiting(class, kind).is_none() && self.fits(kind, size_bytes, bytes) {
+        let goes_first = kind == MemoryKind::ActiveConnection;
+        if (goes_first || self.first_waiting(class, kind).is_none())
+            && self.fits(kind, size_bytes, bytes)
+        {
             self.grant(id, bytes);
             return true;
         }
@@ -90,7 +96,8 @@
             || kind == MemoryKind::RequestBody && self.is_queue_full(class, bytes);
         let deadline = if is_ungrantable { TimeMs::new(0) } else { deadline };
         self.counts[kind.index()].waited += 1;
-        let position = (class, kind, self.next_position);
+        let order = if goes_first { u64::MAX - self.next_position } else { self.next_position };
+        let position = (class, kind, order);
         self.next_position += 1;
         self.queue.insert(position, id);
         if let Some(holder) = self.holders.get_mut(&id) {
@@ -289,9 +296,11 @@
         })
     }
 
-    /// Evicts those without progress, the oldest first, until all that wait would fit.
+    /// Evicts those without progress, the oldest first, until all that wait would fit, and some that
+    /// come next.
     fn evict_stalled(&mut self, now: TimeMs) {
-        let mut missing_bytes = self.waiting_bytes().saturating_sub(self.evicted_bytes());
+        let wanted_bytes = self.waiting_bytes().max(self.total_bytes / EVICTED_PART);
+        let mut missing_bytes = wanted_bytes.saturating_sub(self.evicted_bytes());
         let mut stalled: Vec<(TimeMs, HolderId)> = self
             .holders
             .iter()
