--- /dev/null
+++ b/crates/hickorydoor/benches/gateway.rs
@@ -0,0 +1,198 @@
+//! Measures what each kind of event costs a gateway, by the size of the fleet and by the number of
+//! engines that have ended lately.
+//!
+//! Prints a line for each size: processor time and allocations of an event, averaged. The digests are
+//! what gateways send that have a few requests at some engines each, and that have all seen the same
+//! ends.
+
+#![allow(unsafe_code, reason = "a counting allocator has to implement GlobalAlloc")]
+
+#[path = "../tests/gateway/mod.rs"]
+mod gateway;
+
+use std::alloc::GlobalAlloc;
+use std::alloc::Layout;
+use std::alloc::System;
+use std::hint::black_box;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use hickorydoor::DurationMs;
+use hickorydoor::gateway::GatewayEvent;
+use hickorydoor::gateway::peer_digest::PeerDigest;
+use hickorydoor::gateway::quarantine::EngineEnd;
+use hickorydoor::gateway::quarantine::PartId;
+use hickorydoor::gateway::quarantine::QuarantineReport;
+use hickorydoor::gateway::upstreams::PeerLoad;
+
+use crate::gateway::ENGINES;
+use crate::gateway::Rig;
+use crate::gateway::call;
+use crate::gateway::member;
+
+/// Engines at which one gateway has requests.
+const LOADED_ENGINES: usize = 12;
+/// Parts of the requests that the end of an engine cuts off at one gateway.
+const PARTS_OF_END: usize = 3;
+/// Different parts that requests share.
+const SUBJECTS: usize = 56;
+/// Rounds of digests of all gateways over which is averaged.
+const ROUNDS: u64 = 8;
+/// Time between two digests of a gateway.
+const DIGEST_INTERVAL_MS: u64 = 400;
+
+struct CountingAllocator;
+
+static ALLOCATIONS: AtomicU64 = AtomicU64::new(0);
+
+// SAFETY: every call is forwarded unchanged to the system allocator.
+unsafe impl GlobalAlloc for CountingAllocator {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATIONS.fetch_add(1, Ordering::Relaxed);
+        // SAFETY: the caller upholds the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        // SAFETY: the caller upholds the contract of `dealloc`.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
+/// Cost of events of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cost {
+    events: u64,
+    took: Duration,
+    allocations: u64,
+}
+
+impl Cost {
+    fn measure<T>(&mut self, run: impl FnOnce() -> T) -> T {
+        let allocations = ALLOCATIONS.load(Ordering::Relaxed);
+        let started = Instant::now();
+        let result = black_box(run());
+        self.took += started.elapsed();
+        self.allocations += ALLOCATIONS.load(Ordering::Relaxed) - allocations;
+        self.events += 1;
+        result
+    }
+}
+
+impl std::fmt::Display for Cost {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let events = self.events.max(1);
+        let took_us = self.took.as_secs_f64() * 1e6 / events as f64;
+        write!(f, "{took_us:>9.1} {:>8}", self.allocations / events)
+    }
+}
+
+/// Numbers of gateways, of engines and of those that have ended lately.
+#[derive(Clone, Copy, Debug)]
+struct Size {
+    gateways: usize,
+    engines: usize,
+    ends: usize,
+}
+
+/// Costs by kind of event.
+#[derive(Clone, Copy, Debug, Default)]
+struct Costs {
+    decode: Cost,
+    digest: Cost,
+    tick: Cost,
+    request: Cost,
+    build: Cost,
+}
+
+fn main() {
+    println!("cost of an event in us, and its allocations");
+    println!(
+        "{:>8} {:>7} {:>4} {:>18} {:>18} {:>18} {:>18} {:>18}",
+        "gateways", "engines", "ends", "decode", "digest", "tick", "request", "own digest"
+    );
+    for (gateways, engines) in [(8, 78), (68, 78), (300, 1_000), (560, 1_000), (560, 12_000)] {
+        for ends in [0, 10, 48] {
+            let size = Size { gateways, engines, ends };
+            let Costs { decode, digest, tick, request, build } = measure(size);
+            println!(
+                "{gateways:>8} {engines:>7} {ends:>4} {decode} {digest} {tick} {request} {build}"
+            );
+        }
+    }
+}
+
+fn measure(size: Size) -> Costs {
+    let mut rig = Rig::with_upstreams("gw-0", size.engines, 0);
+    for index in 0..size.gateways {
+        rig.apply(GatewayEvent::GatewayJoined(member(&gateway_name(index), "dc-1", 1_000)));
+    }
+    let mut costs = Costs::default();
+    for round in 0..ROUNDS {
+        for peer in 1..size.gateways {
+            let bytes = digest(size, peer, round).encode();
+            let decoded = costs.decode.measure(|| PeerDigest::decode(&bytes));
+            let event = GatewayEvent::Digest(Box::new(decoded.expect("a valid digest")));
+            costs.digest.measure(|| rig.apply(event));
+        }
+        for step in 0..DIGEST_INTERVAL_MS / 50 {
+            rig.now = rig.now + DurationMs::new(50);
+            rig.sync_store();
+            costs.tick.measure(|| rig.apply(GatewayEvent::Tick));
+            let request = call("/draft/1", &format!("r-{round}-{step}"));
+            costs.request.measure(|| rig.send(request));
+        }
+        let now = rig.now;
+        costs.build.measure(|| rig.gateway.digest(now).encode());
+    }
+    costs
+}
+
+fn gateway_name(index: usize) -> String {
+    format!("edge-aimogasta-{index}")
+}
+
+/// Returns the digest of a gateway that has seen all ends, which are some time old at the first
+/// round.
+fn digest(size: Size, peer: usize, round: u64) -> PeerDigest {
+    let load = |index: usize| {
+        let engine = (peer * 7 + index * 5) % size.engines;
+        let load = PeerLoad { in_flight: 1 + (index % 3) as u32, prefill_ms: 20.0 };
+        (format!("e-{engine}").parse().expect("a valid id"), load)
+    };
+    let end = |index: usize| {
+        let part =
+            |part: usize| PartId::new((peer * 11 + index * 3 + part) as u64 % SUBJECTS as u64);
+        let end = EngineEnd {
+            upstream: format!("e-{}", index * size.engines / size.ends.max(1))
+                .parse()
+                .expect("a valid id"),
+            service: ENGINES.parse().expect("a valid name"),
+            version: "v1".into(),
+            is_confirmed: true,
+            is_closed: true,
+            parts: (0..PARTS_OF_END).map(part).collect(),
+            tried: [].into_iter().collect(),
+        };
+        let age_ms = 500 + index as u64 % 4 * 4_000 + round * DIGEST_INTERVAL_MS;
+        (end, DurationMs::new(age_ms))
+    };
+    PeerDigest {
+        host: gateway_name(peer).parse().expect("a valid id"),
+        incarnation: 1,
+        sequence: round + 1,
+        loads: (0..LOADED_ENGINES).map(load).collect(),
+        evidence: Vec::new(),
+        prefills: Vec::new(),
+        quarantine: QuarantineReport {
+            ends: (0..size.ends).map(end).collect(),
+            ..QuarantineReport::default()
+        },
+        notices: Vec::new(),
+    }
+}
