Measure how long events take, and how late ticks and deadlines are handled

Neither the logs nor the metrics could tell a process that falls behind from one that waits for others. A histogram for each kind of event, the delay of ticks and of the ends of attempts at their deadline, a count of datagrams of other gateways, and a log line when the process falls behind by 200 ms and when it has caught up. No decision changes.

--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -171,11 +171,13 @@
             () = disconnected(events.as_ref()) => return None,
             () = abandoned(directives) => fault(ResponseFault::Silent),
         };
+        let late = Instant::now().checked_duration_since(deadline);
         match outcome {
             ExchangeOutcome::CallerGone => None,
             ExchangeOutcome::Ended(AttemptOutcome::Unknown(ResponseFault::Silent))
-                if Instant::now() >= deadline =>
+                if let Some(late) = late =>
             {
+                self.core.metrics.record_deadline_delay(late);
                 Some(AttemptOutcome::Unknown(ResponseFault::TimedOut))
             }
             ExchangeOutcome::Ended(outcome) => Some(outcome),
--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -13,6 +13,7 @@
 use compact_str::CompactString;
 use hickorydoor::DurationMs;
 use hickorydoor::TimeMs;
+use hickorydoor::gateway::EventKind;
 use hickorydoor::gateway::Gateway;
 use hickorydoor::gateway::GatewayEffect;
 use hickorydoor::gateway::GatewayEvent;
@@ -69,6 +70,8 @@
 const MAX_LOGGED_PARTS: usize = 16;
 /// Time without anyone waiting for memory after which that is logged.
 const CONTENTION_LOG_MS: DurationMs = DurationMs::from_secs(1);
+/// Delay of a tick from which on the process is behind.
+const BEHIND_AFTER: Duration = Duration::from_millis(200);
 /// Maximum number of requests that a log line names.
 const MAX_LOGGED_REQUESTS: usize = 16;
 
@@ -146,6 +149,8 @@
     memory: MemoryPool,
     /// When someone last waited for memory; `None` if that is long ago.
     contended_at: Cell<Option<TimeMs>>,
+    /// Whether the last tick was handled late.
+    is_behind: Cell<bool>,
     pub(super) metrics: GatewayMetrics,
 }
 
@@ -182,6 +187,7 @@
             is_listed: watch::Sender::new(false),
             memory,
             contended_at: Cell::new(None),
+            is_behind: Cell::new(false),
             metrics: GatewayMetrics::new()?,
         };
         Ok((Rc::new(core), AdapterEffects { rollout_steps }))
@@ -194,6 +200,13 @@
 
     /// Applies an event to the reducer and carries out the resulting effects.
     pub fn apply(&self, event: GatewayEvent) {
+        let kind = EventKind::from(&event);
+        let started_at = Instant::now();
+        self.apply_untimed(event);
+        self.metrics.record_event(kind, started_at.elapsed());
+    }
+
+    fn apply_untimed(&self, event: GatewayEvent) {
         let now = self.now();
         if !self.gateway.borrow().is_known(&event) {
             log_event(&event);
@@ -219,6 +232,22 @@
         }
     }
 
+    /// Records how long after its time a tick is handled, and logs when the process falls behind and
+    /// when it has caught up.
+    pub(super) fn record_tick_delay(&self, delay: Duration) {
+        self.metrics.record_tick_delay(delay);
+        let is_behind = delay >= BEHIND_AFTER;
+        if self.is_behind.replace(is_behind) == is_behind {
+            return;
+        }
+        let delay_ms = delay.as_millis() as u64;
+        if is_behind {
+            warn!(delay_ms = delay_ms, open_calls = self.open_calls(); "the process is behind");
+        } else {
+            info!(delay_ms = delay_ms; "the process has caught up");
+        }
+    }
+
     /// Returns whether the store has recently answered a call of this host directly.
     pub fn is_store_answering(&self) -> bool {
         self.gateway.borrow().is_store_answering(self.now())
--- a/crates/hickoryd/src/gateway/digest_exchange.rs
+++ b/crates/hickoryd/src/gateway/digest_exchange.rs
@@ -90,11 +90,16 @@
             }
         };
         match PeerMessage::decode(&buffer[..length]) {
-            Ok(PeerMessage::Digest(digest)) => core.apply(GatewayEvent::Digest(digest)),
+            Ok(PeerMessage::Digest(digest)) => {
+                core.metrics.record_datagram("digest");
+                core.apply(GatewayEvent::Digest(digest));
+            }
             Ok(PeerMessage::Permit { host, message }) => {
+                core.metrics.record_datagram("permit");
                 core.apply(GatewayEvent::Permit { host, message: Box::new(message) });
             }
             Err(error) => {
+                core.metrics.record_datagram("malformed");
                 warn!(reason:% = error; "datagram of a gateway dropped: cannot decode it");
             }
         }
--- a/crates/hickoryd/src/gateway/metrics.rs
+++ b/crates/hickoryd/src/gateway/metrics.rs
@@ -1,6 +1,9 @@
 //! Counters, gauges and latency histograms of a gateway in the Prometheus text format.
 
+use std::time::Duration;
+
 use hickorydoor::DurationMs;
+use hickorydoor::gateway::EventKind;
 use hickorydoor::gateway::rate_limits::LimitChange;
 use hickorydoor::gateway::rollout::RolloutProgress;
 use hickorydoor::gateway::upstreams::RoomState;
@@ -12,6 +15,7 @@
 use log::debug;
 use log::error;
 use prometheus::GaugeVec;
+use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
@@ -24,6 +28,10 @@
 /// Upper bounds of the buckets of the latency histograms, in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] =
     [0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 5.0, 8.0, 12.0, 20.0];
+/// Upper bounds of the buckets of the time that an event takes, in seconds.
+const EVENT_BUCKETS_S: [f64; 10] = [1e-5, 3e-5, 1e-4, 3e-4, 1e-3, 3e-3, 1e-2, 3e-2, 0.1, 0.3];
+/// Upper bounds of the buckets of the delay of events that were due, in seconds.
+const DELAY_BUCKETS_S: [f64; 9] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 3.0];
 
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -43,6 +51,10 @@
     limits: GaugeVec,
     limited_requests: IntCounterVec,
     room_changes: IntCounterVec,
+    event_times: HistogramVec,
+    tick_delay: Histogram,
+    deadline_delay: Histogram,
+    datagrams: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -58,6 +70,15 @@
         let counter = |name: &str, help: &str, labels: &[&str]| {
             IntCounterVec::new(Opts::new(name, help), labels)
         };
+        let delay = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(DELAY_BUCKETS_S.to_vec());
+            Histogram::with_opts(options)
+        };
+        let event_times = HistogramOpts::new(
+            "hickorydoor_event_seconds",
+            "time that the process takes to handle an event",
+        );
+        let event_times = event_times.buckets(EVENT_BUCKETS_S.to_vec());
         let metrics = Self {
             registry: Registry::new(),
             calls: counter("hickorydoor_calls_total", "ended requests", &["outcome"])?,
@@ -116,6 +137,20 @@
                 "times that an upstream left, wanted a pause or was open again, as its answers say",
                 &["service", "state"],
             )?,
+            event_times: HistogramVec::new(event_times, &["kind"])?,
+            tick_delay: delay(
+                "hickorydoor_tick_delay_seconds",
+                "time from when a tick was due until it was handled",
+            )?,
+            deadline_delay: delay(
+                "hickorydoor_deadline_delay_seconds",
+                "time from the deadline of an attempt until it was ended for it",
+            )?,
+            datagrams: counter(
+                "hickorydoor_peer_datagrams_total",
+                "datagrams of other gateways",
+                &["outcome"],
+            )?,
         };
         metrics.registry.register(Box::new(metrics.calls.clone()))?;
         metrics.registry.register(Box::new(metrics.attempts.clone()))?;
@@ -132,9 +167,33 @@
         metrics.registry.register(Box::new(metrics.limits.clone()))?;
         metrics.registry.register(Box::new(metrics.limited_requests.clone()))?;
         metrics.registry.register(Box::new(metrics.room_changes.clone()))?;
+        metrics.registry.register(Box::new(metrics.event_times.clone()))?;
+        metrics.registry.register(Box::new(metrics.tick_delay.clone()))?;
+        metrics.registry.register(Box::new(metrics.deadline_delay.clone()))?;
+        metrics.registry.register(Box::new(metrics.datagrams.clone()))?;
         Ok(metrics)
     }
 
+    /// Records how long the process took to handle an event.
+    pub fn record_event(&self, kind: EventKind, took: Duration) {
+        self.event_times.with_label_values(&[kind.as_str()]).observe(took.as_secs_f64());
+    }
+
+    /// Records how long after its time a tick was handled.
+    pub fn record_tick_delay(&self, delay: Duration) {
+        self.tick_delay.observe(delay.as_secs_f64());
+    }
+
+    /// Records how long after its deadline an attempt was ended for it.
+    pub fn record_deadline_delay(&self, delay: Duration) {
+        self.deadline_delay.observe(delay.as_secs_f64());
+    }
+
+    /// Counts a datagram of another gateway.
+    pub fn record_datagram(&self, outcome: &str) {
+        self.datagrams.with_label_values(&[outcome]).inc();
+    }
+
     /// Records that an upstream has named, changed or dropped a limit.
     pub fn record_limit(&self, change: &LimitChange) {
         let upstream = change.upstream.as_str();
--- a/crates/hickoryd/src/gateway/process.rs
+++ b/crates/hickoryd/src/gateway/process.rs
@@ -166,7 +166,8 @@
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
+        let due_at = ticks.tick().await;
+        core.record_tick_delay(due_at.elapsed());
         core.apply(GatewayEvent::Tick);
         core.expire_memory();
     }
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 mod dispatching;
 pub mod effect;
 pub mod event;
+pub mod event_kind;
 pub mod feed_wire;
 pub mod freshness;
 pub mod member;
@@ -69,5 +70,6 @@
 
 pub use effect::GatewayEffect;
 pub use event::GatewayEvent;
+pub use event_kind::EventKind;
 pub use reducer::Gateway;
 pub use settings::GatewaySettings;
