Ask for the time again before an attempt is sent

An attempt carried the time that was left when it was decided, and its task began to count when it got to run: a process that was behind by 0.5 s moved the deadline by as much, told the upstream the old time, and opened a connection first, for up to 0.3 s, without another look.

An attempt now carries its deadline. Its task asks for the time left before it connects and before it writes, and the request says what is left then. If that is under 20 ms, the attempt is reported as not run, and the upstream is not blamed.

--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -9,6 +9,7 @@
 use hickorydoor::gateway::call::CallId;
 use hickorydoor::gateway::effect::Dispatch;
 use hickorydoor::gateway::event::AttemptOutcome;
+use hickorydoor::gateway::event::NotRun;
 use hickorydoor::gateway::event::ResponseFault;
 use hickorydoor::gateway::quarantine::PROVEN_AFTER_MS;
 use hickorydoor::memory::MemoryKind;
@@ -162,8 +163,10 @@
         directives: &mut mpsc::UnboundedReceiver<Directive>,
     ) -> Option<AttemptOutcome> {
         self.buffered = None;
-        let now = Instant::now();
-        let deadline = now + Duration::from(dispatch.remaining_ms);
+        let Some(left_ms) = dispatch.time_left(self.core.now()) else {
+            return Some(AttemptOutcome::NotRun(NotRun::Expired));
+        };
+        let deadline = Instant::now() + Duration::from(left_ms);
         let limits = AttemptLimits { deadline, pause_timeout: dispatch.pause_timeout_ms.into() };
         let events = self.events.clone();
         let outcome = tokio::select! {
--- a/crates/hickoryd/src/gateway/mod.rs
+++ b/crates/hickoryd/src/gateway/mod.rs
@@ -32,7 +32,7 @@
 mod response_body;
 mod status_port;
 mod stream_pace;
-mod upstream_request;
+pub mod upstream_request;
 mod view_source;
 
 pub use boot_clock::BootClock;
--- a/crates/hickoryd/src/gateway/upstream_request.rs
+++ b/crates/hickoryd/src/gateway/upstream_request.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use hickorydoor::gateway::effect::Dispatch;
+use hickorydoor::gateway::effect::MIN_ATTEMPT_MS;
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::event::NotRun;
 use hickorydoor::gateway::event::ResponseFault;
@@ -50,6 +51,7 @@
 /// A response of an upstream whose body is still to be read; dropping it closes the connection.
 #[derive(Debug)]
 pub struct OpenResponse {
+    /// Head of the response, with its body.
     pub response: Response<Incoming>,
     /// Keeps the connection open while the body is read.
     pub connection: ConnectionGuard,
@@ -82,7 +84,12 @@
         Self { method: parts.method.clone(), uri, headers, body, client_attempt }
     }
 
-    fn build_request(&self, dispatch: &Dispatch, names: &HeaderNames) -> Request<Full<Bytes>> {
+    fn build_request(
+        &self,
+        dispatch: &Dispatch,
+        left: Duration,
+        names: &HeaderNames,
+    ) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
@@ -93,7 +100,7 @@
             }
             Err(error) => debug!(header:% = name, reason:% = error; "invalid header omitted"),
         };
-        set(&names.deadline_ms, dispatch.remaining_ms.get().to_string());
+        set(&names.deadline_ms, left.as_millis().to_string());
         set(&names.expected_upstream, dispatch.upstream.to_string());
         if let Some(customer) = &dispatch.customer {
             set(&names.customer, customer.to_string());
@@ -180,7 +187,12 @@
     let Ok((sender, connection)) = client_handshake(stream).await else {
         return Err(unreachable);
     };
-    let sent = sender.send(template.build_request(dispatch, names));
+    // Opening the connection takes time, and so does waiting for the processor.
+    let left = deadline.saturating_duration_since(Instant::now());
+    if left < Duration::from(MIN_ATTEMPT_MS) {
+        return Err(AttemptOutcome::NotRun(NotRun::Expired));
+    }
+    let sent = sender.send(template.build_request(dispatch, left, names));
     let response = match timeout_at(deadline, sent).await {
         Err(_elapsed) => return Err(AttemptOutcome::Unknown(ResponseFault::Silent)),
         Ok(Err(error)) if error.is_parse() => {
--- a/crates/hickorydoor/src/gateway/active_call.rs
+++ b/crates/hickorydoor/src/gateway/active_call.rs
@@ -7,6 +7,7 @@
 
 use crate::gateway::call::Call;
 use crate::gateway::catalog::Account;
+use crate::gateway::effect::MIN_ATTEMPT_MS;
 use crate::gateway::quarantine::PartId;
 use crate::gateway::route::Route;
 use crate::id::ModelId;
@@ -15,9 +16,6 @@
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
-/// Attempts are not started with less than this time left before the deadline.
-const MIN_ATTEMPT_MS: DurationMs = DurationMs::new(20);
-
 /// Why a gateway has cancelled an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cancellation {
--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -184,6 +184,9 @@
                     self.finish(id, effect, now, effects);
                 }
             }
+            AttemptOutcome::NotRun(NotRun::Expired) => {
+                self.refuse_or_abort(id, RefusalReason::TimedOutWaiting, now, effects);
+            }
             AttemptOutcome::NotRun(reason) => {
                 if !self.retry_not_run(id, reason, now) {
                     self.refuse_or_abort(id, RefusalReason::NoUpstream, now, effects);
@@ -242,7 +245,8 @@
                 Some(AttemptOutcome::NotRun(NotRun::Unreachable)) => {
                     self.reach.record_unreachable(data_centre, &attempt.upstream, now);
                 }
-                None | Some(AttemptOutcome::Unknown(_)) => {}
+                None
+                | Some(AttemptOutcome::Unknown(_) | AttemptOutcome::NotRun(NotRun::Expired)) => {}
                 Some(_responded) => self.reach.record_reached(data_centre),
             }
         }
@@ -413,7 +417,7 @@
     now: TimeMs,
 ) {
     match outcome {
-        None | Some(AttemptOutcome::NotRun(NotRun::OtherInstance)) => {}
+        None | Some(AttemptOutcome::NotRun(NotRun::OtherInstance | NotRun::Expired)) => {}
         // It has said how much it takes, so it is no sign of a broken upstream.
         Some(AttemptOutcome::NotRun(NotRun::Refused)) if upstream.room.states_room(now) => {}
         // The deadline of a request may be short, and the upstream only busy.
--- a/crates/hickorydoor/src/gateway/containment.rs
+++ b/crates/hickorydoor/src/gateway/containment.rs
@@ -156,7 +156,7 @@
             }
             Some(
                 AttemptOutcome::Failed { .. }
-                | AttemptOutcome::NotRun(NotRun::Refused | NotRun::OtherInstance)
+                | AttemptOutcome::NotRun(NotRun::Refused | NotRun::OtherInstance | NotRun::Expired)
                 | AttemptOutcome::Unknown(ResponseFault::Garbled),
             ) => {}
         }
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -200,6 +200,7 @@
             model: choice.model.filter(|_| chooses_model),
             fetch_from: choice.fetch_from,
             priority: active.priority(),
+            deadline_at: active.deadline_at,
             remaining_ms,
             connect_timeout_ms: CONNECT_TIMEOUT_MS.min(remaining_ms),
             pause_timeout_ms: pause_ms,
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -18,6 +18,10 @@
 use crate::id::ModelId;
 use crate::id::UpstreamId;
 use crate::time::DurationMs;
+use crate::time::TimeMs;
+
+/// Attempts are not sent with less than this time left before the deadline.
+pub const MIN_ATTEMPT_MS: DurationMs = DurationMs::new(20);
 
 /// One attempt to run a request on an upstream.
 #[derive(Clone, Debug, PartialEq)]
@@ -36,7 +40,9 @@
     pub fetch_from: Option<SocketAddr>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
-    /// Time left until the deadline of the request.
+    /// When the attempt has to have ended.
+    pub deadline_at: TimeMs,
+    /// Time left until the deadline when the attempt was decided.
     pub remaining_ms: DurationMs,
     /// Maximum time to connect to the upstream.
     pub connect_timeout_ms: DurationMs,
@@ -57,6 +63,14 @@
     pub limit: Option<RequestRate>,
 }
 
+impl Dispatch {
+    /// Returns the time left for the attempt; `None` if it is too short to send it. An attempt may be
+    /// sent some time after it was decided.
+    pub fn time_left(&self, now: TimeMs) -> Option<DurationMs> {
+        Some(self.deadline_at.since(now)).filter(|left_ms| *left_ms >= MIN_ATTEMPT_MS)
+    }
+}
+
 /// Measurements at the first event of a stream.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FirstEventStats {
--- a/crates/hickorydoor/src/gateway/event.rs
+++ b/crates/hickorydoor/src/gateway/event.rs
@@ -51,6 +51,8 @@
     Refused,
     /// A different instance now listens at the upstream's address.
     OtherInstance,
+    /// The deadline was so close that the request was not sent.
+    Expired,
 }
 
 /// Why no complete response arrived.
--- a/crates/hickorydoor/tests/gateway_calls.rs
+++ b/crates/hickorydoor/tests/gateway_calls.rs
@@ -359,3 +359,16 @@
     let (_, effects) = rig.send(call("/look/1", "c"));
     assert_ne!(dispatch(&effects).unwrap().upstream.as_str(), "p-9");
 }
+
+/// Guards against an attempt that is sent although its time has passed since it was decided.
+#[test]
+fn attempt_that_was_decided_too_late_to_be_sent_has_not_run() {
+    let mut rig = Rig::with_upstreams("gw-1", 0, 2);
+    let (id, effects) = rig.send(call("/look/1", "a"));
+    let sent = dispatch(&effects).unwrap().clone();
+    assert_eq!(sent.time_left(rig.now), Some(DurationMs::new(800)));
+    rig.now = rig.now + DurationMs::new(790);
+    assert_eq!(sent.time_left(rig.now), None);
+    let effects = rig.end_attempt(id, AttemptOutcome::NotRun(NotRun::Expired));
+    assert_eq!(refusal(&effects).unwrap().reason, RefusalReason::TimedOutWaiting);
+}
