Keep what an assessment of ended engines needs, instead of building it anew

Each digest with evidence, and each tick after it, merged the ends that all gateways report, looked through the reports of all gateways for each suspected part, and hashed the names of all gateways for each request that waits for its trial.

The ends are merged when they have changed; a report that says the same changes nothing. Reported loads of suspected parts are sums that a report changes by its difference. Ends are grouped by sorting, and what is explained by chance is counted once. The turn of a gateway among the others is computed when they change. The versions of a service are looked for until the first that matches, and not collected.

--- a/crates/hickorydoor/benches/gateway.rs
+++ b/crates/hickorydoor/benches/gateway.rs
@@ -3,7 +3,7 @@
 //!
 //! Prints a line for each size: processor time and allocations of an event, averaged. The digests are
 //! what gateways send that have a few requests at some engines each, and that have all seen the same
-//! ends.
+//! ends and suspect half as many parts.
 
 #![allow(unsafe_code, reason = "a counting allocator has to implement GlobalAlloc")]
 
@@ -24,7 +24,9 @@
 use hickorydoor::gateway::peer_digest::PeerDigest;
 use hickorydoor::gateway::quarantine::EngineEnd;
 use hickorydoor::gateway::quarantine::PartId;
+use hickorydoor::gateway::quarantine::PartKey;
 use hickorydoor::gateway::quarantine::QuarantineReport;
+use hickorydoor::gateway::quarantine::SuspectLoad;
 use hickorydoor::gateway::upstreams::PeerLoad;
 
 use crate::gateway::ENGINES;
@@ -182,6 +184,14 @@
         let age_ms = 500 + index as u64 % 4 * 4_000 + round * DIGEST_INTERVAL_MS;
         (end, DurationMs::new(age_ms))
     };
+    let suspect = |index: usize| SuspectLoad {
+        part: PartKey {
+            service: ENGINES.parse().expect("a valid name"),
+            part: PartId::new(index as u64),
+        },
+        unproven: 0,
+        survived_without: 4,
+    };
     PeerDigest {
         host: gateway_name(peer).parse().expect("a valid id"),
         incarnation: 1,
@@ -191,6 +201,7 @@
         prefills: Vec::new(),
         quarantine: QuarantineReport {
             ends: (0..size.ends).map(end).collect(),
+            suspects: (0..size.ends / 2).map(suspect).collect(),
             ..QuarantineReport::default()
         },
         notices: Vec::new(),
--- a/crates/hickorydoor/src/gateway/containment.rs
+++ b/crates/hickorydoor/src/gateway/containment.rs
@@ -1,7 +1,5 @@
 //! Evidence about prompt parts under which engines end, and the requests that hold such parts.
 
-use std::collections::BTreeSet;
-
 use smallvec::SmallVec;
 
 use crate::gateway::active_call::ActiveCall;
@@ -17,7 +15,9 @@
 use crate::gateway::quarantine::PartId;
 use crate::gateway::quarantine::PartKey;
 use crate::gateway::quarantine::QuarantineChange;
+use crate::gateway::quarantine::QuarantineRecord;
 use crate::gateway::quarantine::QuarantineStep;
+use crate::gateway::quarantine::TrialSlot;
 use crate::gateway::quarantine::Verdict;
 use crate::gateway::reducer::Gateway;
 use crate::id::ServiceName;
@@ -35,8 +35,7 @@
             &active.service,
             &parts,
             |part| self.unproven_attempts(part),
-            &self.settings.host,
-            &self.gateways,
+            self.trial_slot(&active.service),
             now,
         );
         let is_new = active.executed_attempts == 0;
@@ -50,6 +49,27 @@
         }
     }
 
+    fn trial_slot(&self, service: &ServiceName) -> TrialSlot {
+        let known = self.trial_slots.get(service).copied();
+        known.unwrap_or_else(|| TrialSlot::new(service, &self.settings.host, &self.gateways))
+    }
+
+    /// Computes the turns of this gateway for the services of all queued requests.
+    pub(super) fn update_trial_slots(&mut self) {
+        if self.quarantine.is_clear() {
+            return;
+        }
+        let queued = self.waiting.iter().filter_map(|id| self.calls.get(id));
+        let unknown: Vec<ServiceName> = queued
+            .filter(|active| !self.trial_slots.contains_key(&active.service))
+            .map(|active| active.service.clone())
+            .collect();
+        for service in unknown {
+            let slot = self.trial_slot(&service);
+            self.trial_slots.insert(service, slot);
+        }
+    }
+
     /// Returns an engine whose end under a part of a held request is not certain, unless this gateway
     /// asks it already. It refuses the connection if it has ended, else its response shows that it
     /// has not. One such attempt a request is enough: only engines that have ended turn it away.
@@ -71,16 +91,12 @@
     }
 
     /// Returns the suspected parts of a request's prompt.
-    pub(super) fn suspected_parts(
-        &self,
-        active: &ActiveCall,
-        now: TimeMs,
-    ) -> SmallVec<[PartId; 2]> {
+    pub(super) fn suspected_parts(&self, active: &ActiveCall) -> SmallVec<[PartId; 2]> {
         if self.quarantine.is_clear() {
             return SmallVec::new();
         }
         let parts = active.shared_parts();
-        let suspected = self.quarantine.suspected_among(&active.service, &parts, now);
+        let suspected = self.quarantine.suspected_among(&active.service, &parts);
         suspected.into_iter().map(|key| key.part).collect()
     }
 
@@ -171,21 +187,31 @@
     /// Assesses the evidence about prompt parts, and ends states that have expired.
     pub(super) fn assess_quarantine(&mut self, now: TimeMs) {
         let pool = &self.pool;
-        let versions = |service: &ServiceName| {
+        let is_replaced = |record: &QuarantineRecord| {
             let of_service = pool.iter().map(|upstream| &upstream.registration);
-            let of_service = of_service.filter(|known| known.service == *service);
-            of_service.map(|known| known.version.clone()).collect::<BTreeSet<_>>()
+            let mut of_service = of_service.filter(|known| known.service == record.service);
+            let mut has_upstreams = false;
+            let is_left = of_service.any(|known| {
+                has_upstreams = true;
+                record.versions.contains(&known.version)
+            });
+            has_upstreams && !is_left
         };
         let alive_at = |upstream: &UpstreamId| pool.get(upstream)?.last_alive_at;
-        self.quarantine.assess(versions, alive_at, now);
+        self.quarantine.assess(is_replaced, alive_at, now);
     }
 
     /// Acts on new evidence: cancels attempts with parts that have become suspected or quarantined,
     /// before they end another engine.
     pub(super) fn contain(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
-        if self.quarantine.is_stale() {
+        if self.quarantine.is_stale() || self.quarantine.has_news() {
             self.assess_quarantine(now);
         }
+        self.act_on_changes(now, effects);
+    }
+
+    /// Acts on what other gateways have decided.
+    pub(super) fn act_on_changes(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
         for change in self.quarantine.take_changes() {
             self.withdraw_attempts(&change, now, effects);
             effects.push(GatewayEffect::Quarantine(Box::new(change)));
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -68,10 +68,11 @@
         if self.waiting.is_empty() || self.freshness.is_resuming(now) {
             return;
         }
+        self.update_trial_slots();
         let mut order: Vec<(u8, usize, CallId)> = Vec::with_capacity(self.waiting.len());
         for id in &self.waiting {
             if let Some(active) = self.calls.get(id) {
-                order.push((active.priority(), self.suspected_parts(active, now).len(), *id));
+                order.push((active.priority(), self.suspected_parts(active).len(), *id));
             }
         }
         order.sort_unstable();
@@ -139,7 +140,7 @@
     fn dispatch(&mut self, id: CallId, plan: Plan, now: TimeMs) -> Option<Dispatch> {
         let Plan { choice, min_confidence } = plan;
         let active = self.calls.get(&id)?;
-        let tried_parts = self.suspected_parts(active, now);
+        let tried_parts = self.suspected_parts(active);
         let memory_tokens = self.spec(&active.service).map_or(0, |spec| spec.memory_tokens);
         let active = self.calls.get_mut(&id)?;
         let upstream = self.pool.get_mut(&choice.upstream)?;
--- a/crates/hickorydoor/src/gateway/quarantine/admission.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/admission.rs
@@ -1,7 +1,6 @@
 //! Decision whether a request may be sent, and the order of trials.
 
 use smallvec::SmallVec;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::quarantine::departure::DEPARTURE_WINDOW_MS;
 use crate::gateway::quarantine::part_id::PartId;
@@ -9,35 +8,31 @@
 use crate::gateway::quarantine::quarantine_table::QuarantineTable;
 use crate::gateway::quarantine::suspect::SPACED_AFTER_ENDS;
 use crate::gateway::quarantine::suspect::Suspect;
-use crate::gateway::quarantine::suspect::TRIAL_SLOT_MS;
+use crate::gateway::quarantine::trial_slot::TrialSlot;
 use crate::gateway::quarantine::verdict::Verdict;
-use crate::id::HostId;
 use crate::id::ServiceName;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
-/// Maximum number of slots until the first gateway has another one.
-const MAX_TRIAL_SLOTS: u64 = 40;
 /// How much longer a request waits for its trial for each further suspected part that it holds. Those
 /// with fewer tell the parts apart.
 const FURTHER_PART_MS: u64 = 1_000;
 
 impl QuarantineTable {
     /// Decides whether a request with these parts may be sent. `unproven` returns the number of own
-    /// attempts in flight that have not proven a part sound; `gateways` are the live ones.
+    /// attempts in flight that have not proven a part sound; `slot` is the turn of this gateway.
     pub fn verdict(
         &self,
         service: &ServiceName,
         parts: &[PartId],
         unproven: impl Fn(&PartKey) -> u32,
-        own: &HostId,
-        gateways: &[HostId],
+        slot: TrialSlot,
         now: TimeMs,
     ) -> Verdict {
         if let Some(held) = self.quarantine_of(service, parts) {
             return Verdict::Refused { retry_after_ms: held.until.since(now) };
         }
-        let suspected = self.suspected_among(service, parts, now);
+        let suspected = self.suspected_among(service, parts);
         if suspected.is_empty() {
             return Verdict::Allowed;
         }
@@ -45,11 +40,11 @@
         if let Some(from) = suspects.map(Suspect::trials_from).max() {
             let further_ms = (suspected.len() as u64 - 1) * FURTHER_PART_MS;
             let from = from + DurationMs::new(further_ms);
-            if now < from || !is_own_slot(service, own, gateways, now.since(from)) {
+            if now < from || !slot.is_own(now.since(from)) {
                 return Verdict::Held;
             }
         }
-        let is_tried = |key: &PartKey| unproven(key) + self.unproven_at_peers(key, now) > 0;
+        let is_tried = |key: &PartKey| unproven(key) + self.peer_suspects.unproven(key) > 0;
         let is_held = suspected.iter().any(|key| {
             let mut rivals = self.rivals(key);
             self.has_departed_lately(key, now) || is_tried(key) || rivals.any(is_tried)
@@ -73,10 +68,9 @@
         &self,
         service: &ServiceName,
         parts: &[PartId],
-        now: TimeMs,
     ) -> SmallVec<[PartKey; 2]> {
         let keys = parts.iter().map(|part| PartKey { service: service.clone(), part: *part });
-        keys.filter(|key| self.is_suspected(key, now)).collect()
+        keys.filter(|key| self.is_suspected(key)).collect()
     }
 
     /// Returns whether a new request with these parts has to wait for the attempts in flight.
@@ -92,16 +86,16 @@
     }
 
     /// Returns whether engines have ended under one of these parts so that it is suspected.
-    pub fn is_any_suspected(&self, service: &ServiceName, parts: &[PartId], now: TimeMs) -> bool {
+    pub fn is_any_suspected(&self, service: &ServiceName, parts: &[PartId]) -> bool {
         parts
             .iter()
-            .any(|part| self.is_suspected(&PartKey { service: service.clone(), part: *part }, now))
+            .any(|part| self.is_suspected(&PartKey { service: service.clone(), part: *part }))
     }
 
-    pub(super) fn is_suspected(&self, key: &PartKey, now: TimeMs) -> bool {
+    pub(super) fn is_suspected(&self, key: &PartKey) -> bool {
         let is_suspected = self.suspects.contains_key(key)
             || self.is_on_probation(key)
-            || self.loads_at_peers(now).any(|load| load.part == *key);
+            || self.peer_suspects.contains(key);
         is_suspected && !self.allowed.contains(key)
     }
 
@@ -113,25 +107,4 @@
                 && departure.end.parts.contains(&key.part)
         })
     }
-
-    fn unproven_at_peers(&self, key: &PartKey, now: TimeMs) -> u32 {
-        let loads = self.loads_at_peers(now).filter(|load| load.part == *key);
-        loads.map(|load| load.unproven).sum()
-    }
-}
-
-/// Returns whether the gateway may begin a trial a time after the first slot has begun. All gateways
-/// know their order without messages.
-fn is_own_slot(
-    service: &ServiceName,
-    own: &HostId,
-    gateways: &[HostId],
-    after_ms: DurationMs,
-) -> bool {
-    let hash = |host: &HostId| xxh3_64(format!("{service}/{host}").as_bytes());
-    let own_hash = hash(own);
-    let others = gateways.iter().filter(|host| *host != own);
-    let before = others.clone().filter(|host| hash(host) < own_hash).count() as u64;
-    let slots = (1 + others.count() as u64).min(MAX_TRIAL_SLOTS);
-    after_ms.get() / TRIAL_SLOT_MS % slots == before % slots
 }
--- a/crates/hickorydoor/src/gateway/quarantine/assessment.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/assessment.rs
@@ -12,6 +12,7 @@
 use crate::gateway::quarantine::held_record::quarantine_ms;
 use crate::gateway::quarantine::part_ends::PartEnds;
 use crate::gateway::quarantine::part_ends::engines_of;
+use crate::gateway::quarantine::part_ends::group_by_part;
 use crate::gateway::quarantine::part_ends::is_dominated;
 use crate::gateway::quarantine::part_ends::joint_count;
 use crate::gateway::quarantine::part_id::PartId;
@@ -33,9 +34,6 @@
 /// Minimum number of recent attempts without a part that survived, at all gateways, before the part
 /// is quarantined. With fewer, nothing tells an end under the part from an end for another cause.
 const MIN_OTHER_SURVIVALS: f64 = 5.0;
-/// Time after an end under a part was noticed until what other gateways know of it has arrived. The
-/// part is not quarantined before.
-const SETTLED_AFTER_MS: DurationMs = DurationMs::new(200);
 /// Additional ends before several parts are quarantined together that nothing tells apart. Until then
 /// trials of requests with fewer of them may do so.
 const JOINT_MARGIN_ENDS: usize = 2;
@@ -44,43 +42,60 @@
 /// Time before an end within which a part must have been proven for new requests not to wait.
 const PAUSE_EXEMPTION_MS: DurationMs = DurationMs::from_secs(10);
 
+/// Attempts that ends cut off by chance, as far as is known.
+#[derive(Debug, Default)]
+struct ChanceCutOffs<'a> {
+    /// By position in the list of merged ends.
+    of_end: Vec<u32>,
+    of_service: BTreeMap<&'a ServiceName, u32>,
+}
+
 impl QuarantineTable {
-    /// Assesses evidence that has arrived, and ends states that have expired. `versions` returns
-    /// the versions of the upstreams of a service, `alive_at` when an engine last responded here.
+    /// Assesses evidence that has arrived, and ends states that have expired. `is_replaced` returns
+    /// whether no engine of the versions that a record names is left, `alive_at` when an engine last
+    /// responded here.
     pub fn assess(
         &mut self,
-        versions: impl Fn(&ServiceName) -> BTreeSet<CompactString>,
+        is_replaced: impl Fn(&QuarantineRecord) -> bool,
         alive_at: impl Fn(&UpstreamId) -> Option<TimeMs>,
         now: TimeMs,
     ) {
-        self.expire_records(versions, now);
+        self.expire_records(is_replaced, now);
+        self.peer_suspects.expire(now);
         let at_peers = &self.alive_at_peers;
-        self.ends
-            .remove_refuted(|upstream| alive_at(upstream).max(at_peers.get(upstream).copied()));
+        self.ends.remove_refuted(
+            |upstream| alive_at(upstream).max(at_peers.get(upstream).copied()),
+            now,
+        );
         let is_reviewing = self
             .records
             .iter()
             .any(|held| held.decided_on.is_some() && now.since(held.changed_at) <= REVIEW_MS);
-        if !self.is_stale && !is_reviewing && self.suspects.is_empty() && self.paused.is_empty() {
+        let has_evidence = self.is_stale || self.has_news;
+        if !has_evidence && !is_reviewing && self.suspects.is_empty() && self.paused.is_empty() {
             return;
         }
         self.is_stale = false;
+        self.has_news = false;
+        self.assessments += 1;
         self.ends.expire(&self.survivals, now);
+        self.ends.refresh();
         let merged = self.ends.merged();
         self.review_decisions(&merged, now);
         self.release_refuted(&merged, now);
         let by_part = self.ends_by_part(&merged);
+        let chance = self.unexplained_cut_offs(&merged);
         let mut suspects = BTreeMap::new();
         self.paused.clear();
         for (key, ends) in &by_part {
             let count = joint_count(&ends.times);
-            let model = self.chance_model(key, ends, &merged, now);
+            let model = self.chance_model(key, ends, &chance, now);
             let is_on_probation = self.is_on_probation(key);
             let quarantine_ends = if is_on_probation { 1 } else { model.quarantine_ends() };
-            let survived = model.survived + self.survived_without_at_peers(key, now);
+            let survived = model.survived + self.peer_suspects.survived_without(key);
             let known = self.suspects.get(key).filter(|suspect| suspect.ends == count);
             let known_since = known.map_or(now, |suspect| suspect.known_since);
-            let is_settled = now.since(known_since) >= SETTLED_AFTER_MS;
+            let is_settled = now.since(known_since) >= self.settled_after_ms;
             let is_told_apart = survived >= MIN_OTHER_SURVIVALS && is_settled;
             if (is_told_apart || is_on_probation)
                 && count >= quarantine_ends
@@ -120,17 +135,12 @@
     }
 
     /// Groups the ends by the parts that may have caused them.
-    fn ends_by_part(&self, merged: &[MergedEnd]) -> BTreeMap<PartKey, PartEnds> {
-        let mut by_part: BTreeMap<PartKey, PartEnds> = BTreeMap::new();
-        for (index, end) in merged.iter().enumerate() {
-            for part in self.blamed_parts(end) {
-                let key = PartKey { service: end.service.clone(), part };
-                let ends = by_part.entry(key).or_default();
-                ends.indices.insert(index);
-                ends.times.push(end.at);
-            }
-        }
-        by_part
+    fn ends_by_part(&self, merged: &[MergedEnd]) -> Vec<(PartKey, PartEnds)> {
+        let blamed = merged.iter().enumerate().flat_map(|(index, end)| {
+            let parts = self.blamed_parts(end).into_iter();
+            parts.map(move |part| (&end.service, part, index, end.at))
+        });
+        group_by_part(blamed.collect())
     }
 
     /// Returns the parts that may have caused an end. One that is known to end engines, or that was on
@@ -138,7 +148,8 @@
     /// is not blamed itself.
     fn blamed_parts(&self, end: &MergedEnd) -> Vec<PartId> {
         let key = |part: &PartId| PartKey { service: end.service.clone(), part: *part };
-        if end.parts.iter().any(|part| self.allowed.contains(&key(part))) {
+        let is_allowed = |part: &PartId| self.allowed.contains(&key(part));
+        if !self.allowed.is_empty() && end.parts.iter().any(is_allowed) {
             return Vec::new();
         }
         let counts =
@@ -172,20 +183,29 @@
         self.survivals.last_at(key).max(changed_at)
     }
 
+    /// Counts the attempts that were cut off by ends that neither a known part nor a trial explains.
+    fn unexplained_cut_offs<'a>(&self, merged: &'a [MergedEnd]) -> ChanceCutOffs<'a> {
+        let mut chance = ChanceCutOffs::default();
+        for end in merged {
+            let is_unexplained = end.tried.is_empty() && self.culprit(end).is_none();
+            let cut_off = if is_unexplained { end.cut_off } else { 0 };
+            chance.of_end.push(cut_off);
+            *chance.of_service.entry(&end.service).or_default() += cut_off;
+        }
+        chance
+    }
+
     fn chance_model(
         &self,
         key: &PartKey,
         ends: &PartEnds,
-        merged: &[MergedEnd],
+        chance: &ChanceCutOffs<'_>,
         now: TimeMs,
     ) -> ChanceModel {
-        let others = merged
-            .iter()
-            .enumerate()
-            .filter(|(index, end)| end.service == key.service && !ends.indices.contains(index))
-            .filter(|(_, end)| end.tried.is_empty() && self.culprit(end).is_none());
+        let of_service = chance.of_service.get(&key.service).copied().unwrap_or_default();
+        let with_part: u32 = ends.indices.iter().map(|index| chance.of_end[*index]).sum();
         ChanceModel {
-            cut_off: others.map(|(_, end)| f64::from(end.cut_off)).sum(),
+            cut_off: f64::from(of_service - with_part),
             survived: self.survived_without(key, now),
             proven: self.survivals.of_part(key, now),
         }
@@ -196,11 +216,6 @@
         self.survivals.of_service(&key.service, now) - self.survivals.of_part(key, now)
     }
 
-    fn survived_without_at_peers(&self, key: &PartKey, now: TimeMs) -> f64 {
-        let loads = self.loads_at_peers(now).filter(|load| load.part == *key);
-        loads.map(|load| f64::from(load.survived_without)).sum()
-    }
-
     /// Quarantines a part, together with those that were present at exactly the same ends. Of
     /// these, parts that were ever proven sound are left out if there are others. Nothing is
     /// quarantined before nothing else can have caused one of the ends.
@@ -208,12 +223,12 @@
         &mut self,
         key: &PartKey,
         ends: &PartEnds,
-        by_part: &BTreeMap<PartKey, PartEnds>,
+        by_part: &[(PartKey, PartEnds)],
         merged: &[MergedEnd],
         quarantine_ends: usize,
         now: TimeMs,
     ) {
-        let is_together = |(other, known): &(&PartKey, &PartEnds)| {
+        let is_together = |(other, known): &&(PartKey, PartEnds)| {
             other.service == key.service && known.indices == ends.indices
         };
         let together = by_part.iter().filter(is_together).map(|(other, _)| other);
--- a/crates/hickorydoor/src/gateway/quarantine/end_log.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/end_log.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use compact_str::CompactString;
 
@@ -31,6 +32,10 @@
 /// Time after an end until which a request is sent to its engine to learn whether it goes on. The
 /// response has to arrive before [`MAX_REFUTATION_MS`].
 const MAX_CHECK_MS: DurationMs = DurationMs::new(1_000);
+/// Time after an end until which gateways may learn that its engine has responded.
+const REFUTABLE_MS: DurationMs = DurationMs::new(5_000);
+/// Error of the time of an end that is not worth a new assessment.
+const MAX_TIME_ERROR_MS: DurationMs = DurationMs::new(20);
 /// Maximum number of ends of one gateway; the oldest are dropped.
 const MAX_ENDS: usize = 48;
 /// Maximum number of parts of one end.
@@ -65,11 +70,18 @@
     /// Ends that other gateways report, by host and incarnation. Those of an earlier incarnation
     /// still count.
     peers: HashMap<(HostId, u64), Vec<(EngineEnd, TimeMs)>>,
+    /// The ends as they were merged last.
+    merged: Arc<[MergedEnd]>,
+    /// Parts of the ends that other gateways report, as of then.
+    parts_of_peers: BTreeSet<PartKey>,
+    /// Whether the ends have changed since they were merged.
+    has_changed: bool,
 }
 
 impl EndLog {
     /// Records an end that this gateway has seen, or adds to the one that it knows already.
     pub fn record(&mut self, seen: EngineEnd, is_cut_off: bool, at: TimeMs) {
+        self.has_changed = true;
         let same = |known: &&mut OwnEnd| {
             known.end.upstream == seen.upstream && distance(known.at, at) <= SAME_END_MS
         };
@@ -109,14 +121,27 @@
 
     /// Removes ends of engines that have responded since, as `alive_at` returns. A connection may be
     /// cut off although its engine goes on.
-    pub fn remove_refuted(&mut self, alive_at: impl Fn(&UpstreamId) -> Option<TimeMs>) {
+    pub fn remove_refuted(
+        &mut self,
+        alive_at: impl Fn(&UpstreamId) -> Option<TimeMs>,
+        now: TimeMs,
+    ) {
         let is_refuted = |end: &EngineEnd, at: TimeMs| {
-            !end.is_confirmed && alive_at(&end.upstream).is_some_and(|alive| refutes(alive, at))
+            !end.is_confirmed
+                && now.since(at) <= REFUTABLE_MS
+                && alive_at(&end.upstream).is_some_and(|alive| refutes(alive, at))
         };
+        let before = self.len();
         self.own.retain(|known| !is_refuted(&known.end, known.at));
         for ends in self.peers.values_mut() {
             ends.retain(|(end, at)| !is_refuted(end, *at));
         }
+        self.has_changed |= self.len() != before;
+    }
+
+    /// Returns the number of ends, counted for each gateway that reports them.
+    fn len(&self) -> usize {
+        self.own.len() + self.peers.values().map(Vec::len).sum::<usize>()
     }
 
     /// Iterates over the recent ends of engines that may go on, with their times. A request shows
@@ -142,29 +167,25 @@
         own.chain(self.of_peers().map(|(end, at)| (end, *at)))
     }
 
-    /// Returns the engines of all known ends, with their times.
-    pub fn engines(&self) -> impl Iterator<Item = (&UpstreamId, TimeMs)> {
-        self.all().map(|(end, at)| (&end.upstream, at))
-    }
-
-    /// Replaces the ends that another gateway reports. Returns whether it knows one that it did not
-    /// know before.
+    /// Replaces the ends that another gateway reports. Returns whether that changes anything.
     pub fn set_peer(&mut self, peer: (HostId, u64), mut ends: Vec<(EngineEnd, TimeMs)>) -> bool {
         ends.truncate(MAX_ENDS);
+        let known = self.peers.get(&peer).map_or(&[][..], Vec::as_slice);
+        if are_same(known, &ends) {
+            return false;
+        }
+        self.has_changed = true;
         if ends.is_empty() {
-            return self.peers.remove(&peer).is_some();
+            self.peers.remove(&peer);
+        } else {
+            self.peers.insert(peer, ends);
         }
-        let parts = |ends: &[(EngineEnd, TimeMs)]| {
-            ends.iter().map(|(end, _)| 1 + end.parts.len()).sum::<usize>()
-        };
-        let known = self.peers.get(&peer).map_or(0, |known| parts(known));
-        let has_changed = known != parts(&ends);
-        self.peers.insert(peer, ends);
-        has_changed
+        true
     }
 
     /// Drops ends that are too old, and parts that have been proven sound since.
     pub fn expire(&mut self, survivals: &SurvivalTable, now: TimeMs) {
+        let before = (self.len(), self.own_parts());
         self.own.retain(|known| now.since(known.at) <= END_TTL_MS);
         for known in &mut self.own {
             let at = known.at;
@@ -180,6 +201,12 @@
             ends.retain(|(_, at)| now.since(*at) <= END_TTL_MS);
         }
         self.peers.retain(|_, ends| !ends.is_empty());
+        self.has_changed |= before != (self.len(), self.own_parts());
+    }
+
+    /// Returns the number of parts of the ends that this gateway has seen.
+    fn own_parts(&self) -> usize {
+        self.own.iter().map(|known| known.end.parts.len() + known.end.tried.len()).sum()
     }
 
     /// Returns the ends of this gateway that others have to know, with their times.
@@ -195,8 +222,31 @@
         self.peers.values().flatten()
     }
 
-    /// Returns each end once, with the parts that any gateway reports.
-    pub fn merged(&self) -> Vec<MergedEnd> {
+    /// Returns each end once, with the parts that any gateway reports, as of the last
+    /// [`EndLog::refresh`].
+    pub fn merged(&self) -> Arc<[MergedEnd]> {
+        Arc::clone(&self.merged)
+    }
+
+    /// Returns the parts of the ends that other gateways report, as of the last
+    /// [`EndLog::refresh`].
+    pub const fn parts_of_peers(&self) -> &BTreeSet<PartKey> {
+        &self.parts_of_peers
+    }
+
+    /// Merges the ends again if they have changed.
+    pub fn refresh(&mut self) {
+        if !std::mem::take(&mut self.has_changed) {
+            return;
+        }
+        self.merged = self.merge().into();
+        let of_peers = self.of_peers().flat_map(|(end, _)| {
+            end.parts.iter().map(|part| PartKey { service: end.service.clone(), part: *part })
+        });
+        self.parts_of_peers = of_peers.collect();
+    }
+
+    fn merge(&self) -> Vec<MergedEnd> {
         let own = self.own.iter().map(|known| (&known.end, known.at, known.cut_off));
         let peers = self.of_peers().map(|(end, at)| (end, *at, 0));
         let mut all: Vec<_> = own.chain(peers).collect();
@@ -226,6 +276,15 @@
     }
 }
 
+/// Returns whether two reports of a gateway say the same, and the times of the ends are no better
+/// known from the second one. A report that was delayed states them too late.
+fn are_same(known: &[(EngineEnd, TimeMs)], received: &[(EngineEnd, TimeMs)]) -> bool {
+    let is_same = |((end, at), (other, other_at)): (&(EngineEnd, TimeMs), &(EngineEnd, TimeMs))| {
+        end == other && at.since(*other_at) <= MAX_TIME_ERROR_MS
+    };
+    known.len() == received.len() && known.iter().zip(received).all(is_same)
+}
+
 /// Returns whether a response at `alive_at` shows that an engine has not ended at `ended_at`.
 pub fn refutes(alive_at: TimeMs, ended_at: TimeMs) -> bool {
     alive_at > ended_at + MIN_REFUTATION_MS && alive_at <= ended_at + MAX_REFUTATION_MS
--- a/crates/hickorydoor/src/gateway/quarantine/exchange.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/exchange.rs
@@ -18,8 +18,6 @@
 
 /// How long a response is remembered that another gateway had from an engine.
 const ALIVE_TTL_MS: DurationMs = DurationMs::from_secs(3);
-/// How long the report of another gateway about its attempts is used.
-const PEER_SUSPECT_TTL_MS: DurationMs = DurationMs::from_secs(2);
 /// Maximum number of survivals, and of suspected parts, in a report.
 const MAX_REPORTED_PARTS: usize = 128;
 
@@ -39,33 +37,35 @@
                 self.add_departures(end, *at);
             }
         }
-        self.is_stale |= self.ends.set_peer((host.clone(), incarnation), ends);
+        self.has_news |= self.ends.set_peer((host.clone(), incarnation), ends);
         self.alive_at_peers.retain(|_, at| now.since(*at) <= ALIVE_TTL_MS);
         for (upstream, age_ms) in report.alive {
             let known = self.alive_at_peers.entry(upstream).or_default();
             *known = (*known).max(now - age_ms);
-            self.is_stale = true;
+            self.has_news = true;
         }
         for (part, age_ms) in report.survivals {
             self.survivals.record_at_peer(part, now - age_ms);
         }
+        self.peer_suspects.expire(now);
         for load in &report.suspects {
             let part = &load.part;
-            if !self.is_suspected(part, now) && !self.is_allowed(part) {
+            if !self.is_suspected(part) && !self.is_allowed(part) {
                 self.push_change(QuarantineStep::Suspected, &part.service, &[part.part]);
             }
         }
-        if report.suspects.is_empty() {
-            self.peer_suspects.remove(host);
-        } else {
-            self.peer_suspects.insert(host.clone(), (now, report.suspects));
-        }
+        self.peer_suspects.replace(host, report.suspects, now);
         for (record, left_ms) in report.records {
             self.adopt(record, now + left_ms, now);
         }
     }
 
-    /// Builds the report for the other gateways. `unproven` returns the number of own attempts in
+    /// Brings what a report is built from up to date.
+    pub fn prepare_report(&mut self) {
+        self.ends.refresh();
+    }
+
+    /// Builds the report for the other gateways, after [`QuarantineTable::prepare_report`]. `unproven` returns the number of own attempts in
     /// flight that have not proven a part sound, `alive_at` when an engine last responded here.
     pub fn report(
         &self,
@@ -73,28 +73,25 @@
         alive_at: impl Fn(&UpstreamId) -> Option<TimeMs>,
         now: TimeMs,
     ) -> QuarantineReport {
-        let ends = self.ends.reportable(now).map(|(end, at)| (end.clone(), now.since(at)));
-        let mut survivals = BTreeMap::new();
-        for (end, _) in self.ends.of_peers() {
-            for part in &end.parts {
-                let key = PartKey { service: end.service.clone(), part: *part };
-                if let Some(own_at) = self.survivals.own_at(&key) {
-                    survivals.insert(key, now.since(own_at));
-                }
-            }
-        }
+        let parts = self.ends.parts_of_peers().iter();
+        let survivals = parts.filter_map(|part| {
+            let own_at = self.survivals.own_at(part)?;
+            Some((part.clone(), now.since(own_at)))
+        });
+        let survivals = survivals.take(MAX_REPORTED_PARTS).collect();
         let mut alive = BTreeMap::new();
-        for (upstream, ended_at) in self.ends.engines() {
-            if let Some(at) = alive_at(upstream).filter(|at| refutes(*at, ended_at)) {
-                alive.insert(upstream.clone(), now.since(at));
+        for end in self.ends.merged().iter() {
+            if let Some(at) = alive_at(&end.upstream).filter(|at| refutes(*at, end.at)) {
+                alive.insert(end.upstream.clone(), now.since(at));
             }
         }
+        let ends = self.ends.reportable(now).map(|(end, at)| (end.clone(), now.since(at)));
         let suspects = self.suspected_parts().take(MAX_REPORTED_PARTS);
         let records = self.records.iter();
         QuarantineReport {
             ends: ends.collect(),
             alive: alive.into_iter().collect(),
-            survivals: survivals.into_iter().take(MAX_REPORTED_PARTS).collect(),
+            survivals,
             suspects: suspects
                 .map(|part| SuspectLoad {
                     unproven: unproven(&part),
@@ -115,10 +112,4 @@
         });
         self.suspects.keys().cloned().chain(on_probation)
     }
-
-    pub(super) fn loads_at_peers(&self, now: TimeMs) -> impl Iterator<Item = &SuspectLoad> {
-        let reports = self.peer_suspects.values();
-        let current = reports.filter(move |(at, _)| now.since(*at) <= PEER_SUSPECT_TTL_MS);
-        current.flat_map(|(_, loads)| loads)
-    }
 }
--- a/crates/hickorydoor/src/gateway/quarantine/held_record.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/held_record.rs
@@ -1,9 +1,5 @@
 //! A record in force at this gateway.
 
-use std::collections::BTreeSet;
-
-use compact_str::CompactString;
-
 use crate::gateway::quarantine::quarantine_record::QuarantineRecord;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
@@ -23,11 +19,6 @@
     pub(super) decided_on: Option<usize>,
 }
 
-/// Returns whether the service has upstreams, none of which has a version that ended.
-pub(super) fn are_replaced(record: &QuarantineRecord, versions: &BTreeSet<CompactString>) -> bool {
-    !versions.is_empty() && !record.versions.iter().any(|version| versions.contains(version))
-}
-
 pub(super) fn quarantine_ms(quarantines: u32) -> DurationMs {
     let doubled = FIRST_QUARANTINE_MS << quarantines.saturating_sub(1).min(8);
     DurationMs::new(doubled.min(MAX_QUARANTINE_MS))
--- a/crates/hickorydoor/src/gateway/quarantine/part_ends.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/part_ends.rs
@@ -1,10 +1,9 @@
 //! Ends of engines under one part.
 
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-
 use crate::gateway::quarantine::end_log::MergedEnd;
+use crate::gateway::quarantine::part_id::PartId;
 use crate::gateway::quarantine::part_key::PartKey;
+use crate::id::ServiceName;
 use crate::id::UpstreamId;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
@@ -15,8 +14,8 @@
 /// Ends of engines under one part since it was last proven sound.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PartEnds {
-    /// Positions in the list of merged ends.
-    pub(super) indices: BTreeSet<usize>,
+    /// Positions in the list of merged ends, in order.
+    pub(super) indices: Vec<usize>,
     pub(super) times: Vec<TimeMs>,
 }
 
@@ -46,15 +45,49 @@
 pub(super) fn is_dominated(
     key: &PartKey,
     ends: &PartEnds,
-    by_part: &BTreeMap<PartKey, PartEnds>,
+    by_part: &[(PartKey, PartEnds)],
 ) -> bool {
     by_part.iter().any(|(other, known)| {
-        other.service == key.service
-            && known.indices.len() > ends.indices.len()
-            && known.indices.is_superset(&ends.indices)
+        known.indices.len() > ends.indices.len()
+            && other.service == key.service
+            && ends.indices.iter().all(|index| known.indices.binary_search(index).is_ok())
     })
 }
 
+/// Groups positions of ends by the parts that may have caused them, in the order of the parts.
+/// `blamed` lists them as the service, the part, and the position with the time of the end.
+pub(super) fn group_by_part(
+    mut blamed: Vec<(&ServiceName, PartId, usize, TimeMs)>,
+) -> Vec<(PartKey, PartEnds)> {
+    let mut services: Vec<&ServiceName> = blamed.iter().map(|(service, ..)| *service).collect();
+    services.dedup();
+    services.sort_unstable();
+    services.dedup();
+    // Names are compared once, and not for each pair of entries.
+    let rank = |service: &ServiceName| services.partition_point(|known| *known < service);
+    let mut entries: Vec<(usize, PartId, usize, TimeMs)> = Vec::with_capacity(blamed.len());
+    let mut last: Option<(&ServiceName, usize)> = None;
+    for (service, part, index, at) in blamed.drain(..) {
+        let rank = match last {
+            Some((known, rank)) if std::ptr::eq(known, service) => rank,
+            _ => rank(service),
+        };
+        last = Some((service, rank));
+        entries.push((rank, part, index, at));
+    }
+    entries.sort_unstable();
+    let mut groups: Vec<(PartKey, PartEnds)> = Vec::new();
+    for group in entries.chunk_by(|one, next| (one.0, one.1) == (next.0, next.1)) {
+        let (rank, part, ..) = group[0];
+        let ends = PartEnds {
+            indices: group.iter().map(|(_, _, index, _)| *index).collect(),
+            times: group.iter().map(|(.., at)| *at).collect(),
+        };
+        groups.push((PartKey { service: services[rank].clone(), part }, ends));
+    }
+    groups
+}
+
 pub(super) fn engines_of(ends: &PartEnds, merged: &[MergedEnd]) -> Vec<UpstreamId> {
     ends.indices.iter().map(|index| merged[*index].upstream.clone()).collect()
 }
--- a/crates/hickorydoor/src/gateway/quarantine/quarantine_table.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/quarantine_table.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::collections::VecDeque;
 
 use crate::gateway::quarantine::departure::DEPARTURE_WINDOW_MS;
@@ -13,11 +12,10 @@
 use crate::gateway::quarantine::held_record::HeldRecord;
 use crate::gateway::quarantine::part_id::PartId;
 use crate::gateway::quarantine::part_key::PartKey;
+use crate::gateway::quarantine::peer_suspects::PeerSuspects;
 use crate::gateway::quarantine::quarantine_change::QuarantineChange;
-use crate::gateway::quarantine::quarantine_report::SuspectLoad;
 use crate::gateway::quarantine::survival_table::SurvivalTable;
 use crate::gateway::quarantine::suspect::Suspect;
-use crate::id::HostId;
 use crate::id::ServiceName;
 use crate::id::UpstreamId;
 use crate::time::DurationMs;
@@ -25,11 +23,15 @@
 
 /// Time for which an attempt has to write before its parts count as sound.
 pub const PROVEN_AFTER_MS: DurationMs = DurationMs::new(500);
+/// Minimum time from an end until what all gateways know of it has arrived.
+const MIN_SETTLED_AFTER_MS: DurationMs = DurationMs::new(200);
+/// Time from when a gateway sends a report until the others have applied it.
+const REPORT_TRANSFER_MS: DurationMs = DurationMs::new(50);
 /// Maximum number of closed attempts that are remembered.
 const MAX_DEPARTURES: usize = 256;
 
 /// Evidence about prompt parts, and the records that follow from it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct QuarantineTable {
     pub(super) survivals: SurvivalTable,
     pub(super) ends: EndLog,
@@ -39,18 +41,52 @@
     pub(super) paused: BTreeMap<PartKey, TimeMs>,
     /// When engines whose end is reported last responded to other gateways.
     pub(super) alive_at_peers: BTreeMap<UpstreamId, TimeMs>,
-    pub(super) peer_suspects: HashMap<HostId, (TimeMs, Vec<SuspectLoad>)>,
+    pub(super) peer_suspects: PeerSuspects,
     pub(super) records: Vec<HeldRecord>,
     /// Parts that the operator allows, whatever the evidence.
     pub(super) allowed: BTreeSet<PartKey>,
     pub(super) changes: Vec<QuarantineChange>,
-    /// Whether evidence has arrived since the last assessment.
+    /// Whether this gateway has seen evidence since the last assessment.
     pub(super) is_stale: bool,
+    /// Whether other gateways have reported evidence since the last assessment.
+    pub(super) has_news: bool,
+    /// Time after an end under a part was noticed until what other gateways know of it has arrived.
+    /// The part is not quarantined before.
+    pub(super) settled_after_ms: DurationMs,
+    /// Number of assessments since the start.
+    pub(super) assessments: u64,
     /// Whether the other gateways have to learn something soon.
     pub(super) is_urgent: bool,
 }
 
+impl Default for QuarantineTable {
+    fn default() -> Self {
+        Self {
+            survivals: SurvivalTable::default(),
+            ends: EndLog::default(),
+            departures: VecDeque::new(),
+            suspects: BTreeMap::new(),
+            paused: BTreeMap::new(),
+            alive_at_peers: BTreeMap::new(),
+            peer_suspects: PeerSuspects::default(),
+            records: Vec::new(),
+            allowed: BTreeSet::new(),
+            changes: Vec::new(),
+            is_stale: false,
+            has_news: false,
+            is_urgent: false,
+            settled_after_ms: MIN_SETTLED_AFTER_MS,
+            assessments: 0,
+        }
+    }
+}
+
 impl QuarantineTable {
+    /// Sets how long evidence takes to reach all gateways.
+    pub fn set_report_delay(&mut self, delay_ms: DurationMs) {
+        self.settled_after_ms = (delay_ms + REPORT_TRANSFER_MS).max(MIN_SETTLED_AFTER_MS);
+    }
+
     /// Records that an attempt with these parts was answered, or has written for
     /// [`PROVEN_AFTER_MS`].
     pub fn record_survival(&mut self, service: &ServiceName, parts: &[PartId], now: TimeMs) {
@@ -117,6 +153,9 @@
     /// Adds the parts of attempts that were closed shortly before an engine ended, which was noticed
     /// at `noticed_at`.
     pub(super) fn add_departures(&mut self, seen: &EngineEnd, noticed_at: TimeMs) {
+        if !self.departures.iter().any(|known| known.end.upstream == seen.upstream) {
+            return;
+        }
         let mut remaining = VecDeque::with_capacity(self.departures.len());
         let mut has_found = false;
         for departure in std::mem::take(&mut self.departures) {
@@ -146,11 +185,21 @@
             && self.peer_suspects.is_empty()
     }
 
-    /// Returns whether evidence has arrived since the last assessment.
+    /// Returns whether this gateway has seen evidence since the last assessment.
     pub const fn is_stale(&self) -> bool {
         self.is_stale
     }
 
+    /// Returns whether other gateways have reported evidence since the last assessment.
+    pub const fn has_news(&self) -> bool {
+        self.has_news
+    }
+
+    /// Returns the number of assessments since the start.
+    pub const fn assessments(&self) -> u64 {
+        self.assessments
+    }
+
     /// Returns whether the other gateways have to learn something soon, once for each time.
     pub fn take_urgency(&mut self) -> bool {
         std::mem::take(&mut self.is_urgent)
--- a/crates/hickorydoor/src/gateway/quarantine/records.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/records.rs
@@ -2,12 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use compact_str::CompactString;
-
 use crate::gateway::quarantine::assessment::REVIEW_MS;
 use crate::gateway::quarantine::end_log::MergedEnd;
 use crate::gateway::quarantine::held_record::HeldRecord;
-use crate::gateway::quarantine::held_record::are_replaced;
 use crate::gateway::quarantine::part_id::PartId;
 use crate::gateway::quarantine::part_key::PartKey;
 use crate::gateway::quarantine::quarantine_change::QuarantineChange;
@@ -148,7 +145,7 @@
     /// request have made needless.
     pub(super) fn expire_records(
         &mut self,
-        versions: impl Fn(&ServiceName) -> BTreeSet<CompactString>,
+        is_replaced: impl Fn(&QuarantineRecord) -> bool,
         now: TimeMs,
     ) {
         self.records
@@ -163,9 +160,7 @@
                 QuarantineState::Probation if is_proven => {
                     (QuarantineState::Released, RELEASED_TTL_MS)
                 }
-                QuarantineState::Quarantined
-                    if now >= *until || are_replaced(record, &versions(&record.service)) =>
-                {
+                QuarantineState::Quarantined if now >= *until || is_replaced(record) => {
                     (QuarantineState::Probation, PROBATION_MS)
                 }
                 _ => continue,
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -23,6 +23,7 @@
 use crate::gateway::peer_digest::PeerDigest;
 use crate::gateway::prefill_log::PrefillLog;
 use crate::gateway::quarantine::QuarantineTable;
+use crate::gateway::quarantine::TrialSlot;
 use crate::gateway::rate_limits::PermitId;
 use crate::gateway::rate_limits::PermitIssuer;
 use crate::gateway::rate_limits::SilentIssuers;
@@ -102,6 +103,8 @@
     pub(super) permit_issuer: PermitIssuer,
     pub(super) silent_issuers: SilentIssuers,
     pub(super) contact: PeerContact,
+    /// Turns of this gateway among the live ones, by service.
+    pub(super) trial_slots: BTreeMap<ServiceName, TrialSlot>,
     /// Number of the last request for a permit.
     pub(super) last_permit: PermitId,
 }
@@ -145,6 +148,7 @@
             permit_issuer: PermitIssuer::default(),
             silent_issuers: SilentIssuers::default(),
             contact: PeerContact::default(),
+            trial_slots: BTreeMap::new(),
             last_permit,
         }
     }
@@ -252,11 +256,17 @@
         self.freshness.age_ms(now)
     }
 
+    /// Returns how often evidence about prompt parts was assessed since the start.
+    pub const fn assessments(&self) -> u64 {
+        self.quarantine.assessments()
+    }
+
     /// Builds the next digest for the other gateways.
     pub fn digest(&mut self, now: TimeMs) -> PeerDigest {
         self.sequence += 1;
         let notices = self.notices_to_tell(now);
         self.recent_prefills.expire(now);
+        self.quarantine.prepare_report();
         let evidence = self.rollouts.values().map(|rollout| DigestEvidence {
             service: rollout.order().service.clone(),
             order: rollout.order().position,
--- a/crates/hickorydoor/src/gateway/rollout_outcomes.rs
+++ b/crates/hickorydoor/src/gateway/rollout_outcomes.rs
@@ -64,7 +64,7 @@
         now: TimeMs,
     ) {
         let evidence = Evidence::from(outcome);
-        if evidence == Evidence::Nothing || self.is_explained_by_part(id, evidence, now) {
+        if evidence == Evidence::Nothing || self.is_explained_by_part(id, evidence) {
             return;
         }
         let Some(active) = self.calls.get_mut(&id) else {
@@ -135,12 +135,12 @@
 
     /// Returns whether a failure is explained by a prompt part that is suspected: the end of an
     /// engine under a part says nothing about the engine's version.
-    fn is_explained_by_part(&self, id: CallId, evidence: Evidence, now: TimeMs) -> bool {
+    fn is_explained_by_part(&self, id: CallId, evidence: Evidence) -> bool {
         let has_failed = matches!(evidence, Evidence::ErrorAnswer | Evidence::BrokenConnection);
         let active = self.calls.get(&id).filter(|_| has_failed);
         active.is_some_and(|active| {
             let parts = active.shared_parts();
-            self.quarantine.is_any_suspected(&active.service, &parts, now)
+            self.quarantine.is_any_suspected(&active.service, &parts)
         })
     }
 
--- a/crates/hickorydoor/src/gateway/store_view.rs
+++ b/crates/hickorydoor/src/gateway/store_view.rs
@@ -290,6 +290,7 @@
         self.silent_issuers.retain(&gateways);
         self.peers.retain(|host, _| gateways.binary_search(host).is_ok());
         self.gateways = gateways;
+        self.trial_slots.clear();
     }
 
     pub(super) fn on_rollout_ordered(
--- a/crates/hickorydoor/src/gateway/upstreams/upstream_pool.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream_pool.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use crate::gateway::peer_reports::PeerReports;
 use crate::gateway::upstreams::DepartedRooms;
 use crate::gateway::upstreams::PeerLoad;
-use crate::gateway::upstreams::PeerReports;
 use crate::gateway::upstreams::Registration;
 use crate::gateway::upstreams::Upstream;
 use crate::gateway::upstreams::UpstreamRoom;
@@ -17,6 +17,8 @@
 
 /// How long the last registration of a removed upstream is remembered.
 const DEPARTURE_TTL_MS: DurationMs = DurationMs::from_secs(60);
+/// How long the reported load of a gateway is used after its last digest.
+const PEER_LOAD_TTL_MS: DurationMs = DurationMs::from_secs(2);
 
 /// Last registration of an upstream that was removed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,15 +32,27 @@
 }
 
 /// Upstreams by id.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct UpstreamPool {
     upstreams: BTreeMap<UpstreamId, Upstream>,
     departures: BTreeMap<UpstreamId, Departure>,
     departed_rooms: DepartedRooms,
-    reports: PeerReports,
+    reports: PeerReports<(UpstreamId, PeerLoad)>,
     visited_loads: u64,
 }
 
+impl Default for UpstreamPool {
+    fn default() -> Self {
+        Self {
+            upstreams: BTreeMap::new(),
+            departures: BTreeMap::new(),
+            departed_rooms: DepartedRooms::default(),
+            reports: PeerReports::new(PEER_LOAD_TTL_MS),
+            visited_loads: 0,
+        }
+    }
+}
+
 impl UpstreamPool {
     /// Applies a registration.
     pub fn register(&mut self, registration: Registration, now: TimeMs) {
@@ -60,7 +74,7 @@
             known.room = room;
         }
         if is_new && let Some(known) = self.upstreams.get_mut(&id) {
-            known.peer_load = self.reports.total(&id);
+            known.peer_load = total_load(&self.reports, &id);
         }
     }
 
@@ -257,3 +271,11 @@
         loaded.map(|(id, upstream)| (id.clone(), load(upstream))).collect()
     }
 }
+
+fn total_load(reports: &PeerReports<(UpstreamId, PeerLoad)>, upstream: &UpstreamId) -> PeerLoad {
+    let mut total = PeerLoad::default();
+    for (_, load) in reports.entries().filter(|(id, _)| id == upstream) {
+        total.add(*load);
+    }
+    total
+}
