Send and act on digests at a pace that follows from the size of the fleet

What callers saw: time-outs and closes that came seconds late when engines ended. A gateway with evidence sent its next digest 20 ms after the last, whatever their number: with 67 others that have evidence too, each received up to 3,350 a second. And each digest with evidence was assessed at once, and made all queued requests be tried again.

Urgent digests are 2 ms apart for each gateway that gets them (20 ms at least), so that 500 a second arrive at most. A digest is recorded at once; its evidence is assessed, and queued requests are tried again, if the last time was a quarter of a millisecond ago for each gateway, else at the next tick. In fleets of up to three gateways nothing changes. Parts are quarantined only after a report has had that time to arrive.

--- a/crates/hickoryd/src/gateway/digest_exchange.rs
+++ b/crates/hickoryd/src/gateway/digest_exchange.rs
@@ -6,7 +6,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hickorydoor::DurationMs;
 use hickorydoor::gateway::GatewayEvent;
+use hickorydoor::gateway::digest_pace::regular_interval_ms;
+use hickorydoor::gateway::digest_pace::urgent_interval_ms;
 use hickorydoor::gateway::peer_message::PeerMessage;
 use log::debug;
 use log::warn;
@@ -16,11 +19,6 @@
 use crate::gateway::core::AddressedPermit;
 use crate::gateway::core::Core;
 
-/// Minimum send interval for each receiving gateway: with N receivers, digests are sent at least N
-/// times this long apart. This bounds the cost of sending in large fleets.
-const MIN_INTERVAL_PER_PEER: Duration = Duration::from_millis(6);
-/// Minimum time between two digests if the other gateways have to learn something soon.
-const MIN_URGENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum length of a received digest.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 /// Delay before the next receive after a failure.
@@ -42,12 +40,14 @@
 }
 
 async fn send_digests(socket: &UdpSocket, core: &Core, port: u16, interval: Duration) {
+    let interval_ms = DurationMs::new(interval.as_millis() as u64);
     loop {
         let peers = core.peer_addresses();
-        let regular = interval.max(MIN_INTERVAL_PER_PEER * peers.len() as u32);
-        sleep(interval.min(MIN_URGENT_INTERVAL)).await;
+        let regular = Duration::from(regular_interval_ms(interval_ms, peers.len()));
+        let urgent = Duration::from(urgent_interval_ms(peers.len())).min(regular);
+        sleep(urgent).await;
         tokio::select! {
-            () = sleep(regular.saturating_sub(MIN_URGENT_INTERVAL)) => {}
+            () = sleep(regular.saturating_sub(urgent)) => {}
             () = core.digest_due() => {}
         }
         if peers.is_empty() {
--- a/crates/hickorydoor/src/gateway/containment.rs
+++ b/crates/hickorydoor/src/gateway/containment.rs
@@ -202,9 +202,11 @@
     }
 
     /// Acts on new evidence: cancels attempts with parts that have become suspected or quarantined,
-    /// before they end another engine.
+    /// before they end another engine. What other gateways report is assessed at the next tick, or
+    /// before a request is sent.
     pub(super) fn contain(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
-        if self.quarantine.is_stale() || self.quarantine.has_news() {
+        let may_send = !self.waiting.is_empty();
+        if self.quarantine.is_stale() || (may_send && self.quarantine.has_news()) {
             self.assess_quarantine(now);
         }
         self.act_on_changes(now, effects);
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod collection_sizes;
 mod containment;
 pub mod data_centre_reach;
+pub mod digest_pace;
 mod dispatching;
 pub mod effect;
 pub mod event;
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -13,6 +13,7 @@
 use crate::gateway::catalog::Catalog;
 use crate::gateway::catalog::ServiceSpec;
 use crate::gateway::data_centre_reach::DataCentreReach;
+use crate::gateway::digest_pace::DigestPace;
 use crate::gateway::effect::GatewayEffect;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::freshness::Freshness;
@@ -103,6 +104,7 @@
     pub(super) permit_issuer: PermitIssuer,
     pub(super) silent_issuers: SilentIssuers,
     pub(super) contact: PeerContact,
+    digest_pace: DigestPace,
     /// Turns of this gateway among the live ones, by service.
     pub(super) trial_slots: BTreeMap<ServiceName, TrialSlot>,
     /// Number of the last request for a permit.
@@ -148,6 +150,7 @@
             permit_issuer: PermitIssuer::default(),
             silent_issuers: SilentIssuers::default(),
             contact: PeerContact::default(),
+            digest_pace: DigestPace::default(),
             trial_slots: BTreeMap::new(),
             last_permit,
         }
@@ -156,6 +159,7 @@
     /// Applies an event and returns the effects to carry out, in order.
     pub fn apply(&mut self, event: GatewayEvent, now: TimeMs) -> Vec<GatewayEffect> {
         let mut effects = Vec::new();
+        let is_digest = matches!(event, GatewayEvent::Digest(_));
         self.freshness.record_run(now);
         match event {
             GatewayEvent::Tick => self.on_tick(now, &mut effects),
@@ -218,6 +222,10 @@
             GatewayEvent::CallerGone { call } => self.on_caller_gone(call, now),
             GatewayEvent::Stop => self.on_stop(now),
         }
+        if is_digest && !self.digest_pace.may_act(self.gateways.len(), now) {
+            self.act_on_changes(now, &mut effects);
+            return effects;
+        }
         self.contain(now, &mut effects);
         self.dispatch_waiting(now, &mut effects);
         effects
--- a/crates/hickorydoor/src/gateway/store_view.rs
+++ b/crates/hickorydoor/src/gateway/store_view.rs
@@ -13,6 +13,7 @@
 use compact_str::CompactString;
 
 use crate::gateway::catalog::Catalog;
+use crate::gateway::digest_pace::urgent_interval_ms;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::freshness::RESTORE_WINDOW_MS;
 use crate::gateway::member::GatewayMember;
@@ -290,7 +291,9 @@
         self.silent_issuers.retain(&gateways);
         self.peers.retain(|host, _| gateways.binary_search(host).is_ok());
         self.gateways = gateways;
+        let peers = self.gateways.len().saturating_sub(1);
         self.trial_slots.clear();
+        self.quarantine.set_report_delay(urgent_interval_ms(peers));
     }
 
     pub(super) fn on_rollout_ordered(
