Handle what callers are owed before digests that wait, and only the newest of each gateway

What callers saw: a gateway that was behind answered their time-outs and closes seconds late, and fell further behind. The task that reads digests went on for up to 128 datagrams before any other task ran (40 ms of processor with 10 ends, 0.4 s on a host with 0.09 of a core), and handled every digest that waited, though each replaces the one before of its sender.

Datagrams are now moved into an inbox, a pure type: messages about permits come first, one digest of each sender waits, and the one that waits longest is next. Four are handled before the other tasks get their turn.

--- a/crates/hickoryd/src/gateway/digest_exchange.rs
+++ b/crates/hickoryd/src/gateway/digest_exchange.rs
@@ -10,10 +10,14 @@
 use hickorydoor::gateway::GatewayEvent;
 use hickorydoor::gateway::digest_pace::regular_interval_ms;
 use hickorydoor::gateway::digest_pace::urgent_interval_ms;
+use hickorydoor::gateway::peer_digest::DigestError;
+use hickorydoor::gateway::peer_inbox::Filed;
+use hickorydoor::gateway::peer_inbox::PeerInbox;
 use hickorydoor::gateway::peer_message::PeerMessage;
 use log::debug;
 use log::warn;
 use tokio::net::UdpSocket;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use crate::gateway::core::AddressedPermit;
@@ -21,6 +25,10 @@
 
 /// Maximum length of a received digest.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
+/// Datagrams that are handled before other tasks get their turn.
+const DATAGRAMS_PER_TURN: usize = 4;
+/// Datagrams that are taken from the system at a time.
+const MAX_TAKEN: usize = 64;
 /// Delay before the next receive after a failure.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -78,30 +86,63 @@
     }
 }
 
+/// Takes what has arrived, and handles a few datagrams at a time: time-outs, closes and requests that
+/// have become due meanwhile come first.
 async fn receive(socket: &UdpSocket, core: &Core) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut inbox = PeerInbox::default();
     loop {
-        let length = match socket.recv_from(&mut buffer).await {
-            Ok((length, _peer)) => length,
+        if inbox.is_empty()
+            && let Err(error) = socket.readable().await
+        {
+            debug!(reason:% = error; "cannot receive digests; retrying after a delay");
+            sleep(RECEIVE_RETRY_DELAY).await;
+            continue;
+        }
+        take_arrived(socket, core, &mut inbox, &mut buffer);
+        for datagram in std::iter::from_fn(|| inbox.pop()).take(DATAGRAMS_PER_TURN) {
+            handle(core, &datagram);
+        }
+        if !inbox.is_empty() {
+            yield_now().await;
+        }
+    }
+}
+
+/// Moves the datagrams that have arrived into the inbox, of many only a part.
+fn take_arrived(socket: &UdpSocket, core: &Core, inbox: &mut PeerInbox, buffer: &mut [u8]) {
+    for _ in 0..MAX_TAKEN {
+        let length = match socket.try_recv(buffer) {
+            Ok(length) => length,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
             Err(error) => {
-                debug!(reason:% = error; "cannot receive digests; retrying after a delay");
-                sleep(RECEIVE_RETRY_DELAY).await;
-                continue;
+                debug!(reason:% = error; "cannot receive a datagram");
+                return;
             }
         };
-        match PeerMessage::decode(&buffer[..length]) {
-            Ok(PeerMessage::Digest(digest)) => {
-                core.metrics.record_datagram("digest");
-                core.apply(GatewayEvent::Digest(digest));
-            }
-            Ok(PeerMessage::Permit { host, message }) => {
-                core.metrics.record_datagram("permit");
-                core.apply(GatewayEvent::Permit { host, message: Box::new(message) });
-            }
-            Err(error) => {
-                core.metrics.record_datagram("malformed");
-                warn!(reason:% = error; "datagram of a gateway dropped: cannot decode it");
-            }
+        match inbox.push(&buffer[..length]) {
+            Ok(Filed::Kept) => {}
+            Ok(Filed::Replaced | Filed::Dropped) => core.metrics.record_datagram("outdated"),
+            Err(error) => report_malformed(core, &error),
         }
     }
 }
+
+fn handle(core: &Core, datagram: &[u8]) {
+    match PeerMessage::decode(datagram) {
+        Ok(PeerMessage::Digest(digest)) => {
+            core.metrics.record_datagram("digest");
+            core.apply(GatewayEvent::Digest(digest));
+        }
+        Ok(PeerMessage::Permit { host, message }) => {
+            core.metrics.record_datagram("permit");
+            core.apply(GatewayEvent::Permit { host, message: Box::new(message) });
+        }
+        Err(error) => report_malformed(core, &error),
+    }
+}
+
+fn report_malformed(core: &Core, error: &DigestError) {
+    core.metrics.record_datagram("malformed");
+    warn!(reason:% = error; "datagram of a gateway dropped: cannot decode it");
+}
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 pub mod model_table;
 mod peer_contact;
 pub mod peer_digest;
+pub mod peer_inbox;
 pub mod peer_message;
 mod peer_reports;
 mod permit_exchange;
