Count what chance explains again after a part is quarantined, and share the counting allocator

Within one assessment, ends that a part explains that was quarantined a moment before still counted as chance for the parts after it; before they did not.

Both benchmarks use one counting allocator; the page of the gateway module names the new modules.

--- a/crates/hickorydoor/benches/gateway.rs
+++ b/crates/hickorydoor/benches/gateway.rs
@@ -5,17 +5,12 @@
 //! what gateways send that have a few requests at some engines each, and that have all seen the same
 //! ends and suspect half as many parts.
 
-#![allow(unsafe_code, reason = "a counting allocator has to implement GlobalAlloc")]
-
+#[path = "support/counting_allocator.rs"]
+mod counting_allocator;
 #[path = "../tests/gateway/mod.rs"]
 mod gateway;
 
-use std::alloc::GlobalAlloc;
-use std::alloc::Layout;
-use std::alloc::System;
 use std::hint::black_box;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -29,6 +24,7 @@
 use hickorydoor::gateway::quarantine::SuspectLoad;
 use hickorydoor::gateway::upstreams::PeerLoad;
 
+use crate::counting_allocator::allocations;
 use crate::gateway::ENGINES;
 use crate::gateway::Rig;
 use crate::gateway::call;
@@ -45,27 +41,6 @@
 /// Time between two digests of a gateway.
 const DIGEST_INTERVAL_MS: u64 = 400;
 
-struct CountingAllocator;
-
-static ALLOCATIONS: AtomicU64 = AtomicU64::new(0);
-
-// SAFETY: every call is forwarded unchanged to the system allocator.
-unsafe impl GlobalAlloc for CountingAllocator {
-    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
-        ALLOCATIONS.fetch_add(1, Ordering::Relaxed);
-        // SAFETY: the caller upholds the contract of `alloc`.
-        unsafe { System.alloc(layout) }
-    }
-
-    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
-        // SAFETY: the caller upholds the contract of `dealloc`.
-        unsafe { System.dealloc(ptr, layout) }
-    }
-}
-
-#[global_allocator]
-static ALLOCATOR: CountingAllocator = CountingAllocator;
-
 /// Cost of events of one kind.
 #[derive(Clone, Copy, Debug, Default)]
 struct Cost {
@@ -76,11 +51,11 @@
 
 impl Cost {
     fn measure<T>(&mut self, run: impl FnOnce() -> T) -> T {
-        let allocations = ALLOCATIONS.load(Ordering::Relaxed);
+        let before = allocations();
         let started = Instant::now();
         let result = black_box(run());
         self.took += started.elapsed();
-        self.allocations += ALLOCATIONS.load(Ordering::Relaxed) - allocations;
+        self.allocations += allocations() - before;
         self.events += 1;
         result
     }
--- a/crates/hickorydoor/benches/reducer.rs
+++ b/crates/hickorydoor/benches/reducer.rs
@@ -4,15 +4,11 @@
 //! the end of the answer, and the agent's next load report. For a new session, the entry also
 //! processes the replies of the agents that own its pin.
 
-#![allow(unsafe_code, reason = "a counting allocator has to implement GlobalAlloc")]
+#[path = "support/counting_allocator.rs"]
+mod counting_allocator;
 
-use std::alloc::GlobalAlloc;
-use std::alloc::Layout;
-use std::alloc::System;
 use std::hint::black_box;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use criterion::Criterion;
@@ -49,6 +45,8 @@
 use hickorydoor::quantity::ByteCount;
 use hickorydoor::quantity::Tokens;
 
+use crate::counting_allocator::allocations;
+
 const UPSTREAMS: usize = 256;
 const API_KEY: &str = "sk-bench";
 const BODY: &[u8] = br#"{"model":"brine","messages":[{"role":"user","content":"hello"}]}"#;
@@ -56,27 +54,6 @@
 /// Requests over which allocations are averaged.
 const COUNTED_REQUESTS: u64 = 10_000;
 
-struct CountingAllocator;
-
-static ALLOCATIONS: AtomicU64 = AtomicU64::new(0);
-
-// SAFETY: every call is forwarded unchanged to the system allocator.
-unsafe impl GlobalAlloc for CountingAllocator {
-    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
-        ALLOCATIONS.fetch_add(1, Ordering::Relaxed);
-        // SAFETY: the caller upholds the contract of `alloc`.
-        unsafe { System.alloc(layout) }
-    }
-
-    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
-        // SAFETY: the caller upholds the contract of `dealloc`.
-        unsafe { System.dealloc(ptr, layout) }
-    }
-}
-
-#[global_allocator]
-static ALLOCATOR: CountingAllocator = CountingAllocator;
-
 /// An entry under test with simulated agents and a virtual clock.
 struct Bench {
     entry: Entry,
@@ -256,11 +233,11 @@
 fn reducer(criterion: &mut Criterion) {
     let mut bench = Bench::new();
     bench.process_request(None);
-    let before = ALLOCATIONS.load(Ordering::Relaxed);
+    let before = allocations();
     for _ in 0..COUNTED_REQUESTS {
         bench.process_request(None);
     }
-    let allocations = ALLOCATIONS.load(Ordering::Relaxed) - before;
+    let allocations = allocations() - before;
     println!("allocations per request: {:.1}", allocations as f64 / COUNTED_REQUESTS as f64);
     criterion.bench_function("entry: one request, 256 upstreams", |bencher| {
         bencher.iter(|| bench.process_request(None));
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -7,7 +7,8 @@
 //! a service to a new version, [`freshness`] tracks the age of the configuration, and
 //! [`retry_budget`] and [`upstreams::cold_share`] divide fleet-wide limits among gateways without
 //! messages. Limits that upstreams name are kept by permits, which one gateway issues for each
-//! upstream ([`rate_limits`]). Gateways exchange their load and evidence in a [`peer_digest`].
+//! upstream ([`rate_limits`]). Gateways exchange their load and evidence in a [`peer_digest`];
+//! [`digest_pace`] says how often, and what has arrived waits in a [`peer_inbox`].
 //! Prompt parts under which engines end are kept from them by a [`quarantine`]. A planned stop
 //! ([`stopping`]) passes on only what can usually be finished.
 //!
--- a/crates/hickorydoor/src/gateway/quarantine/assessment.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/assessment.rs
@@ -84,7 +84,7 @@
         self.review_decisions(&merged, now);
         self.release_refuted(&merged, now);
         let by_part = self.ends_by_part(&merged);
-        let chance = self.unexplained_cut_offs(&merged);
+        let mut chance = self.unexplained_cut_offs(&merged);
         let mut suspects = BTreeMap::new();
         self.paused.clear();
         for (key, ends) in &by_part {
@@ -102,6 +102,7 @@
                 && !is_dominated(key, ends, &by_part)
             {
                 self.quarantine(key, ends, &by_part, &merged, quarantine_ends, now);
+                chance = self.unexplained_cut_offs(&merged);
             }
             let paused_until = ends.last_at() + PAUSE_MS;
             let proven_at = self.survivals.last_at(key);
