--- a/crates/hickorydoor/src/gateway/quarantine/exchange.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/exchange.rs
@@ -65,8 +65,9 @@
         self.ends.refresh();
     }
 
-    /// Builds the report for the other gateways, after [`QuarantineTable::prepare_report`]. `unproven` returns the number of own attempts in
-    /// flight that have not proven a part sound, `alive_at` when an engine last responded here.
+    /// Builds the report for the other gateways, after [`QuarantineTable::prepare_report`]. `unproven`
+    /// returns the number of own attempts in flight that have not proven a part sound, `alive_at` when
+    /// an engine last responded here.
     pub fn report(
         &self,
         unproven: impl Fn(&PartKey) -> u32,
