--- a/crates/hickorydoor/src/gateway/event_kind.rs
+++ b/crates/hickorydoor/src/gateway/event_kind.rs
@@ -1,8 +1,8 @@
-//! Kinds of events, for the cost of each and the order in which a process handles them.
+//! Kinds of events, for metrics of what each costs.
 
 use crate::gateway::event::GatewayEvent;
 
-/// Kind of an event, the most urgent first.
+/// Kind of an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EventKind {
     /// What a request is owed: its time-outs, the close of its caller, the end of an attempt.
@@ -20,7 +20,7 @@
 }
 
 impl EventKind {
-    /// All kinds, the most urgent first.
+    /// All kinds.
     pub const ALL: [Self; 6] =
         [Self::Call, Self::Arrival, Self::Tick, Self::Store, Self::Permit, Self::Digest];
 
