Take out what the new code does not need, and state its bounds as they are

Found by reading the whole change once more. EventKind had an order and a list that nothing used. The benchmark named its gateways after one deployment. No decision changes.

--- a/crates/hickorydoor/benches/gateway.rs
+++ b/crates/hickorydoor/benches/gateway.rs
@@ -131,7 +131,7 @@
 }
 
 fn gateway_name(index: usize) -> String {
-    format!("edge-aimogasta-{index}")
+    format!("gw-{index}")
 }
 
 /// Returns the digest of a gateway that has seen all ends, which are some time old at the first
--- a/crates/hickorydoor/src/gateway/event_kind.rs
+++ b/crates/hickorydoor/src/gateway/event_kind.rs
@@ -3,7 +3,7 @@
 use crate::gateway::event::GatewayEvent;
 
 /// Kind of an event.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EventKind {
     /// What a request is owed: its time-outs, the close of its caller, the end of an attempt.
     Call,
@@ -20,10 +20,6 @@
 }
 
 impl EventKind {
-    /// All kinds.
-    pub const ALL: [Self; 6] =
-        [Self::Call, Self::Arrival, Self::Tick, Self::Store, Self::Permit, Self::Digest];
-
     /// Returns the name for logs and metrics.
     pub const fn as_str(self) -> &'static str {
         match self {
--- a/crates/hickorydoor/src/gateway/peer_inbox.rs
+++ b/crates/hickorydoor/src/gateway/peer_inbox.rs
@@ -2,8 +2,7 @@
 //!
 //! A process that is short of processor time handles what callers are owed first, so datagrams may
 //! have to wait. Messages about permits come first, since a request waits for each. A digest replaces
-//! the one before of its sender, so that at most one of each waits, and those that were sent longest
-//! ago are handled first.
+//! the one before of its sender, so that at most one of each waits, and keeps its turn.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -37,7 +36,7 @@
 pub enum Filed {
     /// It waits.
     Kept,
-    /// It waits in place of an older digest of its sender.
+    /// It waits in place of an older digest of its sender, or of the oldest message about a permit.
     Replaced,
     /// It was dropped: a newer digest of its sender waits already, or too many do.
     Dropped,
