Weigh the capacity of engines by what the configuration says of routes

Cause: the customers' priority overrides that of the route, so that 99 of 100 requests had the same rank, and placement weighed a request by its tokens. Lookups, which may wait, were answered by the largest model, and long urgent prompts by the smallest (65 of 100).

Change: where priority and objective of a service's routes agree, a route's claim on prices and prefill time follows from both. Among requests of one priority, the route's priority decides at the gateway and at the engine.

--- a/crates/hickorydoor/src/gateway/active_call.rs
+++ b/crates/hickorydoor/src/gateway/active_call.rs
@@ -16,6 +16,11 @@
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
+/// Priorities of routes that are told apart within one priority of a customer.
+const ROUTE_PRIORITIES: u8 = 3;
+/// Least urgent value that upstreams know.
+const MAX_URGENCY: u8 = 9;
+
 /// Why a gateway has cancelled an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cancellation {
@@ -108,6 +113,13 @@
         customer_priority.unwrap_or(self.route.priority)
     }
 
+    /// Returns the urgency for the upstream; 0 is the most urgent. Requests of one priority are
+    /// ordered by the priorities of their routes, which customers may override otherwise.
+    pub fn urgency(&self) -> u8 {
+        let route = self.route.priority.min(ROUTE_PRIORITIES - 1);
+        self.priority().saturating_mul(ROUTE_PRIORITIES).saturating_add(route).min(MAX_URGENCY)
+    }
+
     /// Returns the parts of the prompt that other requests may share, each once.
     pub fn shared_parts(&self) -> SmallVec<[PartId; 4]> {
         let mut parts: SmallVec<[PartId; 4]> = SmallVec::new();
--- a/crates/hickorydoor/src/gateway/arrival.rs
+++ b/crates/hickorydoor/src/gateway/arrival.rs
@@ -13,6 +13,8 @@
 use crate::gateway::reducer::Gateway;
 use crate::gateway::refusal::CallRefusal;
 use crate::gateway::refusal::RefusalReason;
+use crate::gateway::route_claims::RouteClaims;
+use crate::gateway::route_claims::RouteRank;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
@@ -20,6 +22,25 @@
 const DEFAULT_DEADLINE_MS: DurationMs = DurationMs::from_secs(30);
 
 impl Gateway {
+    /// Derives the claims of the routes with models that get requests.
+    pub(super) fn update_route_claims(&mut self) {
+        let Some(catalog) = &self.catalog else {
+            return;
+        };
+        let routes = catalog
+            .routes()
+            .filter(|route| !route.models.is_empty() && self.sizes.is_known(&route.name));
+        let ranks = routes.filter_map(|route| {
+            Some(RouteRank {
+                route: route.name.clone(),
+                service: route.backends.first()?.service.clone(),
+                priority: route.priority,
+                objective_ms: route.objective_ms,
+            })
+        });
+        self.route_claims = RouteClaims::new(ranks.collect());
+    }
+
     pub(super) fn on_arrived(
         &mut self,
         id: CallId,
@@ -33,7 +54,9 @@
                     .entry(active.service.clone())
                     .or_default()
                     .record_first_attempt(&self.settings.retries, now);
-                self.sizes.observe(&active.route.name, &active.call.prompt);
+                if self.sizes.observe(&active.route.name, &active.call.prompt) {
+                    self.update_route_claims();
+                }
                 self.calls.insert(id, active);
                 self.waiting.insert(id);
             }
--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -49,7 +49,7 @@
         let Some(active) = self.calls.get_mut(&id) else {
             return;
         };
-        let priority = active.priority();
+        let priority = active.urgency();
         let Some(attempt) = &mut active.attempt else {
             return;
         };
@@ -149,7 +149,7 @@
             + other_prefill_ms;
         let is_dead = upstream.last_response_at.is_none_or(|at| at < attempt.sent_at)
             && waited_ms > dead_timeout_ms;
-        upstream.is_overtaken(active.priority(), attempt.sent_at) || is_dead
+        upstream.is_overtaken(active.urgency(), attempt.sent_at) || is_dead
     }
 
     pub(super) fn on_attempt_ended(
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -72,7 +72,7 @@
         let mut order: Vec<(u8, usize, CallId)> = Vec::with_capacity(self.waiting.len());
         for id in &self.waiting {
             if let Some(active) = self.calls.get(id) {
-                order.push((active.priority(), self.suspected_parts(active).len(), *id));
+                order.push((active.urgency(), self.suspected_parts(active).len(), *id));
             }
         }
         order.sort_unstable();
@@ -200,7 +200,7 @@
             customer: active.account.as_ref().map(|account| account.customer.clone()),
             model: choice.model.filter(|_| chooses_model),
             fetch_from: choice.fetch_from,
-            priority: active.priority(),
+            priority: active.urgency(),
             deadline_at: active.deadline_at,
             remaining_ms,
             connect_timeout_ms: CONNECT_TIMEOUT_MS.min(remaining_ms),
@@ -300,6 +300,7 @@
             prompt: &active.call.prompt,
             weight: self.sizes.weight(&active.route.name, &active.call.prompt),
             mean_value: self.sizes.mean(&active.route.name) * self.settings.costs.value_per_token,
+            claim: self.route_claims.claim(&active.route.name),
             models: &models,
             objective_ms: remaining_objective_ms(active, now),
             transfer_ms_per_token: spec.map_or(0.0, |spec| spec.transfer_ms_per_token),
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -60,6 +60,7 @@
 pub mod rollout;
 mod rollout_outcomes;
 pub mod route;
+pub mod route_claims;
 mod route_durations;
 pub mod settings;
 pub mod size_table;
--- a/crates/hickorydoor/src/gateway/placement.rs
+++ b/crates/hickorydoor/src/gateway/placement.rs
@@ -87,6 +87,8 @@
     pub weight: f64,
     /// Value of the mean request of the route, in the unit of the models' prices.
     pub mean_value: f64,
+    /// Claim of the route on the capacity of the engines, relative to the mean route.
+    pub claim: f64,
     /// Models that may answer, from smallest to largest; empty for plain services.
     pub models: &'a [ModelId],
     /// Part of the route's objective that is left for the first event, in ms.
@@ -140,7 +142,8 @@
             let source = sources.get(upstream.registration.version.as_str()).copied();
             let mut choice = estimate(demand, model, &parts, upstream, source, model_table);
             let value = value(demand, upstream, &choice, quality, costs)
-                - price(demand, model, &choice, model_table, costs) / demand.mean_value
+                - price(demand, model, &choice, model_table, costs)
+                    / (demand.mean_value * demand.claim)
                 - tie_break(upstream, &parts) * MAX_TIE_BREAK_MS / demand.objective_ms;
             choice.value = value / demand.weight.max(MIN_WEIGHT);
             if best.as_ref().is_none_or(|(best_value, _)| value > *best_value) {
@@ -232,9 +235,9 @@
     let backlog = upstream.backlog_ms() / COST_UNIT_MS;
     let delay = choice.prefill_ms / COST_UNIT_MS * backlog * backlog;
     demand.weight * quality * timeliness(share)
-        - delay * BACKLOG_DELAY_COST
+        - delay * BACKLOG_DELAY_COST / demand.claim
         - penalty_ms / COST_UNIT_MS * PENALTY_COST
-        - choice.prefill_ms / COST_UNIT_MS * PREFILL_COST
+        - choice.prefill_ms / COST_UNIT_MS * PREFILL_COST / demand.claim
 }
 
 /// Returns the price of the tokens that are prefilled, fetched and generated.
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -34,6 +34,7 @@
 use crate::gateway::rollout::Rollout;
 use crate::gateway::rollout::RolloutOrder;
 use crate::gateway::rollout::RolloutRecord;
+use crate::gateway::route_claims::RouteClaims;
 use crate::gateway::route_durations::RouteDurations;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::size_table::SizeTable;
@@ -66,6 +67,7 @@
     pub(super) pool: UpstreamPool,
     pub(super) model_table: ModelTable,
     pub(super) sizes: SizeTable,
+    pub(super) route_claims: RouteClaims,
     pub(super) typical_times: TypicalTimes,
     pub(super) freshness: Freshness,
     pub(super) rollouts: BTreeMap<ServiceName, Rollout>,
@@ -123,6 +125,7 @@
             pool: UpstreamPool::default(),
             model_table: ModelTable::default(),
             sizes: SizeTable::default(),
+            route_claims: RouteClaims::default(),
             typical_times: TypicalTimes::default(),
             freshness: Freshness::default(),
             rollouts: BTreeMap::new(),
--- a/crates/hickorydoor/src/gateway/size_table.rs
+++ b/crates/hickorydoor/src/gateway/size_table.rs
@@ -26,11 +26,18 @@
 }
 
 impl SizeTable {
-    /// Records the size of a request.
-    pub fn observe(&mut self, route: &CompactString, prompt: &Prompt) {
+    /// Records the size of a request; returns whether it is the first of its route.
+    pub fn observe(&mut self, route: &CompactString, prompt: &Prompt) -> bool {
         let size = size(prompt);
+        let is_new = !self.mean.contains_key(route);
         let mean = self.mean.entry(route.clone()).or_insert(size);
         *mean += GAIN * (size - *mean);
+        is_new
+    }
+
+    /// Returns whether any request of a route was recorded.
+    pub fn is_known(&self, route: &CompactString) -> bool {
+        self.mean.contains_key(route)
     }
 
     /// Forgets the routes that are not `known`.
--- a/crates/hickorydoor/src/gateway/store_view.rs
+++ b/crates/hickorydoor/src/gateway/store_view.rs
@@ -196,6 +196,7 @@
         }
         self.forget_unconfigured(&catalog);
         self.catalog = Some(catalog);
+        self.update_route_claims();
     }
 
     /// Drops what was learned of routes, services and models that are not configured any more.
