Learn how the load of an engine delays the first event

Cause: placement took an engine for one that reads one prompt after the other, and a running request for 2 ms.

Change: the weights of prefill time, backlog and running requests are learned from first events by recursive least squares, starting from the old ones. An error counts up to the expected time itself, so that engines that stand still mislead little. Prompts that are fetched teach nothing.

--- a/crates/hickorydoor/src/gateway/active_call.rs
+++ b/crates/hickorydoor/src/gateway/active_call.rs
@@ -49,6 +49,8 @@
     pub uncached_tokens: f64,
     /// Prefill time queued at the engine when the attempt was sent, in ms.
     pub backlog_ms: f64,
+    /// Whether the engine fetches cached parts of the prompt first.
+    pub has_fetched: bool,
     /// Requests in flight at the engine when the attempt was sent.
     pub in_flight: u32,
     /// Expected time from dispatch to the first event, in ms.
--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -10,6 +10,7 @@
 use crate::gateway::event::AttemptOutcome;
 use crate::gateway::event::NotRun;
 use crate::gateway::event::ResponseFault;
+use crate::gateway::first_event_model::EngineLoad;
 use crate::gateway::reducer::Gateway;
 use crate::gateway::refusal::CallRefusal;
 use crate::gateway::refusal::RefusalReason;
@@ -68,6 +69,11 @@
         };
         effects.push(GatewayEffect::FirstEvent { call: id, stats: Box::new(stats) });
         let prefill_ms = std::mem::take(&mut attempt.prefill_ms);
+        let load =
+            EngineLoad { prefill_ms, backlog_ms: attempt.backlog_ms, in_flight: attempt.in_flight };
+        if attempt.model.is_some() && !attempt.has_fetched {
+            self.model_table.observe_load(&load, took_ms);
+        }
         if let Some(upstream) = self.pool.get_mut(&attempt.upstream)
             && upstream.registration.started_unix_ms == attempt.started_unix_ms
         {
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -178,6 +178,7 @@
             prefill_ms: choice.prefill_ms,
             uncached_tokens: choice.uncached_tokens,
             backlog_ms,
+            has_fetched: choice.fetch_from.is_some(),
             in_flight,
             expected_ms: choice.expected_ms,
             trial: VersionTrial { compares_times, is_counted: false },
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 pub mod event;
 pub mod event_kind;
 pub mod feed_wire;
+pub mod first_event_model;
 pub mod freshness;
 pub mod member;
 pub mod model_table;
--- a/crates/hickorydoor/src/gateway/model_table.rs
+++ b/crates/hickorydoor/src/gateway/model_table.rs
@@ -4,6 +4,8 @@
 use std::collections::HashMap;
 
 use crate::gateway::catalog::OfferedModel;
+use crate::gateway::first_event_model::EngineLoad;
+use crate::gateway::first_event_model::FirstEventModel;
 use crate::id::ModelId;
 
 /// Prompt-independent part of the time to the first event, in ms.
@@ -38,6 +40,7 @@
     prior_token_ms: HashMap<ModelId, f64>,
     price: HashMap<ModelId, f64>,
     full_gap_ms: HashMap<ModelId, f64>,
+    first_events: FirstEventModel,
 }
 
 impl ModelTable {
@@ -47,6 +50,16 @@
         BASE_FIRST_EVENT_MS + tokens * self.token_ms(model)
     }
 
+    /// Returns the expected time to the first event at an engine with this load, in ms.
+    pub fn expected_first_event_ms(&self, load: &EngineLoad) -> f64 {
+        self.first_events.expected_ms(load)
+    }
+
+    /// Records the time to a first event, in ms, and the load that its prompt met.
+    pub fn observe_load(&mut self, load: &EngineLoad, first_event_ms: f64) {
+        self.first_events.observe(load, first_event_ms);
+    }
+
     /// Returns the expected prefill time per token, in ms.
     pub fn token_ms(&self, model: &ModelId) -> f64 {
         let known = self.token_ms.get(model).or_else(|| self.prior_token_ms.get(model));
--- a/crates/hickorydoor/src/gateway/placement.rs
+++ b/crates/hickorydoor/src/gateway/placement.rs
@@ -17,6 +17,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::gateway::call::Prompt;
+use crate::gateway::first_event_model::EngineLoad;
 use crate::gateway::model_table::ModelTable;
 use crate::gateway::prompt_cache::ChainPart;
 use crate::gateway::prompt_cache::chains;
@@ -50,8 +51,6 @@
 const PREFILL_COST: f64 = 0.15;
 /// Cost of [`COST_UNIT_MS`] of penalties.
 const PENALTY_COST: f64 = 0.3;
-/// Time that each request in flight adds to the first event, in ms.
-const RUNNING_REQUEST_MS: f64 = 2.0;
 /// Penalty of an upstream that always fails, in ms.
 const MAX_FAILURE_PENALTY_MS: f64 = 1_500.0;
 /// Maximum time that tie-breaking adds, in ms; small enough to decide only between near equals.
@@ -172,14 +171,15 @@
     let fetch_ms = fetch.map_or(0.0, |(_, _, transfer_ms)| transfer_ms);
     let uncached_tokens =
         f64::from(demand.prompt.tokens.saturating_sub(cached_tokens)) - fetched_tokens;
-    let running_ms = f64::from(upstream.total_in_flight()) * RUNNING_REQUEST_MS;
+    let load = EngineLoad {
+        prefill_ms: uncached_tokens * token_ms,
+        backlog_ms: upstream.backlog_ms(),
+        in_flight: upstream.total_in_flight(),
+    };
     Choice {
         upstream: upstream.registration.upstream.clone(),
         model: Some(model.clone()),
-        expected_ms: upstream.backlog_ms()
-            + running_ms
-            + fetch_ms
-            + model_table.first_event_ms(model, uncached_tokens),
+        expected_ms: fetch_ms + model_table.expected_first_event_ms(&load),
         prefill_ms: uncached_tokens * token_ms,
         uncached_tokens,
         fetched_tokens,
