--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -653,6 +653,7 @@
                 prompt_parts = open_call.prompt_parts.as_str(),
                 model = dispatch.model.as_ref().map(hickorydoor::id::ModelId::as_str),
                 min_confidence = dispatch.min_confidence,
+                urgency = dispatch.priority, claim = dispatch.claim,
                 fetch_from = dispatch.fetch_from.map(|source| source.to_string()).as_deref(),
                 waited_ms = took_ms, expected_ms = dispatch.expected_ms.get(),
                 remaining_ms = dispatch.remaining_ms.get(),
--- a/crates/hickoryd/tests/regression_attempt_after_deadline.rs
+++ b/crates/hickoryd/tests/regression_attempt_after_deadline.rs
@@ -25,6 +25,7 @@
         model: None,
         fetch_from: None,
         priority: 5,
+        claim: 1.0,
         deadline_at: TimeMs::new(100_000 + remaining_ms),
         remaining_ms: DurationMs::new(remaining_ms),
         connect_timeout_ms: DurationMs::new(300),
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -202,6 +202,7 @@
             model: choice.model.filter(|_| chooses_model),
             fetch_from: choice.fetch_from,
             priority: active.urgency(),
+            claim: self.route_claims.claim(&active.route.name),
             deadline_at: active.deadline_at,
             remaining_ms,
             connect_timeout_ms: CONNECT_TIMEOUT_MS.min(remaining_ms),
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -38,8 +38,10 @@
     pub model: Option<ModelId>,
     /// Engine from which to fetch cached parts of the prompt; `None` to prefill them.
     pub fetch_from: Option<SocketAddr>,
-    /// Priority; 0 is the most urgent.
+    /// Urgency that the upstream is told; 0 is the most urgent.
     pub priority: u8,
+    /// Claim of the route on the capacity of the engines, relative to the mean route.
+    pub claim: f64,
     /// When the attempt has to have ended.
     pub deadline_at: TimeMs,
     /// Time left until the deadline when the attempt was decided.
