Add a stand-in that sends given bytes and ends its connection in a given way

Broken responses cannot be produced with an HTTP library. The stand-in reads the body of a request or leaves it unread, writes the bytes of a response, and then closes or resets the connection, or both.

--- a/crates/hickory-standins/src/lib.rs
+++ b/crates/hickory-standins/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`RatingService`]: the service that rates answers
 //! - [`HostList`]: the platform's list of hosts
 //! - [`WeightStore`]: the store of model weights
+//! - [`RawServer`]: any server that sends broken responses
 //!
 //! Each one serves HTTP on a loopback port chosen by the system, from `start()` until its handle is
 //! dropped. The handle injects faults while the stand-in runs:
@@ -37,6 +38,7 @@
 mod kv_store;
 mod kv_wire;
 mod rating;
+mod raw_server;
 mod server;
 mod service;
 mod weight_store;
@@ -53,6 +55,9 @@
 pub use kv_faults::KvCounts;
 pub use rating::RatingRequest;
 pub use rating::RatingService;
+pub use raw_server::RawEnd;
+pub use raw_server::RawResponse;
+pub use raw_server::RawServer;
 pub use server::Server;
 pub use service::Service;
 pub use service::ServiceCall;
