Do not take an early end or a status above 599 for an answer

Cause: a response with neither a length nor chunks ends with its connection. An upstream that closed the connection while a request was still on its way, and then reset it, looked complete: reading reports the close first, and hyper does not ask whether the request has been written. The http crate accepts statuses up to 999, so they were delivered with the upstream's signature, and the store client counted them as answers and stayed on its route.

Change: UploadStream wraps all connections to upstreams, to the store and to the platform's services. It reports the end of a connection as an error if bytes of the request are left to be written, if the connection has been reset, or if that happens within 50 ms and the request has more than one packet. RequestSender and the etcd client reject a status outside 200 to 599.

These cases were right before and are guarded now: a reset without a close, chunks and lengths that end early, statuses 000 to 099, 101, 199 and a close, two and four digits, letters, none. Interim responses without end are still bounded (endless, upstream_faults, and the call timeout of the etcd client).

The entry answers a call whose outcome is unknown with 409, as before.

--- a/crates/hickory-kv/src/call_error.rs
+++ b/crates/hickory-kv/src/call_error.rs
@@ -16,7 +16,8 @@
         /// Root cause of the last failed connection attempt.
         detail: CompactString,
     },
-    /// The connection failed before the whole response arrived; the call may have taken effect.
+    /// The connection failed before the whole response arrived, or its status is none of HTTP; the
+    /// call may have taken effect.
     ResponseLost {
         /// Root cause of the failed transfer.
         detail: CompactString,
@@ -32,7 +33,7 @@
     },
     /// The service failed while it handled the call; the call may have taken effect.
     ServiceFailed {
-        /// HTTP status code: 408, or any that is neither 2xx nor 4xx.
+        /// HTTP status code: 408, 3xx or 5xx.
         status: u16,
         /// Error message in the response, or the start of its body.
         detail: CompactString,
--- a/crates/hickory-kv/src/client.rs
+++ b/crates/hickory-kv/src/client.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use compact_str::format_compact;
 use hickorydoor::store::kv_call::KvCall;
 use hickorydoor::store::kv_call::KvOutcome;
 use hickorydoor::store::kv_call::KvPair;
@@ -28,6 +29,8 @@
 
 use crate::call_error::CallError;
 use crate::client_settings::ClientSettings;
+use crate::connector::Connector;
+use crate::connector::check_ends;
 use crate::reply_wire;
 use crate::request_wire;
 use crate::request_wire::RangeRequest;
@@ -47,7 +50,7 @@
 /// response, the next endpoint becomes the current one. Each call uses a connection of its own.
 #[derive(Debug)]
 pub struct Client {
-    http: legacy::Client<HttpConnector, Full<Bytes>>,
+    http: legacy::Client<Connector, Full<Bytes>>,
     settings: ClientSettings,
     endpoint_index: AtomicUsize,
 }
@@ -65,7 +68,7 @@
         // connection, so connections are not reused.
         let http = legacy::Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(0)
-            .build(connector);
+            .build(check_ends(connector));
         Self { http, settings, endpoint_index: AtomicUsize::new(0) }
     }
 
@@ -145,7 +148,7 @@
         for _ in 0..self.settings.endpoints.len() {
             let request = build_request(self.endpoint(), path, body.clone());
             match self.http.request(request).await {
-                Ok(response) => return Ok(response),
+                Ok(response) => return check_final(response),
                 Err(error) if error.is_connect() => {
                     last_error = CallError::Connect { detail: root_cause(&error) };
                     self.advance_endpoint();
@@ -195,6 +198,14 @@
     request
 }
 
+/// Rejects a status that is no final one of HTTP. The `http` crate accepts 100 to 999.
+fn check_final(response: Response<Incoming>) -> Result<Response<Incoming>, CallError> {
+    match response.status().as_u16() {
+        200..=599 => Ok(response),
+        status => Err(CallError::ResponseLost { detail: format_compact!("status {status}") }),
+    }
+}
+
 fn check_status(status: StatusCode, response_body: &[u8]) -> Result<(), CallError> {
     if status.is_success() {
         return Ok(());
--- a/crates/hickory-kv/src/lib.rs
+++ b/crates/hickory-kv/src/lib.rs
@@ -22,18 +22,25 @@
 //! Errors distinguish calls that had no effect ([`CallError::Connect`]) from calls that may have
 //! taken effect ([`CallError::ResponseLost`]): callers retry the former, and read the stored state
 //! to resolve the latter.
+//!
+//! [`UploadStream`] keeps a response that ends too early from looking complete, here and in the daemon.
 
 mod base64_text;
 mod call_error;
 mod client;
 mod client_settings;
+mod connector;
 mod int_text;
 mod reply_wire;
 mod request_wire;
+mod upload_stream;
 mod watch;
 
 pub use call_error::CallError;
 pub use client::Client;
 pub use client_settings::ClientSettings;
 pub use client_settings::SettingsError;
+pub use connector::Connector;
+pub use connector::check_ends;
+pub use upload_stream::UploadStream;
 pub use watch::Watch;
--- a/crates/hickoryd/src/gateway/connection.rs
+++ b/crates/hickoryd/src/gateway/connection.rs
@@ -22,6 +22,7 @@
 
 pub use crate::upstream_connection::ConnectionGuard;
 pub use crate::upstream_connection::RequestSender;
+pub use crate::upstream_connection::SendError;
 use crate::upstream_connection::handshake;
 
 /// Delay before the next accept after a failure, for example when no file descriptors are left.
--- a/crates/hickoryd/src/gateway/upstream_request.rs
+++ b/crates/hickoryd/src/gateway/upstream_request.rs
@@ -195,7 +195,8 @@
     let sent = sender.send(template.build_request(dispatch, left, names));
     let response = match timeout_at(deadline, sent).await {
         Err(_elapsed) => return Err(AttemptOutcome::Unknown(ResponseFault::Silent)),
-        Ok(Err(error)) if error.is_parse() => {
+        Ok(Err(error)) if error.is_garbled() => {
+            info!(upstream:% = dispatch.upstream, reason:% = error; "invalid response of the upstream");
             return Err(AttemptOutcome::Unknown(ResponseFault::Garbled));
         }
         Ok(Err(_error)) => return Err(AttemptOutcome::Unknown(ResponseFault::Closed)),
@@ -210,8 +211,7 @@
     names: &HeaderNames,
 ) -> Result<(), AttemptOutcome> {
     let headers = response.headers();
-    // A status 101 is no final response, and no other protocol was asked for.
-    if !template.matches_response(headers, names) || response.status().is_informational() {
+    if !template.matches_response(headers, names) {
         return Err(AttemptOutcome::Unknown(ResponseFault::Garbled));
     }
     let refusal = if response.status() == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/hickoryd/src/http_client.rs
+++ b/crates/hickoryd/src/http_client.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hickory_kv::Connector;
+use hickory_kv::check_ends;
 use http_body_util::Full;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -15,12 +17,12 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// HTTP client that opens a connection for each call.
-pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
+pub type HttpClient = Client<Connector, Full<Bytes>>;
 
 /// Creates a client.
 pub fn new() -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build(connector)
+    Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build(check_ends(connector))
 }
--- a/crates/hickoryd/src/upstream_call.rs
+++ b/crates/hickoryd/src/upstream_call.rs
@@ -99,10 +99,6 @@
         if status.is_server_error() {
             return Err(UpstreamFault::ServerError);
         }
-        // A status 101 is no final response, and no other protocol was asked for.
-        if status.is_informational() {
-            return Err(UpstreamFault::ConnectionLost);
-        }
         if matches!(self.call, Call::Model(_)) && is_rejection(status) {
             return Err(UpstreamFault::NotSent);
         }
--- a/crates/hickoryd/src/upstream_connection.rs
+++ b/crates/hickoryd/src/upstream_connection.rs
@@ -5,6 +5,9 @@
 //!
 //! A server may also send bytes without end. The size of the head of a response is limited, and so
 //! is all that precedes it, such as interim responses, which hyper would skip without a limit.
+//!
+//! A status outside 200 to 599 is no final response. The end of a response that ends with its
+//! connection is checked by [`UploadStream`].
 
 use std::fmt;
 use std::io;
@@ -18,9 +21,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hickory_kv::UploadStream;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::Uri;
 use http::header::HOST;
 use http_body_util::Full;
@@ -66,10 +71,43 @@
     pub async fn send(
         mut self,
         request: Request<Full<Bytes>>,
-    ) -> hyper::Result<Response<Incoming>> {
-        let response = self.sender.send_request(request).await?;
+    ) -> Result<Response<Incoming>, SendError> {
+        let response = self.sender.send_request(request).await.map_err(SendError::Http)?;
         self.has_head.store(true, Ordering::Relaxed);
-        Ok(response)
+        match response.status() {
+            // No other protocol was asked for, so a status 101 is no final response either. The
+            // `http` crate accepts up to 999.
+            status if matches!(status.as_u16(), 200..=599) => Ok(response),
+            status => Err(SendError::Status(status)),
+        }
+    }
+}
+
+/// Why no response to a request arrived on its connection.
+#[derive(Debug)]
+pub enum SendError {
+    /// The connection was lost, or what arrived is not HTTP.
+    Http(hyper::Error),
+    /// The status is not one of a final response.
+    Status(StatusCode),
+}
+
+impl SendError {
+    /// Returns whether something arrived that is not a response.
+    pub fn is_garbled(&self) -> bool {
+        match self {
+            Self::Http(error) => error.is_parse(),
+            Self::Status(_) => true,
+        }
+    }
+}
+
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Http(error) => error.fmt(f),
+            Self::Status(status) => write!(f, "status {} is no response", status.as_str()),
+        }
     }
 }
 
@@ -98,7 +136,7 @@
     /// No connection could be opened, so the request was not sent.
     Connect(io::Error),
     /// The request may have been sent, but no valid response arrived.
-    NoResponse(hyper::Error),
+    NoResponse(SendError),
 }
 
 impl fmt::Display for RequestError {
@@ -120,6 +158,7 @@
         debug!(reason:% = error; "cannot set TCP_NODELAY; small writes may be delayed");
     }
     let has_head = Arc::new(AtomicBool::new(false));
+    let stream = UploadStream::new(stream);
     let stream = HeadLimitedStream { stream, read_bytes: 0, has_head: Arc::clone(&has_head) };
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
@@ -148,7 +187,9 @@
     let stream = connected
         .unwrap_or_else(|_elapsed| Err(io::ErrorKind::TimedOut.into()))
         .map_err(RequestError::Connect)?;
-    let (sender, driver) = handshake(stream).await.map_err(RequestError::NoResponse)?;
+    let (sender, driver) = handshake(stream)
+        .await
+        .map_err(|error| RequestError::NoResponse(SendError::Http(error)))?;
     let task = tokio::spawn(async move {
         if let Err(error) = driver.await {
             debug!(reason:% = error; "connection to the upstream closed after an error");
@@ -162,7 +203,7 @@
 /// Connection on which reading fails if too much arrives before the head of the response.
 #[derive(Debug)]
 pub struct HeadLimitedStream {
-    stream: TcpStream,
+    stream: UploadStream,
     read_bytes: usize,
     has_head: Arc<AtomicBool>,
 }
--- a/crates/hickoryd/tests/fleet/mod.rs
+++ b/crates/hickoryd/tests/fleet/mod.rs
@@ -89,6 +89,8 @@
     pub identities: Option<PathBuf>,
     /// Root of the plain service, instead of the stand-in.
     pub service_url: Option<String>,
+    /// Maximum size of a request body, instead of the one in the configuration.
+    pub body_limit_bytes: Option<usize>,
 }
 
 /// HTTP response with its whole body.
@@ -127,7 +129,7 @@
         options: FleetOptions,
     ) -> Result<Self, AnyError> {
         let kv = Kv::start().await?;
-        store_configuration(&kv, CONFIGURATION).await?;
+        store_configuration(&kv, &configuration(options.body_limit_bytes)).await?;
         let hosts = HostList::start().await?;
         let rating = RatingService::start(1.0).await?;
         let service = Service::start().await?;
@@ -323,6 +325,15 @@
     Ok(FullResponse { status: parts.status.as_u16(), headers: parts.headers, body })
 }
 
+/// Returns the configuration, with another maximum size of a request body if one is given.
+fn configuration(body_limit_bytes: Option<usize>) -> String {
+    const LIMIT: &str = "request_body_limit_bytes: 65536";
+    match body_limit_bytes {
+        Some(limit) => CONFIGURATION.replace(LIMIT, &format!("request_body_limit_bytes: {limit}")),
+        None => CONFIGURATION.to_owned(),
+    }
+}
+
 /// Stores a configuration in the key-value service as revision 1.
 pub async fn store_configuration(kv: &Kv, yaml: &str) -> Result<(), AnyError> {
     let raw = RawConfiguration::from_yaml(yaml)?;
