Notice a caller that closes behind a part of its next request

Cause: hyper reads no more in a request while its buffer holds bytes, so the close of a caller that had sent a part of its next request, or all of it, was not seen, and its request went on at the upstream.

Change: ReadAhead wraps the connections of callers. While a request is open it reads up to 2 KB ahead whenever hyper flushes the connection, and fails once the caller has closed it. A close behind more bytes is still not seen. What was read ahead is passed to hyper in order.

--- a/crates/hickoryd/src/gateway/caller_port.rs
+++ b/crates/hickoryd/src/gateway/caller_port.rs
@@ -51,6 +51,7 @@
 use crate::gateway::header_names::HeaderNames;
 use crate::gateway::port_phase::PortPhase;
 use crate::gateway::port_phase::reached;
+use crate::gateway::read_ahead::ReadAhead;
 use crate::gateway::response::refusal_response;
 use crate::gateway::response::text_response;
 use crate::gateway::response_body::ResponseBody;
@@ -206,6 +207,7 @@
     let limits = core.limits();
     let trace = core.trace_connection(hold);
     let stream = WriteTimeout::new(stream, WRITE_STALL_TIME).while_contended(core.memory().clone());
+    let stream = LingeringClose::new(ReadAhead::new(stream, Rc::clone(&trace)));
     let service = service_fn(|request: Request<Incoming>| {
         let (core, names, trace) = (Rc::clone(&core), Rc::clone(&names), Rc::clone(&trace));
         let attempt = header_text(request.headers(), &names.client_attempt);
@@ -224,7 +226,7 @@
         .header_read_timeout(Duration::from(limits.idle_timeout_ms) + IDLE_TIMEOUT_GRACE)
         .max_buf_size((limits.head_bytes.get() as usize).max(MIN_READ_BUFFER_BYTES))
         .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(LingeringClose::new(stream)), service);
+        .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let closing = async {
         tokio::select! {
--- a/crates/hickoryd/src/gateway/connection_trace.rs
+++ b/crates/hickoryd/src/gateway/connection_trace.rs
@@ -80,6 +80,11 @@
         self.requests.get()
     }
 
+    /// Returns whether a request has no whole response.
+    pub fn has_open_request(&self) -> bool {
+        self.unanswered.borrow().is_some()
+    }
+
     /// Returns the client's id of the request that has no whole response.
     pub fn unanswered(&self) -> Option<CompactString> {
         self.unanswered.borrow().clone()
@@ -88,7 +93,7 @@
     /// Returns how the connection ended, from the result of serving it.
     pub fn end(&self, result: &hyper::Result<()>) -> ConnectionEnd {
         match result {
-            _ if self.unanswered.borrow().is_some() => ConnectionEnd::Unanswered,
+            _ if self.has_open_request() => ConnectionEnd::Unanswered,
             Ok(()) => ConnectionEnd::Complete,
             Err(error) if error.is_timeout() => ConnectionEnd::Idle,
             Err(_error) => ConnectionEnd::Failed,
--- a/crates/hickoryd/src/gateway/mod.rs
+++ b/crates/hickoryd/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod options;
 mod port_phase;
 mod process;
+mod read_ahead;
 mod response;
 mod response_body;
 mod status_port;
