Queue requests of both data paths by rank, customer share and latest start

Cause: the gateway sent queued requests by priority and arrival, so the requests of one customer could take a whole class; the entry had a fair queue of its own with two classes only. Change: one pure AdmissionQueue serves both. Ranks come first, customers within a rank by start-time fair queueing, requests of a customer by latest start. Accounts have an optional weight. Requests sent early are counted and logged.

--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -23,6 +23,7 @@
 use hickorydoor::gateway::catalog::CallerLimits;
 use hickorydoor::gateway::catalog::Catalog;
 use hickorydoor::gateway::effect::Dispatch;
+use hickorydoor::gateway::effect::EarlyTurn;
 use hickorydoor::gateway::effect::FirstEventStats;
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::feed_wire::FeedHello;
@@ -557,6 +558,10 @@
                 let customer = stats.customer.as_ref().map_or("", CustomerId::as_str);
                 self.metrics.record_duration(customer, &stats.route, stats.took_ms);
             }
+            GatewayEffect::SentEarly { call, turn } => {
+                self.log_early_turn(call, &turn);
+                self.metrics.record_early_request(&turn);
+            }
             GatewayEffect::RolloutProgress(progress) => {
                 log_progress(&progress);
                 self.metrics.record_rollout(&progress);
@@ -602,6 +607,17 @@
         self.permit_receiver.borrow_mut().take()
     }
 
+    fn log_early_turn(&self, call: CallId, turn: &EarlyTurn) {
+        if let Some(open_call) = self.calls.borrow().get(&call) {
+            info!(
+                request = open_call.client_attempt.as_str(), service:% = turn.service,
+                customer = turn.customer.as_ref().map(CustomerId::as_str), rank:% = turn.rank,
+                waited_ms = turn.waited_ms.get(), queued = turn.queued;
+                "request sent before more urgent ones: its rank had less than its share"
+            );
+        }
+    }
+
     fn on_first_event(&self, call: CallId, stats: &FirstEventStats) {
         let customer = stats.customer.as_ref().map_or("", CustomerId::as_str);
         self.metrics.record_first_event(customer, &stats.route, stats.since_arrival_ms);
--- a/crates/hickoryd/src/gateway/metrics.rs
+++ b/crates/hickoryd/src/gateway/metrics.rs
@@ -4,6 +4,7 @@
 
 use hickorydoor::DurationMs;
 use hickorydoor::gateway::EventKind;
+use hickorydoor::gateway::effect::EarlyTurn;
 use hickorydoor::gateway::rate_limits::LimitChange;
 use hickorydoor::gateway::rollout::RolloutProgress;
 use hickorydoor::gateway::upstreams::RoomState;
@@ -51,6 +52,7 @@
     limits: GaugeVec,
     limited_requests: IntCounterVec,
     room_changes: IntCounterVec,
+    early_requests: IntCounterVec,
     event_times: HistogramVec,
     tick_delay: Histogram,
     deadline_delay: Histogram,
@@ -137,6 +139,11 @@
                 "times that an upstream left, wanted a pause or was open again, as its answers say",
                 &["service", "state"],
             )?,
+            early_requests: counter(
+                "hickorydoor_early_requests_total",
+                "requests sent before more urgent ones, because their rank had less than its share",
+                &["service", "rank"],
+            )?,
             event_times: HistogramVec::new(event_times, &["kind"])?,
             tick_delay: delay(
                 "hickorydoor_tick_delay_seconds",
@@ -167,6 +174,7 @@
         metrics.registry.register(Box::new(metrics.limits.clone()))?;
         metrics.registry.register(Box::new(metrics.limited_requests.clone()))?;
         metrics.registry.register(Box::new(metrics.room_changes.clone()))?;
+        metrics.registry.register(Box::new(metrics.early_requests.clone()))?;
         metrics.registry.register(Box::new(metrics.event_times.clone()))?;
         metrics.registry.register(Box::new(metrics.tick_delay.clone()))?;
         metrics.registry.register(Box::new(metrics.deadline_delay.clone()))?;
@@ -216,6 +224,12 @@
         self.room_changes.with_label_values(&[service.as_str(), state.as_str()]).inc();
     }
 
+    /// Counts a request that is sent before more urgent ones.
+    pub fn record_early_request(&self, turn: &EarlyTurn) {
+        let rank = turn.rank.to_string();
+        self.early_requests.with_label_values(&[turn.service.as_str(), &rank]).inc();
+    }
+
     /// Counts a request that is sent to an upstream with a limit.
     pub fn record_limited_request(&self, upstream: &UpstreamId) {
         self.limited_requests.with_label_values(&[upstream.as_str()]).inc();
--- a/crates/hickorydoor/src/entry/mod.rs
+++ b/crates/hickorydoor/src/entry/mod.rs
@@ -23,7 +23,6 @@
 pub mod customer_limits;
 pub mod effect;
 pub mod event;
-pub mod fair_queue;
 mod guard;
 mod halt;
 mod limits;
@@ -50,6 +49,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::admission_queue::AdmissionQueue;
 use crate::backoff::Backoff;
 use crate::billing::ledger::Ledger;
 use crate::cascades::policy::CascadePolicy;
@@ -60,7 +60,6 @@
 use crate::entry::customer_limits::LimitTable;
 use crate::entry::effect::EntryEffect;
 use crate::entry::event::EntryEvent;
-use crate::entry::fair_queue::FairQueue;
 use crate::entry::link_plan::LinkPlan;
 use crate::entry::member_table::Member;
 use crate::entry::member_table::MemberTable;
@@ -125,7 +124,7 @@
     pub(crate) requests: HashMap<Serial, RequestState>,
     pub(crate) limits: LimitTable,
     pub(crate) retries: RetryBudget,
-    pub(crate) queues: HashMap<CompactString, FairQueue>,
+    pub(crate) queues: HashMap<CompactString, AdmissionQueue<Serial>>,
     /// Set when an upstream may have gained capacity for a queued request.
     pub(crate) capacity_freed: bool,
     pub(crate) callers: HashMap<CallerId, Serial>,
--- a/crates/hickorydoor/src/entry/queue.rs
+++ b/crates/hickorydoor/src/entry/queue.rs
@@ -1,15 +1,19 @@
 //! Queues requests at an entry while no upstream has capacity for them.
 
+use std::collections::HashSet;
+use std::num::NonZeroU32;
+
 use compact_str::CompactString;
 use compact_str::format_compact;
 
+use crate::admission_queue::QueuedRequest;
+use crate::admission_queue::Rank;
 use crate::class::Class;
 use crate::entry::Entry;
 use crate::entry::caller_request::RequestPayload;
-use crate::entry::fair_queue::FairQueue;
-use crate::entry::fair_queue::QueuedRequest;
 use crate::entry::request_state::RequestState;
 use crate::id::Serial;
+use crate::quantity::Tokens;
 use crate::refusal::RefusalReason;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
@@ -30,7 +34,7 @@
             return false;
         };
         let queue = self.queue_name(state).and_then(|name| self.queues.get(&name));
-        queue.is_some_and(|queue| queue.has_requests_ahead(state.class))
+        queue.is_some_and(|queue| queue.has_requests_ahead(Rank::from(state.class)))
     }
 
     /// Queues a request that an agent refused at its admission limit until another upstream has
@@ -65,19 +69,21 @@
             DurationMs::new(state.deadline_at_ms.since(now).get() / DEADLINE_WAIT_DIVISOR);
         // The wait is counted from the arrival, so that the waits of several attempts do not add up.
         let wait_ms = max_wait_ms.min(left_ms);
+        let weight = customer.and_then(|customer| NonZeroU32::new(customer.weight));
         let queued = QueuedRequest {
-            serial,
-            customer: state.customer.clone(),
-            weight: customer.map_or(1, |customer| customer.weight),
-            class: state.class,
-            cost: work.prompt_tokens.get() + work.answer_tokens.get(),
-            expires_at_ms: state.accepted_at_ms + wait_ms,
+            key: serial,
+            rank: Rank::from(state.class),
+            customer: Some(state.customer.clone()),
+            weight: weight.unwrap_or(NonZeroU32::MIN),
+            cost_ms: engine_time(work.prompt_tokens + work.answer_tokens),
+            latest_start_at: state.accepted_at_ms + wait_ms,
+            arrived_at: state.accepted_at_ms,
         };
         if let Some(state) = self.requests.get_mut(&serial) {
             state.queue = Some(name.clone());
         }
         let queue = self.queues.entry(name).or_default();
-        let shed = queue.push(queued, wait_ms);
+        let shed = queue.push_within(queued, wait_ms);
         let retry_after_ms = queue.retry_after();
         for shed_serial in shed {
             self.refuse(shed_serial, RefusalReason::Shed, Some(retry_after_ms), now);
@@ -102,10 +108,24 @@
     }
 
     fn drain_queue(&mut self, name: &CompactString, now: TimeMs) {
-        while let Some(serial) = self.queues.get(name).and_then(FairQueue::peek) {
+        let mut passed_over = HashSet::new();
+        let mut serves_early = true;
+        while let Some(turn) = self.queues.get(name).and_then(|queue| {
+            let mut order = queue.order(now).filter(|turn| serves_early || !turn.is_early);
+            order.find(|turn| !passed_over.contains(&turn.key))
+        }) {
+            let serial = turn.key;
             let chosen = self.place(serial, now);
             if chosen.is_none() && self.has_upstream(serial) {
-                return;
+                // Without exclusions, those behind it in its rank find no upstream either.
+                if self.has_exclusions(serial) {
+                    passed_over.insert(serial);
+                } else if turn.is_early {
+                    serves_early = false;
+                } else {
+                    return;
+                }
+                continue;
             }
             if let Some(queue) = self.queues.get_mut(name) {
                 queue.serve(serial, now);
@@ -123,6 +143,12 @@
         }
     }
 
+    /// Returns whether a request may not be sent to an upstream that others of its queue may be sent
+    /// to.
+    fn has_exclusions(&self, serial: Serial) -> bool {
+        self.requests.get(&serial).is_some_and(|state| !state.excluded.is_empty())
+    }
+
     /// Refuses requests whose maximum wait has passed.
     pub(crate) fn expire_queues(&mut self, now: TimeMs) {
         let mut expired = Vec::new();
@@ -148,3 +174,9 @@
         }
     }
 }
+
+/// Returns the engine time by which requests share the capacity. Only the proportions matter, so a
+/// token counts as one ms.
+const fn engine_time(tokens: Tokens) -> DurationMs {
+    DurationMs::new(tokens.get())
+}
--- a/crates/hickorydoor/src/gateway/arrival.rs
+++ b/crates/hickorydoor/src/gateway/arrival.rs
@@ -35,7 +35,7 @@
                     .record_first_attempt(&self.settings.retries, now);
                 self.sizes.observe(&active.route.name, &active.call.prompt);
                 self.calls.insert(id, active);
-                self.waiting.insert(id);
+                self.enqueue(id);
             }
             Err(refusal) => effects.push(GatewayEffect::Refuse { call: id, refusal }),
         }
--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -205,18 +205,13 @@
 
     pub(super) fn on_caller_gone(&mut self, id: CallId, now: TimeMs) {
         self.end_attempt(id, None, now);
-        self.waiting.remove(&id);
+        self.waiting.remove(id);
         self.remove_call(id);
     }
 
     /// Rejects queued requests whose wait time or deadline has passed.
     pub(super) fn expire_calls(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
-        let is_expired = |id: &CallId| {
-            let active = self.calls.get(id);
-            active.is_some_and(|active| now >= active.wait_until || !active.has_time(now))
-        };
-        let expired: Vec<CallId> = self.waiting.iter().copied().filter(is_expired).collect();
-        for id in expired {
+        for id in self.waiting.expire(now) {
             self.refuse_or_abort(id, RefusalReason::TimedOutWaiting, now, effects);
         }
     }
@@ -330,7 +325,7 @@
         let wait_ms = DurationMs::new(active.route.objective_ms.get() / 2);
         let wait_until = (now + wait_ms).min(active.deadline_at);
         active.wait_until = active.wait_until.max(wait_until);
-        self.waiting.insert(id);
+        self.enqueue(id);
     }
 
     pub(super) fn refuse_or_abort(
@@ -380,7 +375,7 @@
         now: TimeMs,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        self.waiting.remove(&id);
+        self.waiting.remove(id);
         if let Some(active) = self.remove_call(id) {
             if matches!(effect, GatewayEffect::Deliver { .. }) {
                 self.route_durations.observe(&active.route.name, now.since(active.arrived_at));
--- a/crates/hickorydoor/src/gateway/catalog.rs
+++ b/crates/hickorydoor/src/gateway/catalog.rs
@@ -23,6 +23,8 @@
     pub keys: Vec<CompactString>,
     /// Priority that overrides the route's; 0 is the most urgent.
     pub priority: Option<u8>,
+    /// Share of the capacity relative to other customers; `None` counts as 1.
+    pub weight: Option<NonZeroU32>,
 }
 
 /// A model that the engines of a service offer.
--- a/crates/hickorydoor/src/gateway/containment.rs
+++ b/crates/hickorydoor/src/gateway/containment.rs
@@ -59,7 +59,7 @@
         if self.quarantine.is_clear() {
             return;
         }
-        let queued = self.waiting.iter().filter_map(|id| self.calls.get(id));
+        let queued = self.waiting.keys().filter_map(|id| self.calls.get(&id));
         let unknown: Vec<ServiceName> = queued
             .filter(|active| !self.trial_slots.contains_key(&active.service))
             .map(|active| active.service.clone())
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -55,29 +55,38 @@
 /// Longest time over which callers are spread that come back to upstreams with limits.
 const MAX_SPREAD_MS: u64 = 4_000;
 /// Requests that may queue at an upstream beyond its slots, as a share of the slots.
-const QUEUED_SLOT_SHARE: f64 = 0.25;
+pub(super) const QUEUED_SLOT_SHARE: f64 = 0.25;
 /// A session that is on the target version of a rollout waits for an upstream of that version for
 /// the objective divided by this number, and then falls back to the old version.
 const VERSION_WAIT_DIVISOR: u64 = 4;
 
 impl Gateway {
-    /// Dispatches queued requests by ascending priority number, as 0 is the most urgent. Within a
-    /// priority those with the fewest suspected prompt parts come first, and then the oldest. A process that was paused dispatches nothing until it knows
-    /// what has changed meanwhile.
+    /// Dispatches queued requests in the order of their queue. A process that was paused dispatches
+    /// nothing until it knows what has changed meanwhile.
     pub(super) fn dispatch_waiting(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
         if self.waiting.is_empty() || self.freshness.is_resuming(now) {
             return;
         }
         self.update_trial_slots();
-        let mut order: Vec<(u8, usize, CallId)> = Vec::with_capacity(self.waiting.len());
-        for id in &self.waiting {
-            if let Some(active) = self.calls.get(id) {
-                order.push((active.priority(), self.suspected_parts(active).len(), *id));
-            }
-        }
-        order.sort_unstable();
         let mut claimed_permits: BTreeMap<ServiceName, usize> = BTreeMap::new();
-        for (_, _, id) in order {
+        for service in self.waiting.services() {
+            self.dispatch_service(&service, &mut claimed_permits, now, effects);
+        }
+    }
+
+    fn dispatch_service(
+        &mut self,
+        service: &ServiceName,
+        claimed_permits: &mut BTreeMap<ServiceName, usize>,
+        now: TimeMs,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let mut has_free_slot = self.has_free_slot(service);
+        for turn in self.turns(service, now) {
+            let id = turn.key;
+            if !self.has_turn(service, &turn, now) {
+                continue;
+            }
             let verdict = self.calls.get(&id).map(|active| self.verdict(active, now));
             let purpose = match verdict {
                 Some(Verdict::Allowed) => Purpose::Service,
@@ -93,15 +102,26 @@
                 },
                 None => continue,
             };
-            match self.try_dispatch(id, &purpose, now, effects) {
+            let attempted = if has_free_slot {
+                self.try_dispatch(id, &purpose, now, effects)
+            } else {
+                Attempted::NotPlaced
+            };
+            match attempted {
                 Attempted::Sent(dispatch) => {
-                    self.waiting.remove(&id);
+                    let early = self.early_turn(service, &turn, now).filter(|_| turn.is_early);
+                    self.waiting.serve(service, id, now);
                     effects.push(GatewayEffect::Dispatch { call: id, dispatch });
+                    let sent_early = |turn| GatewayEffect::SentEarly { call: id, turn };
+                    effects.extend(early.map(Box::new).map(sent_early));
+                    has_free_slot = self.has_free_slot(service);
                 }
                 Attempted::AwaitsPermit => {}
                 Attempted::NotPlaced if matches!(purpose, Purpose::Check(_)) => {}
+                // It is tried again in its usual place.
+                Attempted::NotPlaced if turn.is_early => {}
                 Attempted::NotPlaced => {
-                    self.hold_or_refuse(id, &mut claimed_permits, now, effects);
+                    self.hold_or_refuse(id, claimed_permits, now, effects);
                 }
             }
         }
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 
+use crate::admission_queue::Rank;
 use crate::gateway::call::CallId;
 use crate::gateway::quarantine::QuarantineChange;
 use crate::gateway::rate_limits::LimitChange;
@@ -16,6 +17,7 @@
 use crate::id::CustomerId;
 use crate::id::HostId;
 use crate::id::ModelId;
+use crate::id::ServiceName;
 use crate::id::UpstreamId;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
@@ -105,6 +107,22 @@
     pub took_ms: DurationMs,
 }
 
+/// A request that is sent before more urgent ones, because its rank had less than its guaranteed
+/// share.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EarlyTurn {
+    /// Service of the request.
+    pub service: ServiceName,
+    /// Customer that sent the request; `None` for requests without a key.
+    pub customer: Option<CustomerId>,
+    /// Rank of the request.
+    pub rank: Rank,
+    /// Time since the request arrived.
+    pub waited_ms: DurationMs,
+    /// Number of requests that wait for the service.
+    pub queued: usize,
+}
+
 /// An effect to carry out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum GatewayEffect {
@@ -150,6 +168,13 @@
         /// Measurements for metrics.
         stats: Box<CallStats>,
     },
+    /// Record that a request is sent before more urgent ones; follows its dispatch.
+    SentEarly {
+        /// Request that is sent.
+        call: CallId,
+        /// What it was based on.
+        turn: Box<EarlyTurn>,
+    },
     /// Record the progress of a rollout.
     RolloutProgress(Box<RolloutProgress>),
     /// Write a rollout record to the store with a compare-and-swap.
--- a/crates/hickorydoor/src/gateway/feed_wire/catalog.rs
+++ b/crates/hickorydoor/src/gateway/feed_wire/catalog.rs
@@ -126,6 +126,9 @@
     keys: Vec<String>,
     #[prost(uint32, optional, tag = "3")]
     priority: Option<u32>,
+    /// 0 if not stated.
+    #[prost(uint32, tag = "4")]
+    weight: u32,
 }
 
 /// Encodes and compresses a configuration.
@@ -297,6 +300,7 @@
             customer: account.customer.to_string(),
             keys: account.keys.iter().map(ToString::to_string).collect(),
             priority: account.priority.map(u32::from),
+            weight: account.weight.map_or(0, NonZeroU32::get),
         }
     }
 }
@@ -309,6 +313,7 @@
             customer: wire.customer.parse()?,
             keys: wire.keys.into_iter().map(CompactString::from).collect(),
             priority: wire.priority.map(|rank| u8::try_from(rank).unwrap_or(u8::MAX)),
+            weight: NonZeroU32::new(wire.weight),
         })
     }
 }
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! A gateway routes requests by host and path to plain services and model engines, which register
 //! themselves in a store. [`Gateway`] is the reducer: it handles [`GatewayEvent`]s and returns
-//! [`GatewayEffect`]s. A request passes through `arrival`, `dispatching` and `attempt_end`. The
+//! [`GatewayEffect`]s. A request passes through `arrival`, `queueing`, `dispatching` and
+//! `attempt_end`. The
 //! decisions have modules of their own: [`placement`] chooses upstream and model, [`rollout`] moves
 //! a service to a new version, [`freshness`] tracks the age of the configuration, and
 //! [`retry_budget`] and [`upstreams::cold_share`] divide fleet-wide limits among gateways without
@@ -52,6 +53,7 @@
 mod prefill_log;
 pub mod prompt_cache;
 pub mod quarantine;
+mod queueing;
 pub mod rate_limits;
 mod reducer;
 pub mod refusal;
@@ -71,6 +73,7 @@
 mod typical_times;
 pub mod upstreams;
 pub mod view_role;
+mod waiting_calls;
 
 pub use effect::GatewayEffect;
 pub use event::GatewayEvent;
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -1,7 +1,6 @@
 //! The reducer of the gateway role.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -45,6 +44,7 @@
 use crate::gateway::upstreams::Upstream;
 use crate::gateway::upstreams::UpstreamNews;
 use crate::gateway::upstreams::UpstreamPool;
+use crate::gateway::waiting_calls::WaitingCalls;
 use crate::id::DataCentreId;
 use crate::id::HostId;
 use crate::id::ServiceName;
@@ -73,7 +73,7 @@
     /// Data centres that the operator has taken out.
     pub(super) closed_data_centres: RetainedMap<DataCentreId, ()>,
     pub(super) calls: BTreeMap<CallId, ActiveCall>,
-    pub(super) waiting: BTreeSet<CallId>,
+    pub(super) waiting: WaitingCalls,
     pub(super) retry_budgets: HashMap<ServiceName, RetryBudget>,
     /// Version and end of the last use of each tracked session.
     pub(super) sessions: HashMap<CompactString, (CompactString, TimeMs)>,
@@ -129,7 +129,7 @@
             reach: DataCentreReach::default(),
             closed_data_centres: RetainedMap::new(),
             calls: BTreeMap::new(),
-            waiting: BTreeSet::new(),
+            waiting: WaitingCalls::default(),
             retry_budgets: HashMap::new(),
             sessions: HashMap::new(),
             route_durations: RouteDurations::default(),
--- a/crates/hickorydoor/src/lib.rs
+++ b/crates/hickorydoor/src/lib.rs
@@ -46,6 +46,7 @@
 //! | [`entry`] | arrival, limits, queueing, placement, sessions, cascades, delivery of responses |
 //! | [`agent`] | admission, at-most-once claims, execution at the upstream, resumption |
 //! | [`gateway`] | the path of a request within a single process |
+//! | [`admission_queue`] | the order in which requests that wait are sent |
 //! | [`cascades`], [`rollouts`] | statistics and decisions about cheaper models and new versions |
 //! | [`billing`] | usage of requests, and the ledger that stores each bill exactly once |
 //! | [`store`] | calls to the key-value service |
@@ -55,6 +56,7 @@
 //! The remaining modules hold types that all of these share, such as [`id`], [`time`], [`quantity`]
 //! and [`refusal`].
 
+pub mod admission_queue;
 pub mod agent;
 pub mod backoff;
 pub mod billing;
--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -129,6 +129,7 @@
             customer: "customer-1".parse().unwrap(),
             keys: keys.iter().map(|key| (*key).into()).collect(),
             priority: None,
+            weight: None,
         }],
     )
 }
--- a/crates/hickorydoor/tests/gateway_calls.rs
+++ b/crates/hickorydoor/tests/gateway_calls.rs
@@ -176,6 +176,7 @@
             customer: "customer-1".parse().unwrap(),
             keys: vec![KEY.into()],
             priority: None,
+            weight: None,
         }],
     );
     rig.apply(GatewayEvent::Configured(Arc::new(catalog)));
