--- a/crates/hickorydoor/benches/gateway.rs
+++ b/crates/hickorydoor/benches/gateway.rs
@@ -16,6 +16,7 @@
 
 use hickorydoor::DurationMs;
 use hickorydoor::gateway::GatewayEvent;
+use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::peer_digest::PeerDigest;
 use hickorydoor::gateway::quarantine::EngineEnd;
 use hickorydoor::gateway::quarantine::PartId;
@@ -28,6 +29,7 @@
 use crate::gateway::ENGINES;
 use crate::gateway::Rig;
 use crate::gateway::call;
+use crate::gateway::dispatch;
 use crate::gateway::member;
 
 /// Engines at which one gateway has requests.
@@ -87,7 +89,13 @@
     build: Cost,
 }
 
+/// Requests that wait while an upstream gets a free slot.
+const WAITING: usize = 100;
+/// Engines of the deployment in which they wait.
+const WAITING_ENGINES: usize = 46;
+
 fn main() {
+    print_dispatch();
     println!("cost of an event in us, and its allocations");
     println!(
         "{:>8} {:>7} {:>4} {:>18} {:>18} {:>18} {:>18} {:>18}",
@@ -104,6 +112,38 @@
     }
 }
 
+/// Prints the cost of an event after which one of the waiting requests is sent, and of one after
+/// which none can be.
+fn print_dispatch() {
+    let (mut sent, mut unsent) = (Cost::default(), Cost::default());
+    for _ in 0..ROUNDS {
+        measure_dispatch(&mut sent, &mut unsent);
+    }
+    println!("cost of an event in us, and its allocations, with {WAITING} requests waiting");
+    println!("{:>8} {:>18} {:>18}", "engines", "one is sent", "none is sent");
+    println!("{WAITING_ENGINES:>8} {sent} {unsent}");
+}
+
+fn measure_dispatch(sent: &mut Cost, unsent: &mut Cost) {
+    let mut rig = Rig::with_upstreams("gw-0", WAITING_ENGINES, 0);
+    let mut running = Vec::new();
+    let mut waiting = 0;
+    while waiting < WAITING {
+        let (id, effects) = rig.send(call("/draft/1", &format!("r-{}", running.len() + waiting)));
+        match dispatch(&effects) {
+            Some(_) => running.push(id),
+            None => waiting += 1,
+        }
+    }
+    for id in running.into_iter().take(WAITING / 2) {
+        unsent.measure(|| rig.apply(GatewayEvent::FirstEvent { call: id }));
+        let effects = sent.measure(|| rig.end_attempt(id, AttemptOutcome::Served));
+        assert!(dispatch(&effects).is_some(), "a waiting request is sent");
+        // Another one waits in its place.
+        rig.send(call("/draft/1", &format!("again-{id}")));
+    }
+}
+
 fn measure(size: Size) -> Costs {
     let mut rig = Rig::with_upstreams("gw-0", size.engines, 0);
     for index in 0..size.gateways {
--- a/crates/hickorydoor/tests/gateway/fleet.rs
+++ b/crates/hickorydoor/tests/gateway/fleet.rs
@@ -20,6 +20,7 @@
 use hickorydoor::id::UpstreamId;
 
 use super::ENGINES;
+use super::KEY;
 use super::Rig;
 use super::call;
 use super::prompt;
@@ -101,6 +102,11 @@
     pub own_tokens: u32,
     pub objective_ms: u64,
     pub customer: usize,
+    /// Path and key with which it is sent.
+    pub path: &'static str,
+    pub key: String,
+    /// Gateway that gets it; `None` for the next one in turn.
+    pub gateway: Option<usize>,
 }
 
 /// How a request ended.
@@ -129,12 +135,19 @@
     pub models: Vec<Option<ModelId>>,
     /// Engines that start during the run: time, id and how long they are cold.
     joining: Vec<(u64, String, u64)>,
+    /// Slots of each engine.
+    slots: u32,
     now_ms: u64,
     seed: u64,
 }
 
 impl Fleet {
     pub fn new(gateways: usize, engines: usize) -> Self {
+        Self::with_slots(gateways, engines, registration("e-0", ENGINES).slots)
+    }
+
+    /// Gateways and engines with a number of slots each.
+    pub fn with_slots(gateways: usize, engines: usize, slots: u32) -> Self {
         let rigs = (0..gateways).map(|index| Rig::new(&format!("gw-{index}"))).collect();
         let mut fleet = Self {
             rigs,
@@ -144,6 +157,7 @@
             outcomes: Vec::new(),
             models: Vec::new(),
             joining: Vec::new(),
+            slots,
             now_ms: 0,
             seed: 1,
         };
@@ -157,6 +171,7 @@
     pub fn start_engine(&mut self, id: &str, cold_ms: u64) {
         let mut registration = registration(id, ENGINES);
         registration.cold_ms = DurationMs::new(cold_ms);
+        registration.slots = self.slots;
         self.engines.insert(registration.upstream.clone(), Engine::default());
         for rig in &mut self.rigs {
             rig.register(registration.clone());
@@ -306,9 +321,11 @@
     }
 
     fn arrive(&mut self, index: usize) {
-        let gateway = index % self.rigs.len();
         let request = self.requests[index].clone();
-        let mut sent = call("/draft/1", &format!("r-{index}"));
+        let gateway = request.gateway.unwrap_or(index % self.rigs.len());
+        let mut sent = call(request.path, &format!("r-{index}"));
+        sent.key = Some(request.key.as_str().into());
+        sent.deadline_ms = Some(DurationMs::new(15_000));
         sent.prompt = prompt(request.subject, request.shared_tokens, request.own_tokens);
         let (id, effects) = self.rigs[gateway].send(sent);
         self.open.insert((gateway, id), OpenRequest { request: index, started: false });
@@ -462,6 +479,9 @@
                 own_tokens: (own * size) as u32,
                 objective_ms,
                 customer,
+                path: "/draft/1",
+                key: KEY.into(),
+                gateway: None,
             });
         }
         requests
