Test the rank of gateway requests and the record of those sent early

Cause: no test stated that a customer's priority comes before its route's, or that a class of low priority is sent while more urgent requests wait. Change: two tests with one engine that takes two requests at a time.

--- a/crates/hickorydoor/tests/gateway_admission.rs
+++ b/crates/hickorydoor/tests/gateway_admission.rs
@@ -8,21 +8,30 @@
 
 mod gateway;
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use hickorydoor::DurationMs;
+use hickorydoor::gateway::GatewayEffect;
 use hickorydoor::gateway::GatewayEvent;
+use hickorydoor::gateway::call::CallId;
 use hickorydoor::gateway::catalog::Account;
 use hickorydoor::gateway::catalog::CallerLimits;
 use hickorydoor::gateway::catalog::Catalog;
+use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::route::CallKind;
 use hickorydoor::gateway::route::Route;
 
 use crate::gateway::ENGINES;
+use crate::gateway::Rig;
+use crate::gateway::call;
 use crate::gateway::catalog;
+use crate::gateway::dispatch;
 use crate::gateway::fleet::Fleet;
 use crate::gateway::fleet::Outcome;
 use crate::gateway::fleet::Request;
+use crate::gateway::prompt;
+use crate::gateway::registration;
 use crate::gateway::route;
 
 const GATEWAYS: usize = 12;
@@ -169,3 +178,91 @@
     assert!(usual >= MIN_USUAL, "{usual}");
     assert!(usual - doubled < MAX_LOSS_OF_URGENT, "{usual} and {doubled}");
 }
+
+/// A gateway with one engine that takes two requests at a time, which it has.
+fn rig_with_full_engine() -> (Rig, VecDeque<CallId>) {
+    let mut rig = Rig::new("gw-1");
+    let mut catalog = ranked_catalog();
+    let mut accounts: Vec<Account> = catalog.accounts().cloned().collect();
+    accounts[1].priority = Some(0);
+    let routes = catalog.routes().cloned().collect();
+    let services = catalog.services().cloned().collect();
+    catalog = Catalog::new(3, CallerLimits::default(), routes, services, accounts);
+    rig.apply(GatewayEvent::Configured(Arc::new(catalog)));
+    let mut engine = registration("e-0", ENGINES);
+    engine.slots = 1;
+    rig.register(engine);
+    let running = [0, 1].map(|number| {
+        let (id, effects) = send(&mut rig, URGENT, 0, &format!("first-{number}"));
+        assert!(dispatch(&effects).is_some());
+        id
+    });
+    (rig, running.into_iter().collect())
+}
+
+fn send(
+    rig: &mut Rig,
+    path: &str,
+    customer: usize,
+    client_attempt: &str,
+) -> (CallId, Vec<GatewayEffect>) {
+    let mut request = call(path, client_attempt);
+    request.key = Some(format!("key-{customer}").into());
+    request.deadline_ms = Some(DurationMs::new(15_000));
+    request.prompt = prompt(1, 350, 1_100);
+    rig.send(request)
+}
+
+fn dispatched(effects: &[GatewayEffect]) -> Option<CallId> {
+    effects.iter().find_map(|effect| match effect {
+        GatewayEffect::Dispatch { call, .. } => Some(*call),
+        _ => None,
+    })
+}
+
+// Guards against an order in which the priority of a customer does not override that of the route,
+// or in which that of the route is ignored among customers with the same priority.
+#[test]
+fn rank_is_the_priority_of_the_customer_and_then_of_the_route() {
+    let (mut rig, mut running) = rig_with_full_engine();
+    let sent = [(LOW, 0), (LOW, 1), (URGENT, 1), (URGENT, 0)];
+    let ids = sent
+        .map(|(path, customer)| send(&mut rig, path, customer, &format!("{path}-{customer}")).0);
+    let mut order = Vec::new();
+    while let Some(id) = running.pop_front() {
+        let next = dispatched(&rig.end_attempt(id, AttemptOutcome::Served));
+        order.extend(next);
+        running.extend(next);
+    }
+    assert_eq!(order, [ids[2], ids[3], ids[1], ids[0]]);
+}
+
+// Guards against a class that is never served while more urgent ones wait, and against requests that
+// are sent early without a record.
+#[test]
+fn least_urgent_class_is_sent_while_more_urgent_ones_wait() {
+    let (mut rig, mut running) = rig_with_full_engine();
+    let (low, _) = send(&mut rig, LOW, 2, "low");
+    let mut early = None;
+    for step in 0..40 {
+        send(&mut rig, URGENT, step % 2 * 3, &format!("urgent-{step}"));
+        rig.advance(100);
+        let id = running.pop_front().unwrap();
+        let effects = rig.end_attempt(id, AttemptOutcome::Served);
+        running.extend(dispatched(&effects));
+        early = effects.into_iter().find_map(|effect| match effect {
+            GatewayEffect::SentEarly { call, turn } => Some((call, turn)),
+            _ => None,
+        });
+        if early.is_some() || running.is_empty() {
+            break;
+        }
+        // One more waits than is served.
+        send(&mut rig, URGENT, 4, &format!("more-{step}"));
+    }
+    let (id, turn) = early.expect("sent early");
+    assert_eq!(id, low);
+    assert_eq!(turn.customer, Some("customer-2".parse().unwrap()));
+    assert!(turn.waited_ms >= DurationMs::from_secs(2));
+    assert!(turn.queued > 1);
+}
