--- a/crates/hickorydoor/src/gateway/arrival.rs
+++ b/crates/hickorydoor/src/gateway/arrival.rs
@@ -58,7 +58,7 @@
                     self.update_route_claims();
                 }
                 self.calls.insert(id, active);
-                self.waiting.insert(id);
+                self.enqueue(id);
             }
             Err(refusal) => effects.push(GatewayEffect::Refuse { call: id, refusal }),
         }
