Refuse requests that cannot start in time when they arrive

Requests waited at engines until their deadline when there was not enough capacity, and took the room of those that could have been in time.

A request of a streaming route with models is now sent only if its first event is expected within its objective. The expected time counts the backlog that is as urgent or more, is corrected by the measured error of recent estimates, and takes into account that requests of its rank, or more urgent ones, do not start in time. If no upstream takes it, it waits only if its turn comes in time. Nothing is refused without observations.

--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -605,6 +605,9 @@
     fn on_first_event(&self, call: CallId, stats: &FirstEventStats) {
         let customer = stats.customer.as_ref().map_or("", CustomerId::as_str);
         self.metrics.record_first_event(customer, &stats.route, stats.since_arrival_ms);
+        if stats.is_estimate_wrong {
+            self.metrics.record_wrong_estimate(&stats.route);
+        }
         let now = self.now();
         if let Some(open_call) = self.calls.borrow_mut().get_mut(&call) {
             if let Some(attempt) = &mut open_call.attempt {
@@ -664,8 +667,16 @@
             }
             Directive::Refuse(refusal) => {
                 let gateway = self.gateway.borrow();
+                let estimate = refusal.estimate.as_ref();
                 info!(
                     request = request, reason:% = refusal.reason,
+                    retry_after_ms = refusal.retry_after_ms.map(DurationMs::get),
+                    on_arrival = estimate.map(|known| known.on_arrival),
+                    expected_ms = estimate.map(|known| known.expected_ms.get()),
+                    objective_ms = estimate.map(|known| known.objective_ms.get()),
+                    backlog_ms = estimate.map(|known| known.backlog_ms.get()),
+                    work_ahead_ms = estimate.map(|known| known.work_ahead_ms.get()),
+                    rank = estimate.map(|known| known.rank),
                     status = refusal.reason.status(), took_ms = took_ms,
                     configuration = gateway.catalog().map(Catalog::version),
                     configuration_age_ms =
@@ -673,6 +684,9 @@
                     "request refused"
                 );
                 self.metrics.record_call(refusal.reason.code());
+                if let Some(estimate) = estimate {
+                    self.metrics.record_no_room(estimate.on_arrival);
+                }
             }
             Directive::Deliver => {
                 info!(request = request, took_ms = took_ms; "request answered");
--- a/crates/hickoryd/src/gateway/metrics.rs
+++ b/crates/hickoryd/src/gateway/metrics.rs
@@ -51,6 +51,8 @@
     limits: GaugeVec,
     limited_requests: IntCounterVec,
     room_changes: IntCounterVec,
+    no_room: IntCounterVec,
+    wrong_estimates: IntCounterVec,
     event_times: HistogramVec,
     tick_delay: Histogram,
     deadline_delay: Histogram,
@@ -137,6 +139,16 @@
                 "times that an upstream left, wanted a pause or was open again, as its answers say",
                 &["service", "state"],
             )?,
+            no_room: counter(
+                "hickorydoor_no_room_refusals_total",
+                "requests refused since they could not start in time",
+                &["moment"],
+            )?,
+            wrong_estimates: counter(
+                "hickorydoor_wrong_start_estimates_total",
+                "first events whose expected time was wrong by more than a factor of 2",
+                &["route"],
+            )?,
             event_times: HistogramVec::new(event_times, &["kind"])?,
             tick_delay: delay(
                 "hickorydoor_tick_delay_seconds",
@@ -167,6 +179,8 @@
         metrics.registry.register(Box::new(metrics.limits.clone()))?;
         metrics.registry.register(Box::new(metrics.limited_requests.clone()))?;
         metrics.registry.register(Box::new(metrics.room_changes.clone()))?;
+        metrics.registry.register(Box::new(metrics.no_room.clone()))?;
+        metrics.registry.register(Box::new(metrics.wrong_estimates.clone()))?;
         metrics.registry.register(Box::new(metrics.event_times.clone()))?;
         metrics.registry.register(Box::new(metrics.tick_delay.clone()))?;
         metrics.registry.register(Box::new(metrics.deadline_delay.clone()))?;
@@ -221,6 +235,17 @@
         self.limited_requests.with_label_values(&[upstream.as_str()]).inc();
     }
 
+    /// Counts a request that is refused since it cannot start in time.
+    pub fn record_no_room(&self, on_arrival: bool) {
+        let moment = if on_arrival { "arrival" } else { "later" };
+        self.no_room.with_label_values(&[moment]).inc();
+    }
+
+    /// Counts a first event whose expected time was wrong by more than a factor of 2.
+    pub fn record_wrong_estimate(&self, route: &str) {
+        self.wrong_estimates.with_label_values(&[route]).inc();
+    }
+
     /// Counts a request that has ended.
     pub fn record_call(&self, outcome: &str) {
         self.calls.with_label_values(&[outcome]).inc();
--- a/crates/hickorydoor/src/gateway/active_call.rs
+++ b/crates/hickorydoor/src/gateway/active_call.rs
@@ -10,6 +10,7 @@
 use crate::gateway::effect::MIN_ATTEMPT_MS;
 use crate::gateway::quarantine::PartId;
 use crate::gateway::route::Route;
+use crate::gateway::start_check::LateStart;
 use crate::id::ModelId;
 use crate::id::ServiceName;
 use crate::id::UpstreamId;
@@ -48,6 +49,10 @@
     pub in_flight: u32,
     /// Expected time from dispatch to the first event, in ms.
     pub expected_ms: f64,
+    /// The same, counting only work that the engine serves before this request.
+    pub expected_start_ms: f64,
+    /// Time without a first event after which the expected start counts as wrong, in ms.
+    pub overdue_ms: f64,
     /// What it says about the version of the upstream.
     pub trial: VersionTrial,
     pub first_event_at: Option<TimeMs>,
@@ -96,6 +101,9 @@
     pub attempted_upstreams: SmallVec<[UpstreamId; 4]>,
     /// Number of the last event that the caller has received.
     pub last_event: Option<u64>,
+    /// Expected start at the upstream that was chosen last, if that was too late; `None` once it
+    /// has been acted upon.
+    pub late_start: Option<LateStart>,
     /// Whether the caller has received part of the response.
     pub delivered: bool,
 }
--- a/crates/hickorydoor/src/gateway/arrival.rs
+++ b/crates/hickorydoor/src/gateway/arrival.rs
@@ -76,6 +76,7 @@
             unexplained_failure: None,
             attempted_upstreams: SmallVec::new(),
             last_event,
+            late_start: None,
             delivered: false,
             call,
         };
--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -7,6 +7,7 @@
 use crate::gateway::effect::CallStats;
 use crate::gateway::effect::FirstEventStats;
 use crate::gateway::effect::GatewayEffect;
+use crate::gateway::estimate_errors::is_wrong;
 use crate::gateway::event::AttemptOutcome;
 use crate::gateway::event::NotRun;
 use crate::gateway::event::ResponseFault;
@@ -65,6 +66,7 @@
             uncached_tokens: attempt.uncached_tokens as u32,
             prompt_tokens: active.call.prompt.tokens,
             in_flight: attempt.in_flight,
+            is_estimate_wrong: is_wrong(attempt.expected_start_ms, took_ms),
         };
         effects.push(GatewayEffect::FirstEvent { call: id, stats: Box::new(stats) });
         let prefill_ms = std::mem::take(&mut attempt.prefill_ms);
@@ -72,6 +74,7 @@
             && upstream.registration.started_unix_ms == attempt.started_unix_ms
         {
             upstream.prefill_ms = (upstream.prefill_ms - prefill_ms).max(0.0);
+            upstream.prefill_by_rank.remove(priority, prefill_ms);
             upstream.record_first_event(priority, attempt.sent_at, now);
             self.quarantine.record_response(&attempt.upstream, now);
         }
@@ -80,6 +83,7 @@
         {
             self.model_table.observe_first_event(model, attempt.uncached_tokens, took_ms);
         }
+        self.record_start(id, prefill_ms, took_ms, now);
         self.record_started_answer(id, now);
     }
 
@@ -230,6 +234,7 @@
             return;
         };
         let service = active.service.clone();
+        let rank = active.priority();
         let session = active.call.session.clone();
         let parts = active.shared_parts();
         if let Some(session) = session {
@@ -238,6 +243,7 @@
         let is_withdrawn = attempt.cancelled.is_some_and(|why| why != Cancellation::Unresponsive)
             && matches!(outcome, Some(AttemptOutcome::Unknown(ResponseFault::Silent)));
         let outcome = outcome.filter(|_| !is_withdrawn);
+        self.record_ended_work(&service, now);
         self.record_end_under_parts(&service, &attempt, &parts, outcome, now);
         if let Some(upstream) = self.pool.get(&attempt.upstream) {
             let data_centre = &upstream.registration.data_centre;
@@ -255,6 +261,7 @@
         {
             upstream.in_flight = upstream.in_flight.saturating_sub(1);
             upstream.prefill_ms = (upstream.prefill_ms - attempt.prefill_ms).max(0.0);
+            upstream.prefill_by_rank.remove(rank, attempt.prefill_ms);
             record_outcome(upstream, &attempt, outcome, now);
             let has_responded = matches!(
                 outcome,
--- a/crates/hickorydoor/src/gateway/collection_sizes.rs
+++ b/crates/hickorydoor/src/gateway/collection_sizes.rs
@@ -3,6 +3,7 @@
 use crate::gateway::reducer::Gateway;
 use crate::gateway::retry_budget::RetryBudget;
 use crate::gateway::rollout::Rollout;
+use crate::gateway::start_record::StartRecord;
 use crate::gateway::upstreams::Upstream;
 
 impl Gateway {
@@ -20,6 +21,7 @@
             ("calls", self.calls.len()),
             ("waiting", self.waiting.len()),
             ("retry_budgets", self.retry_budgets.values().map(RetryBudget::len).sum()),
+            ("starts", self.starts.values().map(StartRecord::ranks).sum()),
             ("sessions", self.sessions.len()),
             ("sizes", self.sizes.len()),
             ("typical_times", self.typical_times.len()),
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -12,6 +12,7 @@
 use crate::gateway::call::CallId;
 use crate::gateway::effect::Dispatch;
 use crate::gateway::effect::GatewayEffect;
+use crate::gateway::estimate_errors::WRONG_FACTOR;
 use crate::gateway::peer_digest::Prefill;
 use crate::gateway::placement::Choice;
 use crate::gateway::placement::Demand;
@@ -119,6 +120,9 @@
             let Some(plan) = self.choose(id, purpose, now) else {
                 return Attempted::NotPlaced;
             };
+            if *purpose == Purpose::Service && !self.starts_in_time(id, &plan.choice, now) {
+                return Attempted::NotPlaced;
+            }
             let upstream = self.pool.get(&plan.choice.upstream);
             match upstream.map(|upstream| upstream.room.availability(now)) {
                 Some(Availability::Now) => {
@@ -142,6 +146,9 @@
         let active = self.calls.get(&id)?;
         let tried_parts = self.suspected_parts(active);
         let memory_tokens = self.spec(&active.service).map_or(0, |spec| spec.memory_tokens);
+        let expected_start_ms = self.expected_start(active, &choice).expected_ms;
+        let (service, rank) = (active.service.clone(), active.priority());
+        self.record_sent_work(&service, rank, choice.prefill_ms, now);
         let active = self.calls.get_mut(&id)?;
         let upstream = self.pool.get_mut(&choice.upstream)?;
         let was_cold = upstream.is_cold(now);
@@ -153,6 +160,7 @@
         }
         upstream.record_dispatch(now);
         upstream.prefill_ms += choice.prefill_ms;
+        upstream.prefill_by_rank.add(rank, choice.prefill_ms);
         let registration = upstream.registration.clone();
         if let Some(model) = &choice.model {
             let prompt = &active.call.prompt;
@@ -180,6 +188,8 @@
             backlog_ms,
             in_flight,
             expected_ms: choice.expected_ms,
+            expected_start_ms,
+            overdue_ms: expected_start_ms * WRONG_FACTOR,
             trial: VersionTrial { compares_times, is_counted: false },
             first_event_at: None,
             stalled: false,
@@ -301,7 +311,7 @@
             weight: self.sizes.weight(&active.route.name, &active.call.prompt),
             mean_value: self.sizes.mean(&active.route.name) * self.settings.costs.value_per_token,
             models: &models,
-            objective_ms: remaining_objective_ms(active, now),
+            objective_ms: remaining_objective_ms(active, now) * self.slow_start_factor(active, now),
             transfer_ms_per_token: spec.map_or(0.0, |spec| spec.transfer_ms_per_token),
             size_kb: active.call.body_bytes as f64 / 1_024.0 + ASSUMED_ANSWER_KB,
             data_centre: &self.settings.data_centre,
@@ -394,7 +404,7 @@
         })
     }
 
-    fn is_usable(&self, active: &ActiveCall, upstream: &Upstream, now: TimeMs) -> bool {
+    pub(super) fn is_usable(&self, active: &ActiveCall, upstream: &Upstream, now: TimeMs) -> bool {
         let slots = f64::from(upstream.registration.slots.max(1));
         let has_capacity =
             f64::from(upstream.total_in_flight()) < slots * (1.0 + QUEUED_SLOT_SHARE);
@@ -405,7 +415,7 @@
     }
 
     /// Returns whether an upstream can run a request at all, whatever its load.
-    fn is_eligible(&self, active: &ActiveCall, upstream: &Upstream) -> bool {
+    pub(super) fn is_eligible(&self, active: &ActiveCall, upstream: &Upstream) -> bool {
         let registration = &upstream.registration;
         let regions = &active.route.regions;
         let in_region = regions.is_empty()
@@ -527,6 +537,16 @@
         upstream.is_some_and(|upstream| upstream.room.limit().is_some())
     }
 
+    /// Returns which versions a request may run on if it may not run on all; `None` otherwise.
+    pub(super) fn version_filter(
+        &self,
+        active: &ActiveCall,
+        now: TimeMs,
+    ) -> Option<impl Fn(&str) -> bool> {
+        let preferred = self.preferred_version(active, now)?;
+        (!preferred.may_fall_back).then_some(move |version: &str| preferred.matches(version))
+    }
+
     fn preferred_version(&self, active: &ActiveCall, now: TimeMs) -> Option<PreferredVersion> {
         let rollout = self.rollouts.get(&active.service)?;
         let target = rollout.order().target.clone();
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -92,6 +92,8 @@
     pub prompt_tokens: u32,
     /// Requests in flight at the engine at dispatch.
     pub in_flight: u32,
+    /// Whether the expected time was wrong by more than a factor of 2.
+    pub is_estimate_wrong: bool,
 }
 
 /// Measurements at the end of a request.
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 //! messages. Limits that upstreams name are kept by permits, which one gateway issues for each
 //! upstream ([`rate_limits`]). Gateways exchange their load and evidence in a [`peer_digest`];
 //! [`digest_pace`] says how often, and what has arrived waits in a [`peer_inbox`].
+//! A request that cannot start in time is refused on arrival ([`start_estimate`]).
 //! Prompt parts under which engines end are kept from them by a [`quarantine`]. A planned stop
 //! ([`stopping`]) passes on only what can usually be finished.
 //!
@@ -36,6 +37,7 @@
 pub mod digest_pace;
 mod dispatching;
 pub mod effect;
+mod estimate_errors;
 pub mod event;
 pub mod event_kind;
 pub mod feed_wire;
@@ -52,6 +54,8 @@
 mod prefill_log;
 pub mod prompt_cache;
 pub mod quarantine;
+mod rank_shortage;
+mod rank_work;
 pub mod rate_limits;
 mod reducer;
 pub mod refusal;
@@ -63,6 +67,9 @@
 mod route_durations;
 pub mod settings;
 pub mod size_table;
+mod start_check;
+pub mod start_estimate;
+mod start_record;
 mod stop;
 pub mod stopping;
 pub mod store_listing;
@@ -71,6 +78,7 @@
 mod typical_times;
 pub mod upstreams;
 pub mod view_role;
+mod work_rate;
 
 pub use effect::GatewayEffect;
 pub use event::GatewayEvent;
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -37,6 +37,7 @@
 use crate::gateway::route_durations::RouteDurations;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::size_table::SizeTable;
+use crate::gateway::start_record::StartRecord;
 use crate::gateway::stop::Stop;
 use crate::gateway::store_position::StoreEra;
 use crate::gateway::store_position::StorePosition;
@@ -78,6 +79,8 @@
     /// Version and end of the last use of each tracked session.
     pub(super) sessions: HashMap<CompactString, (CompactString, TimeMs)>,
     pub(super) route_durations: RouteDurations,
+    /// What was learned about the starts of requests, by service.
+    pub(super) starts: BTreeMap<ServiceName, StartRecord>,
     /// Times of a planned stop; `None` unless the gateway is stopping.
     pub(super) stop: Option<Stop>,
     /// Latest rollout records, also of services without an order.
@@ -133,6 +136,7 @@
             retry_budgets: HashMap::new(),
             sessions: HashMap::new(),
             route_durations: RouteDurations::default(),
+            starts: BTreeMap::new(),
             stop: None,
             records: BTreeMap::new(),
             deferred_orders: BTreeMap::new(),
@@ -160,6 +164,7 @@
     pub fn apply(&mut self, event: GatewayEvent, now: TimeMs) -> Vec<GatewayEffect> {
         let mut effects = Vec::new();
         let is_digest = matches!(event, GatewayEvent::Digest(_));
+        let may_change_queue = matches!(event, GatewayEvent::Arrived { .. } | GatewayEvent::Tick);
         self.freshness.record_run(now);
         match event {
             GatewayEvent::Tick => self.on_tick(now, &mut effects),
@@ -228,6 +233,9 @@
         }
         self.contain(now, &mut effects);
         self.dispatch_waiting(now, &mut effects);
+        if may_change_queue {
+            self.refuse_late_starts(now, &mut effects);
+        }
         effects
     }
 
@@ -351,6 +359,7 @@
         self.assess_quarantine(now);
         self.end_calls_of_stop(now, effects);
         self.expire_permits(now, effects);
+        self.record_unstarted(now);
         self.expire_calls(now, effects);
         self.abandon_unresponsive(now, effects);
         self.step_rollouts(now, effects);
--- a/crates/hickorydoor/src/gateway/refusal.rs
+++ b/crates/hickorydoor/src/gateway/refusal.rs
@@ -30,6 +30,8 @@
     Stopping,
     /// No upstream was available in time.
     NoUpstream,
+    /// The request could not start within the objective of its route.
+    NoRoomInTime,
     /// The wait time or the deadline passed before the request was sent.
     TimedOutWaiting,
     /// The deadline passed while an upstream processed the request.
@@ -45,28 +47,59 @@
     pub reason: RefusalReason,
     /// Retry hint; `None` if the request may have executed or would be rejected again.
     pub retry_after_ms: Option<DurationMs>,
+    /// Estimate because of which it is rejected; `None` for other reasons.
+    pub estimate: Option<RoomEstimate>,
+}
+
+/// Estimate because of which a request is rejected for lack of room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RoomEstimate {
+    /// Expected time to the first event; at most the time until the deadline.
+    pub expected_ms: DurationMs,
+    /// Objective of the route.
+    pub objective_ms: DurationMs,
+    /// Queued prefill time at the chosen upstream that is as urgent or more; zero if none took the
+    /// request.
+    pub backlog_ms: DurationMs,
+    /// Work queued at the gateway that would be served before.
+    pub work_ahead_ms: DurationMs,
+    /// Rank of the request; 0 is the most urgent.
+    pub rank: u8,
+    /// Whether the request was rejected on arrival, or later, after it had waited.
+    pub on_arrival: bool,
 }
 
 impl From<RefusalReason> for CallRefusal {
     fn from(reason: RefusalReason) -> Self {
-        Self { reason, retry_after_ms: (reason.status() == 503).then_some(RETRY_AFTER_MS) }
+        let retry_after_ms = (reason.status() == 503).then_some(RETRY_AFTER_MS);
+        Self { reason, retry_after_ms, estimate: None }
     }
 }
 
 impl CallRefusal {
+    const fn after(reason: RefusalReason, retry_after_ms: DurationMs) -> Self {
+        Self { reason, retry_after_ms: Some(retry_after_ms), estimate: None }
+    }
+
+    /// Refuses a request that cannot start in time; there is room after about `retry_after_ms`.
+    pub const fn no_room_in_time(retry_after_ms: DurationMs, estimate: RoomEstimate) -> Self {
+        let refusal = Self::after(RefusalReason::NoRoomInTime, retry_after_ms);
+        Self { estimate: Some(estimate), ..refusal }
+    }
+
     /// Refuses a request for which all upstreams have asked for a pause of this length.
     pub const fn paused(retry_after_ms: DurationMs) -> Self {
-        Self { reason: RefusalReason::UpstreamsPaused, retry_after_ms: Some(retry_after_ms) }
+        Self::after(RefusalReason::UpstreamsPaused, retry_after_ms)
     }
 
     /// Refuses a request for which no upstream has room within its limit for this long.
     pub const fn limited(retry_after_ms: DurationMs) -> Self {
-        Self { reason: RefusalReason::UpstreamsLimited, retry_after_ms: Some(retry_after_ms) }
+        Self::after(RefusalReason::UpstreamsLimited, retry_after_ms)
     }
 
     /// Refuses a request with quarantined parts, which are tried again after `retry_after_ms`.
     pub const fn quarantined(retry_after_ms: DurationMs) -> Self {
-        Self { reason: RefusalReason::QuarantinedPrompt, retry_after_ms: Some(retry_after_ms) }
+        Self::after(RefusalReason::QuarantinedPrompt, retry_after_ms)
     }
 }
 
@@ -82,6 +115,7 @@
             | Self::NoMemory
             | Self::Stopping
             | Self::NoUpstream
+            | Self::NoRoomInTime
             | Self::TimedOutWaiting => 503,
             Self::NoRoute => 404,
             Self::UnknownKey => 401,
@@ -103,6 +137,7 @@
             Self::NoMemory => "no_memory",
             Self::Stopping => "stopping",
             Self::NoUpstream => "no_upstream",
+            Self::NoRoomInTime => "no_room_in_time",
             Self::TimedOutWaiting => "timed_out_waiting",
             Self::TimedOutRunning => "timed_out_running",
             Self::OutcomeUnknown => "outcome_unknown",
--- a/crates/hickorydoor/src/gateway/store_view.rs
+++ b/crates/hickorydoor/src/gateway/store_view.rs
@@ -206,6 +206,7 @@
         self.typical_times.retain(is_route);
         self.route_durations.retain(is_route);
         self.retry_budgets.retain(|service, _| catalog.service(service).is_some());
+        self.starts.retain(|service, _| catalog.service(service).is_some());
         let models = catalog.services().flat_map(|spec| &spec.models);
         let models: HashSet<&ModelId> = models.map(|offered| &offered.model).collect();
         self.model_table.retain(|model| models.contains(model));
--- a/crates/hickorydoor/src/gateway/upstreams/upstream.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream.rs
@@ -7,6 +7,7 @@
 use compact_str::CompactString;
 
 use crate::gateway::prompt_cache::PromptCache;
+use crate::gateway::rank_work::RankWork;
 use crate::gateway::upstreams::FailureScore;
 use crate::gateway::upstreams::UpstreamRoom;
 use crate::id::DataCentreId;
@@ -87,6 +88,8 @@
     pub in_flight: u32,
     /// Queued prefill time of this gateway's prompts, in ms.
     pub prefill_ms: f64,
+    /// The same by rank.
+    pub prefill_by_rank: RankWork,
     /// Summed load of the other gateways, from their digests.
     pub peer_load: PeerLoad,
     /// Failure average and ejection state.
@@ -117,6 +120,7 @@
             missing_since: None,
             in_flight: 0,
             prefill_ms: 0.0,
+            prefill_by_rank: RankWork::default(),
             peer_load: PeerLoad::default(),
             failures: FailureScore::default(),
             newest_answered_sent_at: BTreeMap::new(),
--- a/crates/hickorydoor/tests/gateway/fleet.rs
+++ b/crates/hickorydoor/tests/gateway/fleet.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use hickorydoor::DurationMs;
 use hickorydoor::gateway::GatewayEffect;
@@ -15,13 +16,18 @@
 use hickorydoor::gateway::call::CallId;
 use hickorydoor::gateway::effect::Dispatch;
 use hickorydoor::gateway::event::AttemptOutcome;
+use hickorydoor::gateway::event::ResponseFault;
 use hickorydoor::gateway::prompt_cache::chains;
+use hickorydoor::gateway::refusal::CallRefusal;
+use hickorydoor::gateway::route::Route;
 use hickorydoor::id::ModelId;
 use hickorydoor::id::UpstreamId;
 
 use super::ENGINES;
+use super::KEY;
 use super::Rig;
 use super::call;
+use super::catalog_with;
 use super::prompt;
 use super::registration;
 
@@ -124,11 +130,23 @@
     pub rigs: Vec<Rig>,
     engines: BTreeMap<UpstreamId, Engine>,
     open: HashMap<(usize, CallId), OpenRequest>,
-    requests: Vec<Request>,
+    pub requests: Vec<Request>,
     pub outcomes: Vec<Option<Outcome>>,
     pub models: Vec<Option<ModelId>>,
     /// Engines that start during the run: time, id and how long they are cold.
     joining: Vec<(u64, String, u64)>,
+    /// Factor on all times of the engines.
+    pub slowness: f64,
+    /// Time until the deadline of a request, at which its attempt ends; `None` to let it run on.
+    pub deadline_ms: Option<u64>,
+    /// When each request that was refused was refused, and its retry hint.
+    pub refusals: Vec<Option<(u64, CallRefusal)>>,
+    /// Whether digests are lost.
+    pub are_digests_lost: bool,
+    /// Work that the engines have prefilled, in ms of an engine at its usual speed.
+    pub prefilled_ms: f64,
+    /// Kinds of requests that have a route of their own.
+    routed_kinds: HashSet<String>,
     now_ms: u64,
     seed: u64,
 }
@@ -144,6 +162,12 @@
             outcomes: Vec::new(),
             models: Vec::new(),
             joining: Vec::new(),
+            slowness: 1.0,
+            deadline_ms: None,
+            refusals: Vec::new(),
+            are_digests_lost: false,
+            prefilled_ms: 0.0,
+            routed_kinds: HashSet::new(),
             now_ms: 0,
             seed: 1,
         };
@@ -153,6 +177,15 @@
         fleet
     }
 
+    /// Sends the requests of each kind on a route of its own, which is named after the kind.
+    pub fn configure_routes(&mut self, routes: &[Route]) {
+        self.routed_kinds = routes.iter().map(|route| route.name.to_string()).collect();
+        let catalog = Arc::new(catalog_with(2, &[KEY], routes.to_vec()));
+        for rig in &mut self.rigs {
+            rig.apply(GatewayEvent::Configured(Arc::clone(&catalog)));
+        }
+    }
+
     /// Starts an engine that is cold for `cold_ms`.
     pub fn start_engine(&mut self, id: &str, cold_ms: u64) {
         let mut registration = registration(id, ENGINES);
@@ -189,6 +222,7 @@
         let end_ms = load.last().map_or(0, |request| request.at_ms) + 16_000;
         self.outcomes.resize(first + load.len(), None);
         self.models.resize(first + load.len(), None);
+        self.refusals.resize(first + load.len(), None);
         self.requests.extend(load);
         let mut next = first;
         while self.now_ms < end_ms {
@@ -202,6 +236,9 @@
 
     /// Delivers the digest of each gateway to all others.
     fn exchange_digests(&mut self) {
+        if self.are_digests_lost {
+            return;
+        }
         let digests: Vec<_> = self.rigs.iter_mut().map(|rig| rig.gateway.digest(rig.now)).collect();
         for gateway in 0..self.rigs.len() {
             for digest in &digests {
@@ -220,6 +257,7 @@
         for (_, id, cold_ms) in due as Vec<(u64, String, u64)> {
             self.start_engine(&id, cold_ms);
         }
+        self.end_overdue();
         for gateway in 0..self.rigs.len() {
             let rig = &mut self.rigs[gateway];
             rig.now = rig.now + DurationMs::new(STEP_MS);
@@ -238,6 +276,25 @@
         }
     }
 
+    /// Ends the attempts of requests whose deadline has passed before their first event.
+    fn end_overdue(&mut self) {
+        let Some(deadline_ms) = self.deadline_ms else {
+            return;
+        };
+        let is_overdue = |open: &OpenRequest| {
+            !open.started && self.now_ms >= self.requests[open.request].at_ms + deadline_ms
+        };
+        let mut overdue: Vec<(usize, CallId)> =
+            self.open.iter().filter(|(_, open)| is_overdue(open)).map(|(id, _)| *id).collect();
+        overdue.sort_unstable();
+        for (gateway, id) in overdue {
+            self.remove_job(gateway, id);
+            let timed_out = AttemptOutcome::Unknown(ResponseFault::TimedOut);
+            let effects = self.rigs[gateway].end_attempt(id, timed_out);
+            self.apply_effects(gateway, effects);
+        }
+    }
+
     fn step_engine(&mut self, id: &UpstreamId) {
         let Some(engine) = self.engines.get_mut(id) else {
             return;
@@ -250,6 +307,7 @@
             let job = &mut engine.waiting[0];
             let slice_ms = budget_ms.min(job.prefill_ms);
             job.prefill_ms -= slice_ms;
+            self.prefilled_ms += slice_ms / self.slowness;
             budget_ms -= slice_ms;
             if job.prefill_ms > 0.0 {
                 break;
@@ -266,7 +324,7 @@
                 Some(model) => pace(model).0 * CHUNK_TOKENS,
                 None => pace(&job.model).1,
             };
-            job.tokens_left -= STEP_MS as f64 / token_ms;
+            job.tokens_left -= STEP_MS as f64 / (token_ms * self.slowness);
             if job.tokens_left <= 0.0 {
                 ended.push(job.clone());
             }
@@ -308,7 +366,10 @@
     fn arrive(&mut self, index: usize) {
         let gateway = index % self.rigs.len();
         let request = self.requests[index].clone();
-        let mut sent = call("/draft/1", &format!("r-{index}"));
+        let is_routed = self.routed_kinds.contains(request.kind);
+        let path = format!("/{}/1", if is_routed { request.kind } else { "draft" });
+        let mut sent = call(&path, &format!("r-{index}"));
+        sent.deadline_ms = Some(DurationMs::new(self.deadline_ms.unwrap_or(15_000)));
         sent.prompt = prompt(request.subject, request.shared_tokens, request.own_tokens);
         let (id, effects) = self.rigs[gateway].send(sent);
         self.open.insert((gateway, id), OpenRequest { request: index, started: false });
@@ -319,7 +380,14 @@
         for effect in effects {
             match effect {
                 GatewayEffect::Dispatch { call, dispatch } => self.start(gateway, call, &dispatch),
-                GatewayEffect::Refuse { call, .. } => self.close(gateway, call, Outcome::Refused),
+                GatewayEffect::Refuse { call, refusal } => {
+                    if let Some(open) = self.open.get(&(gateway, call)) {
+                        self.refusals[open.request] = Some((self.now_ms, refusal));
+                    }
+                    let has_run = refusal.reason.status() != 503;
+                    let outcome = if has_run { Outcome::Failed } else { Outcome::Refused };
+                    self.close(gateway, call, outcome);
+                }
                 GatewayEffect::Abort { call } => self.close(gateway, call, Outcome::Failed),
                 GatewayEffect::Abandon { call } => self.abandon(gateway, call),
                 _ => {}
@@ -349,7 +417,7 @@
             call: id,
             priority: dispatch.priority,
             sent_at: self.now_ms,
-            prefill_ms: uncached_tokens * pace(&model).0,
+            prefill_ms: uncached_tokens * pace(&model).0 * self.slowness,
             first_event_at: 0,
             model,
             tokens_left: ANSWER_TOKENS,
@@ -357,11 +425,15 @@
         });
     }
 
-    fn abandon(&mut self, gateway: usize, id: CallId) {
+    fn remove_job(&mut self, gateway: usize, id: CallId) {
         for engine in self.engines.values_mut() {
             engine.waiting.retain(|job| (job.gateway, job.call) != (gateway, id));
             engine.running.retain(|job| (job.gateway, job.call) != (gateway, id));
         }
+    }
+
+    fn abandon(&mut self, gateway: usize, id: CallId) {
+        self.remove_job(gateway, id);
         let silent = AttemptOutcome::Unknown(hickorydoor::gateway::event::ResponseFault::Silent);
         let effects = self.rigs[gateway].end_attempt(id, silent);
         self.apply_effects(gateway, effects);
--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -104,6 +104,11 @@
 }
 
 pub fn catalog(version: u64, keys: &[&str]) -> Catalog {
+    catalog_with(version, keys, Vec::new())
+}
+
+/// A catalog with further routes, which replace those of the same prefix.
+pub fn catalog_with(version: u64, keys: &[&str], further: Vec<Route>) -> Catalog {
     let costs = [("small", 0.0085), ("middle", 0.064), ("large", 0.13)];
     let models = costs
         .iter()
@@ -116,14 +121,17 @@
         transfer_ms_per_token: 0.0,
         models,
     };
+    let mut routes = vec![
+        route("/draft/", CallKind::Streaming, ENGINES),
+        route("/book/", CallKind::NonIdempotent, PLAIN),
+        route("/look/", CallKind::Idempotent, PLAIN),
+    ];
+    routes.retain(|known| further.iter().all(|route| route.prefix != known.prefix));
+    routes.extend(further);
     Catalog::new(
         version,
         CallerLimits::default(),
-        vec![
-            route("/draft/", CallKind::Streaming, ENGINES),
-            route("/book/", CallKind::NonIdempotent, PLAIN),
-            route("/look/", CallKind::Idempotent, PLAIN),
-        ],
+        routes,
         vec![service(ENGINES, 7.3, models.collect()), service(PLAIN, 0.0, Vec::new())],
         vec![Account {
             customer: "customer-1".parse().unwrap(),
