--- a/crates/hickorydoor/src/gateway/start_check.rs
+++ b/crates/hickorydoor/src/gateway/start_check.rs
@@ -113,19 +113,20 @@
         };
         let peer_ms = upstream.peer_load.prefill_ms;
         let backlog_ms =
-            upstream.prefill_by_rank.as_urgent_ms(rank) + peer_ms * self.peer_share(active, rank);
+            upstream.prefill_by_rank.as_urgent(rank) + peer_ms * self.peer_share(active, rank);
         let backlog_ms = backlog_ms.min(upstream.backlog_ms());
         let expected_ms = choice.expected_ms - upstream.backlog_ms() + backlog_ms;
         ExpectedStart { expected_ms, backlog_ms }
     }
 
     /// Returns the factor on the time that is left for the first event by which placement takes into
-    /// account that engines are much slower than the estimates say; 1 unless they are.
+    /// account that engines are slower than the estimates say; 1 unless requests are refused for
+    /// lack of room.
     pub(super) fn slow_start_factor(&self, active: &ActiveCall, now: TimeMs) -> f64 {
-        let record = self.starts.get(&active.service);
+        let record = self.starts.get(&active.service).filter(|record| record.rate.is_short());
         let correction =
             record.and_then(|record| record.errors(active.priority(), now).correction(now));
-        correction.filter(|known| *known < 1.0 / WRONG_FACTOR).unwrap_or(1.0)
+        correction.map_or(1.0, |known| known.min(1.0))
     }
 
     /// Refuses the queued requests that can't start in time any more.
@@ -245,7 +246,7 @@
             self.pool.iter().filter(|known| known.registration.service == active.service);
         let (as_urgent_ms, total_ms) = of_service.fold((0.0, 0.0), |(as_urgent, total), known| {
             let work: &RankWork = &known.prefill_by_rank;
-            (as_urgent + work.as_urgent_ms(rank), total + work.total_ms())
+            (as_urgent + work.as_urgent(rank), total + work.total())
         });
         if total_ms >= 1.0 {
             return as_urgent_ms / total_ms;
--- a/crates/hickorydoor/src/gateway/start_record.rs
+++ b/crates/hickorydoor/src/gateway/start_record.rs
@@ -71,7 +71,8 @@
         if self.rate.more_urgent_share(rank) <= 0.0 {
             return None;
         }
-        self.shortages.get(&rank)?.expected_ms(work_ms, self.rate.finished(rank), now)
+        let finished = self.rate.most_finished(rank, work_ms);
+        self.shortages.get(&rank)?.expected_ms(work_ms, finished, now)
     }
 
     /// Returns the number of ranks with observations.
--- a/crates/hickorydoor/src/gateway/work_rate.rs
+++ b/crates/hickorydoor/src/gateway/work_rate.rs
@@ -23,7 +23,7 @@
     sent_counts: RankWork,
     refused_counts: RankWork,
     finished: RankWork,
-    finished_count: f64,
+    finished_counts: RankWork,
     ended_count: f64,
     started_at: TimeMs,
     updated_at: TimeMs,
@@ -37,7 +37,7 @@
             sent_counts: RankWork::default(),
             refused_counts: RankWork::default(),
             finished: RankWork::default(),
-            finished_count: 0.0,
+            finished_counts: RankWork::default(),
             ended_count: 0.0,
             started_at: now,
             updated_at: now,
@@ -61,7 +61,7 @@
     pub fn record_finished(&mut self, rank: u8, work_ms: f64, now: TimeMs) {
         self.decay(now);
         self.finished.add(rank, work_ms);
-        self.finished_count += 1.0;
+        self.finished_counts.add(rank, 1.0);
     }
 
     /// Records that a request has ended and left its slot.
@@ -77,24 +77,28 @@
         self.sent_counts.scale(factor);
         self.refused_counts.scale(factor);
         self.finished.scale(factor);
-        self.finished_count *= factor;
+        self.finished_counts.scale(factor);
         self.ended_count *= factor;
         self.updated_at = now;
     }
 
     /// Returns whether enough has finished for the rates to be known.
     pub fn is_known(&self) -> bool {
-        self.finished_count >= MIN_FINISHED
+        self.finished_counts.total() >= MIN_FINISHED
     }
 
     /// Returns the mean work of a request, in ms.
     pub fn mean_work_ms(&self) -> f64 {
-        self.finished.total_ms() / self.finished_count.max(1.0)
+        self.finished.total() / self.finished_counts.total().max(1.0)
     }
 
-    /// Returns the work of a rank that finishes per ms, in ms.
-    pub fn finished(&self, rank: u8) -> f64 {
-        self.finished.of_rank(rank) / self.window_ms()
+    /// Returns the most work of a rank that may finish per ms, in ms, as far as the observations
+    /// leave open: the number of finished requests is off by about its square root, and the next
+    /// one, with `work_ms`, may finish any moment.
+    pub fn most_finished(&self, rank: u8, work_ms: f64) -> f64 {
+        let count = self.finished_counts.of_rank(rank).max(1.0);
+        let most_ms = self.finished.of_rank(rank) * (1.0 + 1.0 / count.sqrt()) + work_ms;
+        most_ms / self.window_ms()
     }
 
     /// Returns the number of requests that leave their slots per ms.
@@ -104,19 +108,24 @@
 
     /// Returns by how much more work finishes per ms than is sent, in ms.
     pub fn surplus(&self) -> f64 {
-        (self.finished.total_ms() - self.sent.total_ms()).max(0.0) / self.window_ms()
+        (self.finished.total() - self.sent.total()).max(0.0) / self.window_ms()
     }
 
     /// Returns the share of the sent work that is more urgent than `rank`; 0 if none was sent.
     pub fn more_urgent_share(&self, rank: u8) -> f64 {
-        let total_ms = self.sent.total_ms();
-        if total_ms <= 0.0 { 0.0 } else { self.sent.more_urgent_ms(rank) / total_ms }
+        let total_ms = self.sent.total();
+        if total_ms <= 0.0 { 0.0 } else { self.sent.more_urgent(rank) / total_ms }
     }
 
     /// Returns the share of the sent work that is as urgent as `rank` or more; 1 if none was sent.
     pub fn as_urgent_share(&self, rank: u8) -> f64 {
-        let total_ms = self.sent.total_ms();
-        if total_ms <= 0.0 { 1.0 } else { self.sent.as_urgent_ms(rank) / total_ms }
+        let total_ms = self.sent.total();
+        if total_ms <= 0.0 { 1.0 } else { self.sent.as_urgent(rank) / total_ms }
+    }
+
+    /// Returns whether requests of any rank are refused for lack of room.
+    pub fn is_short(&self) -> bool {
+        self.refused_counts.total() >= MIN_REFUSED
     }
 
     /// Returns whether a considerable share of more urgent requests is refused for lack of room. The
