--- a/crates/hickorydoor/src/gateway/first_event_model.rs
+++ b/crates/hickorydoor/src/gateway/first_event_model.rs
@@ -9,6 +9,8 @@
 
 /// Number of weights.
 const WEIGHTS: usize = 4;
+/// Index of the weight of the backlog.
+const BACKLOG: usize = 2;
 /// Unit of times within the model, in ms. Keeps all inputs near 1.
 const UNIT_MS: f64 = 1_000.0;
 /// Unit of running requests within the model.
@@ -71,6 +73,11 @@
         dot(&self.weights, &load.inputs()) * UNIT_MS
     }
 
+    /// Returns the time by which this backlog delays the first event, in ms.
+    pub const fn delay_ms(&self, backlog_ms: f64) -> f64 {
+        self.weights[BACKLOG] * backlog_ms
+    }
+
     /// Records the time from the dispatch to the first event, in ms.
     pub fn observe(&mut self, load: &EngineLoad, took_ms: f64) {
         let inputs = load.inputs();
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! messages. Limits that upstreams name are kept by permits, which one gateway issues for each
 //! upstream ([`rate_limits`]). Gateways exchange their load and evidence in a [`peer_digest`];
 //! [`digest_pace`] says how often, and what has arrived waits in a [`peer_inbox`].
+//! A request that cannot start in time is refused on arrival ([`start_estimate`]).
 //! Prompt parts under which engines end are kept from them by a [`quarantine`]. A planned stop
 //! ([`stopping`]) passes on only what can usually be finished.
 //!
@@ -37,6 +38,7 @@
 pub mod digest_pace;
 mod dispatching;
 pub mod effect;
+mod estimate_errors;
 pub mod event;
 pub mod event_kind;
 pub mod feed_wire;
@@ -55,6 +57,8 @@
 pub mod prompt_cache;
 pub mod quarantine;
 mod queueing;
+mod rank_shortage;
+mod rank_work;
 pub mod rate_limits;
 mod reducer;
 pub mod refusal;
@@ -67,6 +71,9 @@
 mod route_durations;
 pub mod settings;
 pub mod size_table;
+mod start_check;
+pub mod start_estimate;
+mod start_record;
 mod stop;
 pub mod stopping;
 pub mod store_listing;
@@ -76,6 +83,7 @@
 pub mod upstreams;
 pub mod view_role;
 mod waiting_calls;
+mod work_rate;
 
 pub use effect::GatewayEffect;
 pub use event::GatewayEvent;
--- a/crates/hickorydoor/src/gateway/model_table.rs
+++ b/crates/hickorydoor/src/gateway/model_table.rs
@@ -55,6 +55,11 @@
         self.first_events.expected_ms(load)
     }
 
+    /// Returns the time by which this backlog delays the first event of a prompt behind it, in ms.
+    pub fn delay_ms(&self, backlog_ms: f64) -> f64 {
+        self.first_events.delay_ms(backlog_ms)
+    }
+
     /// Records the time to a first event, in ms, and the load that its prompt met.
     pub fn observe_load(&mut self, load: &EngineLoad, first_event_ms: f64) {
         self.first_events.observe(load, first_event_ms);
