Divide scarce room among gateways by what waits at them

Gateways decided alone which upstream has a free slot, so that a lesser request at one gateway took the slot that an urgent one waited for at another. Each digest now names the waiting requests by service and rank (tag 11). While an upstream is scarce, its free slots are assigned to these demands, the most urgent rank first; an assignment stays until the next digest of its gateway.

--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -58,6 +58,8 @@
 use crate::gateway::event_log::log_progress;
 use crate::gateway::event_log::log_quarantine;
 use crate::gateway::event_log::log_room;
+use crate::gateway::event_log::log_scarcity;
+use crate::gateway::event_log::log_share_wait;
 use crate::gateway::event_log::step_label;
 use crate::gateway::followers::FollowerState;
 use crate::gateway::followers::Followers;
@@ -573,6 +575,14 @@
                 log_room(&change);
                 self.metrics.record_room(&change.service, change.state);
             }
+            GatewayEffect::ScarcityChanged(change) => {
+                log_scarcity(&change);
+                self.metrics.record_scarcity(&change.service, change.is_scarce);
+            }
+            GatewayEffect::ShareAwaited { call, service, rank } => {
+                log_share_wait(call, &service, rank);
+                self.metrics.record_share_wait(&service, rank);
+            }
             GatewayEffect::SendPermit { host, message } => self.send_permit(&host, *message),
             GatewayEffect::SendDigest => self.digest_due.notify_one(),
             GatewayEffect::WriteRollout(step) => {
--- a/crates/hickoryd/src/gateway/event_log.rs
+++ b/crates/hickoryd/src/gateway/event_log.rs
@@ -2,7 +2,9 @@
 
 use hickorydoor::DurationMs;
 use hickorydoor::gateway::GatewayEvent;
+use hickorydoor::gateway::call::CallId;
 use hickorydoor::gateway::event::AttemptOutcome;
+use hickorydoor::gateway::headroom::ScarcityChange;
 use hickorydoor::gateway::quarantine::PartId;
 use hickorydoor::gateway::quarantine::QuarantineChange;
 use hickorydoor::gateway::quarantine::QuarantineStep;
@@ -11,7 +13,9 @@
 use hickorydoor::gateway::rollout::RolloutProgress;
 use hickorydoor::gateway::upstreams::RoomChange;
 use hickorydoor::gateway::upstreams::RoomState;
+use hickorydoor::id::ServiceName;
 use hickorydoor::id::UpstreamId;
+use log::debug;
 use log::info;
 use log::warn;
 
@@ -77,6 +81,23 @@
     );
 }
 
+pub(super) fn log_scarcity(change: &ScarcityChange) {
+    let message = if change.is_scarce {
+        "room of a service is scarce and is divided among the gateways"
+    } else {
+        "room of a service is no longer scarce"
+    };
+    info!(
+        service:% = change.service, in_flight = change.in_flight, slots = change.slots,
+        backlog_ms = change.backlog_ms as u64, waiting_gateways = change.waiting_gateways;
+        "{message}"
+    );
+}
+
+pub(super) fn log_share_wait(call: CallId, service: &ServiceName, rank: u8) {
+    debug!(call = call.0, service:% = service, rank; "request waits for a share of scarce room");
+}
+
 pub(super) fn log_progress(progress: &RolloutProgress) {
     let (target, baseline) = (&progress.target_counts, &progress.baseline_counts);
     let comparison = &progress.comparison;
--- a/crates/hickoryd/src/gateway/metrics.rs
+++ b/crates/hickoryd/src/gateway/metrics.rs
@@ -51,6 +51,8 @@
     limits: GaugeVec,
     limited_requests: IntCounterVec,
     room_changes: IntCounterVec,
+    share_waits: IntCounterVec,
+    scarce_services: IntGaugeVec,
     event_times: HistogramVec,
     tick_delay: Histogram,
     deadline_delay: Histogram,
@@ -137,6 +139,18 @@
                 "times that an upstream left, wanted a pause or was open again, as its answers say",
                 &["service", "state"],
             )?,
+            share_waits: counter(
+                "hickorydoor_share_waits_total",
+                "requests that waited because another gateway may use the free slots",
+                &["service", "rank"],
+            )?,
+            scarce_services: IntGaugeVec::new(
+                Opts::new(
+                    "hickorydoor_service_scarce",
+                    "whether all upstreams of a service are scarce, as this gateway sees it",
+                ),
+                &["service"],
+            )?,
             event_times: HistogramVec::new(event_times, &["kind"])?,
             tick_delay: delay(
                 "hickorydoor_tick_delay_seconds",
@@ -167,6 +181,8 @@
         metrics.registry.register(Box::new(metrics.limits.clone()))?;
         metrics.registry.register(Box::new(metrics.limited_requests.clone()))?;
         metrics.registry.register(Box::new(metrics.room_changes.clone()))?;
+        metrics.registry.register(Box::new(metrics.share_waits.clone()))?;
+        metrics.registry.register(Box::new(metrics.scarce_services.clone()))?;
         metrics.registry.register(Box::new(metrics.event_times.clone()))?;
         metrics.registry.register(Box::new(metrics.tick_delay.clone()))?;
         metrics.registry.register(Box::new(metrics.deadline_delay.clone()))?;
@@ -216,6 +232,17 @@
         self.room_changes.with_label_values(&[service.as_str(), state.as_str()]).inc();
     }
 
+    /// Counts a request that waits because another gateway may use the free slots.
+    pub fn record_share_wait(&self, service: &ServiceName, rank: u8) {
+        let rank = rank.to_string();
+        self.share_waits.with_label_values(&[service.as_str(), rank.as_str()]).inc();
+    }
+
+    /// Records whether all upstreams of a service are scarce.
+    pub fn record_scarcity(&self, service: &ServiceName, is_scarce: bool) {
+        self.scarce_services.with_label_values(&[service.as_str()]).set(i64::from(is_scarce));
+    }
+
     /// Counts a request that is sent to an upstream with a limit.
     pub fn record_limited_request(&self, upstream: &UpstreamId) {
         self.limited_requests.with_label_values(&[upstream.as_str()]).inc();
--- a/crates/hickorydoor/benches/gateway.rs
+++ b/crates/hickorydoor/benches/gateway.rs
@@ -180,5 +180,6 @@
             ..QuarantineReport::default()
         },
         notices: Vec::new(),
+        demands: Vec::new(),
     }
 }
--- a/crates/hickorydoor/src/gateway/collection_sizes.rs
+++ b/crates/hickorydoor/src/gateway/collection_sizes.rs
@@ -1,5 +1,6 @@
 //! Sizes of the collections of a gateway, each of which has a bound (docs/CAPACITY.md).
 
+use crate::gateway::headroom::Assignments;
 use crate::gateway::reducer::Gateway;
 use crate::gateway::retry_budget::RetryBudget;
 use crate::gateway::rollout::Rollout;
@@ -39,6 +40,10 @@
             ("recent_prefills", self.recent_prefills.len()),
             ("upstream_news", self.upstream_news.len()),
             ("room_log", self.room_log.entries()),
+            ("peer_demand", self.peer_demand.len()),
+            ("reported_demand", self.reported_demand.len()),
+            ("assignments", self.assignments.values().map(Assignments::len).sum()),
+            ("scarcity_log", self.scarcity_log.entries()),
         ]
     }
 }
--- a/crates/hickorydoor/src/gateway/dispatching.rs
+++ b/crates/hickorydoor/src/gateway/dispatching.rs
@@ -22,6 +22,7 @@
 use crate::gateway::reducer::session_hash;
 use crate::gateway::refusal::CallRefusal;
 use crate::gateway::rollout::canary_upstreams;
+use crate::gateway::room_sharing::is_within_share;
 use crate::gateway::route::CallKind;
 use crate::gateway::upstreams::Availability;
 use crate::gateway::upstreams::Upstream;
@@ -54,8 +55,6 @@
 const PAUSE_SPREAD_MS: u64 = 500;
 /// Longest time over which callers are spread that come back to upstreams with limits.
 const MAX_SPREAD_MS: u64 = 4_000;
-/// Requests that may queue at an upstream beyond its slots, as a share of the slots.
-const QUEUED_SLOT_SHARE: f64 = 0.25;
 /// A session that is on the target version of a rollout waits for an upstream of that version for
 /// the objective divided by this number, and then falls back to the old version.
 const VERSION_WAIT_DIVISOR: u64 = 4;
@@ -152,6 +151,7 @@
             upstream.room.permits.take(now);
         }
         upstream.record_dispatch(now);
+        upstream.share.take(active.priority());
         upstream.prefill_ms += choice.prefill_ms;
         let registration = upstream.registration.clone();
         if let Some(model) = &choice.model {
@@ -390,14 +390,17 @@
         self.pool.iter().any(|upstream| {
             !active.attempted_upstreams.contains(&upstream.registration.upstream)
                 && !upstream.failures.is_ejected(now)
-                && self.is_usable(active, upstream, now)
+                && self.has_room(active, upstream, now)
         })
     }
 
     fn is_usable(&self, active: &ActiveCall, upstream: &Upstream, now: TimeMs) -> bool {
-        let slots = f64::from(upstream.registration.slots.max(1));
-        let has_capacity =
-            f64::from(upstream.total_in_flight()) < slots * (1.0 + QUEUED_SLOT_SHARE);
+        self.has_room(active, upstream, now) && is_within_share(active, upstream, now)
+    }
+
+    /// Returns whether an upstream takes a request now, whichever gateway sends it.
+    pub(super) fn has_room(&self, active: &ActiveCall, upstream: &Upstream, now: TimeMs) -> bool {
+        let has_capacity = upstream.total_in_flight() < upstream.capacity();
         self.is_eligible(active, upstream)
             && has_capacity
             && (!upstream.is_cold(now) || upstream.has_cold_capacity)
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 
 use crate::gateway::call::CallId;
+use crate::gateway::headroom::ScarcityChange;
 use crate::gateway::quarantine::QuarantineChange;
 use crate::gateway::rate_limits::LimitChange;
 use crate::gateway::rate_limits::PermitMessage;
@@ -16,6 +17,7 @@
 use crate::id::CustomerId;
 use crate::id::HostId;
 use crate::id::ModelId;
+use crate::id::ServiceName;
 use crate::id::UpstreamId;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
@@ -160,6 +162,17 @@
     LimitChanged(Box<LimitChange>),
     /// Record that an upstream is spared because of what it says, or is not any more.
     RoomChanged(Box<RoomChange>),
+    /// Record that the upstreams of a service have all become scarce, or are not any more.
+    ScarcityChanged(Box<ScarcityChange>),
+    /// Record that a request waits because another gateway may use the free slots.
+    ShareAwaited {
+        /// Request that waits.
+        call: CallId,
+        /// Service of the request.
+        service: ServiceName,
+        /// Priority of the request.
+        rank: u8,
+    },
     /// Send a message about a permit to another gateway.
     SendPermit {
         /// Gateway that the message is for.
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 //! messages. Limits that upstreams name are kept by permits, which one gateway issues for each
 //! upstream ([`rate_limits`]). Gateways exchange their load and evidence in a [`peer_digest`];
 //! [`digest_pace`] says how often, and what has arrived waits in a [`peer_inbox`].
+//! While room is scarce, it is divided by what waits at each ([`headroom`]).
 //! Prompt parts under which engines end are kept from them by a [`quarantine`]. A planned stop
 //! ([`stopping`]) passes on only what can usually be finished.
 //!
@@ -40,6 +41,7 @@
 pub mod event_kind;
 pub mod feed_wire;
 pub mod freshness;
+pub mod headroom;
 pub mod member;
 pub mod model_table;
 mod peer_contact;
@@ -59,6 +61,7 @@
 pub mod retry_budget;
 pub mod rollout;
 mod rollout_outcomes;
+mod room_sharing;
 pub mod route;
 mod route_durations;
 pub mod settings;
--- a/crates/hickorydoor/src/gateway/peer_digest.rs
+++ b/crates/hickorydoor/src/gateway/peer_digest.rs
@@ -6,6 +6,8 @@
 use prost::Message;
 
 use crate::gateway::feed_wire::record::WireRecord;
+use crate::gateway::headroom::ServiceDemand;
+use crate::gateway::headroom::WireServiceDemand;
 use crate::gateway::prompt_cache::ChainPart;
 use crate::gateway::quarantine::QuarantineReport;
 use crate::gateway::quarantine::WireQuarantine;
@@ -75,6 +77,8 @@
     pub quarantine: QuarantineReport,
     /// What upstreams have said to the sender a moment ago.
     pub notices: Vec<PeerNotice>,
+    /// Requests that wait at the sender.
+    pub demands: Vec<ServiceDemand>,
 }
 
 /// Error of decoding a datagram.
@@ -211,6 +215,8 @@
     /// Present if the datagram is about a permit and not a digest.
     #[prost(message, optional, tag = "9")]
     pub(super) permit: Option<WirePermit>,
+    #[prost(message, repeated, tag = "11")]
+    demands: Vec<WireServiceDemand>,
 }
 
 impl PeerDigest {
@@ -264,6 +270,7 @@
             quarantine: Some(WireQuarantine::from(&digest.quarantine)),
             notices: digest.notices.iter().map(WirePeerNotice::from).collect(),
             permit: None,
+            demands: digest.demands.iter().map(WireServiceDemand::from).collect(),
         }
     }
 }
@@ -299,6 +306,11 @@
                 .into_iter()
                 .map(PeerNotice::try_from)
                 .collect::<Result<_, _>>()?,
+            demands: wire
+                .demands
+                .into_iter()
+                .map(ServiceDemand::try_from)
+                .collect::<Result<_, _>>()?,
         })
     }
 }
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -17,6 +17,10 @@
 use crate::gateway::effect::GatewayEffect;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::freshness::Freshness;
+use crate::gateway::headroom::Assignments;
+use crate::gateway::headroom::DemandTable;
+use crate::gateway::headroom::Objectives;
+use crate::gateway::headroom::ScarcityLog;
 use crate::gateway::member::GatewayMember;
 use crate::gateway::model_table::ModelTable;
 use crate::gateway::peer_contact::PeerContact;
@@ -48,6 +52,7 @@
 use crate::id::DataCentreId;
 use crate::id::HostId;
 use crate::id::ServiceName;
+use crate::id::UpstreamId;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
@@ -101,6 +106,16 @@
     pub(super) quarantine: QuarantineTable,
     pub(super) upstream_news: UpstreamNews,
     pub(super) room_log: RoomLog,
+    /// What waits at other gateways.
+    pub(super) peer_demand: DemandTable,
+    /// What waited at this gateway in its last digest.
+    pub(super) reported_demand: DemandTable,
+    /// Assigned slots of scarce upstreams, by service.
+    pub(super) assignments: BTreeMap<ServiceName, Assignments>,
+    pub(super) objectives: Objectives,
+    pub(super) scarcity_log: ScarcityLog,
+    /// Scarce upstreams with free slots of each service with waiting requests.
+    pub(super) withholding: BTreeMap<ServiceName, Vec<UpstreamId>>,
     pub(super) permit_issuer: PermitIssuer,
     pub(super) silent_issuers: SilentIssuers,
     pub(super) contact: PeerContact,
@@ -147,6 +162,12 @@
             quarantine: QuarantineTable::default(),
             upstream_news: UpstreamNews::default(),
             room_log: RoomLog::default(),
+            peer_demand: DemandTable::default(),
+            reported_demand: DemandTable::default(),
+            assignments: BTreeMap::new(),
+            objectives: Objectives::default(),
+            scarcity_log: ScarcityLog::default(),
+            withholding: BTreeMap::new(),
             permit_issuer: PermitIssuer::default(),
             silent_issuers: SilentIssuers::default(),
             contact: PeerContact::default(),
@@ -224,10 +245,13 @@
         }
         if is_digest && !self.digest_pace.may_act(self.gateways.len(), now) {
             self.act_on_changes(now, &mut effects);
+            self.refresh_shares(now, &mut effects);
             return effects;
         }
         self.contain(now, &mut effects);
+        self.refresh_shares(now, &mut effects);
         self.dispatch_waiting(now, &mut effects);
+        self.record_withheld(now, &mut effects);
         effects
     }
 
@@ -273,6 +297,12 @@
     pub fn digest(&mut self, now: TimeMs) -> PeerDigest {
         self.sequence += 1;
         let notices = self.notices_to_tell(now);
+        let loads = self.pool.report_loads();
+        let demands = self.own_demand(now);
+        for assignments in self.assignments.values_mut() {
+            assignments.clear(&self.settings.host);
+        }
+        self.reported_demand.set(&self.settings.host, demands.clone(), now);
         self.recent_prefills.expire(now);
         self.quarantine.prepare_report();
         let evidence = self.rollouts.values().map(|rollout| DigestEvidence {
@@ -288,7 +318,7 @@
             host: self.settings.host.clone(),
             incarnation: self.settings.incarnation,
             sequence: self.sequence,
-            loads: self.pool.own_loads(),
+            loads,
             evidence: evidence.collect(),
             prefills: self.recent_prefills.iter().cloned().collect(),
             quarantine: self.quarantine.report(
@@ -297,6 +327,7 @@
                 now,
             ),
             notices,
+            demands,
         }
     }
 
@@ -348,6 +379,7 @@
         self.recent_prefills.expire(now);
         self.expire_retained(now);
         self.pool.expire_peer_loads(now);
+        self.expire_shares(now, effects);
         self.assess_quarantine(now);
         self.end_calls_of_stop(now, effects);
         self.expire_permits(now, effects);
@@ -400,6 +432,10 @@
                 upstream.cache.record(&prefill.parts, 0, memory_tokens, now);
             }
         }
+        for assignments in self.assignments.values_mut() {
+            assignments.clear(&digest.host);
+        }
+        self.peer_demand.set(&digest.host, digest.demands, now);
         self.pool.set_peer_load(digest.host, digest.loads, now);
     }
 
--- a/crates/hickorydoor/src/gateway/store_view.rs
+++ b/crates/hickorydoor/src/gateway/store_view.rs
@@ -277,6 +277,7 @@
         if self.is_store_unstable(now) {
             self.members.mark_missing(host, now);
         } else if self.members.remove(host) {
+            self.peer_demand.remove(host);
             self.update_gateways();
         }
     }
--- a/crates/hickorydoor/src/gateway/upstreams/upstream.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream.rs
@@ -6,6 +6,7 @@
 
 use compact_str::CompactString;
 
+use crate::gateway::headroom::RoomShare;
 use crate::gateway::prompt_cache::PromptCache;
 use crate::gateway::upstreams::FailureScore;
 use crate::gateway::upstreams::UpstreamRoom;
@@ -20,6 +21,9 @@
 /// requests with different network delays do not arrive within the same second.
 const COLD_WINDOW_MS: DurationMs = DurationMs::new(1_050);
 
+/// Requests that may queue at an upstream beyond its slots, as a share of the slots.
+const QUEUED_SLOT_SHARE: f64 = 0.25;
+
 /// An upstream's registration in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Registration {
@@ -85,6 +89,10 @@
     pub missing_since: Option<TimeMs>,
     /// Requests of this gateway in flight.
     pub in_flight: u32,
+    /// Requests of this gateway in flight in its last digest.
+    pub reported_in_flight: u32,
+    /// Requests that this gateway has sent since its last digest.
+    pub sent_since_report: u32,
     /// Queued prefill time of this gateway's prompts, in ms.
     pub prefill_ms: f64,
     /// Summed load of the other gateways, from their digests.
@@ -104,6 +112,8 @@
     pub has_cold_capacity: bool,
     /// What the upstream has said of itself.
     pub room: UpstreamRoom,
+    /// Part of its free slots that this gateway may use. Updated before requests are placed.
+    pub share: RoomShare,
     cold_sends: VecDeque<TimeMs>,
 }
 
@@ -116,6 +126,8 @@
             cold_until,
             missing_since: None,
             in_flight: 0,
+            reported_in_flight: 0,
+            sent_since_report: 0,
             prefill_ms: 0.0,
             peer_load: PeerLoad::default(),
             failures: FailureScore::default(),
@@ -125,6 +137,7 @@
             cache: PromptCache::default(),
             has_cold_capacity: false,
             room: UpstreamRoom::default(),
+            share: RoomShare::default(),
             cold_sends: VecDeque::new(),
         }
     }
@@ -171,6 +184,7 @@
     /// Records that a request is sent.
     pub fn record_dispatch(&mut self, now: TimeMs) {
         self.in_flight += 1;
+        self.sent_since_report += 1;
         self.evict_old_sends(now);
         self.cold_sends.push_back(now);
     }
@@ -205,6 +219,22 @@
         self.in_flight + self.peer_load.in_flight
     }
 
+    /// Returns the requests of this gateway that have ended since its last digest.
+    pub const fn ended_since_report(&self) -> u32 {
+        (self.reported_in_flight + self.sent_since_report).saturating_sub(self.in_flight)
+    }
+
+    /// Returns the requests in flight from all gateways, as far as all of them know.
+    pub const fn reported_total(&self) -> u32 {
+        self.reported_in_flight + self.peer_load.in_flight
+    }
+
+    /// Returns the requests that the upstream may have in flight, with those in its queue.
+    pub fn capacity(&self) -> u32 {
+        let slots = f64::from(self.registration.slots.max(1));
+        (slots * (1.0 + QUEUED_SLOT_SHARE)).ceil() as u32
+    }
+
     /// Returns the queued prefill time of the prompts of all gateways, in ms.
     pub fn backlog_ms(&self) -> f64 {
         self.prefill_ms + self.peer_load.prefill_ms
--- a/crates/hickorydoor/src/gateway/upstreams/upstream_pool.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream_pool.rs
@@ -240,6 +240,11 @@
         self.remove_loads(&before);
     }
 
+    /// Returns whether any other gateway has reported its load lately.
+    pub fn hears_others(&self) -> bool {
+        !self.reports.is_empty()
+    }
+
     /// Drops outdated load reports.
     pub fn expire_peer_loads(&mut self, now: TimeMs) {
         while let Some(outdated) = self.reports.pop_outdated(now) {
@@ -261,8 +266,13 @@
         self.visited_loads
     }
 
-    /// Returns the load of this gateway at the upstreams where it has requests in flight.
-    pub fn own_loads(&self) -> Vec<(UpstreamId, PeerLoad)> {
+    /// Returns the load of this gateway at the upstreams where it has requests in flight, to be
+    /// reported.
+    pub fn report_loads(&mut self) -> Vec<(UpstreamId, PeerLoad)> {
+        for upstream in self.upstreams.values_mut() {
+            upstream.reported_in_flight = upstream.in_flight;
+            upstream.sent_since_report = 0;
+        }
         let loaded = self.upstreams.iter().filter(|(_, upstream)| upstream.in_flight > 0);
         let load = |upstream: &Upstream| PeerLoad {
             in_flight: upstream.in_flight,
--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -41,6 +41,7 @@
 pub mod fleet;
 pub mod limit_fleet;
 pub mod rollout_fleet;
+pub mod room_fleet;
 
 pub const HOST: &str = "api.example";
 pub const KEY: &str = "key-1";
--- a/crates/hickorydoor/tests/gateway_event_work.rs
+++ b/crates/hickorydoor/tests/gateway_event_work.rs
@@ -43,6 +43,7 @@
         prefills: Vec::new(),
         quarantine: QuarantineReport { ends: ends.collect(), ..QuarantineReport::default() },
         notices: Vec::new(),
+        demands: Vec::new(),
     }
 }
 
--- a/crates/hickorydoor/tests/gateway_memory.rs
+++ b/crates/hickorydoor/tests/gateway_memory.rs
@@ -11,6 +11,7 @@
 use hickorydoor::gateway::catalog::Catalog;
 use hickorydoor::gateway::event::AttemptOutcome;
 use hickorydoor::gateway::event::NotRun;
+use hickorydoor::gateway::headroom::ServiceDemand;
 use hickorydoor::gateway::peer_digest::DigestEvidence;
 use hickorydoor::gateway::peer_digest::PeerDigest;
 use hickorydoor::gateway::quarantine::QuarantineReport;
@@ -135,6 +136,8 @@
             record: None,
             pinned_sessions: (0..8).map(|_| self.rng.random()).collect(),
         };
+        let mut demand = ServiceDemand::new(PLAIN.parse().unwrap(), 1);
+        demand.add(1, 0.0, DurationMs::new(100));
         let digest = PeerDigest {
             host: format!("gw-{}", step / RENAME_STEPS + other).parse().unwrap(),
             incarnation: step / DIGEST_STEPS,
@@ -144,6 +147,7 @@
             prefills: Vec::new(),
             quarantine: QuarantineReport::default(),
             notices: Vec::new(),
+            demands: vec![demand],
         };
         self.rig.apply(GatewayEvent::Digest(Box::new(digest)));
     }
@@ -197,12 +201,16 @@
             "rollouts" => {
                 4 * (others + (ROUTE_STEPS / RENAME_STEPS) as usize + 1) + 8 * others + 64
             }
-            "records" => 1,
+            "records" | "reported_demand" => 1,
             "deferred_orders" | "closed_data_centres" => 0,
             "unreachable" => 2,
             "members" | "silent_issuers" => others,
             // One that left is heard of up to 2 s ago.
-            "load_reports" | "gateways" | "digests" | "contacts" => others + 1,
+            "load_reports" | "gateways" | "digests" | "contacts" | "peer_demand" => others + 1,
+            // Requests that wait at this gateway and at the others.
+            "assignments" => 3 + others,
+            // Services, and requests that wait.
+            "scarcity_log" => 2 + 3,
             "recent_prefills" => 6,
             "upstream_news" => 1_024,
             _ => panic!("{collection} has no bound"),
--- a/crates/hickorydoor/tests/gateway_peer_inbox.rs
+++ b/crates/hickorydoor/tests/gateway_peer_inbox.rs
@@ -20,6 +20,7 @@
         prefills: Vec::new(),
         quarantine: QuarantineReport::default(),
         notices: Vec::new(),
+        demands: Vec::new(),
     };
     digest.encode()
 }
