--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -245,7 +245,9 @@
         }
         if is_digest && !self.digest_pace.may_act(self.gateways.len(), now) {
             self.act_on_changes(now, &mut effects);
-            self.refresh_shares(now, &mut effects);
+            if !self.assignments.is_empty() {
+                self.refresh_shares(now, &mut effects);
+            }
             return effects;
         }
         self.contain(now, &mut effects);
--- a/crates/hickorydoor/tests/gateway_digest.rs
+++ b/crates/hickorydoor/tests/gateway_digest.rs
@@ -2,9 +2,12 @@
 
 mod gateway;
 
+use hickorydoor::DurationMs;
 use hickorydoor::gateway::GatewayEvent;
+use hickorydoor::gateway::headroom::ServiceDemand;
 use hickorydoor::gateway::peer_digest::PeerDigest;
 
+use crate::gateway::ENGINES;
 use crate::gateway::Rig;
 use crate::gateway::call;
 use crate::gateway::dispatch;
@@ -16,7 +19,11 @@
     rig.apply(GatewayEvent::RolloutOrdered { order: order(10), age_ms: None });
     rig.send(call("/draft/1", "a"));
     rig.send(call("/look/1", "b"));
-    let digest = rig.gateway.digest(rig.now);
+    let mut digest = rig.gateway.digest(rig.now);
+    let mut demand = ServiceDemand::new(ENGINES.parse().unwrap(), 3);
+    demand.add(0, 120.0, DurationMs::new(40));
+    demand.add(2, 80.0, DurationMs::new(900));
+    digest.demands = vec![demand];
     assert!(!digest.loads.is_empty() && !digest.prefills.is_empty() && !digest.evidence.is_empty());
     let mut decoded = PeerDigest::decode(&digest.encode()).unwrap();
     // Times are encoded in whole milliseconds.
--- a/crates/hickorydoor/tests/gateway_headroom.rs
+++ b/crates/hickorydoor/tests/gateway_headroom.rs
@@ -4,16 +4,25 @@
 mod property;
 
 use hickorydoor::DurationMs;
+use hickorydoor::gateway::GatewayEffect;
+use hickorydoor::gateway::GatewayEvent;
 use hickorydoor::gateway::headroom::Assignment;
 use hickorydoor::gateway::headroom::Assignments;
 use hickorydoor::gateway::headroom::Claim;
 use hickorydoor::gateway::headroom::FreeRoom;
 use hickorydoor::gateway::headroom::Grants;
+use hickorydoor::gateway::headroom::ServiceDemand;
 use hickorydoor::gateway::headroom::assign;
 use hickorydoor::gateway::headroom::even_part;
+use hickorydoor::gateway::upstreams::PeerLoad;
 use hickorydoor::id::HostId;
 use proptest::prelude::*;
 
+use crate::gateway::PLAIN;
+use crate::gateway::Rig;
+use crate::gateway::call;
+use crate::gateway::dispatch;
+use crate::gateway::member;
 use crate::gateway::room_fleet::Play;
 use crate::gateway::room_fleet::Results;
 use crate::gateway::room_fleet::RoomFleet;
@@ -228,3 +237,27 @@
     };
     run("a fifth of the digests lost", Play { is_lost, ..Play::default() });
 }
+
+/// Guards against a request with a short wait that is refused beside a free slot, because the gateway
+/// to which the slot is assigned does not use it.
+#[test]
+fn request_with_a_short_wait_borrows_a_slot_before_it_is_refused() {
+    let mut rig = Rig::with_upstreams("gw-0", 0, 1);
+    for index in 0..2 {
+        rig.apply(GatewayEvent::GatewayJoined(member(&format!("gw-{index}"), "dc-1", 1_000)));
+    }
+    let mut peer = Rig::with_upstreams("gw-1", 0, 1);
+    let mut digest = peer.gateway.digest(peer.now);
+    let load = PeerLoad { in_flight: 7, prefill_ms: 0.0 };
+    digest.loads = vec![("p-0".parse().unwrap(), load)];
+    let mut demand = ServiceDemand::new(PLAIN.parse().unwrap(), 7);
+    demand.add(0, 0.0, DurationMs::new(10));
+    digest.demands = vec![demand];
+    rig.apply(GatewayEvent::Digest(Box::new(digest)));
+    let (_, effects) = rig.send(call("/look/1", "a"));
+    assert!(dispatch(&effects).is_none(), "the slot is assigned to the other gateway");
+    let waits = |effect: &GatewayEffect| matches!(effect, GatewayEffect::ShareAwaited { .. });
+    assert!(effects.iter().any(waits));
+    let effects = rig.advance(50);
+    assert!(dispatch(&effects).is_some());
+}
