--- a/crates/hickoryd/tests/gateway_feed.rs
+++ b/crates/hickoryd/tests/gateway_feed.rs
@@ -66,6 +66,7 @@
         stop_notice_ms: DurationMs::new(2_600),
         stop_timeout_ms: DurationMs::new(1_000),
         cold_limit_factor: 1.2,
+        load_control: hickorydoor::gateway::load_control::LoadControl::default(),
     }
 }
 
--- a/crates/hickorydoor/src/gateway/queueing.rs
+++ b/crates/hickorydoor/src/gateway/queueing.rs
@@ -7,7 +7,6 @@
 use crate::admission_queue::Turn;
 use crate::gateway::active_call::ActiveCall;
 use crate::gateway::call::CallId;
-use crate::gateway::dispatching::QUEUED_SLOT_SHARE;
 use crate::gateway::effect::EarlyTurn;
 use crate::gateway::effect::MIN_ATTEMPT_MS;
 use crate::gateway::reducer::Gateway;
@@ -72,9 +71,7 @@
     /// queued request of the service needs to be tried.
     pub(super) fn has_free_slot(&self, service: &ServiceName) -> bool {
         self.pool.iter().any(|upstream| {
-            let slots = f64::from(upstream.registration.slots.max(1));
-            let in_flight = f64::from(upstream.total_in_flight());
-            in_flight < slots * (1.0 + QUEUED_SLOT_SHARE)
+            upstream.total_in_flight() < upstream.capacity()
                 && upstream.registration.service == *service
         })
     }
--- a/crates/hickorydoor/src/gateway/settings.rs
+++ b/crates/hickorydoor/src/gateway/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::IpAddr;
 
+use crate::gateway::load_control::LoadControl;
 use crate::gateway::member::GatewayMember;
 use crate::gateway::placement::PlacementCosts;
 use crate::gateway::retry_budget::RetryBound;
@@ -43,6 +44,8 @@
     /// Factor on the rate bound of cold upstreams: all gateways together use up to this multiple of
     /// it.
     pub cold_limit_factor: f64,
+    /// Optional parts of load control that the deployment uses.
+    pub load_control: LoadControl,
 }
 
 impl GatewaySettings {
--- a/crates/hickorydoor/src/gateway/start_check.rs
+++ b/crates/hickorydoor/src/gateway/start_check.rs
@@ -51,6 +51,9 @@
     /// Returns whether a request is sent now. If it is not, its expected start is kept for
     /// [`Gateway::refuse_late_starts`].
     pub(super) fn starts_in_time(&mut self, id: CallId, choice: &Choice, now: TimeMs) -> bool {
+        if !self.settings.load_control.refuses_late_starts {
+            return true;
+        }
         let Some(active) = self.calls.get(&id).filter(|active| is_refusable(active)) else {
             return true;
         };
@@ -124,6 +127,9 @@
     /// account that engines are slower than the estimates say; 1 unless requests are refused for
     /// lack of room.
     pub(super) fn slow_start_factor(&self, active: &ActiveCall, now: TimeMs) -> f64 {
+        if !self.settings.load_control.refuses_late_starts {
+            return 1.0;
+        }
         let record = self.starts.get(&active.service).filter(|record| record.rate.is_short());
         let correction =
             record.and_then(|record| record.errors(active.urgency(), now).correction(now));
@@ -132,7 +138,8 @@
 
     /// Refuses the queued requests that can't start in time any more.
     pub(super) fn refuse_late_starts(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
-        if self.waiting.is_empty() || self.freshness.is_resuming(now) {
+        let is_off = !self.settings.load_control.refuses_late_starts;
+        if is_off || self.waiting.is_empty() || self.freshness.is_resuming(now) {
             return;
         }
         let mut ahead = self.queued_by_rank();
@@ -221,7 +228,7 @@
             wait_left_ms: active.wait_until.since(now).as_f64(),
             deadline_left_ms: active.remaining_ms(now).as_f64(),
             is_new: now == active.arrived_at,
-            rank,
+            more_urgent_ranks: record.map_or(0, |record| record.more_urgent_ranks(rank)),
             hash: xxh3_64(active.call.client_attempt.as_bytes()),
         }
     }
@@ -260,7 +267,7 @@
     fn is_full(&self, active: &ActiveCall, now: TimeMs) -> bool {
         let mut has_running = false;
         for upstream in self.pool.iter().filter(|upstream| self.is_eligible(active, upstream)) {
-            if upstream.room.limit().is_some() || self.is_usable(active, upstream, now) {
+            if upstream.room.limit().is_some() || self.has_room(active, upstream, now) {
                 return false;
             }
             has_running |= !upstream.is_cold(now) && !upstream.failures.is_ejected(now);
--- a/crates/hickorydoor/src/gateway/start_record.rs
+++ b/crates/hickorydoor/src/gateway/start_record.rs
@@ -75,6 +75,11 @@
         self.shortages.get(&rank)?.expected_ms(work_ms, finished, now)
     }
 
+    /// Returns the number of more urgent ranks with requests.
+    pub fn more_urgent_ranks(&self, rank: u8) -> usize {
+        self.shortages.range(..rank).count()
+    }
+
     /// Returns the number of ranks with observations.
     pub fn ranks(&self) -> usize {
         self.errors_by_rank.len().max(self.shortages.len())
--- a/crates/hickorydoor/src/gateway/waiting_calls.rs
+++ b/crates/hickorydoor/src/gateway/waiting_calls.rs
@@ -49,6 +49,11 @@
         expired
     }
 
+    /// Returns whether a request is queued.
+    pub fn contains(&self, id: CallId) -> bool {
+        self.queues.values().any(|queue| queue.contains(id))
+    }
+
     /// Returns the services with queued requests.
     pub fn services(&self) -> Vec<ServiceName> {
         let waiting = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
