--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 //! upstream ([`rate_limits`]). Gateways exchange their load and evidence in a [`peer_digest`];
 //! [`digest_pace`] says how often, and what has arrived waits in a [`peer_inbox`].
 //! A request that cannot start in time is refused on arrival ([`start_estimate`]).
+//! While room is scarce, it is divided by what waits at each ([`headroom`]).
 //! Prompt parts under which engines end are kept from them by a [`quarantine`]. A planned stop
 //! ([`stopping`]) passes on only what can usually be finished.
 //!
@@ -44,6 +45,8 @@
 pub mod feed_wire;
 pub mod first_event_model;
 pub mod freshness;
+pub mod headroom;
+pub mod load_control;
 pub mod member;
 pub mod model_table;
 mod peer_contact;
@@ -66,6 +69,7 @@
 pub mod retry_budget;
 pub mod rollout;
 mod rollout_outcomes;
+mod room_sharing;
 pub mod route;
 pub mod route_claims;
 mod route_durations;
--- a/crates/hickorydoor/src/gateway/start_estimate.rs
+++ b/crates/hickorydoor/src/gateway/start_estimate.rs
@@ -48,8 +48,8 @@
     pub deadline_left_ms: f64,
     /// Whether the request has just arrived.
     pub is_new: bool,
-    /// Rank of the request; 0 is the most urgent.
-    pub rank: u8,
+    /// Number of more urgent ranks with requests.
+    pub more_urgent_ranks: usize,
     /// Uniformly distributed hash of the request, by which callers are spread.
     pub hash: u64,
 }
@@ -115,7 +115,7 @@
     let spread_ms = room_after_ms.clamp(MIN_SPREAD_MS, MAX_SPREAD_MS);
     let latest_ms = (inputs.deadline_left_ms * FOLLOWED_HINT_SHARE).max(MIN_RETRY_AFTER_MS * 2.0);
     let earliest_ms =
-        (MIN_RETRY_AFTER_MS + spread_ms * f64::from(inputs.rank)).min(latest_ms / 2.0);
+        (MIN_RETRY_AFTER_MS + spread_ms * inputs.more_urgent_ranks as f64).min(latest_ms / 2.0);
     let width_ms = spread_ms.min(latest_ms - earliest_ms).max(1.0);
     DurationMs::new(earliest_ms as u64 + inputs.hash % width_ms as u64)
 }
--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -22,6 +22,7 @@
 use hickorydoor::gateway::catalog::ServiceSpec;
 use hickorydoor::gateway::effect::Dispatch;
 use hickorydoor::gateway::event::AttemptOutcome;
+use hickorydoor::gateway::load_control::LoadControl;
 use hickorydoor::gateway::member::GatewayMember;
 use hickorydoor::gateway::placement::PlacementCosts;
 use hickorydoor::gateway::refusal::CallRefusal;
@@ -41,6 +42,7 @@
 pub mod fleet;
 pub mod limit_fleet;
 pub mod rollout_fleet;
+pub mod room_fleet;
 
 pub const HOST: &str = "api.example";
 pub const KEY: &str = "key-1";
@@ -71,6 +73,7 @@
         stop_notice_ms: DurationMs::new(2_600),
         stop_timeout_ms: DurationMs::new(7_600),
         cold_limit_factor: 1.2,
+        load_control: LoadControl::default(),
     }
 }
 
@@ -219,7 +222,13 @@
 impl Rig {
     /// A gateway that knows nothing.
     pub fn empty(host: &str) -> Self {
-        Self { gateway: Gateway::new(settings(host)), now: TimeMs::new(100_000), next_call: 0 }
+        Self::with_load_control(host, LoadControl::default())
+    }
+
+    /// A gateway that knows nothing and uses these parts of load control.
+    pub fn with_load_control(host: &str, load_control: LoadControl) -> Self {
+        let settings = GatewaySettings { load_control, ..settings(host) };
+        Self { gateway: Gateway::new(settings), now: TimeMs::new(100_000), next_call: 0 }
     }
 
     /// A gateway that has started again, in sync with the store.
@@ -232,22 +241,30 @@
 
     /// A gateway with the catalog and in sync with the store, but without upstreams.
     pub fn new(host: &str) -> Self {
-        let mut rig = Self::empty(host);
-        rig.apply(GatewayEvent::Configured(Arc::new(catalog(1, &[KEY]))));
-        rig.sync_store();
-        rig
+        Self::empty(host).configured()
+    }
+
+    /// The gateway with the catalog and in sync with the store.
+    pub fn configured(mut self) -> Self {
+        self.apply(GatewayEvent::Configured(Arc::new(catalog(1, &[KEY]))));
+        self.sync_store();
+        self
     }
 
     /// A gateway with upstreams of both services.
     pub fn with_upstreams(host: &str, engines: usize, plain: usize) -> Self {
-        let mut rig = Self::new(host);
+        Self::new(host).registered(engines, plain)
+    }
+
+    /// The gateway with upstreams of both services.
+    pub fn registered(mut self, engines: usize, plain: usize) -> Self {
         for index in 0..engines {
-            rig.register(registration(&format!("e-{index}"), ENGINES));
+            self.register(registration(&format!("e-{index}"), ENGINES));
         }
         for index in 0..plain {
-            rig.register(registration(&format!("p-{index}"), PLAIN));
+            self.register(registration(&format!("p-{index}"), PLAIN));
         }
-        rig
+        self
     }
 
     pub fn apply(&mut self, event: GatewayEvent) -> Vec<GatewayEffect> {
