--- a/crates/hickorydoor/src/gateway/active_call.rs
+++ b/crates/hickorydoor/src/gateway/active_call.rs
@@ -123,8 +123,8 @@
         customer_priority.unwrap_or(self.route.priority)
     }
 
-    /// Returns the urgency for the upstream; 0 is the most urgent. Requests of one priority are
-    /// ordered by the priorities of their routes, which customers may override otherwise.
+    /// Returns the rank of the request as one number, as upstreams know it; 0 is the most urgent.
+    /// Requests of one priority are ordered by the priorities of their routes.
     pub fn urgency(&self) -> u8 {
         let route = self.route.priority.min(ROUTE_PRIORITIES - 1);
         self.priority().saturating_mul(ROUTE_PRIORITIES).saturating_add(route).min(MAX_URGENCY)
--- a/crates/hickorydoor/src/gateway/collection_sizes.rs
+++ b/crates/hickorydoor/src/gateway/collection_sizes.rs
@@ -25,6 +25,7 @@
             ("starts", self.starts.values().map(StartRecord::ranks).sum()),
             ("sessions", self.sessions.len()),
             ("sizes", self.sizes.len()),
+            ("route_claims", self.route_claims.len()),
             ("typical_times", self.typical_times.len()),
             ("route_durations", self.route_durations.len()),
             ("models", self.model_table.len()),
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -3,15 +3,16 @@
 //! A gateway routes requests by host and path to plain services and model engines, which register
 //! themselves in a store. [`Gateway`] is the reducer: it handles [`GatewayEvent`]s and returns
 //! [`GatewayEffect`]s. A request passes through `arrival`, `queueing`, `dispatching` and
-//! `attempt_end`. The
-//! decisions have modules of their own: [`placement`] chooses upstream and model, [`rollout`] moves
+//! `attempt_end`, and waits in an [`admission_queue`](crate::admission_queue) if no upstream takes
+//! it. The decisions have modules of their own: [`placement`] chooses upstream and model, with the
+//! claims of routes ([`route_claims`]) and expected times ([`first_event_model`]), [`rollout`] moves
 //! a service to a new version, [`freshness`] tracks the age of the configuration, and
 //! [`retry_budget`] and [`upstreams::cold_share`] divide fleet-wide limits among gateways without
 //! messages. Limits that upstreams name are kept by permits, which one gateway issues for each
 //! upstream ([`rate_limits`]). Gateways exchange their load and evidence in a [`peer_digest`];
 //! [`digest_pace`] says how often, and what has arrived waits in a [`peer_inbox`].
-//! A request that cannot start in time is refused on arrival ([`start_estimate`]).
-//! While room is scarce, it is divided by what waits at each ([`headroom`]).
+//! If the settings say so, requests that cannot start in time are refused on arrival
+//! ([`start_estimate`]), and scarce room is divided by what waits at each gateway ([`headroom`]).
 //! Prompt parts under which engines end are kept from them by a [`quarantine`]. A planned stop
 //! ([`stopping`]) passes on only what can usually be finished.
 //!
--- a/crates/hickorydoor/src/gateway/route_claims.rs
+++ b/crates/hickorydoor/src/gateway/route_claims.rs
@@ -47,6 +47,16 @@
         Self { claims: of_service.flat_map(service_claims).collect() }
     }
 
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
     /// Returns the claim of a route; 1 if it is not known.
     pub fn claim(&self, route: &CompactString) -> f64 {
         let known = self.claims.iter().find(|(name, _)| name == route);
--- a/crates/hickorydoor/tests/gateway_memory.rs
+++ b/crates/hickorydoor/tests/gateway_memory.rs
@@ -196,8 +196,8 @@
             "retry_budgets" => 2 * 3 * 11,
             // Those of 5.5 s.
             "sessions" => 3 * 7,
-            "calls" | "waiting" | "sizes" | "typical_times" | "route_durations" | "models"
-            | "starts" => 3,
+            "calls" | "waiting" | "sizes" | "route_claims" | "typical_times"
+            | "route_durations" | "models" | "starts" => 3,
             // 4 incarnations of each host within a rollout, 1.5 s of pins, the history.
             "rollouts" => {
                 4 * (others + (ROUTE_STEPS / RENAME_STEPS) as usize + 1) + 8 * others + 64
