--- a/review/standins-2/cases/mod.rs
+++ b/review/standins-2/cases/mod.rs
@@ -1,8 +1,8 @@
 //! The cases of the review.
 
 mod fatal_part;
-mod frozen_watchers;
 mod last_tenant;
+mod refused_watchers;
 
 use std::error::Error;
 
@@ -17,7 +17,7 @@
     match case {
         "fatal-part-in-long-prompt" => fatal_part::long_prompt(setting),
         "fatal-part-at-quiet-service" => fatal_part::quiet_service(setting),
-        "frozen-watchers" => frozen_watchers::run(setting),
+        "refused-watchers" => refused_watchers::run(setting),
         "last-tenant" => last_tenant::run(setting),
         _ => Err(format!("there is no case {case}").into()),
     }
--- a/review/standins-2/cases/frozen_watchers.rs
+++ b/review/standins-2/cases/refused_watchers.rs
@@ -1,8 +1,8 @@
-//! CONFIG: gateways in touch apply a configuration in time although others are frozen.
+//! CONFIG: gateways in touch apply a configuration in time although the store turns others away.
 //!
-//! Two gateways of a data centre poll the store, and the others learn its changes from these. Both
-//! are stopped for some seconds, and meanwhile the operator writes a configuration with a new key
-//! and a new route. All other gateways run, and the store serves them.
+//! Two gateways of a data centre poll the store, and the others learn its changes from these. The
+//! store turns both away without an answer and serves the others, and meanwhile the operator writes a
+//! configuration with a new key and a new route.
 
 use std::error::Error;
 use std::net::SocketAddr;
@@ -21,18 +21,16 @@
 use crate::engine::Work;
 use crate::gateway::Gateway;
 use crate::gateway::GatewaySettings;
-use crate::gateway::SIGCONT;
-use crate::gateway::SIGSTOP;
 use crate::gateway::wait_ready;
 use crate::store::Store;
 
-const GATEWAYS: u8 = 20;
+const GATEWAYS: u8 = 6;
 const OLD_KEY: &str = "key-that-stays";
 const NEW_KEY: &str = "key-that-is-added";
 /// Bound of the rule, as the settings of the gateways state it.
 const CONFIG_APPLY_MS: u64 = 2_000;
-/// How long the gateways are frozen.
-const FREEZE_MS: u64 = 3_500;
+/// How long the store turns the gateways away.
+const REFUSAL_MS: u64 = 9_000;
 /// How often this happens.
 const ROUNDS: u64 = 3;
 const ROUND_MS: u64 = 30_000;
@@ -124,19 +122,28 @@
     callers: &Callers,
 ) -> Result<bool, Box<dyn Error>> {
     let record = &setting.record;
-    let watchers = store.watchers(Duration::from_millis(1_900));
+    // Gateways that have just started or lost their source poll the store for a while, too.
+    let settled_by_ms = record.now_ms() + 8_000;
+    let watchers = loop {
+        let watchers = store.watchers(Duration::from_millis(1_900));
+        if watchers.len() == 2 || record.now_ms() >= settled_by_ms {
+            break watchers;
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    };
     let is_watcher = |gateway: &&Gateway| watchers.contains(&gateway.settings.store);
-    let frozen: Vec<&Gateway> = gateways.iter().filter(is_watcher).collect();
-    let hosts: Vec<&str> = frozen.iter().map(|gateway| gateway.settings.host.as_str()).collect();
-    if frozen.len() != 2 {
-        return Err(format!("{} gateways poll the store: {hosts:?}", frozen.len()).into());
+    let refused: Vec<&Gateway> = gateways.iter().filter(is_watcher).collect();
+    let hosts: Vec<&str> = refused.iter().map(|gateway| gateway.settings.host.as_str()).collect();
+    if refused.len() != 2 {
+        return Err(format!("{} gateways poll the store: {hosts:?}", refused.len()).into());
     }
     if setting.has_trouble {
-        frozen.iter().for_each(|gateway| gateway.signal(SIGSTOP));
-        record.say(&format!("round {round}: {hosts:?} are frozen at {} ms", record.now_ms()));
+        for gateway in &refused {
+            store.turn_away(gateway.settings.store, Duration::from_millis(REFUSAL_MS));
+        }
+        record.say(&format!("round {round}: {hosts:?} are turned away at {} ms", record.now_ms()));
     }
-    let frozen_ms = record.now_ms();
-    record.sleep_until(frozen_ms + 100);
+    record.sleep_until(record.now_ms() + 100);
     store.put("op/config", &configuration(round));
     let acknowledged_ms = record.now_ms();
     record.say(&format!("round {round}: configuration acknowledged at {acknowledged_ms} ms"));
@@ -145,15 +152,9 @@
     let first_ms = acknowledged_ms + CONFIG_APPLY_MS;
     let mut sent = Vec::new();
     let mut at_ms = acknowledged_ms;
-    let mut is_woken = !setting.has_trouble;
     let mut number = 0;
     while at_ms < acknowledged_ms + 6_000 {
         record.sleep_until(at_ms);
-        if !is_woken && record.now_ms() >= frozen_ms + FREEZE_MS {
-            frozen.iter().for_each(|gateway| gateway.signal(SIGCONT));
-            record.say(&format!("round {round}: they go on at {} ms", record.now_ms()));
-            is_woken = true;
-        }
         let attempt = format!("new{round}x{number:05}");
         callers.send(others[number % others.len()], call(&attempt, round));
         sent.push(attempt);
--- a/review/standins-2/gateway.rs
+++ b/review/standins-2/gateway.rs
@@ -19,13 +19,6 @@
 const READY_PORT: u16 = 8_220;
 const FIRST_PEER_PORT: u16 = 7_340;
 
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
-
-unsafe extern "C" {
-    fn kill(process: i32, signal: i32) -> i32;
-}
-
 /// Settings that differ between the gateways of a deployment.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -77,12 +70,6 @@
         SocketAddr::new(self.settings.ip, CALLER_PORT)
     }
 
-    /// Sends a signal to the process.
-    pub fn signal(&self, signal: i32) {
-        // SAFETY: kill has no requirements on memory; the process is a child that was not reaped.
-        unsafe { kill(self.child.id() as i32, signal) };
-    }
-
     /// Returns whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -57,6 +57,8 @@
     next_lease: u64,
     /// When changes of all keys were last asked for at each address.
     watched_at: HashMap<SocketAddr, Instant>,
+    /// Until when calls at an address are not answered.
+    silent_until: HashMap<SocketAddr, Instant>,
 }
 
 /// The store; clones share it.
@@ -163,6 +165,11 @@
         self.data.1.notify_all();
     }
 
+    /// Does not answer calls at an address for some time, as the store turns a machine away.
+    pub fn turn_away(&self, address: SocketAddr, time: Duration) {
+        self.lock().silent_until.insert(address, Instant::now() + time);
+    }
+
     /// Returns the addresses at which changes of all keys were asked for within the last `within`.
     pub fn watchers(&self, within: Duration) -> Vec<SocketAddr> {
         let data = self.lock();
@@ -177,6 +184,11 @@
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_request(&mut reader) {
             let (status, body) = self.answer(&request, address);
+            if self.lock().silent_until.get(&address).is_some_and(|until| Instant::now() < *until) {
+                // The call is neither answered nor is its connection closed.
+                thread::sleep(Duration::from_secs(10));
+                return;
+            }
             let headers = "Content-Type: application/json\r\n";
             if write_response(&mut writer, status, headers, body.as_bytes()).is_err() {
                 return;
