--- a/review/standins-2/cases/last_tenant.rs
+++ b/review/standins-2/cases/last_tenant.rs
@@ -81,11 +81,12 @@
     let mut number = 0;
     while record.now_ms() < begin_ms + LENGTH_MS {
         if removed_ms.is_none() && record.now_ms() >= begin_ms + REMOVED_AT_MS {
-            removed_ms = Some(record.now_ms());
             if setting.has_trouble {
                 store.put("op/config", &configuration(5, ""));
                 record.say(&format!("the tenant is taken away at {} ms", record.now_ms()));
             }
+            // The store has acknowledged the configuration by now.
+            removed_ms = Some(record.now_ms());
         }
         number += 1;
         let gateway = gateways[number % gateways.len()].address();
