Ask the store by the age of the view, so that followers know each change in time

Cause: each wait was counted from an arrival, and the waits added up: 0.7 of the bound without a synchronization, two other gateways for 0.8 s each, one of which handed on an old proof that counted as current up to 1.4 of the bound. That limit was lax because a follower dated its view by its last ping before a synchronization, up to one poll interval too early.

A watcher returns the first ping after a synchronization at once. The age of a change that a follower polls counts from its last synchronization, not from its last poll.

--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -266,6 +266,11 @@
         self.gateway.borrow().store_position()
     }
 
+    /// Returns the age of the view of the store; `None` before the first synchronization.
+    pub fn view_age_ms(&self) -> Option<DurationMs> {
+        self.gateway.borrow().view_age_ms(self.now())
+    }
+
     /// Returns the current era of the store; `None` before the first synchronization.
     pub fn store_era(&self) -> Option<StoreEra> {
         self.gateway.borrow().store_era()
@@ -377,13 +382,23 @@
         let gateway = self.gateway.borrow();
         let mut followers = self.followers.borrow_mut();
         followers.add(hello, queue, state, &gateway.view(hello.position, now));
-        if let (Some(position), Some(age_ms)) =
-            (gateway.store_position(), gateway.configuration_age_ms(now))
+        if let (Some(position), Some(age_ms)) = (gateway.store_position(), gateway.view_age_ms(now))
         {
             followers.send_synced(now - age_ms, position);
         }
     }
 
+    /// Records a ping of a follower, and returns it if the follower needs that to date its view.
+    pub(super) fn on_ping(&self, state: &Rc<FollowerState>, number: u64) {
+        let now = self.now();
+        state.record_ping(number, now);
+        let gateway = self.gateway.borrow();
+        if let (Some(position), Some(age_ms)) = (gateway.store_position(), gateway.view_age_ms(now))
+        {
+            self.followers.borrow_mut().answer_ping(state, now - age_ms, position);
+        }
+    }
+
     /// Returns whether the upstream to which a request was sent has a limit in force.
     pub(super) fn is_limited(&self, call: CallId) -> bool {
         self.gateway.borrow().is_limited(call)
--- a/crates/hickoryd/src/gateway/feed_client.rs
+++ b/crates/hickoryd/src/gateway/feed_client.rs
@@ -21,7 +21,9 @@
 use log::warn;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::gateway::core::Core;
 use crate::link::LinkError;
@@ -32,11 +34,6 @@
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Timeout for the first synchronization.
-const FIRST_SYNC_TIMEOUT: Duration = Duration::from_millis(800);
-/// Timeout for the first synchronization of a gateway that knows nothing yet. All gateways may be
-/// starting at the same time, and a watcher may not know this host yet.
-const INITIAL_SYNC_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Number of pings whose sending time is remembered.
 const MAX_OPEN_PINGS: usize = 64;
 /// Estimated size of a message to the watcher.
@@ -47,8 +44,10 @@
 pub enum FeedEnd {
     /// No connection could be opened.
     Connect(io::Error),
-    /// The connection failed or was closed, or nothing arrived for too long.
+    /// The connection failed or was closed, or the view did not arrive in time.
     Link(LinkError),
+    /// The watcher itself is not in sync with the store.
+    Stale,
     /// The watcher sent a message that is not valid.
     Message(FeedError),
     /// The watcher closed the connection.
@@ -60,22 +59,34 @@
         match self {
             Self::Connect(error) => write!(f, "cannot connect: {error}"),
             Self::Link(error) => error.fmt(f),
+            Self::Stale => f.write_str("the view that arrives is too old"),
             Self::Message(error) => error.fmt(f),
             Self::Closed => f.write_str("the watcher closed the connection"),
         }
     }
 }
 
-/// Follows the gateway at `source` until the connection ends, or until no synchronization arrives
-/// within `sync_timeout`. `on_synced` is called after the first one.
+/// How long another gateway is relied on.
+#[derive(Clone, Copy, Debug)]
+pub struct FollowLimits {
+    /// Maximum time until the connection is open and the first synchronization has arrived.
+    pub first_sync: Duration,
+    /// Age of the view from which on the watcher counts as not in sync.
+    pub max_age_ms: DurationMs,
+}
+
+/// Follows the gateway at `source` until the connection ends, or until the view is too old.
+/// `on_synced` is called after the first synchronization.
 pub async fn follow(
     core: &Core,
     source: SocketAddr,
     own_ip: IpAddr,
-    sync_timeout: Duration,
+    limits: FollowLimits,
     on_synced: impl FnOnce(),
 ) -> FeedEnd {
-    let connected = timeout(CONNECT_TIMEOUT, connect(source, own_ip)).await;
+    let synced_by = Instant::now() + limits.first_sync;
+    let connect_timeout = CONNECT_TIMEOUT.min(limits.first_sync);
+    let connected = timeout(connect_timeout, connect(source, own_ip)).await;
     let stream = match connected {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return FeedEnd::Connect(error),
@@ -83,26 +94,25 @@
     };
     let (reader, writer) = stream.into_split();
     let (queue, queue_reader) = LinkQueue::new();
-    let max_age_ms = DurationMs::new(2 * sync_timeout.as_millis() as u64);
+    let FollowLimits { max_age_ms, .. } = limits;
     let pings = VecDeque::from([(HELLO_PING, core.now())]);
     let mut feed = Feed { core, queue, pings, last_ping: HELLO_PING, max_age_ms };
     feed.send(FollowerMessage::Hello(core.feed_hello()));
     let receive = async {
         let mut frames = framed_reader(reader);
-        let mut on_synced = Some(on_synced);
-        let first_limit = match core.store_position() {
-            Some(_known) => FIRST_SYNC_TIMEOUT,
-            None => INITIAL_SYNC_TIMEOUT,
-        };
+        match timeout_at(synced_by, feed.receive_until_synced(&mut frames)).await {
+            Ok(Ok(true)) => on_synced(),
+            Ok(Ok(false)) => return FeedEnd::Stale,
+            Ok(Err(end)) => return end,
+            Err(_elapsed) => return FeedEnd::Link(LinkError::Timeout),
+        }
         loop {
-            let limit = if on_synced.is_some() { first_limit } else { sync_timeout };
-            match timeout(limit, feed.receive_until_synced(&mut frames)).await {
-                Ok(Ok(())) => {}
+            let age_ms = core.view_age_ms().unwrap_or_default();
+            let left = Duration::from(max_age_ms.saturating_sub(age_ms));
+            match timeout(left, feed.receive_until_synced(&mut frames)).await {
+                Ok(Ok(_is_current)) => {}
                 Ok(Err(end)) => return end,
-                Err(_elapsed) => return FeedEnd::Link(LinkError::Timeout),
-            }
-            if let Some(on_synced) = on_synced.take() {
-                on_synced();
+                Err(_elapsed) => return FeedEnd::Stale,
             }
         }
     };
@@ -132,7 +142,7 @@
     /// Pings that were not returned yet, with the time at which they were sent.
     pings: VecDeque<(u64, TimeMs)>,
     last_ping: u64,
-    /// Age of a synchronization from which on the watcher itself has lost its source.
+    /// Age of a synchronization from which on the watcher counts as not in sync.
     max_age_ms: DurationMs,
 }
 
@@ -142,8 +152,9 @@
 >;
 
 impl Feed<'_> {
-    /// Applies the received events up to the next current synchronization.
-    async fn receive_until_synced(&mut self, frames: &mut Frames) -> Result<(), FeedEnd> {
+    /// Applies the received events up to the next synchronization whose time is known. Returns
+    /// whether it is current.
+    async fn receive_until_synced(&mut self, frames: &mut Frames) -> Result<bool, FeedEnd> {
         loop {
             let message = read_message::<WireWatcherFrame, WatcherMessage, _>(frames).await;
             match message.map_err(FeedEnd::Link)?.ok_or(FeedEnd::Closed)? {
@@ -151,8 +162,8 @@
                 WatcherMessage::Synced(synced) => {
                     let is_current = self.apply_synced(&synced);
                     self.send_ping();
-                    if is_current {
-                        return Ok(());
+                    if let Some(is_current) = is_current {
+                        return Ok(is_current);
                     }
                 }
             }
@@ -168,22 +179,19 @@
         Ok(())
     }
 
-    /// Applies a synchronization. Returns whether it is current: its time is known, which needs a
-    /// ping, and it is recent. Gateways that follow each other in a circle never get a recent one.
-    fn apply_synced(&mut self, synced: &FeedSynced) -> bool {
+    /// Applies a synchronization if it is recent, and returns whether it is; `None` if its time is not
+    /// known, which needs a ping. Gateways that follow each other in a circle never get a recent one.
+    fn apply_synced(&mut self, synced: &FeedSynced) -> Option<bool> {
         while self.pings.front().is_some_and(|(number, _)| *number < synced.ping) {
             self.pings.pop_front();
         }
-        let Some((_, sent_at)) = self.pings.front().filter(|(number, _)| *number == synced.ping)
-        else {
-            return false;
-        };
+        let (_, sent_at) = self.pings.front().filter(|(number, _)| *number == synced.ping)?;
         let synced_at = *sent_at - synced.age_ms;
-        if self.core.now().since(synced_at) > self.max_age_ms {
-            return false;
+        let is_current = self.core.now().since(synced_at) <= self.max_age_ms;
+        if is_current {
+            self.core.apply(GatewayEvent::StoreSynced { synced_at, position: synced.position });
         }
-        self.core.apply(GatewayEvent::StoreSynced { synced_at, position: synced.position });
-        true
+        Some(is_current)
     }
 
     fn send_ping(&mut self) {
--- a/crates/hickoryd/src/gateway/feed_server.rs
+++ b/crates/hickoryd/src/gateway/feed_server.rs
@@ -71,7 +71,7 @@
     let read_pings = async {
         while let Some(message) = read_message::<WireFollowerFrame, _, _>(&mut frames).await? {
             if let FollowerMessage::Ping(number) = message {
-                state.record_ping(number, core.now());
+                core.on_ping(&state, number);
             }
         }
         Ok(())
--- a/crates/hickoryd/src/gateway/followers.rs
+++ b/crates/hickoryd/src/gateway/followers.rs
@@ -18,6 +18,8 @@
 pub struct FollowerState {
     ping: Cell<u64>,
     received_at: Cell<TimeMs>,
+    /// Whether a ping was returned since the last synchronization.
+    is_answered: Cell<bool>,
 }
 
 impl FollowerState {
@@ -87,10 +89,29 @@
         }
     }
 
+    /// Returns the first ping of a follower after a synchronization, the last one of which was at
+    /// `synced_at`. Without that, the follower could date it no later than its ping before it.
+    pub fn answer_ping(
+        &mut self,
+        state: &Rc<FollowerState>,
+        synced_at: TimeMs,
+        position: StorePosition,
+    ) {
+        if state.is_answered.replace(true) {
+            return;
+        }
+        let is_its = |follower: &Follower| follower.state.as_ptr() == Rc::as_ptr(state);
+        self.followers.retain(|follower| {
+            let synced = || WatcherMessage::Synced(state.synced(synced_at, position));
+            !is_its(follower) || follower.send(synced())
+        });
+    }
+
     /// Tells all followers of a synchronization.
     pub fn send_synced(&mut self, synced_at: TimeMs, position: StorePosition) {
         self.followers.retain(|follower| {
             follower.state.upgrade().is_some_and(|state| {
+                state.is_answered.set(false);
                 follower.send(WatcherMessage::Synced(state.synced(synced_at, position)))
             })
         });
--- a/crates/hickoryd/src/gateway/view_source.rs
+++ b/crates/hickoryd/src/gateway/view_source.rs
@@ -1,19 +1,20 @@
 //! Keeps the gateway's view of the store current, from the store itself or from another gateway.
 //!
-//! A watcher polls the store. A follower receives the changes from a watcher, and if none can be
-//! followed, it polls the store itself until one can. A watcher that the store does not answer
-//! follows another one in the meantime. The reducer chooses the role; see
-//! [`view_role`](hickorydoor::gateway::view_role).
+//! The reducer chooses the role ([`view_role`](hickorydoor::gateway::view_role)), and
+//! [`SourceChoice`] each step; here the steps are carried out.
 
 use std::cell::Cell;
-use std::collections::HashMap;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hickorydoor::DurationMs;
+use hickorydoor::gateway::source_choice::FollowOutcome;
+use hickorydoor::gateway::source_choice::SourceChoice;
+use hickorydoor::gateway::source_choice::ViewStep;
 use hickorydoor::gateway::view_role::ViewRole;
+use hickorydoor::gateway::view_timing::ViewTiming;
 use hickorydoor::id::HostId;
 use log::info;
 use tokio::time::Instant;
@@ -22,19 +23,11 @@
 
 use crate::gateway::core::Core;
 use crate::gateway::feed_client::FeedEnd;
+use crate::gateway::feed_client::FollowLimits;
 use crate::gateway::feed_client::follow;
 
 /// Delay before the next poll after a failed one.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
-/// Number of gateways that are tried before the store is polled. Changes are delayed meanwhile.
-const MAX_SOURCES_TRIED: usize = 2;
-/// How long a gateway polls the store if it could not follow another one.
-const POLLING_TIME: Duration = Duration::from_secs(3);
-/// How long a gateway that cannot be followed is not tried again. A host that accepts a connection
-/// and sends nothing delays changes at each try.
-const SOURCE_RETRY_DELAY: Duration = Duration::from_secs(10);
-/// How long a gateway that accepts no connection, such as one that starts, is not tried again.
-const UNREACHABLE_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Maximum time that a starting gateway spends on taking over the view of another one.
 const LEARNING_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval at which it checks whether it has done so.
@@ -51,37 +44,39 @@
     pub own_ip: IpAddr,
     /// TCP port on which gateways can be followed, the same on all hosts.
     pub feed_port: u16,
-    /// Minimum time between the starts of two polls of the store.
-    pub poll_interval_ms: DurationMs,
-    /// Maximum time between two synchronizations of a gateway that is followed.
-    pub sync_timeout_ms: DurationMs,
+    /// When the gateway learns the changes in another way.
+    pub timing: ViewTiming,
 }
 
-/// Keeps the view current until the task is aborted. `poll` asks the store for changes and applies
-/// them; it returns whether the store answered.
+/// Keeps the view current until the task is aborted. `poll` asks the store for changes, which it may
+/// hold back for the given time if there are none, and applies them; it returns whether the store
+/// answered.
 pub async fn maintain_view(
     core: Rc<Core>,
     options: ViewOptions,
-    mut poll: impl AsyncFnMut() -> bool,
+    mut poll: impl AsyncFnMut(DurationMs) -> bool,
 ) {
     let mut view = ViewSource::new(core, options);
-    let mut follow_from = Instant::now();
+    let mut has_failed = false;
     loop {
         let role = view.core.view_role();
-        let is_due = !role.is_watcher() && Instant::now() >= follow_from;
-        if is_due && view.follow_any(&role).await {
-            continue;
-        }
-        let next_poll = Instant::now() + Duration::from(options.poll_interval_ms);
-        if poll().await {
-            if is_due {
-                follow_from = Instant::now() + POLLING_TIME;
+        let now = view.core.now();
+        match view.choice.next(&role, view.core.view_age_ms(), now) {
+            ViewStep::Follow { host, first_sync_ms } => {
+                has_failed &= !view.follow(&role, &host, first_sync_ms).await;
+            }
+            ViewStep::Poll { wait_ms } => {
+                if has_failed {
+                    sleep(RETRY_DELAY).await;
+                }
+                let next_poll = Instant::now() + Duration::from(options.timing.poll_interval_ms());
+                let is_answered = poll(wait_ms).await;
+                view.choice.record_polled(is_answered, view.core.now());
+                has_failed = !is_answered;
+                if is_answered && !view.choice.may_follow(&role, view.core.now()) {
+                    sleep_until(next_poll).await;
+                }
             }
-            sleep_until(next_poll).await;
-        } else if !view.follow_any(&role).await {
-            // With no other way left, gateways that failed before are tried again.
-            view.failed_sources.clear();
-            sleep(RETRY_DELAY).await;
         }
     }
 }
@@ -96,8 +91,12 @@
     let follow_others = async {
         loop {
             let role = core.view_role();
-            view.follow_any(&role).await;
-            view.failed_sources.clear();
+            if let Some(ViewStep::Follow { host, first_sync_ms }) =
+                view.choice.next_source(&role, core.now())
+            {
+                view.follow(&role, &host, first_sync_ms).await;
+                continue;
+            }
             sleep(ROLE_CHECK_INTERVAL).await;
             discover().await;
         }
@@ -117,54 +116,52 @@
 struct ViewSource {
     core: Rc<Core>,
     options: ViewOptions,
-    /// When each gateway that could not be followed may be tried again.
-    failed_sources: HashMap<HostId, Instant>,
+    choice: SourceChoice,
 }
 
 impl ViewSource {
-    fn new(core: Rc<Core>, options: ViewOptions) -> Self {
-        Self { core, options, failed_sources: HashMap::new() }
+    const fn new(core: Rc<Core>, options: ViewOptions) -> Self {
+        Self { core, options, choice: SourceChoice::new(options.timing) }
     }
 
-    /// Follows the first gateway that can be followed, until the connection ends. Returns whether
-    /// there was one.
-    async fn follow_any(&mut self, role: &ViewRole) -> bool {
-        let now = Instant::now();
-        self.failed_sources.retain(|_, retry_at| now < *retry_at);
-        let failed = &self.failed_sources;
-        let usable = role.sources().iter().filter(|host| !failed.contains_key(*host));
-        let chosen: Vec<HostId> = usable.take(MAX_SOURCES_TRIED).cloned().collect();
-        for host in &chosen {
-            let Some(address) = self.core.peer_address(host) else {
-                continue;
-            };
-            if self.follow(role, host, address).await {
-                return true;
-            }
-        }
-        false
+    /// Follows another gateway until it fails, the view becomes too old, or the changes are to be
+    /// learned in another way. Returns whether its view arrived.
+    async fn follow(&mut self, role: &ViewRole, host: &HostId, first_sync_ms: DurationMs) -> bool {
+        let has_synced = Cell::new(false);
+        let outcome = match self.core.peer_address(host) {
+            Some(ip) => self.follow_at(role, host, ip, first_sync_ms, &has_synced).await,
+            None => FollowOutcome::Unreachable,
+        };
+        self.choice.record_followed(host, outcome, has_synced.get(), self.core.now());
+        has_synced.get()
     }
 
-    /// Follows one gateway. Returns whether any synchronization arrived.
-    async fn follow(&mut self, role: &ViewRole, host: &HostId, ip: IpAddr) -> bool {
+    async fn follow_at(
+        &self,
+        role: &ViewRole,
+        host: &HostId,
+        ip: IpAddr,
+        first_sync_ms: DurationMs,
+        has_synced: &Cell<bool>,
+    ) -> FollowOutcome {
         let source = SocketAddr::new(ip, self.options.feed_port);
-        let limit = Duration::from(self.options.sync_timeout_ms);
-        let has_synced = Cell::new(false);
+        let limits = FollowLimits {
+            first_sync: first_sync_ms.into(),
+            max_age_ms: self.options.timing.leave_after_ms(role.place()),
+        };
         let on_synced = || {
             info!(gateway:% = host; "following another gateway");
             has_synced.set(true);
         };
         let end = tokio::select! {
-            end = follow(&self.core, source, self.options.own_ip, limit, on_synced) => end,
-            () = self.should_change(role, host) => return true,
+            end = follow(&self.core, source, self.options.own_ip, limits, on_synced) => end,
+            () = self.should_change(role, host) => return FollowOutcome::Left,
         };
         info!(gateway:% = host, reason:% = end; "cannot follow the gateway any longer");
-        let delay = match end {
-            FeedEnd::Connect(_) => UNREACHABLE_RETRY_DELAY,
-            _ => SOURCE_RETRY_DELAY,
-        };
-        self.failed_sources.insert(host.clone(), Instant::now() + delay);
-        has_synced.get()
+        match end {
+            FeedEnd::Connect(_) => FollowOutcome::Unreachable,
+            _ => FollowOutcome::Failed,
+        }
     }
 
     /// Waits until this gateway should learn the changes in another way: it is to be a watcher, it
@@ -177,13 +174,7 @@
         loop {
             let role = self.core.view_role();
             let is_answered = self.core.store_answered_at() > Some(started_at);
-            let preferred =
-                role.sources().iter().find(|host| !self.failed_sources.contains_key(*host));
-            let is_settled = if role.is_watcher() {
-                was_watcher && !is_answered
-            } else {
-                !was_watcher && preferred == Some(followed)
-            };
+            let is_settled = self.choice.is_settled(&role, was_watcher, is_answered, followed);
             if !is_settled {
                 return info!(gateway:% = followed; "no longer following the gateway");
             }
--- a/crates/hickoryd/tests/gateway_feed.rs
+++ b/crates/hickoryd/tests/gateway_feed.rs
@@ -25,6 +25,7 @@
 use hickorydoor::gateway::retry_budget::RetryBound;
 use hickorydoor::gateway::store_position::StoreEra;
 use hickorydoor::gateway::store_position::StorePosition;
+use hickorydoor::gateway::view_timing::ViewTiming;
 use hickorydoor::id::HostId;
 use hickorydoor::quantity::ByteCount;
 use hickorydoor::quantity::KbitPerS;
@@ -34,8 +35,8 @@
 use tokio::time::sleep;
 
 const FEED_PORT: u16 = 7_341;
-/// Maximum time between two synchronizations of a gateway that is followed.
-const SYNC_TIMEOUT_MS: DurationMs = DurationMs::new(600);
+/// Time within which changes have to be known.
+const BOUND_MS: DurationMs = DurationMs::new(2_000);
 
 /// Returns a loopback address that is unique among the tests of this process.
 fn next_ip() -> IpAddr {
@@ -120,11 +121,10 @@
         let options = ViewOptions {
             own_ip: self.member.address,
             feed_port: FEED_PORT,
-            poll_interval_ms: DurationMs::new(100),
-            sync_timeout_ms: SYNC_TIMEOUT_MS,
+            timing: ViewTiming { bound_ms: BOUND_MS },
         };
         let core = Rc::clone(&self.core);
-        spawn_local(maintain_view(core, options, async || {
+        spawn_local(maintain_view(core, options, async |_wait_ms| {
             sleep(Duration::from_millis(20)).await;
             false
         }));
@@ -212,6 +212,37 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against a follower whose view counts as older than it is by up to the interval between two
+/// synchronizations, since no ping of its own was returned later.
+#[tokio::test]
+async fn follower_dates_its_view_as_the_watcher_does() {
+    let test = async {
+        let watcher = Host::start("gw-1", 9_000).await;
+        let second = Host::start("gw-2", 9_000).await;
+        let follower = Host::start("gw-3", 10).await;
+        introduce(&[&watcher, &second, &follower]);
+        for host in [&watcher, &second] {
+            configure(host, 3);
+            sync_once(&host.core, 17);
+        }
+        follower.follow();
+        wait_for_version(&follower, 3).await;
+        let age_ms = |host: &Host| host.core.view_age_ms().unwrap().get();
+        for _ in 0..100 {
+            sleep(Duration::from_millis(250)).await;
+            for host in [&watcher, &second] {
+                sync_once(&host.core, 17);
+            }
+            sleep(Duration::from_millis(50)).await;
+            if age_ms(&follower) <= age_ms(&watcher) + 100 {
+                return;
+            }
+        }
+        panic!("the view is {} ms old at the follower", age_ms(&follower));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Guards against API keys that are served to a host that is not a gateway.
 #[tokio::test]
 async fn unknown_host_is_not_served() {
--- a/crates/hickorydoor/src/gateway/feed_wire/frame.rs
+++ b/crates/hickorydoor/src/gateway/feed_wire/frame.rs
@@ -30,7 +30,8 @@
 pub enum FollowerMessage {
     /// First message.
     Hello(FeedHello),
-    /// A number, which the watcher returns with the next synchronization.
+    /// A number, which the watcher returns with each synchronization, and at once if it is the first one
+    /// since the last.
     Ping(u64),
 }
 
--- a/crates/hickorydoor/src/gateway/freshness.rs
+++ b/crates/hickorydoor/src/gateway/freshness.rs
@@ -19,6 +19,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Freshness {
     synced_at: Option<TimeMs>,
+    /// Time up to which the changes in the store are known, whatever a restore may have lost.
+    view_synced_at: Option<TimeMs>,
     answered_at: Option<TimeMs>,
     unreachable_since: Option<TimeMs>,
     recovered_at: Option<TimeMs>,
@@ -56,6 +58,7 @@
         if self.resumed_at.is_some_and(|at| synced_at >= at) {
             self.resumed_at = None;
         }
+        self.view_synced_at = self.view_synced_at.max(Some(synced_at));
         self.may_lack_configuration &= self.is_restoring(now);
         if !self.may_lack_configuration || self.synced_at.is_none() {
             self.synced_at = self.synced_at.max(Some(synced_at));
@@ -95,6 +98,12 @@
         self.synced_at.map(|synced_at| now.since(synced_at))
     }
 
+    /// Returns the time since the store was last asked for the changes that are known; `None` before
+    /// the first synchronization.
+    pub fn view_age_ms(&self, now: TimeMs) -> Option<DurationMs> {
+        self.view_synced_at.map(|synced_at| now.since(synced_at))
+    }
+
     /// Returns whether the configuration is at most `limit_ms` old.
     pub fn is_within(&self, limit_ms: DurationMs, now: TimeMs) -> bool {
         self.age_ms(now).is_some_and(|age_ms| age_ms <= limit_ms)
--- a/crates/hickorydoor/src/gateway/mod.rs
+++ b/crates/hickorydoor/src/gateway/mod.rs
@@ -76,6 +76,7 @@
 mod route_durations;
 pub mod settings;
 pub mod size_table;
+pub mod source_choice;
 mod start_check;
 pub mod start_estimate;
 mod start_record;
@@ -87,6 +88,7 @@
 mod typical_times;
 pub mod upstreams;
 pub mod view_role;
+pub mod view_timing;
 mod waiting_calls;
 mod work_rate;
 
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -372,6 +372,12 @@
         self.freshness.answered_at()
     }
 
+    /// Returns the time since the store was last asked for the changes that are known, by this
+    /// gateway or by one that it follows; `None` before the first synchronization.
+    pub fn view_age_ms(&self, now: TimeMs) -> Option<DurationMs> {
+        self.freshness.view_age_ms(now)
+    }
+
     /// Returns whether the last synchronization with the store succeeded.
     pub const fn is_store_reachable(&self) -> bool {
         !self.freshness.is_unreachable()
