Choose the parts of an end by suspicion, so that one behind many others is found

Cause: an end kept the first 64 parts seen at it, those of all attempts of the gateway together, so the part was in no end. The work for an assessment, a verdict and a report grew with the square of the parts.

Change: what does not fit is chosen by how suspect it is: what was proven sound lately goes first, among equals chance decides anew each time. Limits are totals over ends and peers (2.6 MB), all parts of a 16 KB head fit. Reports pack what exceeds the earlier limit. Parts with the same ends are judged once, and the parts of a request are computed once.

--- a/crates/hickorydoor/src/gateway/active_call.rs
+++ b/crates/hickorydoor/src/gateway/active_call.rs
@@ -1,11 +1,13 @@
 //! Requests in progress and their attempts.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use compact_str::CompactString;
 use smallvec::SmallVec;
 
 use crate::gateway::call::Call;
+use crate::gateway::call::Prompt;
 use crate::gateway::catalog::Account;
 use crate::gateway::effect::MIN_ATTEMPT_MS;
 use crate::gateway::quarantine::PartId;
@@ -113,6 +115,15 @@
     pub late_start: Option<LateStart>,
     /// Whether the caller has received part of the response.
     pub delivered: bool,
+    /// Parts of the prompt that other requests may share, each once.
+    pub shared_parts: Arc<[PartId]>,
+}
+
+/// Returns the parts of a prompt that other requests may share, each once, in their order.
+pub fn distinct_shared_parts(prompt: &Prompt) -> Arc<[PartId]> {
+    let mut known = HashSet::with_capacity(prompt.shared_parts().len());
+    let parts = prompt.shared_parts().iter().map(|part| PartId::new(part.id));
+    parts.filter(|part| known.insert(*part)).collect()
 }
 
 impl ActiveCall {
@@ -131,15 +142,8 @@
     }
 
     /// Returns the parts of the prompt that other requests may share, each once.
-    pub fn shared_parts(&self) -> SmallVec<[PartId; 4]> {
-        let mut parts: SmallVec<[PartId; 4]> = SmallVec::new();
-        for part in self.call.prompt.shared_parts() {
-            let id = PartId::new(part.id);
-            if !parts.contains(&id) {
-                parts.push(id);
-            }
-        }
-        parts
+    pub fn shared_parts(&self) -> Arc<[PartId]> {
+        Arc::clone(&self.shared_parts)
     }
 
     /// Returns whether enough time is left for an attempt.
--- a/crates/hickorydoor/src/gateway/arrival.rs
+++ b/crates/hickorydoor/src/gateway/arrival.rs
@@ -6,6 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::active_call::ActiveCall;
+use crate::gateway::active_call::distinct_shared_parts;
 use crate::gateway::call::Call;
 use crate::gateway::call::CallId;
 use crate::gateway::effect::GatewayEffect;
@@ -101,6 +102,7 @@
             last_event,
             late_start: None,
             delivered: false,
+            shared_parts: distinct_shared_parts(&call.prompt),
             call,
         };
         if !self.can_finish(&active, now) {
--- a/crates/hickorydoor/src/gateway/containment.rs
+++ b/crates/hickorydoor/src/gateway/containment.rs
@@ -1,5 +1,7 @@
 //! Evidence about prompt parts under which engines end, and the requests that hold such parts.
 
+use std::collections::HashMap;
+
 use smallvec::SmallVec;
 
 use crate::gateway::active_call::ActiveCall;
@@ -19,6 +21,8 @@
 use crate::gateway::quarantine::QuarantineStep;
 use crate::gateway::quarantine::TrialSlot;
 use crate::gateway::quarantine::Verdict;
+use crate::gateway::quarantine::part_selection::is_subset;
+use crate::gateway::quarantine::part_selection::shares_any;
 use crate::gateway::reducer::Gateway;
 use crate::id::ServiceName;
 use crate::id::UpstreamId;
@@ -34,7 +38,7 @@
         let verdict = self.quarantine.verdict(
             &active.service,
             &parts,
-            |part| self.unproven_attempts(part),
+            |suspected| self.is_any_unproven(&active.service, suspected),
             self.trial_slot(&active.service),
             now,
         );
@@ -100,17 +104,37 @@
         suspected.into_iter().map(|key| key.part).collect()
     }
 
-    /// Returns the number of attempts in flight with a part that have not proven it sound.
-    pub(super) fn unproven_attempts(&self, part: &PartKey) -> u32 {
-        let is_unproven = |attempt: &Attempt| {
-            !attempt.proven && attempt.cancelled != Some(Cancellation::PromptPart)
-        };
-        let holds_part = |active: &&ActiveCall| {
-            active.attempt.as_ref().is_some_and(is_unproven)
-                && active.service == part.service
-                && active.call.prompt.shared_parts().iter().any(|known| known.id == part.part.get())
-        };
-        self.calls.values().filter(holds_part).count() as u32
+    /// Iterates over the requests at work that have not proven the parts of their prompts sound.
+    fn unproven_calls(&self) -> impl Iterator<Item = &ActiveCall> {
+        self.calls.values().filter(|active| {
+            active.attempt.as_ref().is_some_and(|attempt| {
+                !attempt.proven && attempt.cancelled != Some(Cancellation::PromptPart)
+            })
+        })
+    }
+
+    /// Returns whether an attempt in flight has not proven one of these parts sound, which are in
+    /// order.
+    fn is_any_unproven(&self, service: &ServiceName, parts: &[PartId]) -> bool {
+        !parts.is_empty()
+            && self.unproven_calls().any(|active| {
+                let mut held = active.shared_parts.iter();
+                active.service == *service && held.any(|part| parts.binary_search(part).is_ok())
+            })
+    }
+
+    /// Counts the attempts in flight that have not proven a suspected part sound.
+    pub(super) fn unproven_attempts(&self) -> HashMap<PartKey, u32> {
+        let mut counts = HashMap::new();
+        if self.quarantine.is_clear() {
+            return counts;
+        }
+        for active in self.unproven_calls() {
+            for key in self.quarantine.suspected_among(&active.service, &active.shared_parts) {
+                *counts.entry(key).or_default() += 1;
+            }
+        }
+        counts
     }
 
     /// Records that the engine of a stream has survived the beginning of its answer.
@@ -236,7 +260,12 @@
         };
         let concerned = |active: &ActiveCall| {
             let parts = active.shared_parts();
-            active.service == change.service && change.parts.iter().all(|part| parts.contains(part))
+            active.service == change.service
+                && if must_end {
+                    is_subset(&change.parts, &parts)
+                } else {
+                    shares_any(&change.parts, &parts)
+                }
         };
         let is_unproven = |active: &ActiveCall| {
             let attempt = active.attempt.as_ref();
--- a/crates/hickorydoor/src/gateway/quarantine/assessment.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/assessment.rs
@@ -2,15 +2,17 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashSet;
 
 use compact_str::CompactString;
 use smallvec::SmallVec;
-use smallvec::smallvec;
 
 use crate::gateway::quarantine::chance_model::ChanceModel;
+use crate::gateway::quarantine::chance_model::MIN_SUSPICION_ENDS;
 use crate::gateway::quarantine::end_log::MergedEnd;
 use crate::gateway::quarantine::held_record::quarantine_ms;
 use crate::gateway::quarantine::part_ends::PartEnds;
+use crate::gateway::quarantine::part_ends::distinct_ends;
 use crate::gateway::quarantine::part_ends::engines_of;
 use crate::gateway::quarantine::part_ends::group_by_part;
 use crate::gateway::quarantine::part_ends::is_dominated;
@@ -83,12 +85,22 @@
         let merged = self.ends.merged();
         self.review_decisions(&merged, now);
         self.release_refuted(&merged, now);
-        let by_part = self.ends_by_part(&merged);
+        let by_part = self.ends_by_part(&merged, now);
         let mut chance = self.unexplained_cut_offs(&merged);
         let mut suspects = BTreeMap::new();
+        let mut new: Vec<(&PartKey, &PartEnds, usize)> = Vec::new();
+        let distinct = distinct_ends(&by_part);
+        let mut judged = HashSet::new();
         self.paused.clear();
         for (key, ends) in &by_part {
             let count = joint_count(&ends.times);
+            let paused_until = ends.last_at() + PAUSE_MS;
+            if now < paused_until && !self.is_exempt_from_pause(key, ends) {
+                self.paused.insert(key.clone(), paused_until);
+            }
+            if count < MIN_SUSPICION_ENDS && !self.is_on_probation(key) {
+                continue;
+            }
             let model = self.chance_model(key, ends, &chance, now);
             let is_on_probation = self.is_on_probation(key);
             let quarantine_ends = if is_on_probation { 1 } else { model.quarantine_ends() };
@@ -99,46 +111,70 @@
             let is_told_apart = survived >= MIN_OTHER_SURVIVALS && is_settled;
             if (is_told_apart || is_on_probation)
                 && count >= quarantine_ends
-                && !is_dominated(key, ends, &by_part)
+                && !is_dominated(key, ends, &distinct)
+                && judged.insert((&key.service, &ends.indices, quarantine_ends))
             {
                 self.quarantine(key, ends, &by_part, &merged, quarantine_ends, now);
                 chance = self.unexplained_cut_offs(&merged);
             }
-            let paused_until = ends.last_at() + PAUSE_MS;
-            let proven_at = self.survivals.last_at(key);
-            if now < paused_until
-                && proven_at.is_none_or(|at| ends.last_at().since(at) > PAUSE_EXEMPTION_MS)
-            {
-                self.paused.insert(key.clone(), paused_until);
-            }
             if count >= model.suspicion_ends() {
                 let suspect = Suspect { last_end_at: ends.last_at(), ends: count, known_since };
                 if !self.suspects.contains_key(key) {
-                    self.changes.push(QuarantineChange {
-                        step: QuarantineStep::Suspected,
-                        service: key.service.clone(),
-                        parts: smallvec![key.part],
-                        engines: engines_of(ends, &merged),
-                        quarantine_ends,
-                    });
+                    new.push((key, ends, quarantine_ends));
                 }
                 suspects.insert(key.clone(), suspect);
             }
         }
+        self.report_suspected(new, &merged);
+        let is_recorded =
+            |key: &PartKey| self.records.iter().any(|held| held.record.parts.contains(&key.part));
         let cleared = self.suspects.keys().filter(|key| !suspects.contains_key(key));
-        let cleared: Vec<PartKey> = cleared.cloned().collect();
+        let cleared: Vec<PartKey> = cleared.filter(|key| !is_recorded(key)).cloned().collect();
         self.suspects = suspects;
-        for key in cleared {
-            if !self.records.iter().any(|held| held.record.parts.contains(&key.part)) {
-                self.push_change(QuarantineStep::Released, &key.service, &[key.part]);
-            }
+        self.push_changes(QuarantineStep::Released, &cleared);
+    }
+
+    /// Returns whether a part was proven so shortly before its last end that new requests with it do not
+    /// wait.
+    fn is_exempt_from_pause(&self, key: &PartKey, ends: &PartEnds) -> bool {
+        let proven_at = self.survivals.last_at(key);
+        proven_at.is_some_and(|at| ends.last_at().since(at) <= PAUSE_EXEMPTION_MS)
+    }
+
+    /// Adds one change for the parts that have become suspected by the same ends.
+    fn report_suspected(
+        &mut self,
+        mut new: Vec<(&PartKey, &PartEnds, usize)>,
+        merged: &[MergedEnd],
+    ) {
+        fn cause<'a>(
+            (key, ends, quarantine_ends): &(&'a PartKey, &'a PartEnds, usize),
+        ) -> (&'a ServiceName, &'a [usize], usize) {
+            (&key.service, &ends.indices, *quarantine_ends)
+        }
+        new.sort_by(|one, other| cause(one).cmp(&cause(other)));
+        for same in new.chunk_by(|one, next| cause(one) == cause(next)) {
+            let (key, ends, quarantine_ends) = same[0];
+            self.changes.push(QuarantineChange {
+                step: QuarantineStep::Suspected,
+                service: key.service.clone(),
+                parts: same.iter().map(|(key, ..)| key.part).collect(),
+                engines: engines_of(ends, merged),
+                quarantine_ends,
+            });
         }
     }
 
-    /// Groups the ends by the parts that may have caused them.
-    fn ends_by_part(&self, merged: &[MergedEnd]) -> Vec<(PartKey, PartEnds)> {
+    /// Groups the ends by the parts that may have caused them. A part of a single end matters for a
+    /// moment only, unless it is on probation.
+    fn ends_by_part(&self, merged: &[MergedEnd], now: TimeMs) -> Vec<(PartKey, PartEnds)> {
+        let on_probation: Vec<PartId> = self.parts_on_probation().map(|key| key.part).collect();
         let blamed = merged.iter().enumerate().flat_map(|(index, end)| {
-            let parts = self.blamed_parts(end).into_iter();
+            let is_recent = now.since(end.at) < PAUSE_MS;
+            let matters = |part: &PartId| {
+                is_recent || self.ends.is_repeated(*part) || on_probation.contains(part)
+            };
+            let parts = self.blamed_parts(end, matters).into_iter();
             parts.map(move |part| (&end.service, part, index, end.at))
         });
         group_by_part(blamed.collect())
@@ -146,8 +182,8 @@
 
     /// Returns the parts that may have caused an end. One that is known to end engines, or that was on
     /// trial, explains it better than what ran beside it; one that the operator allows does so too, and
-    /// is not blamed itself.
-    fn blamed_parts(&self, end: &MergedEnd) -> Vec<PartId> {
+    /// is not blamed itself. Only parts that `matters` returns are among them.
+    fn blamed_parts(&self, end: &MergedEnd, matters: impl Fn(&PartId) -> bool) -> Vec<PartId> {
         let key = |part: &PartId| PartKey { service: end.service.clone(), part: *part };
         let is_allowed = |part: &PartId| self.allowed.contains(&key(part));
         if !self.allowed.is_empty() && end.parts.iter().any(is_allowed) {
@@ -155,7 +191,7 @@
         }
         let counts =
             |part: &&PartId| self.counts_since(&key(part)).is_none_or(|since| since < end.at);
-        let parts = end.parts.iter().filter(counts);
+        let parts = end.parts.iter().filter(|part| matters(part)).filter(counts);
         if let Some(culprit) = self.culprit(end) {
             return parts.filter(|part| culprit.parts.contains(part)).copied().collect();
         }
@@ -237,7 +273,7 @@
             together.partition(|other| self.survivals.last_at(other).is_some());
         let culprits = if unproven.is_empty() { proven } else { unproven };
         let is_explained =
-            |index: &usize| self.blamed_parts(&merged[*index]).len() <= culprits.len();
+            |index: &usize| self.blamed_parts(&merged[*index], |_| true).len() <= culprits.len();
         let is_singled_out = ends.indices.iter().any(is_explained);
         let is_joint = culprits.len() > 1;
         if !is_singled_out || is_joint && ends.times.len() < quarantine_ends + JOINT_MARGIN_ENDS {
--- a/crates/hickorydoor/src/gateway/quarantine/chance_model.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/chance_model.rs
@@ -14,7 +14,7 @@
 /// Minimum number of ends for a quarantine.
 const MIN_QUARANTINE_ENDS: usize = 3;
 /// Minimum number of ends for a suspicion.
-const MIN_SUSPICION_ENDS: usize = 2;
+pub(super) const MIN_SUSPICION_ENDS: usize = 2;
 
 /// What attempts without a part, and the earlier ones with it, say about ends by chance.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/hickorydoor/src/gateway/quarantine/end_log.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/end_log.rs
@@ -2,14 +2,20 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use smallvec::Array;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::quarantine::engine_end::EngineEnd;
 use crate::gateway::quarantine::part_id::PartId;
 use crate::gateway::quarantine::part_key::PartKey;
+use crate::gateway::quarantine::part_selection::keep_most_suspect;
+use crate::gateway::quarantine::part_selection::sorted;
 use crate::gateway::quarantine::survival_table::SurvivalTable;
 use crate::id::HostId;
 use crate::id::ServiceName;
@@ -38,8 +44,10 @@
 const MAX_TIME_ERROR_MS: DurationMs = DurationMs::new(20);
 /// Maximum number of ends of one gateway; the oldest are dropped.
 const MAX_ENDS: usize = 48;
-/// Maximum number of parts of one end.
-const MAX_PARTS: usize = 64;
+/// Maximum number of parts of all ends of one gateway. A head of 16 KB holds 1,500 parts.
+const MAX_OWN_PARTS: usize = 8_192;
+/// Maximum number of parts of the ends that all other gateways report.
+const MAX_PEER_PARTS: usize = 131_072;
 
 /// An end that this gateway has seen.
 #[derive(Clone, Debug)]
@@ -72,15 +80,49 @@
     peers: HashMap<(HostId, u64), Vec<(EngineEnd, TimeMs)>>,
     /// The ends as they were merged last.
     merged: Arc<[MergedEnd]>,
-    /// Parts of the ends that other gateways report, as of then.
-    parts_of_peers: BTreeSet<PartKey>,
+    /// Parts that more than one of these holds.
+    repeated: HashSet<PartId>,
+    /// Parts of the ends that other gateways report, with the latest of these, as of then.
+    parts_of_peers: HashMap<PartKey, TimeMs>,
     /// Whether the ends have changed since they were merged.
     has_changed: bool,
 }
 
 impl EndLog {
     /// Records an end that this gateway has seen, or adds to the one that it knows already.
-    pub fn record(&mut self, seen: EngineEnd, is_cut_off: bool, at: TimeMs) {
+    pub fn record(
+        &mut self,
+        seen: EngineEnd,
+        is_cut_off: bool,
+        survivals: &SurvivalTable,
+        at: TimeMs,
+    ) {
+        self.add(seen, is_cut_off, at);
+        if self.own_parts() > MAX_OWN_PARTS {
+            self.shed_own_parts(survivals);
+        }
+    }
+
+    /// Drops parts of the ends that have the most, down to an equal share of the limit for each.
+    fn shed_own_parts(&mut self, survivals: &SurvivalTable) {
+        let mut left = MAX_OWN_PARTS;
+        let mut by_size: Vec<&mut OwnEnd> = self.own.iter_mut().collect();
+        by_size.sort_by_key(|known| known.end.parts.len() + known.end.tried.len());
+        let ends = by_size.len();
+        for (index, known) in by_size.into_iter().enumerate() {
+            let share = left / (ends - index);
+            let seed = known.at.get();
+            let EngineEnd { service, parts, tried, .. } = &mut known.end;
+            let proven_at = |part: &PartId| {
+                survivals.last_at(&PartKey { service: service.clone(), part: *part })
+            };
+            limit_parts(tried, share / 2, proven_at, seed);
+            limit_parts(parts, share - tried.len(), proven_at, seed);
+            left -= parts.len() + tried.len();
+        }
+    }
+
+    fn add(&mut self, seen: EngineEnd, is_cut_off: bool, at: TimeMs) {
         self.has_changed = true;
         let same = |known: &&mut OwnEnd| {
             known.end.upstream == seen.upstream && distance(known.at, at) <= SAME_END_MS
@@ -90,32 +132,22 @@
             known.cut_off += u32::from(is_cut_off);
             known.end.is_confirmed |= seen.is_confirmed;
             known.end.is_closed |= seen.is_closed;
-            for part in seen.parts {
-                if !known.end.parts.contains(&part) && known.end.parts.len() < MAX_PARTS {
-                    known.end.parts.push(part);
-                }
-            }
-            for part in seen.tried {
-                if !known.end.tried.contains(&part) && known.end.tried.len() < MAX_PARTS {
-                    known.end.tried.push(part);
-                }
-            }
+            add_parts(&mut known.end.parts, &seen.parts);
+            add_parts(&mut known.end.tried, &seen.tried);
             return;
         }
         if self.own.len() >= MAX_ENDS {
             self.own.pop_front();
         }
-        let mut end = seen;
-        end.parts.truncate(MAX_PARTS);
-        self.own.push_back(OwnEnd { at, end, cut_off: u32::from(is_cut_off) });
+        self.own.push_back(OwnEnd { at, end: seen, cut_off: u32::from(is_cut_off) });
     }
 
     /// Records that an engine accepts no connections, which confirms that it has ended shortly before.
-    pub fn confirm(&mut self, seen: EngineEnd, at: TimeMs) {
+    pub fn confirm(&mut self, seen: EngineEnd, survivals: &SurvivalTable, at: TimeMs) {
         let of_engine = self.own.iter().rev().find(|known| known.end.upstream == seen.upstream);
         // It goes on not to accept connections after an end that is known already.
         if of_engine.is_none_or(|known| at.since(known.at) <= SAME_END_MS) {
-            self.record(seen, false, at);
+            self.record(seen, false, survivals, at);
         }
     }
 
@@ -170,6 +202,7 @@
     /// Replaces the ends that another gateway reports. Returns whether that changes anything.
     pub fn set_peer(&mut self, peer: (HostId, u64), mut ends: Vec<(EngineEnd, TimeMs)>) -> bool {
         ends.truncate(MAX_ENDS);
+        self.limit_peer_parts(&peer, &mut ends);
         let known = self.peers.get(&peer).map_or(&[][..], Vec::as_slice);
         if are_same(known, &ends) {
             return false;
@@ -183,6 +216,33 @@
         true
     }
 
+    /// Drops parts that another gateway reports if all of them report more than there is room for. How
+    /// the parts of one end are chosen does not change with each report.
+    fn limit_peer_parts(&self, peer: &(HostId, u64), ends: &mut [(EngineEnd, TimeMs)]) {
+        let parts = |ends: &[(EngineEnd, TimeMs)]| {
+            ends.iter().map(|(end, _)| end.parts.len() + end.tried.len()).sum::<usize>()
+        };
+        let of_others = self.peers.iter().filter(|(known, _)| *known != peer);
+        let of_others: usize = of_others.map(|(_, known)| parts(known)).sum();
+        let left = MAX_PEER_PARTS.saturating_sub(of_others);
+        if parts(ends) <= left {
+            return;
+        }
+        let share = left / ends.len();
+        for (end, _) in ends {
+            let seed = xxh3_64(end.upstream.as_str().as_bytes());
+            limit_parts(&mut end.tried, share / 2, |_| None, seed);
+            limit_parts(&mut end.parts, share - end.tried.len(), |_| None, seed);
+        }
+    }
+
+    /// Returns the number of parts of all ends, and of the ends as they were merged last.
+    pub fn held_parts(&self) -> usize {
+        let of_peers = self.of_peers().map(|(end, _)| end.parts.len() + end.tried.len());
+        let merged = self.merged.iter().map(|end| end.parts.len() + end.tried.len());
+        self.own_parts() + of_peers.sum::<usize>() + merged.sum::<usize>()
+    }
+
     /// Drops ends that are too old, and parts that have been proven sound since.
     pub fn expire(&mut self, survivals: &SurvivalTable, now: TimeMs) {
         let before = (self.len(), self.own_parts());
@@ -195,7 +255,10 @@
                 survivals.last_at(&key).is_none_or(|last_at| last_at <= at)
             });
             let EngineEnd { parts, tried, .. } = &mut known.end;
-            tried.retain(|part| parts.contains(part));
+            if !tried.is_empty() {
+                let parts = sorted(parts);
+                tried.retain(|part| parts.binary_search(part).is_ok());
+            }
         }
         for ends in self.peers.values_mut() {
             ends.retain(|(_, at)| now.since(*at) <= END_TTL_MS);
@@ -228,9 +291,14 @@
         Arc::clone(&self.merged)
     }
 
-    /// Returns the parts of the ends that other gateways report, as of the last
-    /// [`EndLog::refresh`].
-    pub const fn parts_of_peers(&self) -> &BTreeSet<PartKey> {
+    /// Returns whether a part is one of several ends, as of the last [`EndLog::refresh`].
+    pub fn is_repeated(&self, part: PartId) -> bool {
+        self.repeated.contains(&part)
+    }
+
+    /// Returns the parts of the ends that other gateways report, with the latest of these, as of the
+    /// last [`EndLog::refresh`].
+    pub const fn parts_of_peers(&self) -> &HashMap<PartKey, TimeMs> {
         &self.parts_of_peers
     }
 
@@ -240,10 +308,18 @@
             return;
         }
         self.merged = self.merge().into();
-        let of_peers = self.of_peers().flat_map(|(end, _)| {
-            end.parts.iter().map(|part| PartKey { service: end.service.clone(), part: *part })
-        });
-        self.parts_of_peers = of_peers.collect();
+        let mut once = HashSet::new();
+        let parts = self.merged.iter().flat_map(|end| end.parts.iter().copied());
+        self.repeated = parts.filter(|part| !once.insert(*part)).collect();
+        let mut of_peers: HashMap<PartKey, TimeMs> = HashMap::new();
+        for (end, at) in self.of_peers() {
+            for part in &end.parts {
+                let key = PartKey { service: end.service.clone(), part: *part };
+                let latest = of_peers.entry(key).or_default();
+                *latest = (*latest).max(*at);
+            }
+        }
+        self.parts_of_peers = of_peers;
     }
 
     fn merge(&self) -> Vec<MergedEnd> {
@@ -276,6 +352,26 @@
     }
 }
 
+/// Adds the parts that are not known yet.
+fn add_parts<A: Array<Item = PartId>>(known: &mut SmallVec<A>, further: &[PartId]) {
+    let before: HashSet<PartId> = known.iter().copied().collect();
+    known.extend(further.iter().filter(|part| !before.contains(part)).copied());
+}
+
+/// Keeps up to `limit` parts; see [`keep_most_suspect`].
+fn limit_parts<A: Array<Item = PartId>>(
+    parts: &mut SmallVec<A>,
+    limit: usize,
+    proven_at: impl Fn(&PartId) -> Option<TimeMs>,
+    seed: u64,
+) {
+    if parts.len() > limit {
+        let mut kept = parts.to_vec();
+        keep_most_suspect(&mut kept, limit, proven_at, seed);
+        *parts = kept.into();
+    }
+}
+
 /// Returns whether two reports of a gateway say the same, and the times of the ends are no better
 /// known from the second one. A report that was delayed states them too late.
 fn are_same(known: &[(EngineEnd, TimeMs)], received: &[(EngineEnd, TimeMs)]) -> bool {
--- a/crates/hickorydoor/src/gateway/quarantine/exchange.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/exchange.rs
@@ -1,13 +1,16 @@
 //! Reports to and from the other gateways about prompt parts.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 
 use crate::gateway::quarantine::departure::LATE_DEPARTURE_WINDOW_MS;
 use crate::gateway::quarantine::end_log::refutes;
 use crate::gateway::quarantine::engine_end::EngineEnd;
+use crate::gateway::quarantine::part_id::PartId;
 use crate::gateway::quarantine::part_key::PartKey;
+use crate::gateway::quarantine::part_selection::chance_of;
+use crate::gateway::quarantine::part_selection::keep_most_suspect;
 use crate::gateway::quarantine::quarantine_change::QuarantineStep;
-use crate::gateway::quarantine::quarantine_record::QuarantineState;
 use crate::gateway::quarantine::quarantine_report::QuarantineReport;
 use crate::gateway::quarantine::quarantine_report::SuspectLoad;
 use crate::gateway::quarantine::quarantine_table::QuarantineTable;
@@ -18,8 +21,10 @@
 
 /// How long a response is remembered that another gateway had from an engine.
 const ALIVE_TTL_MS: DurationMs = DurationMs::from_secs(3);
+/// Maximum number of parts of ends in a report, which has to fit into a datagram.
+const MAX_REPORTED_END_PARTS: usize = 3_072;
 /// Maximum number of survivals, and of suspected parts, in a report.
-const MAX_REPORTED_PARTS: usize = 128;
+const MAX_REPORTED_PARTS: usize = 1_024;
 
 impl QuarantineTable {
     /// Applies the report of another gateway.
@@ -48,12 +53,12 @@
             self.survivals.record_at_peer(part, now - age_ms);
         }
         self.peer_suspects.expire(now);
-        for load in &report.suspects {
-            let part = &load.part;
-            if !self.is_suspected(part) && !self.is_allowed(part) {
-                self.push_change(QuarantineStep::Suspected, &part.service, &[part.part]);
-            }
-        }
+        let suspects = report.suspects.iter().map(|load| &load.part);
+        let new: Vec<PartKey> = suspects
+            .filter(|part| !self.is_suspected(part) && !self.is_allowed(part))
+            .cloned()
+            .collect();
+        self.push_changes(QuarantineStep::Suspected, &new);
         self.peer_suspects.replace(host, report.suspects, now);
         for (record, left_ms) in report.records {
             self.adopt(record, now + left_ms, now);
@@ -66,51 +71,84 @@
     }
 
     /// Builds the report for the other gateways, after [`QuarantineTable::prepare_report`]. `unproven`
-    /// returns the number of own attempts in flight that have not proven a part sound, `alive_at` when
-    /// an engine last responded here.
+    /// holds the numbers of own attempts in flight that have not proven suspected parts sound,
+    /// `alive_at` returns when an engine last responded here.
     pub fn report(
         &self,
-        unproven: impl Fn(&PartKey) -> u32,
+        unproven: &HashMap<PartKey, u32>,
         alive_at: impl Fn(&UpstreamId) -> Option<TimeMs>,
         now: TimeMs,
     ) -> QuarantineReport {
-        let parts = self.ends.parts_of_peers().iter();
-        let survivals = parts.filter_map(|part| {
-            let own_at = self.survivals.own_at(part)?;
-            Some((part.clone(), now.since(own_at)))
-        });
-        let survivals = survivals.take(MAX_REPORTED_PARTS).collect();
         let mut alive = BTreeMap::new();
         for end in self.ends.merged().iter() {
             if let Some(at) = alive_at(&end.upstream).filter(|at| refutes(*at, end.at)) {
                 alive.insert(end.upstream.clone(), now.since(at));
             }
         }
-        let ends = self.ends.reportable(now).map(|(end, at)| (end.clone(), now.since(at)));
-        let suspects = self.suspected_parts().take(MAX_REPORTED_PARTS);
         let records = self.records.iter();
         QuarantineReport {
-            ends: ends.collect(),
+            ends: self.reported_ends(now),
             alive: alive.into_iter().collect(),
-            survivals,
-            suspects: suspects
-                .map(|part| SuspectLoad {
-                    unproven: unproven(&part),
-                    survived_without: self.survived_without(&part, now) as u32,
-                    part,
-                })
-                .collect(),
+            survivals: self.reported_survivals(now),
+            suspects: self.reported_suspects(unproven, now),
             records: records.map(|held| (held.record.clone(), held.until.since(now))).collect(),
         }
     }
 
-    fn suspected_parts(&self) -> impl Iterator<Item = PartKey> {
-        let on_probation =
-            self.records.iter().filter(|held| held.record.state == QuarantineState::Probation);
-        let on_probation = on_probation.flat_map(|held| {
-            let service = &held.record.service;
-            held.record.parts.iter().map(|part| PartKey { service: service.clone(), part: *part })
+    fn reported_ends(&self, now: TimeMs) -> Vec<(EngineEnd, DurationMs)> {
+        let ends = self.ends.reportable(now).map(|(end, at)| (end.clone(), now.since(at)));
+        let mut ends: Vec<(EngineEnd, DurationMs)> = ends.collect();
+        let parts: usize = ends.iter().map(|(end, _)| end.parts.len() + end.tried.len()).sum();
+        if parts > MAX_REPORTED_END_PARTS {
+            let share = MAX_REPORTED_END_PARTS / ends.len();
+            for (end, _) in &mut ends {
+                let proven_at = |part: &PartId| {
+                    self.survivals.last_at(&PartKey { service: end.service.clone(), part: *part })
+                };
+                let mut tried = end.tried.to_vec();
+                keep_most_suspect(&mut tried, share / 2, proven_at, now.get());
+                let mut parts = end.parts.to_vec();
+                keep_most_suspect(&mut parts, share - tried.len(), proven_at, now.get());
+                (end.parts, end.tried) = (parts.into(), tried.into());
+            }
+        }
+        ends
+    }
+
+    /// Returns the survivals of parts that others have reported: first those that refute an end.
+    fn reported_survivals(&self, now: TimeMs) -> Vec<(PartKey, DurationMs)> {
+        let parts = self.ends.parts_of_peers().iter();
+        let known = parts.filter_map(|(part, ended_at)| {
+            let own_at = self.survivals.own_at(part)?;
+            Some((own_at <= *ended_at, part, own_at))
         });
-        self.suspects.keys().cloned().chain(on_probation)
+        let mut known: Vec<(bool, &PartKey, TimeMs)> = known.collect();
+        if known.len() > MAX_REPORTED_PARTS {
+            known.sort_by_cached_key(|(is_earlier, part, _)| {
+                (*is_earlier, chance_of(part.part, now.get()))
+            });
+            known.truncate(MAX_REPORTED_PARTS);
+        }
+        known.into_iter().map(|(_, part, own_at)| (part.clone(), now.since(own_at))).collect()
+    }
+
+    /// Returns the suspected parts: first those that an attempt is trying.
+    fn reported_suspects(&self, unproven: &HashMap<PartKey, u32>, now: TimeMs) -> Vec<SuspectLoad> {
+        let unproven = |part: &PartKey| unproven.get(part).copied().unwrap_or_default();
+        let mut parts: Vec<PartKey> = self.suspected_parts().collect();
+        if parts.len() > MAX_REPORTED_PARTS {
+            parts.sort_by_cached_key(|part| (unproven(part) == 0, chance_of(part.part, now.get())));
+            parts.truncate(MAX_REPORTED_PARTS);
+        }
+        let load = |part: PartKey| SuspectLoad {
+            unproven: unproven(&part),
+            survived_without: self.survived_without(&part, now) as u32,
+            part,
+        };
+        parts.into_iter().map(load).collect()
+    }
+
+    fn suspected_parts(&self) -> impl Iterator<Item = PartKey> {
+        self.suspects.keys().cloned().chain(self.parts_on_probation())
     }
 }
--- a/crates/hickorydoor/src/gateway/quarantine/mod.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/mod.rs
@@ -45,6 +45,7 @@
 mod part_ends;
 mod part_id;
 mod part_key;
+pub(super) mod part_selection;
 mod peer_suspects;
 mod quarantine_change;
 mod quarantine_record;
--- a/crates/hickorydoor/src/gateway/quarantine/part_ends.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/part_ends.rs
@@ -1,5 +1,7 @@
 //! Ends of engines under one part.
 
+use std::collections::HashSet;
+
 use crate::gateway::quarantine::end_log::MergedEnd;
 use crate::gateway::quarantine::part_id::PartId;
 use crate::gateway::quarantine::part_key::PartKey;
@@ -40,17 +42,25 @@
     count
 }
 
+/// Returns the lists of ends that parts have, each once with its service. Parts of a long prompt often
+/// have the same.
+pub(super) fn distinct_ends(by_part: &[(PartKey, PartEnds)]) -> Vec<(&ServiceName, &[usize])> {
+    let lists = by_part.iter().map(|(key, ends)| (&key.service, &*ends.indices));
+    let distinct: HashSet<(&ServiceName, &[usize])> = lists.collect();
+    distinct.into_iter().collect()
+}
+
 /// Returns whether another part was present at all ends of this one and at others too, so that it
 /// is the better explanation.
 pub(super) fn is_dominated(
     key: &PartKey,
     ends: &PartEnds,
-    by_part: &[(PartKey, PartEnds)],
+    distinct: &[(&ServiceName, &[usize])],
 ) -> bool {
-    by_part.iter().any(|(other, known)| {
-        known.indices.len() > ends.indices.len()
-            && other.service == key.service
-            && ends.indices.iter().all(|index| known.indices.binary_search(index).is_ok())
+    distinct.iter().any(|(service, known)| {
+        known.len() > ends.indices.len()
+            && **service == key.service
+            && ends.indices.iter().all(|index| known.binary_search(index).is_ok())
     })
 }
 
--- a/crates/hickorydoor/src/gateway/quarantine/quarantine_record.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/quarantine_record.rs
@@ -4,6 +4,7 @@
 use smallvec::SmallVec;
 
 use crate::gateway::quarantine::part_id::PartId;
+use crate::gateway::quarantine::part_selection::is_subset;
 use crate::id::ServiceName;
 
 /// What applies to the parts of a record. Of two changes at the same time, the later variant wins.
@@ -38,9 +39,7 @@
 impl QuarantineRecord {
     /// Returns whether a request with these parts is concerned.
     pub fn concerns(&self, service: &ServiceName, parts: &[PartId]) -> bool {
-        self.service == *service
-            && !self.parts.is_empty()
-            && self.parts.iter().all(|part| parts.contains(part))
+        self.service == *service && !self.parts.is_empty() && is_subset(&self.parts, parts)
     }
 
     /// Returns whether two records are about the same parts.
--- a/crates/hickorydoor/src/gateway/quarantine/quarantine_table.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/quarantine_table.rs
@@ -12,6 +12,9 @@
 use crate::gateway::quarantine::held_record::HeldRecord;
 use crate::gateway::quarantine::part_id::PartId;
 use crate::gateway::quarantine::part_key::PartKey;
+use crate::gateway::quarantine::part_selection::FEW_PARTS;
+use crate::gateway::quarantine::part_selection::drop_proven;
+use crate::gateway::quarantine::part_selection::sorted;
 use crate::gateway::quarantine::peer_suspects::PeerSuspects;
 use crate::gateway::quarantine::quarantine_change::QuarantineChange;
 use crate::gateway::quarantine::survival_table::SurvivalTable;
@@ -29,6 +32,8 @@
 const REPORT_TRANSFER_MS: DurationMs = DurationMs::new(50);
 /// Maximum number of closed attempts that are remembered.
 const MAX_DEPARTURES: usize = 256;
+/// Number of their parts from which on the oldest are dropped. Each counts for two seconds.
+const MAX_DEPARTED_PARTS: usize = 32_768;
 
 /// Evidence about prompt parts, and the records that follow from it.
 #[derive(Clone, Debug)]
@@ -114,8 +119,10 @@
         parts: &[PartId],
         now: TimeMs,
     ) -> impl Iterator<Item = (&UpstreamId, TimeMs)> {
-        let holds = |end: &EngineEnd| {
-            end.service == *service && end.parts.iter().any(|part| parts.contains(part))
+        let parts = sorted(parts);
+        let holds = move |end: &EngineEnd| {
+            end.service == *service
+                && end.parts.iter().any(|part| parts.binary_search(part).is_ok())
         };
         let undecided = self.ends.undecided(now).filter(move |(end, _)| holds(end));
         undecided.map(|(end, at)| (&end.upstream, at))
@@ -124,11 +131,16 @@
     /// Records that the gateway has closed an attempt, whose parts `closed` names with its engine.
     /// The engine may have begun to write its answer.
     pub fn record_departure(&mut self, closed: EngineEnd, now: TimeMs) {
+        let closed = self.open_parts_of(closed, now);
         if closed.parts.is_empty() {
             return;
         }
-        if self.departures.len() >= MAX_DEPARTURES {
-            self.departures.pop_front();
+        let mut parts: usize = self.departures.iter().map(|known| known.end.parts.len()).sum();
+        while self.departures.len() >= MAX_DEPARTURES || parts > MAX_DEPARTED_PARTS {
+            let Some(oldest) = self.departures.pop_front() else {
+                break;
+            };
+            parts -= oldest.end.parts.len();
         }
         self.departures.push_back(Departure { at: now, end: closed });
     }
@@ -136,9 +148,10 @@
     /// Records that an engine has ended and cut off an attempt, whose parts `seen` names unless
     /// they were proven sound.
     pub fn record_cut_off(&mut self, seen: EngineEnd, now: TimeMs) {
+        let seen = self.open_parts_of(seen, now);
         self.add_departures(&seen, now);
         let is_unproven = !seen.parts.is_empty();
-        self.ends.record(seen, is_unproven, now);
+        self.ends.record(seen, is_unproven, &self.survivals, now);
         self.is_stale = true;
         self.is_urgent |= is_unproven;
     }
@@ -146,10 +159,28 @@
     /// Records that an engine accepts no connections, so that it has ended some time before.
     pub fn record_unreachable(&mut self, seen: EngineEnd, now: TimeMs) {
         self.add_departures(&seen, now);
-        self.ends.confirm(seen, now);
+        self.ends.confirm(seen, &self.survivals, now);
         self.is_stale = true;
     }
 
+    /// Leaves out parts of a long prompt that were proven sound lately.
+    fn open_parts_of(&self, end: EngineEnd, now: TimeMs) -> EngineEnd {
+        if end.parts.len() <= FEW_PARTS {
+            return end;
+        }
+        let proven_at = |part: &PartId| {
+            self.survivals.last_at(&PartKey { service: end.service.clone(), part: *part })
+        };
+        let parts = drop_proven(&end.parts, proven_at, now);
+        EngineEnd { parts: parts.into(), ..end }
+    }
+
+    /// Returns the number of parts that are held as evidence, which is bounded.
+    pub fn held_parts(&self) -> usize {
+        let of_departures = self.departures.iter().map(|known| known.end.parts.len());
+        self.ends.held_parts() + of_departures.sum::<usize>()
+    }
+
     /// Adds the parts of attempts that were closed shortly before an engine ended, which was noticed
     /// at `noticed_at`.
     pub(super) fn add_departures(&mut self, seen: &EngineEnd, noticed_at: TimeMs) {
@@ -166,7 +197,7 @@
                 // An end that is noticed late came soon after the departure.
                 let at = if is_recent { noticed_at } else { departure.at };
                 let end = EngineEnd { is_confirmed: seen.is_confirmed, ..departure.end };
-                self.ends.record(end, false, at);
+                self.ends.record(end, false, &self.survivals, at);
                 has_found = true;
             } else if before_ms <= LATE_DEPARTURE_WINDOW_MS {
                 remaining.push_back(departure);
--- a/crates/hickorydoor/src/gateway/quarantine/records.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/records.rs
@@ -194,6 +194,14 @@
         });
     }
 
+    /// Adds one change for all parts of a service.
+    pub(super) fn push_changes(&mut self, step: QuarantineStep, keys: &[PartKey]) {
+        for of_service in keys.chunk_by(|one, next| one.service == next.service) {
+            let parts: Vec<PartId> = of_service.iter().map(|key| key.part).collect();
+            self.push_change(step, &of_service[0].service, &parts);
+        }
+    }
+
     pub(super) fn quarantine_of(
         &self,
         service: &ServiceName,
@@ -210,6 +218,15 @@
         self.records.iter().find(is_refused)
     }
 
+    pub(super) fn parts_on_probation(&self) -> impl Iterator<Item = PartKey> {
+        let on_probation =
+            self.records.iter().filter(|held| held.record.state == QuarantineState::Probation);
+        on_probation.flat_map(|held| {
+            let service = &held.record.service;
+            held.record.parts.iter().map(|part| PartKey { service: service.clone(), part: *part })
+        })
+    }
+
     pub(super) fn is_on_probation(&self, key: &PartKey) -> bool {
         self.records.iter().any(|held| {
             held.record.state == QuarantineState::Probation
--- a/crates/hickorydoor/src/gateway/quarantine/survival_table.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/survival_table.rs
@@ -9,7 +9,7 @@
 use crate::time::TimeMs;
 
 /// Maximum number of parts; those that were proven the longest time ago are dropped.
-const MAX_PARTS: usize = 4_096;
+const MAX_PARTS: usize = 16_384;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Survivals {
--- a/crates/hickorydoor/src/gateway/quarantine/wire.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/wire.rs
@@ -78,6 +78,23 @@
     left_ms: u64,
 }
 
+/// Parts of one service, with what [`WirePart`] states of each.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct WireParts {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(fixed64, repeated, tag = "2")]
+    parts: Vec<u64>,
+    #[prost(uint64, repeated, tag = "3")]
+    numbers: Vec<u64>,
+    #[prost(uint32, repeated, tag = "4")]
+    survived_without: Vec<u32>,
+}
+
+/// Number of parts that are sent one by one, as older gateways read them; the others are packed.
+const SINGLE_PARTS: usize = 128;
+
 /// Report about prompt parts in a digest.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
@@ -92,16 +109,26 @@
     records: Vec<WireRecord>,
     #[prost(message, repeated, tag = "5")]
     alive: Vec<WireAlive>,
+    #[prost(message, repeated, tag = "6")]
+    further_survivals: Vec<WireParts>,
+    #[prost(message, repeated, tag = "7")]
+    further_suspects: Vec<WireParts>,
 }
 
 impl From<&QuarantineReport> for WireQuarantine {
     fn from(report: &QuarantineReport) -> Self {
         let survivals = report.survivals.iter();
-        let suspects = report.suspects.iter();
+        let survivals: Vec<WirePart> =
+            survivals.map(|(part, age_ms)| encode_part(part, age_ms.get())).collect();
+        let suspects: Vec<WirePart> = report.suspects.iter().map(encode_suspect).collect();
+        let (survivals, further_survivals) = pack(survivals);
+        let (suspects, further_suspects) = pack(suspects);
         Self {
             ends: report.ends.iter().map(|(end, age_ms)| encode_end(end, *age_ms)).collect(),
-            survivals: survivals.map(|(part, age_ms)| encode_part(part, age_ms.get())).collect(),
-            suspects: suspects.map(encode_suspect).collect(),
+            survivals,
+            suspects,
+            further_survivals,
+            further_suspects,
             alive: report
                 .alive
                 .iter()
@@ -127,11 +154,11 @@
         for known in wire.alive {
             report.alive.push((known.upstream.parse()?, DurationMs::new(known.age_ms)));
         }
-        for known in wire.survivals {
+        for known in wire.survivals.into_iter().chain(unpack(wire.further_survivals)) {
             let age_ms = DurationMs::new(known.number);
             report.survivals.push((decode_part(&known)?, age_ms));
         }
-        for known in wire.suspects {
+        for known in wire.suspects.into_iter().chain(unpack(wire.further_suspects)) {
             let unproven = u32::try_from(known.number).unwrap_or(u32::MAX);
             report.suspects.push(SuspectLoad {
                 part: decode_part(&known)?,
@@ -146,6 +173,33 @@
     }
 }
 
+/// Splits parts into those that are sent one by one, and the others, packed by service.
+fn pack(mut parts: Vec<WirePart>) -> (Vec<WirePart>, Vec<WireParts>) {
+    let mut further = parts.split_off(parts.len().min(SINGLE_PARTS));
+    further.sort_by(|one, other| one.service.cmp(&other.service));
+    let packed = further.chunk_by(|one, next| one.service == next.service).map(|same| WireParts {
+        service: same[0].service.clone(),
+        parts: same.iter().map(|known| known.part).collect(),
+        numbers: same.iter().map(|known| known.number).collect(),
+        survived_without: same.iter().map(|known| known.survived_without).collect(),
+    });
+    let packed = packed.collect();
+    (parts, packed)
+}
+
+fn unpack(packed: Vec<WireParts>) -> impl Iterator<Item = WirePart> {
+    packed.into_iter().flat_map(|known| {
+        let WireParts { service, parts, numbers, survived_without } = known;
+        let stated = parts.into_iter().zip(numbers).zip(survived_without);
+        stated.map(move |((part, number), survived_without)| WirePart {
+            service: service.clone(),
+            part,
+            number,
+            survived_without,
+        })
+    })
+}
+
 fn encode_alive(upstream: &UpstreamId, age_ms: DurationMs) -> WireAlive {
     WireAlive { upstream: upstream.to_string(), age_ms: age_ms.get() }
 }
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -306,6 +306,11 @@
         self.quarantine.assessments()
     }
 
+    /// Returns the number of prompt parts that are held as evidence, 8 bytes each.
+    pub fn evidence_parts(&self) -> usize {
+        self.quarantine.held_parts()
+    }
+
     /// Builds the next digest for the other gateways.
     pub fn digest(&mut self, now: TimeMs) -> PeerDigest {
         self.sequence += 1;
@@ -335,7 +340,7 @@
             evidence: evidence.collect(),
             prefills: self.recent_prefills.iter().cloned().collect(),
             quarantine: self.quarantine.report(
-                |part| self.unproven_attempts(part),
+                &self.unproven_attempts(),
                 |upstream| self.pool.get(upstream)?.last_alive_at,
                 now,
             ),
--- a/crates/hickorydoor/tests/gateway/crash_fleet.rs
+++ b/crates/hickorydoor/tests/gateway/crash_fleet.rs
@@ -94,6 +94,10 @@
     pub sound_first_ms: u64,
     /// Number of parts under which engines end; each request holds one of them.
     pub crashing_parts: u64,
+    /// Number of further parts that all prompts begin with.
+    pub common_parts: u64,
+    /// Number of further parts that no other prompt has.
+    pub own_parts: u64,
     pub seed: u64,
 }
 
@@ -113,6 +117,8 @@
             repeats: false,
             sound_first_ms: 3_000,
             crashing_parts: 1,
+            common_parts: 0,
+            own_parts: 0,
             seed: 1,
         }
     }
@@ -383,6 +389,12 @@
             (true, Place::Middle) => vec![first, crashing, subject, own],
             (true, Place::Last) => vec![first, subject, crashing, own],
         };
+        let common =
+            (0..self.play.common_parts).map(|id| PromptPart { id: 10_000 + id, tokens: 4 });
+        let own_ids = (0..self.play.own_parts).map(|_| self.random.random());
+        let own_ids: Vec<u64> = own_ids.collect();
+        let own = own_ids.into_iter().map(|id| PromptPart { id, tokens: 4 });
+        let parts: Vec<PromptPart> = common.chain(own).chain(parts).collect();
         let prompt = Prompt {
             tokens: parts.iter().map(|part| part.tokens).sum(),
             max_answer_tokens: 120,
