Judge by what all gateways hear whether an engine is silent

Cause: a gateway judged an engine by what it had heard from it itself. The more gateways share the engines, the less each hears, so that engines look silent which only read other prompts. Such a silence counted as an end of the engine at once, at all gateways; two of them make a part suspected, and a suspicion ended attempts that were writing already.

Change: load reports state when their sender last heard from each engine, and an attempt is given up for silence only if no gateway has heard from the engine since it was sent. An end for which nothing but silence speaks is blamed on nothing until a response to any gateway would be known (2.5 s and a report); a refused connection confirms it at once. A suspicion ends no attempt whose answer has begun, and no request of which the caller has a part.

--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -4,6 +4,7 @@
 use crate::gateway::active_call::Attempt;
 use crate::gateway::active_call::Cancellation;
 use crate::gateway::call::CallId;
+use crate::gateway::digest_pace::regular_interval_ms;
 use crate::gateway::effect::CallStats;
 use crate::gateway::effect::FirstEventStats;
 use crate::gateway::effect::GatewayEffect;
@@ -127,7 +128,7 @@
     /// unresponsive.
     ///
     /// An engine counts as unresponsive if it has started the response to a request that was sent
-    /// later, if it has started no response within the dead-engine timeout after the attempt was
+    /// later, if no gateway has heard from it within the dead-engine timeout after the attempt was
     /// sent, if it is on probation, or if it is no longer registered. Plain services need no
     /// further sign.
     fn is_unresponsive(&self, id: CallId, now: TimeMs) -> bool {
@@ -156,12 +157,19 @@
         let other_prefill_ms = (upstream.backlog_ms() - attempt.prefill_ms).max(0.0);
         let dead_timeout_ms = (attempt.expected_ms * DEAD_ENGINE_TIMEOUT_FACTOR)
             .max(MIN_DEAD_ENGINE_TIMEOUT_MS)
-            + other_prefill_ms;
-        let is_dead = upstream.last_response_at.is_none_or(|at| at < attempt.sent_at)
+            + other_prefill_ms
+            + self.report_delay_ms().as_f64();
+        let is_dead = upstream.heard_at().is_none_or(|at| at < attempt.sent_at)
             && waited_ms > dead_timeout_ms;
         upstream.is_overtaken(active.urgency(), attempt.sent_at) || is_dead
     }
 
+    /// Returns the time until this gateway knows that another one has heard from an upstream.
+    fn report_delay_ms(&self) -> DurationMs {
+        let peers = self.gateway_count().saturating_sub(1);
+        regular_interval_ms(DurationMs::default(), peers)
+    }
+
     pub(super) fn on_attempt_ended(
         &mut self,
         id: CallId,
--- a/crates/hickorydoor/src/gateway/containment.rs
+++ b/crates/hickorydoor/src/gateway/containment.rs
@@ -202,10 +202,10 @@
         }
     }
 
-    /// Returns whether the upstream of an attempt has begun no response since it was sent.
+    /// Returns whether no gateway has heard from the upstream of an attempt since it was sent.
     fn is_silent(&self, attempt: &Attempt) -> bool {
         let upstream = self.pool.get(&attempt.upstream);
-        upstream.is_none_or(|known| known.last_response_at.is_none_or(|at| at < attempt.sent_at))
+        upstream.is_none_or(|known| known.heard_at().is_none_or(|at| at < attempt.sent_at))
     }
 
     /// Assesses the evidence about prompt parts, and ends states that have expired.
@@ -221,7 +221,7 @@
             });
             has_upstreams && !is_left
         };
-        let alive_at = |upstream: &UpstreamId| pool.get(upstream)?.last_alive_at;
+        let alive_at = |upstream: &UpstreamId| pool.get(upstream)?.heard_at();
         self.quarantine.assess(is_replaced, alive_at, now);
     }
 
@@ -267,12 +267,16 @@
                     shares_any(&change.parts, &parts)
                 }
         };
-        let is_unproven = |active: &ActiveCall| {
-            let attempt = active.attempt.as_ref();
-            attempt.is_some_and(|attempt| !attempt.proven && attempt.cancelled.is_none())
+        // An engine that has begun to write the answer ends, or does not, whether the answer is wanted
+        // or not. What the caller has a part of goes on while there is only a suspicion.
+        let may_end = |active: &ActiveCall| {
+            let has_part = active.delivered || active.last_event.is_some();
+            let is_before_answer = active.attempt.as_ref().is_some_and(|attempt| {
+                attempt.first_event_at.is_none() && attempt.cancelled.is_none()
+            });
+            is_before_answer && (must_end || !has_part)
         };
-        let calls =
-            self.calls.iter().filter(|(_, active)| is_unproven(active) && concerned(active));
+        let calls = self.calls.iter().filter(|(_, active)| may_end(active) && concerned(active));
         let calls: Vec<CallId> = calls.map(|(id, _)| *id).collect();
         for id in calls {
             if !must_end && !self.can_retry(id, now) {
--- a/crates/hickorydoor/src/gateway/quarantine/assessment.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/assessment.rs
@@ -74,7 +74,10 @@
             .iter()
             .any(|held| held.decided_on.is_some() && now.since(held.changed_at) <= REVIEW_MS);
         let has_evidence = self.is_stale || self.has_news;
-        if !has_evidence && !is_reviewing && self.suspects.is_empty() && self.paused.is_empty() {
+        let is_waiting = !self.suspects.is_empty()
+            || !self.paused.is_empty()
+            || self.ends.merged().iter().any(MergedEnd::is_silent);
+        if !has_evidence && !is_reviewing && !is_waiting {
             return;
         }
         self.is_stale = false;
@@ -169,7 +172,8 @@
     /// moment only, unless it is on probation.
     fn ends_by_part(&self, merged: &[MergedEnd], now: TimeMs) -> Vec<(PartKey, PartEnds)> {
         let on_probation: Vec<PartId> = self.parts_on_probation().map(|key| key.part).collect();
-        let blamed = merged.iter().enumerate().flat_map(|(index, end)| {
+        let blamed = merged.iter().enumerate().filter(|(_, end)| !self.is_doubtful(end, now));
+        let blamed = blamed.flat_map(|(index, end)| {
             let is_recent = now.since(end.at) < PAUSE_MS;
             let matters = |part: &PartId| {
                 is_recent || self.ends.is_repeated(*part) || on_probation.contains(part)
@@ -180,6 +184,12 @@
         group_by_part(blamed.collect())
     }
 
+    /// Returns whether an engine that fell silent may still respond, or another gateway report that it
+    /// has. What ran there is not to blame before.
+    fn is_doubtful(&self, end: &MergedEnd, now: TimeMs) -> bool {
+        end.is_silent() && now.since(end.at) < self.silence_settled_after_ms
+    }
+
     /// Returns the parts that may have caused an end. One that is known to end engines, or that was on
     /// trial, explains it better than what ran beside it; one that the operator allows does so too, and
     /// is not blamed itself. Only parts that `matters` returns are among them.
--- a/crates/hickorydoor/src/gateway/quarantine/end_log.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/end_log.rs
@@ -35,11 +35,14 @@
 const MIN_REFUTATION_MS: DurationMs = DurationMs::new(100);
 /// Time after an end until which a response shows that. An engine that has ended is back later.
 const MAX_REFUTATION_MS: DurationMs = DurationMs::new(1_500);
+/// The same if nothing but silence speaks for the end. It is noticed later, and its engine is back later
+/// than this all the same.
+pub const MAX_SILENCE_MS: DurationMs = DurationMs::new(2_500);
 /// Time after an end until which a request is sent to its engine to learn whether it goes on. The
 /// response has to arrive before [`MAX_REFUTATION_MS`].
 const MAX_CHECK_MS: DurationMs = DurationMs::new(1_000);
 /// Time after an end until which gateways may learn that its engine has responded.
-const REFUTABLE_MS: DurationMs = DurationMs::new(5_000);
+const REFUTABLE_MS: DurationMs = DurationMs::new(8_000);
 /// Error of the time of an end that is not worth a new assessment.
 const MAX_TIME_ERROR_MS: DurationMs = DurationMs::new(20);
 /// Maximum number of ends of one gateway; the oldest are dropped.
@@ -69,6 +72,15 @@
     pub tried: BTreeSet<PartId>,
     pub cut_off: u32,
     pub is_confirmed: bool,
+    /// Whether the engine closed a connection.
+    pub is_closed: bool,
+}
+
+impl MergedEnd {
+    /// Returns whether nothing but silence speaks for the end.
+    pub const fn is_silent(&self) -> bool {
+        !self.is_closed && !self.is_confirmed
+    }
 }
 
 /// Ends of engines, bounded in number and age.
@@ -161,7 +173,7 @@
         let is_refuted = |end: &EngineEnd, at: TimeMs| {
             !end.is_confirmed
                 && now.since(at) <= REFUTABLE_MS
-                && alive_at(&end.upstream).is_some_and(|alive| refutes(alive, at))
+                && alive_at(&end.upstream).is_some_and(|alive| refutes(alive, at, !end.is_closed))
         };
         let before = self.len();
         self.own.retain(|known| !is_refuted(&known.end, known.at));
@@ -335,6 +347,7 @@
                     last.tried.extend(end.tried.iter().copied());
                     last.cut_off += cut_off;
                     last.is_confirmed |= end.is_confirmed;
+                    last.is_closed |= end.is_closed;
                 }
                 _ => merged.push(MergedEnd {
                     upstream: end.upstream.clone(),
@@ -345,6 +358,7 @@
                     tried: end.tried.iter().copied().collect(),
                     cut_off,
                     is_confirmed: end.is_confirmed,
+                    is_closed: end.is_closed,
                 }),
             }
         }
@@ -381,9 +395,11 @@
     known.len() == received.len() && known.iter().zip(received).all(is_same)
 }
 
-/// Returns whether a response at `alive_at` shows that an engine has not ended at `ended_at`.
-pub fn refutes(alive_at: TimeMs, ended_at: TimeMs) -> bool {
-    alive_at > ended_at + MIN_REFUTATION_MS && alive_at <= ended_at + MAX_REFUTATION_MS
+/// Returns whether a response at `alive_at` shows that an engine has not ended at `ended_at`. `is_silent`
+/// tells whether nothing but silence speaks for the end.
+pub fn refutes(alive_at: TimeMs, ended_at: TimeMs, is_silent: bool) -> bool {
+    let within_ms = if is_silent { MAX_SILENCE_MS } else { MAX_REFUTATION_MS };
+    alive_at > ended_at + MIN_REFUTATION_MS && alive_at <= ended_at + within_ms
 }
 
 fn distance(a: TimeMs, b: TimeMs) -> DurationMs {
--- a/crates/hickorydoor/src/gateway/quarantine/exchange.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/exchange.rs
@@ -81,7 +81,9 @@
     ) -> QuarantineReport {
         let mut alive = BTreeMap::new();
         for end in self.ends.merged().iter() {
-            if let Some(at) = alive_at(&end.upstream).filter(|at| refutes(*at, end.at)) {
+            if let Some(at) =
+                alive_at(&end.upstream).filter(|at| refutes(*at, end.at, end.is_silent()))
+            {
                 alive.insert(end.upstream.clone(), now.since(at));
             }
         }
--- a/crates/hickorydoor/src/gateway/quarantine/quarantine_table.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/quarantine_table.rs
@@ -8,6 +8,7 @@
 use crate::gateway::quarantine::departure::Departure;
 use crate::gateway::quarantine::departure::LATE_DEPARTURE_WINDOW_MS;
 use crate::gateway::quarantine::end_log::EndLog;
+use crate::gateway::quarantine::end_log::MAX_SILENCE_MS;
 use crate::gateway::quarantine::engine_end::EngineEnd;
 use crate::gateway::quarantine::held_record::HeldRecord;
 use crate::gateway::quarantine::part_id::PartId;
@@ -58,6 +59,8 @@
     /// Time after an end under a part was noticed until what other gateways know of it has arrived.
     /// The part is not quarantined before.
     pub(super) settled_after_ms: DurationMs,
+    /// Time after an engine has fallen silent until a response to any gateway is known here.
+    pub(super) silence_settled_after_ms: DurationMs,
     /// Number of assessments since the start.
     pub(super) assessments: u64,
     /// Whether the other gateways have to learn something soon.
@@ -81,15 +84,20 @@
             has_news: false,
             is_urgent: false,
             settled_after_ms: MIN_SETTLED_AFTER_MS,
+            silence_settled_after_ms: MAX_SILENCE_MS + MIN_SETTLED_AFTER_MS,
             assessments: 0,
         }
     }
 }
 
 impl QuarantineTable {
-    /// Sets how long evidence takes to reach all gateways.
-    pub fn set_report_delay(&mut self, delay_ms: DurationMs) {
-        self.settled_after_ms = (delay_ms + REPORT_TRANSFER_MS).max(MIN_SETTLED_AFTER_MS);
+    /// Sets how long evidence takes to reach all gateways: `urgent_ms` if they have to learn it soon,
+    /// `regular_ms` otherwise, as for responses of engines.
+    pub fn set_report_delay(&mut self, urgent_ms: DurationMs, regular_ms: DurationMs) {
+        let settled_after =
+            |delay_ms: DurationMs| (delay_ms + REPORT_TRANSFER_MS).max(MIN_SETTLED_AFTER_MS);
+        self.settled_after_ms = settled_after(urgent_ms);
+        self.silence_settled_after_ms = MAX_SILENCE_MS + settled_after(regular_ms);
     }
 
     /// Records that an attempt with these parts was answered, or has written for
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -315,7 +315,7 @@
     pub fn digest(&mut self, now: TimeMs) -> PeerDigest {
         self.sequence += 1;
         let notices = self.notices_to_tell(now);
-        let loads = self.pool.report_loads();
+        let loads = self.pool.report_loads(now);
         let demands = self.own_demand(now);
         for assignments in self.assignments.values_mut() {
             assignments.clear(&self.settings.host);
@@ -341,7 +341,7 @@
             prefills: self.recent_prefills.iter().cloned().collect(),
             quarantine: self.quarantine.report(
                 &self.unproven_attempts(),
-                |upstream| self.pool.get(upstream)?.last_alive_at,
+                |upstream| self.pool.get(upstream)?.heard_at(),
                 now,
             ),
             notices,
--- a/crates/hickorydoor/src/gateway/store_view.rs
+++ b/crates/hickorydoor/src/gateway/store_view.rs
@@ -13,6 +13,7 @@
 use compact_str::CompactString;
 
 use crate::gateway::catalog::Catalog;
+use crate::gateway::digest_pace::regular_interval_ms;
 use crate::gateway::digest_pace::urgent_interval_ms;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::freshness::RESTORE_WINDOW_MS;
@@ -296,7 +297,8 @@
         self.gateways = gateways;
         let peers = self.gateways.len().saturating_sub(1);
         self.trial_slots.clear();
-        self.quarantine.set_report_delay(urgent_interval_ms(peers));
+        let regular_ms = regular_interval_ms(DurationMs::default(), peers);
+        self.quarantine.set_report_delay(urgent_interval_ms(peers), regular_ms);
     }
 
     pub(super) fn on_rollout_ordered(
--- a/crates/hickorydoor/src/gateway/upstreams/upstream.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream.rs
@@ -60,6 +60,9 @@
     pub in_flight: u32,
     /// Prefill time of their prompts, in ms.
     pub prefill_ms: f64,
+    /// Time since anything last arrived that shows that the upstream runs; `None` if nothing did. Not
+    /// part of a sum.
+    pub heard_age_ms: Option<DurationMs>,
 }
 
 impl PeerLoad {
@@ -104,10 +107,10 @@
     pub failures: FailureScore,
     /// Latest dispatch time of all requests whose response has started, by priority.
     pub newest_answered_sent_at: BTreeMap<u8, TimeMs>,
-    /// When a response last started.
-    pub last_response_at: Option<TimeMs>,
     /// When anything last arrived that shows that the upstream runs.
     pub last_alive_at: Option<TimeMs>,
+    /// The same at another gateway.
+    pub heard_at_peers: Option<TimeMs>,
     /// Prompt parts that the engine is expected to have cached.
     pub cache: PromptCache,
     /// Whether the rate bound of a cold upstream allows one more request; always true for a warm
@@ -136,8 +139,8 @@
             peer_load: PeerLoad::default(),
             failures: FailureScore::default(),
             newest_answered_sent_at: BTreeMap::new(),
-            last_response_at: None,
             last_alive_at: None,
+            heard_at_peers: None,
             cache: PromptCache::default(),
             has_cold_capacity: false,
             room: UpstreamRoom::default(),
@@ -208,10 +211,14 @@
     pub fn record_first_event(&mut self, priority: u8, sent_at: TimeMs, now: TimeMs) {
         let newest = self.newest_answered_sent_at.entry(priority).or_insert(sent_at);
         *newest = (*newest).max(sent_at);
-        self.last_response_at = Some(now);
         self.last_alive_at = Some(now);
     }
 
+    /// Returns when anything last arrived at any gateway that shows that the upstream runs.
+    pub fn heard_at(&self) -> Option<TimeMs> {
+        self.last_alive_at.max(self.heard_at_peers)
+    }
+
     /// Returns whether a request that was sent later, with the same or a less urgent priority, has
     /// its response.
     pub fn is_overtaken(&self, priority: u8, sent_at: TimeMs) -> bool {
--- a/crates/hickorydoor/src/gateway/upstreams/upstream_pool.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream_pool.rs
@@ -234,6 +234,8 @@
         for (id, load) in &loads {
             if let Some(upstream) = self.upstreams.get_mut(id) {
                 upstream.peer_load.add(*load);
+                let heard_at = load.heard_age_ms.map(|age_ms| now - age_ms);
+                upstream.heard_at_peers = upstream.heard_at_peers.max(heard_at);
             }
         }
         let before = self.reports.replace(peer, loads, now);
@@ -268,7 +270,7 @@
 
     /// Returns the load of this gateway at the upstreams where it has requests in flight, to be
     /// reported.
-    pub fn report_loads(&mut self) -> Vec<(UpstreamId, PeerLoad)> {
+    pub fn report_loads(&mut self, now: TimeMs) -> Vec<(UpstreamId, PeerLoad)> {
         for upstream in self.upstreams.values_mut() {
             upstream.reported_in_flight = upstream.in_flight;
             upstream.sent_since_report = 0;
@@ -277,6 +279,7 @@
         let load = |upstream: &Upstream| PeerLoad {
             in_flight: upstream.in_flight,
             prefill_ms: upstream.prefill_ms,
+            heard_age_ms: upstream.last_alive_at.map(|at| now.since(at)),
         };
         loaded.map(|(id, upstream)| (id.clone(), load(upstream))).collect()
     }
--- a/crates/hickorydoor/tests/gateway_crashing_part.rs
+++ b/crates/hickorydoor/tests/gateway_crashing_part.rs
@@ -19,6 +19,7 @@
 use hickorydoor::gateway::peer_digest::PeerDigest;
 use hickorydoor::gateway::quarantine::PartKey;
 use hickorydoor::gateway::quarantine::QuarantineState;
+use hickorydoor::gateway::quarantine::QuarantineStep;
 use hickorydoor::gateway::refusal::RefusalReason;
 
 use crate::gateway::ENGINES;
@@ -129,6 +130,27 @@
     assert_contained(&fleet.course, "after restarts");
 }
 
+/// Guards against sound answers that callers lose midway by a suspicion that is soon refuted.
+#[test]
+fn answer_that_has_begun_goes_on_while_its_part_is_suspected() {
+    let mut rig = rig_in_use();
+    let (running, _) = rig.send(request("running", &[7, 500]));
+    rig.apply(GatewayEvent::FirstEvent { call: running });
+    let others = ["one", "two"].map(|name| rig.send(request(name, &[7, 500])).0);
+    let mut effects = Vec::new();
+    for _ in 0..2 {
+        for other in others {
+            let closed = AttemptOutcome::Unknown(ResponseFault::Closed);
+            effects.extend(rig.end_attempt_after(other, closed, None));
+        }
+        effects.extend(rig.advance(100));
+    }
+    let is_suspicion = |effect: &GatewayEffect| matches!(effect, GatewayEffect::Quarantine(change) if change.step == QuarantineStep::Suspected);
+    assert!(effects.iter().any(is_suspicion), "{effects:?}");
+    let is_end = |effect: &GatewayEffect| matches!(effect, GatewayEffect::Abandon { call } if *call == running);
+    assert!(!effects.iter().any(is_end), "{effects:?}");
+}
+
 /// A gateway with engines and enough sound requests that were answered.
 fn rig_in_use() -> Rig {
     rig_of("gw-1")
