--- a/crates/hickorydoor/src/gateway/quarantine/mod.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/mod.rs
@@ -11,6 +11,8 @@
 //! - When an engine ends, each gateway reports the parts of its attempts there that may have caused
 //!   it: those that had not written for [`PROVEN_AFTER_MS`] yet, and those that the gateway itself
 //!   had closed shortly before ([`EngineEnd`]).
+//! - An engine that only falls silent may go on. What ran there is not to blame until a response to
+//!   any gateway would be known.
 //! - An attempt that completes or writes for long enough proves its parts sound. The ends of
 //!   engines count against a part only since it was last proven ([`SurvivalTable`]).
 //! - An engine may close a connection and go on. A held request is sent to an engine whose end under
@@ -31,7 +33,11 @@
 //! - A [`QuarantineRecord`] names parts that are refused. It is exchanged in digests, where the
 //!   latest change wins. After a while, or when the engines have been replaced by another version,
 //!   one request is tried again.
+//! - A suspicion ends attempts only before their engines have begun to answer, and none of which the
+//!   caller has a part.
 //! - The operator can allow a part, whatever the evidence.
+//!
+//! Prompts have up to some thousand parts. `part_selection` chooses which of them are kept.
 
 mod admission;
 mod assessment;
