Give up an engine that answers other gateways a little later, not never

Cause: gave up no attempt at an engine that any gateway hears, so that requests stayed at engines that were late. And of the responses of an engine the latest one alone is known; at 560 gateways the one that refuted a silence was replaced by a later one, which came after the limit of 2.5 s.

--- a/crates/hickorydoor/benches/gateway.rs
+++ b/crates/hickorydoor/benches/gateway.rs
@@ -180,7 +180,7 @@
     let load = |index: usize| {
         let engine = (peer * 7 + index * 5) % size.engines;
         let load =
-            PeerLoad { in_flight: 1 + (index % 3) as u32, prefill_ms: 20.0, heard_age_ms: None };
+            PeerLoad { in_flight: 1 + (index % 3) as u32, prefill_ms: 20.0, response_age_ms: None };
         (format!("e-{engine}").parse().expect("a valid id"), load)
     };
     let end = |index: usize| {
--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -4,7 +4,6 @@
 use crate::gateway::active_call::Attempt;
 use crate::gateway::active_call::Cancellation;
 use crate::gateway::call::CallId;
-use crate::gateway::digest_pace::regular_interval_ms;
 use crate::gateway::effect::CallStats;
 use crate::gateway::effect::FirstEventStats;
 use crate::gateway::effect::GatewayEffect;
@@ -35,6 +34,8 @@
 /// Time without any response after which an engine is considered dead, as a multiple of the
 /// expected time to the first event.
 const DEAD_ENGINE_TIMEOUT_FACTOR: f64 = 2.0;
+/// Factor on that time if the engine responds to other gateways.
+const LIVE_ENGINE_PATIENCE_FACTOR: f64 = 1.5;
 /// Minimum time without any response after which an engine is considered dead, in ms.
 const MIN_DEAD_ENGINE_TIMEOUT_MS: f64 = 1_300.0;
 /// First events that exceed the expected time by this factor count as late.
@@ -128,8 +129,8 @@
     /// unresponsive.
     ///
     /// An engine counts as unresponsive if it has started the response to a request that was sent
-    /// later, if no gateway has heard from it within the dead-engine timeout after the attempt was
-    /// sent, if it is on probation, or if it is no longer registered. Plain services need no
+    /// later, if it has started no response within the dead-engine timeout after the attempt was sent,
+    /// which is longer if it has started one to another gateway, if it is on probation, or if it is no longer registered. Plain services need no
     /// further sign.
     fn is_unresponsive(&self, id: CallId, now: TimeMs) -> bool {
         let Some(active) = self.calls.get(&id) else {
@@ -157,19 +158,19 @@
         let other_prefill_ms = (upstream.backlog_ms() - attempt.prefill_ms).max(0.0);
         let dead_timeout_ms = (attempt.expected_ms * DEAD_ENGINE_TIMEOUT_FACTOR)
             .max(MIN_DEAD_ENGINE_TIMEOUT_MS)
-            + other_prefill_ms
-            + self.report_delay_ms().as_f64();
-        let is_dead = upstream.heard_at().is_none_or(|at| at < attempt.sent_at)
-            && waited_ms > dead_timeout_ms;
+            + other_prefill_ms;
+        let has_started_since = |at: Option<TimeMs>| at.is_some_and(|at| at >= attempt.sent_at);
+        // An engine that answers other gateways lives, and may still start this request soon.
+        let patience = if has_started_since(upstream.last_response_at_peers) {
+            LIVE_ENGINE_PATIENCE_FACTOR
+        } else {
+            1.0
+        };
+        let is_dead =
+            !has_started_since(upstream.last_response_at) && waited_ms > dead_timeout_ms * patience;
         upstream.is_overtaken(active.urgency(), attempt.sent_at) || is_dead
     }
 
-    /// Returns the time until this gateway knows that another one has heard from an upstream.
-    fn report_delay_ms(&self) -> DurationMs {
-        let peers = self.gateway_count().saturating_sub(1);
-        regular_interval_ms(DurationMs::default(), peers)
-    }
-
     pub(super) fn on_attempt_ended(
         &mut self,
         id: CallId,
--- a/crates/hickorydoor/src/gateway/containment.rs
+++ b/crates/hickorydoor/src/gateway/containment.rs
@@ -202,10 +202,12 @@
         }
     }
 
-    /// Returns whether no gateway has heard from the upstream of an attempt since it was sent.
+    /// Returns whether the upstream of an attempt has started no response to any gateway since it was
+    /// sent.
     fn is_silent(&self, attempt: &Attempt) -> bool {
         let upstream = self.pool.get(&attempt.upstream);
-        upstream.is_none_or(|known| known.heard_at().is_none_or(|at| at < attempt.sent_at))
+        upstream
+            .is_none_or(|known| known.started_response_at().is_none_or(|at| at < attempt.sent_at))
     }
 
     /// Assesses the evidence about prompt parts, and ends states that have expired.
--- a/crates/hickorydoor/src/gateway/peer_digest.rs
+++ b/crates/hickorydoor/src/gateway/peer_digest.rs
@@ -125,9 +125,9 @@
     in_flight: u32,
     #[prost(uint32, tag = "3")]
     prefill_ms: u32,
-    /// Time since the upstream was last heard.
+    /// Time since a response of the upstream last started.
     #[prost(uint64, optional, tag = "4")]
-    heard_age_ms: Option<u64>,
+    response_age_ms: Option<u64>,
 }
 
 #[derive(Clone, PartialEq)]
@@ -250,7 +250,7 @@
             upstream: upstream.to_string(),
             in_flight: load.in_flight,
             prefill_ms: load.prefill_ms.max(0.0) as u32,
-            heard_age_ms: load.heard_age_ms.map(DurationMs::get),
+            response_age_ms: load.response_age_ms.map(DurationMs::get),
         };
         let evidence = |entry: &DigestEvidence| WireEvidence {
             service: entry.service.to_string(),
@@ -288,7 +288,7 @@
             let peer_load = PeerLoad {
                 in_flight: load.in_flight,
                 prefill_ms: f64::from(load.prefill_ms),
-                heard_age_ms: load.heard_age_ms.map(DurationMs::new),
+                response_age_ms: load.response_age_ms.map(DurationMs::new),
             };
             loads.push((load.upstream.parse()?, peer_load));
         }
--- a/crates/hickorydoor/src/gateway/quarantine/assessment.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/assessment.rs
@@ -67,6 +67,7 @@
         let at_peers = &self.alive_at_peers;
         self.ends.remove_refuted(
             |upstream| alive_at(upstream).max(at_peers.get(upstream).copied()),
+            self.silence_settled_after_ms,
             now,
         );
         let is_reviewing = self
--- a/crates/hickorydoor/src/gateway/quarantine/end_log.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/end_log.rs
@@ -164,16 +164,19 @@
     }
 
     /// Removes ends of engines that have responded since, as `alive_at` returns. A connection may be
-    /// cut off although its engine goes on.
+    /// cut off although its engine goes on. `silence_ms` is how long an engine that fell silent has
+    /// for it.
     pub fn remove_refuted(
         &mut self,
         alive_at: impl Fn(&UpstreamId) -> Option<TimeMs>,
+        silence_ms: DurationMs,
         now: TimeMs,
     ) {
         let is_refuted = |end: &EngineEnd, at: TimeMs| {
             !end.is_confirmed
                 && now.since(at) <= REFUTABLE_MS
-                && alive_at(&end.upstream).is_some_and(|alive| refutes(alive, at, !end.is_closed))
+                && alive_at(&end.upstream)
+                    .is_some_and(|alive| refutes(alive, at, (!end.is_closed).then_some(silence_ms)))
         };
         let before = self.len();
         self.own.retain(|known| !is_refuted(&known.end, known.at));
@@ -395,10 +398,10 @@
     known.len() == received.len() && known.iter().zip(received).all(is_same)
 }
 
-/// Returns whether a response at `alive_at` shows that an engine has not ended at `ended_at`. `is_silent`
-/// tells whether nothing but silence speaks for the end.
-pub fn refutes(alive_at: TimeMs, ended_at: TimeMs, is_silent: bool) -> bool {
-    let within_ms = if is_silent { MAX_SILENCE_MS } else { MAX_REFUTATION_MS };
+/// Returns whether a response at `alive_at` shows that an engine has not ended at `ended_at`. `silence_ms`
+/// is how long it may arrive after an end for which nothing but silence speaks.
+pub fn refutes(alive_at: TimeMs, ended_at: TimeMs, silence_ms: Option<DurationMs>) -> bool {
+    let within_ms = silence_ms.unwrap_or(MAX_REFUTATION_MS);
     alive_at > ended_at + MIN_REFUTATION_MS && alive_at <= ended_at + within_ms
 }
 
--- a/crates/hickorydoor/src/gateway/quarantine/exchange.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/exchange.rs
@@ -81,9 +81,10 @@
     ) -> QuarantineReport {
         let mut alive = BTreeMap::new();
         for end in self.ends.merged().iter() {
-            if let Some(at) =
-                alive_at(&end.upstream).filter(|at| refutes(*at, end.at, end.is_silent()))
-            {
+            if let Some(at) = alive_at(&end.upstream).filter(|at| {
+                let silence_ms = end.is_silent().then_some(self.silence_settled_after_ms);
+                refutes(*at, end.at, silence_ms)
+            }) {
                 alive.insert(end.upstream.clone(), now.since(at));
             }
         }
--- a/crates/hickorydoor/src/gateway/upstreams/upstream.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream.rs
@@ -60,9 +60,8 @@
     pub in_flight: u32,
     /// Prefill time of their prompts, in ms.
     pub prefill_ms: f64,
-    /// Time since anything last arrived that shows that the upstream runs; `None` if nothing did. Not
-    /// part of a sum.
-    pub heard_age_ms: Option<DurationMs>,
+    /// Time since a response last started; `None` if none did. Not part of a sum.
+    pub response_age_ms: Option<DurationMs>,
 }
 
 impl PeerLoad {
@@ -107,10 +106,12 @@
     pub failures: FailureScore,
     /// Latest dispatch time of all requests whose response has started, by priority.
     pub newest_answered_sent_at: BTreeMap<u8, TimeMs>,
+    /// When a response last started.
+    pub last_response_at: Option<TimeMs>,
+    /// The same at another gateway.
+    pub last_response_at_peers: Option<TimeMs>,
     /// When anything last arrived that shows that the upstream runs.
     pub last_alive_at: Option<TimeMs>,
-    /// The same at another gateway.
-    pub heard_at_peers: Option<TimeMs>,
     /// Prompt parts that the engine is expected to have cached.
     pub cache: PromptCache,
     /// Whether the rate bound of a cold upstream allows one more request; always true for a warm
@@ -140,7 +141,8 @@
             failures: FailureScore::default(),
             newest_answered_sent_at: BTreeMap::new(),
             last_alive_at: None,
-            heard_at_peers: None,
+            last_response_at: None,
+            last_response_at_peers: None,
             cache: PromptCache::default(),
             has_cold_capacity: false,
             room: UpstreamRoom::default(),
@@ -211,12 +213,19 @@
     pub fn record_first_event(&mut self, priority: u8, sent_at: TimeMs, now: TimeMs) {
         let newest = self.newest_answered_sent_at.entry(priority).or_insert(sent_at);
         *newest = (*newest).max(sent_at);
+        self.last_response_at = Some(now);
         self.last_alive_at = Some(now);
     }
 
-    /// Returns when anything last arrived at any gateway that shows that the upstream runs.
+    /// Returns when a response last started at any gateway.
+    pub fn started_response_at(&self) -> Option<TimeMs> {
+        self.last_response_at.max(self.last_response_at_peers)
+    }
+
+    /// Returns when anything last arrived that shows that the upstream runs, as far as all gateways
+    /// have reported it.
     pub fn heard_at(&self) -> Option<TimeMs> {
-        self.last_alive_at.max(self.heard_at_peers)
+        self.last_alive_at.max(self.last_response_at_peers)
     }
 
     /// Returns whether a request that was sent later, with the same or a less urgent priority, has
--- a/crates/hickorydoor/src/gateway/upstreams/upstream_pool.rs
+++ b/crates/hickorydoor/src/gateway/upstreams/upstream_pool.rs
@@ -234,8 +234,8 @@
         for (id, load) in &loads {
             if let Some(upstream) = self.upstreams.get_mut(id) {
                 upstream.peer_load.add(*load);
-                let heard_at = load.heard_age_ms.map(|age_ms| now - age_ms);
-                upstream.heard_at_peers = upstream.heard_at_peers.max(heard_at);
+                let responded_at = load.response_age_ms.map(|age_ms| now - age_ms);
+                upstream.last_response_at_peers = upstream.last_response_at_peers.max(responded_at);
             }
         }
         let before = self.reports.replace(peer, loads, now);
@@ -279,7 +279,7 @@
         let load = |upstream: &Upstream| PeerLoad {
             in_flight: upstream.in_flight,
             prefill_ms: upstream.prefill_ms,
-            heard_age_ms: upstream.last_alive_at.map(|at| now.since(at)),
+            response_age_ms: upstream.last_response_at.map(|at| now.since(at)),
         };
         loaded.map(|(id, upstream)| (id.clone(), load(upstream))).collect()
     }
--- a/crates/hickorydoor/tests/gateway_headroom.rs
+++ b/crates/hickorydoor/tests/gateway_headroom.rs
@@ -250,7 +250,7 @@
     }
     let mut peer = Rig::with_upstreams("gw-1", 0, 1);
     let mut digest = peer.gateway.digest(peer.now);
-    let load = PeerLoad { in_flight: 7, prefill_ms: 0.0, heard_age_ms: None };
+    let load = PeerLoad { in_flight: 7, prefill_ms: 0.0, response_age_ms: None };
     digest.loads = vec![("p-0".parse().unwrap(), load)];
     let mut demand = ServiceDemand::new(PLAIN.parse().unwrap(), 7);
     demand.add(0, 0.0, DurationMs::new(10));
--- a/crates/hickorydoor/tests/gateway_peer_loads.rs
+++ b/crates/hickorydoor/tests/gateway_peer_loads.rs
@@ -45,7 +45,7 @@
     PeerLoad {
         in_flight: in_flight.into(),
         prefill_ms: 10.0 * f64::from(in_flight),
-        heard_age_ms: None,
+        response_age_ms: None,
     }
 }
 
--- a/crates/hickorydoor/tests/gateway_refusal.rs
+++ b/crates/hickorydoor/tests/gateway_refusal.rs
@@ -171,7 +171,7 @@
 fn gateway_that_has_just_started_refuses_nothing() {
     let mut peer = Rig::with_upstreams("gw-2", 2, 0);
     let mut digest = peer.gateway.digest(peer.now);
-    let load = PeerLoad { in_flight: 60, prefill_ms: 60_000.0, heard_age_ms: None };
+    let load = PeerLoad { in_flight: 60, prefill_ms: 60_000.0, response_age_ms: None };
     digest.loads = (0..2).map(|index| (format!("e-{index}").parse().unwrap(), load)).collect();
     let load_control = LoadControl { refuses_late_starts: true, ..LoadControl::default() };
     let mut rig = Rig::with_load_control("gw-1", load_control).configured().registered(2, 0);
