--- a/crates/hickorydoor/tests/gateway_view_source.rs
+++ b/crates/hickorydoor/tests/gateway_view_source.rs
@@ -40,8 +40,7 @@
 }
 
 /// Guards against followers that stay with a gateway the store has turned away, or one that is
-/// frozen, and refuse requests that a new configuration allows. A failure of both watchers
-/// failed before at each time but the first.
+/// frozen, and refuse requests that a new configuration allows.
 #[test]
 fn changes_are_known_in_time_though_all_watchers_fail() {
     for (gateways, data_centres) in [(3, 1), (6, 1), (12, 1), (12, 4), (60, 1), (60, 4), (560, 1)] {
