Drop upstreams that left while a gateway alone was cut off

A gateway whose cut has ended sends requests to engines whose entries were removed 2.0 to 3.2 s before.

Cause: a gateway that the store had not answered took that for an outage of the store, in which registrations lapse although their upstreams live, and kept what was missing for 2.2 s after it had recovered. The store had served all others.

Change: load reports state how long the store has answered their sender without a break. If that covers the whole time in which the store did not answer a gateway, the store was not away, and what is missing is dropped at once. An outage for all, or a store that was put back, is treated as before.

--- a/crates/hickorydoor/benches/gateway.rs
+++ b/crates/hickorydoor/benches/gateway.rs
@@ -222,5 +222,6 @@
         },
         notices: Vec::new(),
         demands: Vec::new(),
+        store_answering_ms: None,
     }
 }
--- a/crates/hickorydoor/src/gateway/freshness.rs
+++ b/crates/hickorydoor/src/gateway/freshness.rs
@@ -13,6 +13,10 @@
 /// How long a process that was paused waits for a synchronization before it goes on without one.
 const RESUME_TIMEOUT_MS: DurationMs = DurationMs::new(1_500);
 
+/// Longest time between two answers of the store that counts as unbroken. A store that is away for
+/// less ends no registration, since an upstream renews its own several times before it lapses.
+const MAX_ANSWER_GAP_MS: DurationMs = DurationMs::from_secs(2);
+
 /// Tracks the time up to which all changes acknowledged by the store are known.
 ///
 /// Timestamps must come from a clock that keeps running while the host is suspended.
@@ -22,7 +26,11 @@
     /// Time up to which the changes in the store are known, whatever a restore may have lost.
     view_synced_at: Option<TimeMs>,
     answered_at: Option<TimeMs>,
+    /// Since when the store has answered without a break.
+    answered_since: Option<TimeMs>,
     unreachable_since: Option<TimeMs>,
+    /// When the store had last answered before the last call that failed.
+    lost_at: Option<TimeMs>,
     recovered_at: Option<TimeMs>,
     restored_at: Option<TimeMs>,
     last_run_at: Option<TimeMs>,
@@ -67,6 +75,10 @@
 
     /// Records that the store answered a call of this host directly.
     pub fn record_answer(&mut self, now: TimeMs) {
+        if !self.is_answered_within(MAX_ANSWER_GAP_MS, now) {
+            self.answered_since = None;
+        }
+        self.answered_since.get_or_insert(now);
         self.answered_at = self.answered_at.max(Some(now));
     }
 
@@ -77,7 +89,26 @@
 
     /// Records that a call to the store failed.
     pub fn record_unreachable(&mut self, now: TimeMs) {
-        self.unreachable_since.get_or_insert(now);
+        self.answered_since = None;
+        if self.unreachable_since.is_none() {
+            self.unreachable_since = Some(now);
+            self.lost_at = self.answered_at;
+        }
+    }
+
+    /// Returns how long the store has answered this host without a break; `None` if it does not.
+    pub fn answering_ms(&self, now: TimeMs) -> Option<DurationMs> {
+        let since = self.answered_since?;
+        self.is_answered_within(MAX_ANSWER_GAP_MS, now).then(|| now.since(since))
+    }
+
+    /// Records that the store has answered another gateway without a break for `answering_ms`. If that
+    /// covers the time in which it did not answer this one, the store itself was not away.
+    pub fn record_peer_answers(&mut self, answering_ms: DurationMs, now: TimeMs) {
+        let was_available = self.lost_at.is_some_and(|lost_at| now.since(lost_at) <= answering_ms);
+        if was_available && !self.is_unreachable() && !self.is_restoring(now) {
+            self.recovered_at = None;
+        }
     }
 
     /// Records that the store has come back from an older copy.
--- a/crates/hickorydoor/src/gateway/peer_digest.rs
+++ b/crates/hickorydoor/src/gateway/peer_digest.rs
@@ -79,6 +79,8 @@
     pub notices: Vec<PeerNotice>,
     /// Requests that wait at the sender.
     pub demands: Vec<ServiceDemand>,
+    /// How long the store has answered the sender without a break; `None` if it does not.
+    pub store_answering_ms: Option<DurationMs>,
 }
 
 /// Error of decoding a datagram.
@@ -220,6 +222,8 @@
     pub(super) permit: Option<WirePermit>,
     #[prost(message, repeated, tag = "11")]
     demands: Vec<WireServiceDemand>,
+    #[prost(uint64, optional, tag = "12")]
+    store_answering_ms: Option<u64>,
 }
 
 impl PeerDigest {
@@ -275,6 +279,7 @@
             notices: digest.notices.iter().map(WirePeerNotice::from).collect(),
             permit: None,
             demands: digest.demands.iter().map(WireServiceDemand::from).collect(),
+            store_answering_ms: digest.store_answering_ms.map(DurationMs::get),
         }
     }
 }
@@ -318,6 +323,7 @@
                 .into_iter()
                 .map(ServiceDemand::try_from)
                 .collect::<Result<_, _>>()?,
+            store_answering_ms: wire.store_answering_ms.map(DurationMs::new),
         })
     }
 }
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -346,6 +346,7 @@
             ),
             notices,
             demands,
+            store_answering_ms: self.freshness.answering_ms(now),
         }
     }
 
@@ -425,6 +426,9 @@
             return;
         }
         self.peers.insert(digest.host.clone(), newest);
+        if let Some(answering_ms) = digest.store_answering_ms {
+            self.freshness.record_peer_answers(answering_ms, now);
+        }
         self.quarantine.apply_report(&digest.host, digest.incarnation, digest.quarantine, now);
         for notice in &digest.notices {
             self.on_peer_notice(&digest.host, notice, now, effects);
--- a/crates/hickorydoor/tests/gateway_event_work.rs
+++ b/crates/hickorydoor/tests/gateway_event_work.rs
@@ -44,6 +44,7 @@
         quarantine: QuarantineReport { ends: ends.collect(), ..QuarantineReport::default() },
         notices: Vec::new(),
         demands: Vec::new(),
+        store_answering_ms: None,
     }
 }
 
--- a/crates/hickorydoor/tests/gateway_long_prompts.rs
+++ b/crates/hickorydoor/tests/gateway_long_prompts.rs
@@ -144,6 +144,7 @@
         quarantine: QuarantineReport { ends, ..QuarantineReport::default() },
         notices: Vec::new(),
         demands: Vec::new(),
+        store_answering_ms: None,
     }
 }
 
--- a/crates/hickorydoor/tests/gateway_memory.rs
+++ b/crates/hickorydoor/tests/gateway_memory.rs
@@ -148,6 +148,7 @@
             quarantine: QuarantineReport::default(),
             notices: Vec::new(),
             demands: vec![demand],
+            store_answering_ms: None,
         };
         self.rig.apply(GatewayEvent::Digest(Box::new(digest)));
     }
--- a/crates/hickorydoor/tests/gateway_peer_inbox.rs
+++ b/crates/hickorydoor/tests/gateway_peer_inbox.rs
@@ -21,6 +21,7 @@
         quarantine: QuarantineReport::default(),
         notices: Vec::new(),
         demands: Vec::new(),
+        store_answering_ms: None,
     };
     digest.encode()
 }
