Require keys as long as customers are listed, even if none is left

Cause: a key was needed if the list of customers was not empty; an empty list and an absent one were decoded alike, in the configuration and in the view that gateways pass on.

Change: Catalog holds the list as optional. With a list, requests need a key on routes that are not public; without one they need none, but a key that no customer holds is refused. The view states whether keys are required.

--- a/crates/hickoryd/tests/gateway_feed.rs
+++ b/crates/hickoryd/tests/gateway_feed.rs
@@ -150,8 +150,7 @@
 }
 
 fn configure(host: &Host, version: u64) {
-    let catalog =
-        Catalog::new(version, CallerLimits::default(), Vec::new(), Vec::new(), Vec::new());
+    let catalog = Catalog::new(version, CallerLimits::default(), Vec::new(), Vec::new(), None);
     host.core.apply(GatewayEvent::Configured(Arc::new(catalog)));
 }
 
--- a/crates/hickorydoor/src/gateway/arrival.rs
+++ b/crates/hickorydoor/src/gateway/arrival.rs
@@ -71,12 +71,7 @@
             return Err(RefusalReason::StaleConfiguration.into());
         }
         let route = catalog.route(&call.host, &call.path).ok_or(RefusalReason::NoRoute)?;
-        let needs_key = catalog.has_accounts() && !route.public;
-        let key = call.key.as_ref().filter(|_| needs_key);
-        let account = key.and_then(|key| catalog.account(key));
-        if needs_key && account.is_none() {
-            return Err(RefusalReason::UnknownKey.into());
-        }
+        let account = catalog.authorize(route, call.key.as_deref())?;
         let hash = xxh3_64(call.client_attempt.as_bytes());
         let service = route.backend(hash).ok_or(RefusalReason::NoRoute)?.clone();
         let limit_ms = match route.timeout_ms.get() {
--- a/crates/hickorydoor/src/gateway/catalog.rs
+++ b/crates/hickorydoor/src/gateway/catalog.rs
@@ -79,6 +79,10 @@
     }
 }
 
+/// A request lacks a key, or has one that is not valid.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnknownKey;
+
 /// The configuration in force, indexed for look-ups by host, service and key.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Catalog {
@@ -86,18 +90,19 @@
     limits: CallerLimits,
     routes: HashMap<CompactString, Vec<Arc<Route>>>,
     services: HashMap<ServiceName, ServiceSpec>,
-    accounts: Vec<Arc<Account>>,
+    accounts: Option<Vec<Arc<Account>>>,
     accounts_by_key: HashMap<CompactString, Arc<Account>>,
 }
 
 impl Catalog {
-    /// Indexes a configuration. `version` grows with each change.
+    /// Indexes a configuration. `version` grows with each change. With `accounts`, even with none in
+    /// the list, requests need a key on all routes that are not public.
     pub fn new(
         version: u64,
         limits: CallerLimits,
         routes: Vec<Route>,
         services: Vec<ServiceSpec>,
-        accounts: Vec<Account>,
+        accounts: Option<Vec<Account>>,
     ) -> Self {
         let mut by_host: HashMap<CompactString, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
@@ -106,9 +111,10 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        let accounts: Vec<Arc<Account>> = accounts.into_iter().map(Arc::new).collect();
+        let accounts: Option<Vec<Arc<Account>>> =
+            accounts.map(|accounts| accounts.into_iter().map(Arc::new).collect());
         let mut accounts_by_key = HashMap::new();
-        for account in &accounts {
+        for account in accounts.iter().flatten() {
             for key in &account.keys {
                 accounts_by_key.insert(key.clone(), Arc::clone(account));
             }
@@ -133,19 +139,32 @@
         routes.iter().find(|route| path.starts_with(route.prefix.as_str()))
     }
 
-    /// Returns the account that holds `key`; `None` if the key is not valid.
-    pub fn account(&self, key: &str) -> Option<&Arc<Account>> {
-        self.accounts_by_key.get(key)
+    /// Returns the account to which a request on `route` is attributed; `None` if it needs no key.
+    ///
+    /// # Errors
+    /// Returns an error if the route needs a key and the request has none, or if `key` is not that of
+    /// an account. A key that was withdrawn is not valid without a list of accounts either.
+    pub fn authorize(
+        &self,
+        route: &Route,
+        key: Option<&str>,
+    ) -> Result<Option<&Arc<Account>>, UnknownKey> {
+        match key {
+            _ if route.public => Ok(None),
+            Some(key) => self.accounts_by_key.get(key).map(Some).ok_or(UnknownKey),
+            None if self.requires_keys() => Err(UnknownKey),
+            None => Ok(None),
+        }
     }
 
-    /// Returns whether any account is configured. Without accounts, no request needs a key.
-    pub const fn has_accounts(&self) -> bool {
-        !self.accounts.is_empty()
+    /// Returns whether requests need a key on routes that are not public.
+    pub const fn requires_keys(&self) -> bool {
+        self.accounts.is_some()
     }
 
     /// Iterates over all customers, in the order in which they are configured.
     pub fn accounts(&self) -> impl Iterator<Item = &Account> {
-        self.accounts.iter().map(|account| &**account)
+        self.accounts.iter().flatten().map(|account| &**account)
     }
 
     /// Iterates over all routes, in no particular order.
--- a/crates/hickorydoor/src/gateway/feed_wire/catalog.rs
+++ b/crates/hickorydoor/src/gateway/feed_wire/catalog.rs
@@ -47,6 +47,9 @@
     accounts: Vec<WireAccount>,
     #[prost(uint64, tag = "8")]
     head_timeout_ms: u64,
+    /// Whether requests need a key; gateways of earlier versions state it only by `accounts`.
+    #[prost(bool, tag = "9")]
+    requires_keys: bool,
 }
 
 #[derive(Clone, PartialEq)]
@@ -168,6 +171,7 @@
             routes: catalog.routes().map(WireRoute::from).collect(),
             services: catalog.services().map(WireService::from).collect(),
             accounts: catalog.accounts().map(WireAccount::from).collect(),
+            requires_keys: catalog.requires_keys(),
         }
     }
 }
@@ -186,9 +190,11 @@
             wire.routes.into_iter().map(Route::try_from).collect();
         let services: Result<Vec<ServiceSpec>, FeedError> =
             wire.services.into_iter().map(ServiceSpec::try_from).collect();
+        let requires_keys = wire.requires_keys || !wire.accounts.is_empty();
         let accounts: Result<Vec<Account>, FeedError> =
             wire.accounts.into_iter().map(Account::try_from).collect();
-        Ok(Self::new(wire.version, limits, routes?, services?, accounts?))
+        let accounts = requires_keys.then_some(accounts?);
+        Ok(Self::new(wire.version, limits, routes?, services?, accounts))
     }
 }
 
--- a/crates/hickorydoor/tests/feed_wire.rs
+++ b/crates/hickorydoor/tests/feed_wire.rs
@@ -7,6 +7,7 @@
 use hickorydoor::DurationMs;
 use hickorydoor::TimeMs;
 use hickorydoor::gateway::GatewayEvent;
+use hickorydoor::gateway::catalog::Account;
 use hickorydoor::gateway::catalog::CallerLimits;
 use hickorydoor::gateway::catalog::Catalog;
 use hickorydoor::gateway::feed_wire::FeedHello;
@@ -35,6 +36,12 @@
 
 const NOW: TimeMs = TimeMs::new(7_000);
 
+/// A configuration that lists no customers, or has no list of them.
+fn without_customers(accounts: Option<Vec<Account>>) -> GatewayEvent {
+    let catalog = Catalog::new(8, CallerLimits::default(), Vec::new(), Vec::new(), accounts);
+    GatewayEvent::Configured(Arc::new(catalog))
+}
+
 /// Encodes an event, sends it through a frame, and decodes it.
 fn transfer(event: &GatewayEvent) -> GatewayEvent {
     let message = WatcherMessage::event(event).expect("part of the view");
@@ -75,6 +82,8 @@
     let mut events = vec![
         GatewayEvent::StoreRestored { era: StoreEra::new(4) },
         GatewayEvent::Configured(Arc::new(catalog(7, &[KEY, "other"]))),
+        without_customers(Some(Vec::new())),
+        without_customers(None),
         GatewayEvent::Registered(Box::new(cold)),
         GatewayEvent::Deregistered("e-3".parse().unwrap()),
         GatewayEvent::UpstreamDeparted { upstream: "e-4".parse().unwrap(), departure },
@@ -158,7 +167,7 @@
     }
     let services = base.services().cloned().collect();
     let accounts = base.accounts().cloned().collect();
-    let large = Catalog::new(2, CallerLimits::default(), routes, services, accounts);
+    let large = Catalog::new(2, CallerLimits::default(), routes, services, Some(accounts));
     let message = WatcherMessage::event(&GatewayEvent::Configured(Arc::new(large))).unwrap();
     let transfer_ms = message.size_bytes() as f64 * 8.0 / 10_000.0;
     assert!(transfer_ms < 3_000.0 / 20.0, "{transfer_ms} ms for {} bytes", message.size_bytes());
--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -136,12 +136,12 @@
         CallerLimits::default(),
         routes,
         vec![service(ENGINES, 7.3, models.collect()), service(PLAIN, 0.0, Vec::new())],
-        vec![Account {
+        Some(vec![Account {
             customer: "customer-1".parse().unwrap(),
             keys: keys.iter().map(|key| (*key).into()).collect(),
             priority: None,
             weight: None,
-        }],
+        }]),
     )
 }
 
--- a/crates/hickorydoor/tests/gateway/room_fleet.rs
+++ b/crates/hickorydoor/tests/gateway/room_fleet.rs
@@ -147,7 +147,7 @@
         transfer_ms_per_token: 0.0,
         models: Vec::new(),
     };
-    Catalog::new(1, CallerLimits::default(), routes.to_vec(), vec![service], Vec::new())
+    Catalog::new(1, CallerLimits::default(), routes.to_vec(), vec![service], None)
 }
 
 impl RoomFleet {
--- a/crates/hickorydoor/tests/gateway_admission.rs
+++ b/crates/hickorydoor/tests/gateway_admission.rs
@@ -72,7 +72,7 @@
         weight: None,
     };
     let accounts = (0..CUSTOMERS).map(account).collect();
-    Catalog::new(2, CallerLimits::default(), routes.collect(), services, accounts)
+    Catalog::new(2, CallerLimits::default(), routes.collect(), services, Some(accounts))
 }
 
 /// What is sent beyond the usual load.
@@ -187,7 +187,7 @@
     accounts[1].priority = Some(0);
     let routes = catalog.routes().cloned().collect();
     let services = catalog.services().cloned().collect();
-    catalog = Catalog::new(3, CallerLimits::default(), routes, services, accounts);
+    catalog = Catalog::new(3, CallerLimits::default(), routes, services, Some(accounts));
     rig.apply(GatewayEvent::Configured(Arc::new(catalog)));
     let mut engine = registration("e-0", ENGINES);
     engine.slots = 1;
--- a/crates/hickorydoor/tests/gateway_calls.rs
+++ b/crates/hickorydoor/tests/gateway_calls.rs
@@ -8,6 +8,7 @@
 use hickorydoor::DurationMs;
 use hickorydoor::gateway::GatewayEffect;
 use hickorydoor::gateway::GatewayEvent;
+use hickorydoor::gateway::call::Call;
 use hickorydoor::gateway::catalog::Account;
 use hickorydoor::gateway::catalog::Catalog;
 use hickorydoor::gateway::event::AttemptOutcome;
@@ -127,6 +128,33 @@
     assert_eq!(refusal(&effects).unwrap().reason, RefusalReason::UnknownKey);
 }
 
+/// Guards against a configuration that opens all routes since it has taken the last customer away.
+#[test]
+fn withdrawn_key_opens_nothing_once_no_customer_is_left() {
+    for accounts in [Some(Vec::new()), None] {
+        let needs_key = accounts.is_some();
+        let mut rig = Rig::with_upstreams("gw-1", 0, 3);
+        let known = catalog(1, &[KEY]);
+        let services = known.services().cloned().collect();
+        let mut open = route("/open/", CallKind::Idempotent, PLAIN);
+        open.public = true;
+        let routes = vec![route("/look/", CallKind::Idempotent, PLAIN), open];
+        let catalog = Catalog::new(2, known.limits(), routes, services, accounts);
+        rig.apply(GatewayEvent::Configured(Arc::new(catalog)));
+        let mut get = |path: &str, key: Option<&str>| {
+            let request = Call { key: key.map(Into::into), ..call(path, "a") };
+            let (_, effects) = rig.send(request);
+            let reason = refusal(&effects).map(|refusal| refusal.reason);
+            assert!(reason.is_none_or(|reason| reason == RefusalReason::UnknownKey), "{reason:?}");
+            dispatch(&effects).is_some()
+        };
+        assert!(!get("/look/1", Some(KEY)), "the key was withdrawn");
+        assert!(!get("/look/2", Some("key-of-nobody")));
+        assert_eq!(get("/look/3", None), !needs_key, "a key is needed if customers are listed");
+        assert!(get("/open/1", Some(KEY)), "a public route ignores the key");
+    }
+}
+
 #[test]
 fn stopping_gateway_serves_until_it_is_noticed_and_then_refuses() {
     let mut rig = Rig::with_upstreams("gw-1", 0, 3);
@@ -172,12 +200,12 @@
         catalog.limits(),
         vec![route],
         vec![catalog.service(&PLAIN.parse().unwrap()).unwrap().clone()],
-        vec![Account {
+        Some(vec![Account {
             customer: "customer-1".parse().unwrap(),
             keys: vec![KEY.into()],
             priority: None,
             weight: None,
-        }],
+        }]),
     );
     rig.apply(GatewayEvent::Configured(Arc::new(catalog)));
     for (id, region) in [("p-south", Some("sur")), ("p-none", None)] {
@@ -272,7 +300,7 @@
     let known = catalog(1, &[KEY]);
     let services = known.services().cloned().collect();
     let accounts = known.accounts().cloned().collect();
-    let catalog = Catalog::new(2, known.limits(), vec![route], services, accounts);
+    let catalog = Catalog::new(2, known.limits(), vec![route], services, Some(accounts));
     rig.apply(GatewayEvent::Configured(Arc::new(catalog)));
     for index in 0..3 {
         rig.register(registration(&format!("e-{index}"), ENGINES));
--- a/crates/hickorydoor/tests/gateway_memory.rs
+++ b/crates/hickorydoor/tests/gateway_memory.rs
@@ -94,7 +94,8 @@
         }
         let services = known.services().cloned().collect();
         let accounts = known.accounts().cloned().collect();
-        let catalog = Catalog::new(step + 1, CallerLimits::default(), routes, services, accounts);
+        let catalog =
+            Catalog::new(step + 1, CallerLimits::default(), routes, services, Some(accounts));
         self.rig.apply(GatewayEvent::Configured(Arc::new(catalog)));
         let ordered = GatewayEvent::RolloutOrdered { order: order(step + 1), age_ms: None };
         self.rig.apply(ordered);
