Let trials count as evidence at quiet services

Cause: a part was refused only if five attempts without it had survived lately. A quiet service never has so many. And a part that was once proven, present at exactly the same ends as one that never was, was left out of the culprits but still counted as another explanation, so nothing was refused.

Change: two trials of a suspected part that end their engine count as much as attempts beside it. Parts with the same ends are judged as one group, with two further ends.

--- a/crates/hickorydoor/src/gateway/quarantine/assessment.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/assessment.rs
@@ -33,11 +33,14 @@
 /// Time after a quarantine within which the gateway that decided it takes it back if ends turn out to
 /// be none, because the engines respond or the parts are proven sound.
 pub(super) const REVIEW_MS: DurationMs = DurationMs::from_secs(5);
-/// Minimum number of recent attempts without a part that survived, at all gateways, before the part
-/// is quarantined. With fewer, nothing tells an end under the part from an end for another cause.
+/// Minimum number of recent attempts without a part that survived, at all gateways, that tell an end
+/// under the part from an end for another cause.
 const MIN_OTHER_SURVIVALS: f64 = 5.0;
-/// Additional ends before several parts are quarantined together that nothing tells apart. Until then
-/// trials of requests with fewer of them may do so.
+/// Minimum number of trials with a part that an end cut off, which tell the same where hardly anything
+/// runs beside the part. Trials are sent one at a time.
+const MIN_TRIAL_ENDS: usize = 2;
+/// Additional ends before parts are quarantined of which several were present at exactly the same ends.
+/// Until then trials of requests with fewer of them may tell them apart.
 const JOINT_MARGIN_ENDS: usize = 2;
 /// How long new requests wait after an end under a part of theirs.
 const PAUSE_MS: DurationMs = DurationMs::new(600);
@@ -112,7 +115,9 @@
             let known = self.suspects.get(key).filter(|suspect| suspect.ends == count);
             let known_since = known.map_or(now, |suspect| suspect.known_since);
             let is_settled = now.since(known_since) >= self.settled_after_ms;
-            let is_told_apart = survived >= MIN_OTHER_SURVIVALS && is_settled;
+            let is_compared =
+                survived >= MIN_OTHER_SURVIVALS || trial_ends(key, ends, &merged) >= MIN_TRIAL_ENDS;
+            let is_told_apart = is_compared && is_settled;
             if (is_told_apart || is_on_probation)
                 && count >= quarantine_ends
                 && !is_dominated(key, ends, &distinct)
@@ -279,17 +284,18 @@
         let is_together = |(other, known): &&(PartKey, PartEnds)| {
             other.service == key.service && known.indices == ends.indices
         };
-        let together = by_part.iter().filter(is_together).map(|(other, _)| other);
-        let (proven, unproven): (Vec<&PartKey>, Vec<&PartKey>) =
-            together.partition(|other| self.survivals.last_at(other).is_some());
-        let culprits = if unproven.is_empty() { proven } else { unproven };
+        let together: Vec<&PartKey> =
+            by_part.iter().filter(is_together).map(|(other, _)| other).collect();
         let is_explained =
-            |index: &usize| self.blamed_parts(&merged[*index], |_| true).len() <= culprits.len();
+            |index: &usize| self.blamed_parts(&merged[*index], |_| true).len() <= together.len();
         let is_singled_out = ends.indices.iter().any(is_explained);
-        let is_joint = culprits.len() > 1;
+        let is_joint = together.len() > 1;
         if !is_singled_out || is_joint && ends.times.len() < quarantine_ends + JOINT_MARGIN_ENDS {
             return;
         }
+        let (proven, unproven): (Vec<&PartKey>, Vec<&PartKey>) =
+            together.into_iter().partition(|other| self.survivals.last_at(other).is_some());
+        let culprits = if unproven.is_empty() { proven } else { unproven };
         let parts: SmallVec<[PartId; 2]> = culprits.iter().map(|other| other.part).collect();
         let known = self.records.iter().map(|held| &held.record);
         let known = known.filter(|known| known.service == key.service && known.parts == parts);
@@ -323,3 +329,8 @@
         self.hold(record, now + quarantine_ms(quarantines), Some(quarantine_ends), now);
     }
 }
+
+/// Returns the number of ends that cut off a trial with a part.
+fn trial_ends(key: &PartKey, ends: &PartEnds, merged: &[MergedEnd]) -> usize {
+    ends.indices.iter().filter(|index| merged[**index].tried.contains(&key.part)).count()
+}
