Name the refusal of a key by its reason, without a type of its own

Catalog::authorize returns RefusalReason. Catalog::account is back, which gateway_restore uses: since that test file did not compile, which the runs of single suites had not shown. No change of behaviour otherwise. A doc comment of is_unresponsive is wrapped.

--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -130,8 +130,8 @@
     ///
     /// An engine counts as unresponsive if it has started the response to a request that was sent
     /// later, if it has started no response within the dead-engine timeout after the attempt was sent,
-    /// which is longer if it has started one to another gateway, if it is on probation, or if it is no longer registered. Plain services need no
-    /// further sign.
+    /// which is longer if it has started one to another gateway, if it is on probation, or if it is no
+    /// longer registered. Plain services need no further sign.
     fn is_unresponsive(&self, id: CallId, now: TimeMs) -> bool {
         let Some(active) = self.calls.get(&id) else {
             return false;
--- a/crates/hickorydoor/src/gateway/catalog.rs
+++ b/crates/hickorydoor/src/gateway/catalog.rs
@@ -7,6 +7,7 @@
 
 use compact_str::CompactString;
 
+use crate::gateway::refusal::RefusalReason;
 use crate::gateway::route::Route;
 use crate::id::CustomerId;
 use crate::id::ModelId;
@@ -79,10 +80,6 @@
     }
 }
 
-/// A request lacks a key, or has one that is not valid.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct UnknownKey;
-
 /// The configuration in force, indexed for look-ups by host, service and key.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Catalog {
@@ -139,20 +136,26 @@
         routes.iter().find(|route| path.starts_with(route.prefix.as_str()))
     }
 
+    /// Returns the account that holds `key`; `None` if the key is not valid.
+    pub fn account(&self, key: &str) -> Option<&Arc<Account>> {
+        self.accounts_by_key.get(key)
+    }
+
     /// Returns the account to which a request on `route` is attributed; `None` if it needs no key.
     ///
     /// # Errors
-    /// Returns an error if the route needs a key and the request has none, or if `key` is not that of
-    /// an account. A key that was withdrawn is not valid without a list of accounts either.
+    /// Returns `RefusalReason::UnknownKey` if the route needs a key and the request has none, or if
+    /// `key` is not that of an account. A key that was withdrawn is not valid without a list of
+    /// accounts either.
     pub fn authorize(
         &self,
         route: &Route,
         key: Option<&str>,
-    ) -> Result<Option<&Arc<Account>>, UnknownKey> {
+    ) -> Result<Option<&Arc<Account>>, RefusalReason> {
         match key {
             _ if route.public => Ok(None),
-            Some(key) => self.accounts_by_key.get(key).map(Some).ok_or(UnknownKey),
-            None if self.requires_keys() => Err(UnknownKey),
+            Some(key) => self.account(key).map(Some).ok_or(RefusalReason::UnknownKey),
+            None if self.requires_keys() => Err(RefusalReason::UnknownKey),
             None => Ok(None),
         }
     }
--- a/crates/hickorydoor/src/gateway/refusal.rs
+++ b/crates/hickorydoor/src/gateway/refusal.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 
-use crate::gateway::catalog::UnknownKey;
 use crate::time::DurationMs;
 
 /// Retry hint for requests that did not execute.
@@ -77,12 +76,6 @@
     }
 }
 
-impl From<UnknownKey> for CallRefusal {
-    fn from(_: UnknownKey) -> Self {
-        RefusalReason::UnknownKey.into()
-    }
-}
-
 impl CallRefusal {
     const fn after(reason: RefusalReason, retry_after_ms: DurationMs) -> Self {
         Self { reason, retry_after_ms: Some(retry_after_ms), estimate: None }
