Ask for trials at two engines before a part is refused at a quiet service

The only engine of a service breaks its responses off; each trial ends that way, and two of them made the shared part of the prompts refused, though it is the engine that fails.

Change: the trials have to end two different engines. What a single engine does says nothing of a part.

--- a/crates/hickorydoor/src/gateway/quarantine/assessment.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/assessment.rs
@@ -36,9 +36,9 @@
 /// Minimum number of recent attempts without a part that survived, at all gateways, that tell an end
 /// under the part from an end for another cause.
 const MIN_OTHER_SURVIVALS: f64 = 5.0;
-/// Minimum number of trials with a part that an end cut off, which tell the same where hardly anything
-/// runs beside the part. Trials are sent one at a time.
-const MIN_TRIAL_ENDS: usize = 2;
+/// Minimum number of engines that ended under a trial with a part, which tell the same where hardly
+/// anything runs beside it. Trials are sent one at a time. One engine that fails says nothing of a part.
+const MIN_TRIAL_ENGINES: usize = 2;
 /// Additional ends before parts are quarantined of which several were present at exactly the same ends.
 /// Until then trials of requests with fewer of them may tell them apart.
 const JOINT_MARGIN_ENDS: usize = 2;
@@ -115,8 +115,8 @@
             let known = self.suspects.get(key).filter(|suspect| suspect.ends == count);
             let known_since = known.map_or(now, |suspect| suspect.known_since);
             let is_settled = now.since(known_since) >= self.settled_after_ms;
-            let is_compared =
-                survived >= MIN_OTHER_SURVIVALS || trial_ends(key, ends, &merged) >= MIN_TRIAL_ENDS;
+            let is_compared = survived >= MIN_OTHER_SURVIVALS
+                || trial_engines(key, ends, &merged) >= MIN_TRIAL_ENGINES;
             let is_told_apart = is_compared && is_settled;
             if (is_told_apart || is_on_probation)
                 && count >= quarantine_ends
@@ -330,7 +330,9 @@
     }
 }
 
-/// Returns the number of ends that cut off a trial with a part.
-fn trial_ends(key: &PartKey, ends: &PartEnds, merged: &[MergedEnd]) -> usize {
-    ends.indices.iter().filter(|index| merged[**index].tried.contains(&key.part)).count()
+/// Returns the number of engines whose end cut off a trial with a part.
+fn trial_engines(key: &PartKey, ends: &PartEnds, merged: &[MergedEnd]) -> usize {
+    let cut_off = ends.indices.iter().map(|index| &merged[*index]);
+    let cut_off = cut_off.filter(|end| end.tried.contains(&key.part));
+    cut_off.map(|end| &end.upstream).collect::<BTreeSet<_>>().len()
 }
--- a/crates/hickorydoor/tests/gateway_quiet_service.rs
+++ b/crates/hickorydoor/tests/gateway_quiet_service.rs
@@ -3,6 +3,9 @@
 
 mod gateway;
 
+use hickorydoor::gateway::refusal::CallRefusal;
+use hickorydoor::gateway::refusal::RefusalReason;
+
 use crate::gateway::crash_fleet::Course;
 use crate::gateway::crash_fleet::End;
 use crate::gateway::crash_fleet::Place;
@@ -37,8 +40,8 @@
 #[test]
 fn part_is_refused_though_hardly_anything_runs_beside_it() {
     for seed in 1..=6 {
-        for sound_per_s in [0.0, 0.1, 0.3] {
-            let course = play(Play { sound_per_s, seed, ..quiet() });
+        for (sound_per_s, keeps_id) in [(0.0, false), (0.1, true), (0.1, false), (0.3, true)] {
+            let course = play(Play { sound_per_s, keeps_id, seed, ..quiet() });
             assert_known(&course, &format!("seed {seed}, {sound_per_s} sound requests a second"));
         }
     }
@@ -67,6 +70,15 @@
     }
 }
 
+/// Guards against a part that is blamed for the only engine, which may end or break off its responses for
+/// any cause.
+#[test]
+fn no_part_is_refused_because_one_engine_fails() {
+    let course = play(Play { engines: 1, keeps_id: true, for_s: 60, ..quiet() });
+    let is_blamed = |refusal: &CallRefusal| refusal.reason == RefusalReason::QuarantinedPrompt;
+    assert!(!course.refusals.iter().any(is_blamed), "{:?}", course.refusals);
+}
+
 /// Guards against sound parts that are blamed for engines that end for another cause.
 #[test]
 fn no_part_is_refused_at_a_quiet_service_whose_engines_are_killed() {
