Show engines that crash on and on under a part of long prompts

Prompts of 1,500 parts, all of which sound requests share, hold a part that ends engines. The limits on the evidence drop that part from the ends, and sound parts are suspected instead.

--- a/review/standins-3/case_12.rs
+++ b/review/standins-3/case_12.rs
@@ -24,9 +24,9 @@
 /// `header_bytes` of the configuration.
 const HEAD_LIMIT: usize = 16_384;
 /// Parts that prompts are made of.
-const POOL: usize = 150_000;
-const SOUND_PER_S: f64 = 10.0;
-const CRASHING_PER_S: f64 = 5.0;
+const POOL: usize = 100_000;
+const SOUND_PER_S: f64 = 6.0;
+const CRASHING_PER_S: f64 = 6.0;
 /// Time with sound requests alone.
 const WARM_UP: Duration = Duration::from_secs(20);
 const LENGTH: Duration = Duration::from_secs(80);
