--- a/review/standins-3/case_15.rs
+++ b/review/standins-3/case_15.rs
@@ -29,13 +29,14 @@
 const CRASHING_PER_S: f64 = 0.3;
 /// Time with sound requests alone.
 const WARM_UP: Duration = Duration::from_secs(12);
-const LENGTH: Duration = Duration::from_secs(104);
+const LENGTH: Duration = Duration::from_secs(108);
 /// When all gateways are killed, and how long after that they start again.
-const KILLS: [Duration; 4] = [
-    Duration::from_secs(30),
-    Duration::from_secs(48),
-    Duration::from_secs(66),
-    Duration::from_secs(84),
+const KILLS: [Duration; 5] = [
+    Duration::from_secs(28),
+    Duration::from_secs(44),
+    Duration::from_secs(60),
+    Duration::from_secs(76),
+    Duration::from_secs(92),
 ];
 const START_AFTER: Duration = Duration::from_millis(500);
 /// Time from an engine's end until it is back.
