Answer 502 for a run that failed with a status that promises "not run"

What callers saw: a booking that a server had run and failed with a signed 503 of its own was answered 503.

Cause: the status was read with the client's meaning where it has the upstream's. attempt_end delivered a failure with any status, counted every status below 500 as a success of the upstream, so that one that failed with 408 or 429 kept its share of the requests, and check_head took a signed 421 for a rejection by another instance.

Change: StatusPromise says what a status promises to a client. A failure with a promise of a request that must not run again is answered 502 without seal and hint; others keep the upstream's status and seal. It counts as a failure of the upstream and of the version, and a repeatable request is tried elsewhere. Agents ask the same type for calls that must not be repeated.

--- a/crates/hickoryd/src/gateway/upstream_request.rs
+++ b/crates/hickoryd/src/gateway/upstream_request.rs
@@ -164,12 +164,20 @@
 ) -> UpstreamNotice {
     let headers = response.headers();
     let status = response.status();
-    if !template.matches_response(headers, names) || status == StatusCode::MISDIRECTED_REQUEST {
+    if !template.matches_response(headers, names) || is_of_other_instance(response, names) {
         return UpstreamNotice::default();
     }
     read_notice(status, headers, &names.leaving, &names.limit)
 }
 
+/// Returns whether another instance at the address has rejected the request. A signed response without
+/// the statement that the request was not run is one of the upstream itself, whatever its status.
+fn is_of_other_instance(response: &Response<Incoming>, names: &HeaderNames) -> bool {
+    let headers = response.headers();
+    response.status() == StatusCode::MISDIRECTED_REQUEST
+        && (headers.contains_key(&names.not_run) || !headers.contains_key(&names.signature))
+}
+
 async fn open(
     template: &RequestTemplate,
     dispatch: &Dispatch,
@@ -214,7 +222,7 @@
     if !template.matches_response(headers, names) {
         return Err(AttemptOutcome::Unknown(ResponseFault::Garbled));
     }
-    let refusal = if response.status() == StatusCode::MISDIRECTED_REQUEST {
+    let refusal = if is_of_other_instance(response, names) {
         Some(NotRun::OtherInstance)
     } else {
         headers.contains_key(&names.not_run).then_some(NotRun::Refused)
--- a/crates/hickoryd/src/upstream_call.rs
+++ b/crates/hickoryd/src/upstream_call.rs
@@ -16,6 +16,7 @@
 use hickorydoor::message::ModelCall;
 use hickorydoor::message::ServiceCall;
 use hickorydoor::quantity::Tokens;
+use hickorydoor::status_promise::StatusPromise;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -96,7 +97,7 @@
         let status = response.status();
         let notice = read_notice(status, response.headers(), &LEAVING, &LIMIT);
         self.report(AgentEvent::UpstreamNoticed(notice)).await;
-        if status.is_server_error() {
+        if status.is_server_error() || is_misleading(&self.call, status) {
             return Err(UpstreamFault::ServerError);
         }
         if matches!(self.call, Call::Model(_)) && is_rejection(status) {
@@ -239,6 +240,13 @@
     matches!(status, StatusCode::NOT_FOUND | StatusCode::TOO_MANY_REQUESTS)
 }
 
+/// Returns true if callers would conclude from the status that a call did not run which has run and
+/// must not be repeated.
+fn is_misleading(call: &Call, status: StatusCode) -> bool {
+    matches!(call, Call::Service(call) if !call.repeatable)
+        && StatusPromise::of(status.as_u16()) == StatusPromise::NotRun
+}
+
 fn concat(mut events: Vec<Bytes>) -> Bytes {
     match events.len() {
         1 => events.remove(0),
--- a/crates/hickoryd/tests/upstream_faults.rs
+++ b/crates/hickoryd/tests/upstream_faults.rs
@@ -79,6 +79,37 @@
     Ok(())
 }
 
+/// Guards against a call that has run and is answered 408, 421, 429 or 503 through an entry, which its
+/// caller takes for "not run". A call that may be repeated keeps the status of its service.
+#[tokio::test]
+async fn failed_call_that_must_not_be_repeated_is_not_answered_as_not_run() -> Result<(), AnyError>
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let url = format!("http://{}", listener.local_addr()?);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _peer)) = listener.accept().await {
+            let Ok(Some(path)) = read_path(&mut stream).await else {
+                continue;
+            };
+            let status = path.trim_start_matches('/');
+            let response = format!("HTTP/1.1 {status} Failed\r\nContent-Length: 3\r\n\r\nbad");
+            drop(stream.write_all(response.as_bytes()).await);
+        }
+    });
+    let fleet = start_with_service(url).await?;
+    for status in [408, 421, 429, 503] {
+        let url = format!("{}/services/registry/{status}", fleet.url(0));
+        let response = read_response(send("POST", &url, CUSTOMER_KEY, &[], "").await?).await?;
+        assert!(![408, 421, 429, 503].contains(&response.status), "{status}: {}", response.status);
+        assert_ne!(response.header("x-hickorydoor-run"), "not-run", "{status}");
+        if status < 500 {
+            let (kept, _body) = get(&fleet, &status.to_string()).await?;
+            assert_eq!(kept, status);
+        }
+    }
+    Ok(())
+}
+
 /// Guards against a response without a length that is rejected, or that looks complete after a
 /// reset.
 #[tokio::test]
--- a/crates/hickorydoor/src/gateway/attempt_end.rs
+++ b/crates/hickorydoor/src/gateway/attempt_end.rs
@@ -18,6 +18,7 @@
 use crate::gateway::rollout::RolloutOutcome;
 use crate::gateway::route::CallKind;
 use crate::gateway::upstreams::Upstream;
+use crate::status_promise::StatusPromise;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
 
@@ -189,20 +190,7 @@
             AttemptOutcome::Served => {
                 self.finish(id, GatewayEffect::Deliver { call: id }, now, effects);
             }
-            AttemptOutcome::Failed { status } => {
-                let is_permanent = (400..500).contains(&status);
-                let delivered = active.delivered;
-                if is_permanent || !self.retry(id, now) {
-                    // An error response cannot follow a partial response that the caller already
-                    // has.
-                    let effect = if delivered {
-                        GatewayEffect::Abort { call: id }
-                    } else {
-                        GatewayEffect::Deliver { call: id }
-                    };
-                    self.finish(id, effect, now, effects);
-                }
-            }
+            AttemptOutcome::Failed { status } => self.on_failed(id, status, now, effects),
             AttemptOutcome::NotRun(NotRun::Expired) => {
                 self.refuse_or_abort(id, RefusalReason::TimedOutWaiting, now, effects);
             }
@@ -222,6 +210,38 @@
         }
     }
 
+    /// Repeats a request whose upstream has answered with an error, or delivers that answer.
+    ///
+    /// The request has run. A status that says otherwise to the caller is not delivered if the
+    /// request must not run again.
+    fn on_failed(
+        &mut self,
+        id: CallId,
+        status: u16,
+        now: TimeMs,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let is_permanent = (400..500).contains(&status) && !is_failure_of_upstream(status);
+        if !is_permanent && self.retry(id, now) {
+            return;
+        }
+        let Some(active) = self.calls.get(&id) else {
+            return;
+        };
+        let is_misleading =
+            StatusPromise::of(status) == StatusPromise::NotRun && !active.route.is_retryable();
+        if is_misleading {
+            return self.refuse_or_abort(id, RefusalReason::OutcomeUnknown, now, effects);
+        }
+        // An error response cannot follow a partial response that the caller already has.
+        let effect = if active.delivered {
+            GatewayEffect::Abort { call: id }
+        } else {
+            GatewayEffect::Deliver { call: id }
+        };
+        self.finish(id, effect, now, effects);
+    }
+
     pub(super) fn on_caller_gone(&mut self, id: CallId, now: TimeMs) {
         self.end_attempt(id, None, now);
         self.waiting.remove(id);
@@ -365,10 +385,12 @@
             return;
         }
         let refusal = refusal.into();
-        let promises_not_run = refusal.reason.status() == 503;
-        let refusal = match (promises_not_run, active.executed_attempts > 0) {
-            (true, true) if !active.has_time(now) => RefusalReason::TimedOutRunning.into(),
-            (true, true) => RefusalReason::OutcomeUnknown.into(),
+        let promise = StatusPromise::of(refusal.reason.status());
+        let refusal = match (promise, active.executed_attempts > 0) {
+            (StatusPromise::NotRun, true) if !active.has_time(now) => {
+                RefusalReason::TimedOutRunning.into()
+            }
+            (StatusPromise::NotRun, true) => RefusalReason::OutcomeUnknown.into(),
             _ => refusal,
         };
         let refuse = GatewayEffect::Refuse { call: id, refusal };
@@ -427,6 +449,13 @@
     took_ms > attempt.expected_ms * SLOW_FIRST_EVENT_FACTOR + SLOW_FIRST_EVENT_SLACK_MS
 }
 
+/// Returns whether an error response says that the upstream has failed, and not that the request is
+/// wrong. A request that has run was not turned away, so a status that promises that it was is a
+/// failure too.
+pub(super) fn is_failure_of_upstream(status: u16) -> bool {
+    status >= 500 || StatusPromise::of(status) == StatusPromise::NotRun
+}
+
 fn record_outcome(
     upstream: &mut Upstream,
     attempt: &Attempt,
@@ -444,7 +473,9 @@
             }
         }
         Some(AttemptOutcome::Served | AttemptOutcome::Weak) => upstream.failures.on_success(),
-        Some(AttemptOutcome::Failed { status }) if status < 500 => upstream.failures.on_success(),
+        Some(AttemptOutcome::Failed { status }) if !is_failure_of_upstream(status) => {
+            upstream.failures.on_success();
+        }
         // An error response is weaker evidence of a broken upstream than a failed connection.
         Some(AttemptOutcome::Failed { .. }) => upstream.failures.on_error(),
         Some(AttemptOutcome::NotRun(NotRun::Refused) | AttemptOutcome::Unknown(_)) => {
--- a/crates/hickorydoor/src/gateway/rollout_outcomes.rs
+++ b/crates/hickorydoor/src/gateway/rollout_outcomes.rs
@@ -8,6 +8,7 @@
 use compact_str::CompactString;
 
 use crate::gateway::active_call::Attempt;
+use crate::gateway::attempt_end::is_failure_of_upstream;
 use crate::gateway::call::CallId;
 use crate::gateway::event::AttemptOutcome;
 use crate::gateway::event::ResponseFault;
@@ -46,7 +47,9 @@
             AttemptOutcome::Unknown(ResponseFault::Closed | ResponseFault::Garbled) => {
                 Self::BrokenConnection
             }
-            AttemptOutcome::Failed { status } if status >= 500 => Self::ErrorAnswer,
+            AttemptOutcome::Failed { status } if is_failure_of_upstream(status) => {
+                Self::ErrorAnswer
+            }
             AttemptOutcome::Served | AttemptOutcome::Weak | AttemptOutcome::Failed { .. } => {
                 Self::Answer
             }
--- a/crates/hickorydoor/src/lib.rs
+++ b/crates/hickorydoor/src/lib.rs
@@ -53,8 +53,8 @@
 //! | [`memory`] | who may hold how much memory, who waits and who is refused |
 //! | [`message`], [`wire`] | messages between processes, and their encoding |
 //!
-//! The remaining modules hold types that all of these share, such as [`id`], [`time`], [`quantity`]
-//! and [`refusal`].
+//! The remaining modules hold types that all of these share, such as [`id`], [`time`], [`quantity`],
+//! [`refusal`] and [`status_promise`].
 
 pub mod admission_queue;
 pub mod agent;
@@ -78,6 +78,7 @@
 pub mod quantity;
 pub mod refusal;
 pub mod rollouts;
+pub mod status_promise;
 pub mod store;
 pub mod time;
 pub mod wire;
--- a/crates/hickorydoor/tests/gateway_calls.rs
+++ b/crates/hickorydoor/tests/gateway_calls.rs
@@ -68,6 +68,56 @@
     assert!(is_delivered(&effects));
 }
 
+/// Guards against a request that has run and is answered with the upstream's own 408, 421, 429 or
+/// 503, which its client takes as a promise that it has not.
+#[test]
+fn failed_run_of_a_call_that_must_not_be_repeated_is_not_answered_as_not_run() {
+    for status in [408, 421, 429, 503] {
+        let mut rig = Rig::with_upstreams("gw-1", 0, 3);
+        let (id, _) = rig.send(call("/book/1", "a"));
+        let effects = rig.end_attempt(id, AttemptOutcome::Failed { status });
+        assert!(dispatch(&effects).is_none(), "{status}: sent again");
+        assert!(!is_delivered(&effects), "{status}: delivered");
+        let refusal = refusal(&effects).expect("a response of the gateway");
+        assert_eq!(refusal.reason, RefusalReason::OutcomeUnknown, "{status}");
+        assert_eq!(refusal.retry_after_ms, None, "{status}");
+    }
+}
+
+/// Guards against a repeatable request that loses the status of its upstream, and against a failure
+/// that is taken for an error of the request and not sent to another upstream.
+#[test]
+fn repeatable_call_is_tried_elsewhere_and_keeps_the_status_of_its_last_upstream() {
+    for status in [408, 421, 429, 503] {
+        let mut rig = Rig::with_upstreams("gw-1", 0, 3);
+        let (id, _) = rig.send(call("/look/1", "a"));
+        let effects = rig.end_attempt(id, AttemptOutcome::Failed { status });
+        assert!(dispatch(&effects).is_some(), "{status}: not sent again");
+        let effects = rig.end_attempt(id, AttemptOutcome::Failed { status });
+        assert!(is_delivered(&effects), "{status}: not delivered");
+    }
+}
+
+/// Guards against a server that goes on to get its share of the requests, as its failures have a
+/// status below 500.
+#[test]
+fn upstream_that_fails_with_a_promising_status_is_passed_over() {
+    for status in [408, 421, 429, 503] {
+        let mut rig = Rig::with_upstreams("gw-1", 0, 3);
+        let mut failed = 0;
+        for number in 0..60 {
+            let (id, effects) = rig.send(call("/book/1", &format!("a-{number}")));
+            let is_grey = dispatch(&effects).unwrap().upstream.as_str() == "p-0";
+            failed += u32::from(is_grey);
+            let outcome =
+                if is_grey { AttemptOutcome::Failed { status } } else { AttemptOutcome::Served };
+            rig.end_attempt(id, outcome);
+            rig.advance(50);
+        }
+        assert!(failed < 60 / 3 / 2, "{status}: {failed} of 60");
+    }
+}
+
 #[test]
 fn idempotent_call_runs_on_as_many_upstreams_as_its_route_allows() {
     let mut rig = Rig::with_upstreams("gw-1", 0, 3);
