Keep what is known of prompt parts in the store

What callers saw: all gateways are killed again and again while a part crashes engines.

Cause: ends of engines and quarantine records lived in the gateways and their digests alone, so the loss of all of them lost both.

Change: each end and each record is an item in the store, written by the gateway whose turn it is, under compare-and-swap and a lease that ends when the item no longer counts; no clock of a host is used. Gateways read the items with the rest of their view, and the feed passes them on. Releases are written as well, items that turn out wrong are removed, and what the store loses in an outage or a restore is written again.

--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -30,6 +30,7 @@
 use hickorydoor::gateway::feed_wire::WatcherMessage;
 use hickorydoor::gateway::peer_digest::PeerDigest;
 use hickorydoor::gateway::peer_message::PeerMessage;
+use hickorydoor::gateway::quarantine::PartWrite;
 use hickorydoor::gateway::rate_limits::PermitMessage;
 use hickorydoor::gateway::rate_limits::RequestRate;
 use hickorydoor::gateway::refusal::CallRefusal;
@@ -43,6 +44,7 @@
 use hickorydoor::id::HostId;
 use hickorydoor::id::UpstreamId;
 use hickorydoor::memory::MemoryKind;
+use log::debug;
 use log::info;
 use log::warn;
 use tokio::sync::Notify;
@@ -98,6 +100,8 @@
 pub struct AdapterEffects {
     /// Rollout records to write to the store, in order.
     pub rollout_steps: mpsc::UnboundedReceiver<RolloutStep>,
+    /// Changes of items about prompt parts to make in the store, in order.
+    pub part_writes: mpsc::UnboundedReceiver<Vec<PartWrite>>,
 }
 
 #[derive(Debug)]
@@ -138,6 +142,7 @@
     connections: Cell<usize>,
     active_connections: Cell<u64>,
     rollout_steps: mpsc::UnboundedSender<RolloutStep>,
+    part_writes: mpsc::UnboundedSender<Vec<PartWrite>>,
     stopping: watch::Sender<bool>,
     stop_timeout_ms: DurationMs,
     /// When a stopping process answers what has not ended; `None` unless it is stopping.
@@ -167,6 +172,7 @@
         memory: MemoryPool,
     ) -> Result<(Rc<Self>, AdapterEffects), prometheus::Error> {
         let (sender, rollout_steps) = mpsc::unbounded_channel();
+        let (part_sender, part_writes) = mpsc::unbounded_channel();
         let stop_timeout_ms = settings.stop_timeout_ms;
         let (permits, permit_receiver) = mpsc::unbounded_channel();
         let core = Self {
@@ -178,6 +184,7 @@
             connections: Cell::new(0),
             active_connections: Cell::new(0),
             rollout_steps: sender,
+            part_writes: part_sender,
             stopping: watch::Sender::new(false),
             stop_timeout_ms,
             answer_at: Cell::new(None),
@@ -193,7 +200,7 @@
             is_behind: Cell::new(false),
             metrics: GatewayMetrics::new()?,
         };
-        Ok((Rc::new(core), AdapterEffects { rollout_steps }))
+        Ok((Rc::new(core), AdapterEffects { rollout_steps, part_writes }))
     }
 
     /// Returns the current time on the clock by which the reducer measures time.
@@ -605,6 +612,11 @@
             }
             GatewayEffect::SendPermit { host, message } => self.send_permit(&host, *message),
             GatewayEffect::SendDigest => self.digest_due.notify_one(),
+            GatewayEffect::WritePartItems(writes) => {
+                debug!(items = writes.len(); "prompt part items are to be written");
+                // Sending fails only without an adapter, and then there is no store to write to.
+                drop(self.part_writes.send(writes));
+            }
             GatewayEffect::WriteRollout(step) => {
                 info!(
                     service:% = step.record.service, version = step.record.target.as_str(),
--- a/crates/hickorydoor/benches/gateway.rs
+++ b/crates/hickorydoor/benches/gateway.rs
@@ -190,6 +190,7 @@
             upstream: format!("e-{}", index * size.engines / size.ends.max(1))
                 .parse()
                 .expect("a valid id"),
+            started_unix_ms: 0,
             service: ENGINES.parse().expect("a valid name"),
             version: "v1".into(),
             is_confirmed: true,
--- a/crates/hickorydoor/src/gateway/containment.rs
+++ b/crates/hickorydoor/src/gateway/containment.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::active_call::ActiveCall;
 use crate::gateway::active_call::Attempt;
@@ -24,6 +25,7 @@
 use crate::gateway::quarantine::part_selection::is_subset;
 use crate::gateway::quarantine::part_selection::shares_any;
 use crate::gateway::reducer::Gateway;
+use crate::id::HostId;
 use crate::id::ServiceName;
 use crate::id::UpstreamId;
 use crate::time::TimeMs;
@@ -168,6 +170,7 @@
         let is_confirmed = outcome == Some(AttemptOutcome::NotRun(NotRun::Unreachable));
         let seen = |parts: &[PartId]| EngineEnd {
             upstream: attempt.upstream.clone(),
+            started_unix_ms: attempt.started_unix_ms,
             service: service.clone(),
             version: attempt.version.clone(),
             is_confirmed,
@@ -227,6 +230,24 @@
         self.quarantine.assess(is_replaced, alive_at, now);
     }
 
+    /// Has the store hold what is known of prompt parts. Gateways take turns, in an order that all
+    /// know without messages.
+    pub(super) fn write_part_items(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
+        let Some(era) = self.era.filter(|_| self.is_store_answering(now)) else {
+            return;
+        };
+        if self.is_reading_copy || !self.quarantine.has_items() {
+            return;
+        }
+        let hash = |host: &HostId| xxh3_64(host.as_str().as_bytes());
+        let own = hash(&self.settings.host);
+        let rank = self.gateways.iter().filter(|host| hash(host) < own).count();
+        let writes = self.quarantine.due_writes(era, rank, now);
+        if !writes.is_empty() {
+            effects.push(GatewayEffect::WritePartItems(writes));
+        }
+    }
+
     /// Acts on new evidence: cancels attempts with parts that have become suspected or quarantined,
     /// before they end another engine. What other gateways report is assessed at the next tick, or
     /// before a request is sent.
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -7,6 +7,7 @@
 use crate::admission_queue::Rank;
 use crate::gateway::call::CallId;
 use crate::gateway::headroom::ScarcityChange;
+use crate::gateway::quarantine::PartWrite;
 use crate::gateway::quarantine::QuarantineChange;
 use crate::gateway::rate_limits::LimitChange;
 use crate::gateway::rate_limits::PermitMessage;
@@ -184,6 +185,8 @@
     RolloutProgress(Box<RolloutProgress>),
     /// Write a rollout record to the store with a compare-and-swap.
     WriteRollout(RolloutStep),
+    /// Write items about prompt parts to the store, each with a compare-and-swap.
+    WritePartItems(Vec<PartWrite>),
     /// Record what has changed for prompt parts under which engines end.
     Quarantine(Box<QuarantineChange>),
     /// Record that an upstream has named, changed or dropped a limit.
--- a/crates/hickorydoor/src/gateway/event.rs
+++ b/crates/hickorydoor/src/gateway/event.rs
@@ -7,7 +7,9 @@
 use crate::gateway::catalog::Catalog;
 use crate::gateway::member::GatewayMember;
 use crate::gateway::peer_digest::PeerDigest;
+use crate::gateway::quarantine::PartItemKey;
 use crate::gateway::quarantine::PartKey;
+use crate::gateway::quarantine::StoredPartItem;
 use crate::gateway::rate_limits::PermitMessage;
 use crate::gateway::rollout::RolloutOrder;
 use crate::gateway::rollout::RolloutRecord;
@@ -112,6 +114,10 @@
     PartAllowed(PartKey),
     /// The operator no longer allows a prompt part against the evidence.
     PartNotAllowed(PartKey),
+    /// An item about prompt parts was read from the store, or has been written.
+    PartItemStored(Box<StoredPartItem>),
+    /// An item about prompt parts was removed, or its lease has ended.
+    PartItemRemoved(PartItemKey),
     /// A gateway is present in the store.
     GatewayJoined(GatewayMember),
     /// A gateway is no longer present.
--- a/crates/hickorydoor/src/gateway/event_kind.rs
+++ b/crates/hickorydoor/src/gateway/event_kind.rs
@@ -58,6 +58,8 @@
             | GatewayEvent::DataCentreIn(_)
             | GatewayEvent::PartAllowed(_)
             | GatewayEvent::PartNotAllowed(_)
+            | GatewayEvent::PartItemStored(_)
+            | GatewayEvent::PartItemRemoved(_)
             | GatewayEvent::GatewayJoined(_)
             | GatewayEvent::GatewayLeft(_)
             | GatewayEvent::StoreSynced { .. }
--- a/crates/hickorydoor/src/gateway/feed_wire/event.rs
+++ b/crates/hickorydoor/src/gateway/feed_wire/event.rs
@@ -13,6 +13,10 @@
 use crate::gateway::feed_wire::position::WirePosition;
 use crate::gateway::feed_wire::record::WireRecord;
 use crate::gateway::member::GatewayMember;
+use crate::gateway::quarantine::PartItemKey;
+use crate::gateway::quarantine::StoredPartItem;
+use crate::gateway::quarantine::decode_part_item;
+use crate::gateway::quarantine::encode_part_item;
 use crate::gateway::rollout::ExposureBudget;
 use crate::gateway::rollout::RolloutOrder;
 use crate::gateway::rollout::RolloutRecord;
@@ -29,7 +33,10 @@
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
 pub struct WireEvent {
-    #[prost(oneof = "EventBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
+    #[prost(
+        oneof = "EventBody",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+    )]
     body: Option<EventBody>,
 }
 
@@ -68,6 +75,22 @@
     PartAllowed(String),
     #[prost(string, tag = "15")]
     PartNotAllowed(String),
+    #[prost(message, tag = "16")]
+    PartItemStored(WireStoredPartItem),
+    #[prost(string, tag = "17")]
+    PartItemRemoved(String),
+}
+
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct WireStoredPartItem {
+    #[prost(string, tag = "1")]
+    key: String,
+    /// The item in its own encoding; empty if it cannot be read.
+    #[prost(bytes = "bytes", tag = "2")]
+    item: Bytes,
+    #[prost(message, optional, tag = "3")]
+    position: Option<WirePosition>,
 }
 
 #[derive(Clone, PartialEq)]
@@ -121,6 +144,8 @@
     recorded_rollouts: Vec<String>,
     #[prost(string, repeated, tag = "5")]
     allowed_parts: Vec<String>,
+    #[prost(string, repeated, tag = "6")]
+    part_items: Vec<String>,
 }
 
 #[derive(Clone, PartialEq)]
@@ -182,6 +207,10 @@
         GatewayEvent::GatewayLeft(host) => EventBody::Left(host.to_string()),
         GatewayEvent::PartAllowed(part) => EventBody::PartAllowed(part.to_string()),
         GatewayEvent::PartNotAllowed(part) => EventBody::PartNotAllowed(part.to_string()),
+        GatewayEvent::PartItemStored(stored) => {
+            EventBody::PartItemStored(WireStoredPartItem::from(&**stored))
+        }
+        GatewayEvent::PartItemRemoved(key) => EventBody::PartItemRemoved(key.to_string()),
         _ => return None,
     };
     Some(WireEvent { body: Some(body) }.encode_to_vec().into())
@@ -229,6 +258,12 @@
         EventBody::Left(host) => GatewayEvent::GatewayLeft(host.parse()?),
         EventBody::PartAllowed(part) => GatewayEvent::PartAllowed(part.parse()?),
         EventBody::PartNotAllowed(part) => GatewayEvent::PartNotAllowed(part.parse()?),
+        EventBody::PartItemStored(stored) => {
+            GatewayEvent::PartItemStored(Box::new(StoredPartItem::try_from(stored)?))
+        }
+        EventBody::PartItemRemoved(key) => {
+            GatewayEvent::PartItemRemoved(PartItemKey::new(key.into()))
+        }
     };
     Ok(Some(event))
 }
@@ -283,6 +318,7 @@
                 .collect(),
             recorded_rollouts: listing.recorded_rollouts.iter().map(ToString::to_string).collect(),
             allowed_parts: listing.allowed_parts.iter().map(ToString::to_string).collect(),
+            part_items: listing.part_items.iter().map(ToString::to_string).collect(),
         }
     }
 }
@@ -300,6 +336,33 @@
             closed_data_centres: closed.map(|id| id.parse()).collect::<Result<_, _>>()?,
             recorded_rollouts: recorded.map(|id| id.parse()).collect::<Result<_, _>>()?,
             allowed_parts: allowed.map(|part| part.parse()).collect::<Result<_, _>>()?,
+            part_items: wire
+                .part_items
+                .into_iter()
+                .map(|key| PartItemKey::new(key.into()))
+                .collect(),
+        })
+    }
+}
+
+impl From<&StoredPartItem> for WireStoredPartItem {
+    fn from(stored: &StoredPartItem) -> Self {
+        Self {
+            key: stored.key.to_string(),
+            item: stored.item.as_ref().map(encode_part_item).unwrap_or_default().into(),
+            position: Some(stored.position.into()),
+        }
+    }
+}
+
+impl TryFrom<WireStoredPartItem> for StoredPartItem {
+    type Error = FeedError;
+
+    fn try_from(wire: WireStoredPartItem) -> Result<Self, FeedError> {
+        Ok(Self {
+            key: PartItemKey::new(wire.key.into()),
+            item: decode_part_item(&wire.item),
+            position: wire.position.ok_or(FeedError::Incomplete)?.into(),
         })
     }
 }
--- a/crates/hickorydoor/src/gateway/quarantine/assessment.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/assessment.rs
@@ -68,11 +68,14 @@
         self.expire_records(is_replaced, now);
         self.peer_suspects.expire(now);
         let at_peers = &self.alive_at_peers;
-        self.ends.remove_refuted(
+        let refuted = self.ends.remove_refuted(
             |upstream| alive_at(upstream).max(at_peers.get(upstream).copied()),
             self.silence_settled_after_ms,
             now,
         );
+        for key in refuted {
+            self.stored.retract(key);
+        }
         let is_reviewing = self
             .records
             .iter()
@@ -192,7 +195,7 @@
 
     /// Returns whether an engine that fell silent may still respond, or another gateway report that it
     /// has. What ran there is not to blame before.
-    fn is_doubtful(&self, end: &MergedEnd, now: TimeMs) -> bool {
+    pub(super) fn is_doubtful(&self, end: &MergedEnd, now: TimeMs) -> bool {
         end.is_silent() && now.since(end.at) < self.silence_settled_after_ms
     }
 
--- a/crates/hickorydoor/src/gateway/quarantine/end_log.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/end_log.rs
@@ -1,5 +1,6 @@
 //! Engines that ended, as this gateway and the others have seen it.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -13,6 +14,7 @@
 
 use crate::gateway::quarantine::engine_end::EngineEnd;
 use crate::gateway::quarantine::part_id::PartId;
+use crate::gateway::quarantine::part_item::PartItemKey;
 use crate::gateway::quarantine::part_key::PartKey;
 use crate::gateway::quarantine::part_selection::keep_most_suspect;
 use crate::gateway::quarantine::part_selection::sorted;
@@ -24,7 +26,7 @@
 use crate::time::TimeMs;
 
 /// How long an end counts.
-const END_TTL_MS: DurationMs = DurationMs::from_secs(60);
+pub(super) const END_TTL_MS: DurationMs = DurationMs::from_secs(60);
 /// How long an end is reported whose parts have all been proven sound; other gateways may know
 /// attempts that they have closed shortly before.
 const MIN_REPORT_MS: DurationMs = DurationMs::from_secs(2);
@@ -49,6 +51,8 @@
 const MAX_ENDS: usize = 48;
 /// Maximum number of parts of all ends of one gateway. A head of 16 KB holds 1,500 parts.
 const MAX_OWN_PARTS: usize = 8_192;
+/// Maximum number of parts of the ends that the store holds.
+const MAX_STORED_PARTS: usize = 6_144;
 /// Maximum number of parts of the ends that all other gateways report.
 const MAX_PEER_PARTS: usize = 131_072;
 
@@ -65,6 +69,7 @@
 #[derive(Clone, Debug)]
 pub struct MergedEnd {
     pub upstream: UpstreamId,
+    pub started_unix_ms: u64,
     pub service: ServiceName,
     pub version: CompactString,
     pub at: TimeMs,
@@ -77,12 +82,43 @@
 }
 
 impl MergedEnd {
+    fn new(end: &EngineEnd, at: TimeMs) -> Self {
+        Self {
+            upstream: end.upstream.clone(),
+            started_unix_ms: end.started_unix_ms,
+            service: end.service.clone(),
+            version: end.version.clone(),
+            at,
+            parts: end.parts.iter().copied().collect(),
+            tried: end.tried.iter().copied().collect(),
+            cut_off: 0,
+            is_confirmed: end.is_confirmed,
+            is_closed: end.is_closed,
+        }
+    }
+
     /// Returns whether nothing but silence speaks for the end.
     pub const fn is_silent(&self) -> bool {
         !self.is_closed && !self.is_confirmed
     }
 }
 
+/// An end that the store holds. When it was is not known exactly.
+#[derive(Clone, Debug)]
+struct StoredEnd {
+    /// The time that it states, or a later one.
+    at: TimeMs,
+    end: EngineEnd,
+}
+
+impl StoredEnd {
+    fn is_same(&self, end: &EngineEnd, at: TimeMs) -> bool {
+        let known = &self.end;
+        (&known.upstream, known.started_unix_ms) == (&end.upstream, end.started_unix_ms)
+            && at <= self.at + SAME_END_MS
+    }
+}
+
 /// Ends of engines, bounded in number and age.
 #[derive(Clone, Debug, Default)]
 pub struct EndLog {
@@ -90,11 +126,14 @@
     /// Ends that other gateways report, by host and incarnation. Those of an earlier incarnation
     /// still count.
     peers: HashMap<(HostId, u64), Vec<(EngineEnd, TimeMs)>>,
+    /// Ends that the store holds, by their keys. Those that are known otherwise too count once.
+    stored: BTreeMap<PartItemKey, StoredEnd>,
     /// The ends as they were merged last.
     merged: Arc<[MergedEnd]>,
     /// Parts that more than one of these holds.
     repeated: HashSet<PartId>,
-    /// Parts of the ends that other gateways report, with the latest of these, as of then.
+    /// Parts of the ends that other gateways report or the store holds, with the latest of these, as
+    /// of then.
     parts_of_peers: HashMap<PartKey, TimeMs>,
     /// Whether the ends have changed since they were merged.
     has_changed: bool,
@@ -165,13 +204,13 @@
 
     /// Removes ends of engines that have responded since, as `alive_at` returns. A connection may be
     /// cut off although its engine goes on. `silence_ms` is how long an engine that fell silent has
-    /// for it.
+    /// for it. Returns the keys of those that the store holds.
     pub fn remove_refuted(
         &mut self,
         alive_at: impl Fn(&UpstreamId) -> Option<TimeMs>,
         silence_ms: DurationMs,
         now: TimeMs,
-    ) {
+    ) -> Vec<PartItemKey> {
         let is_refuted = |end: &EngineEnd, at: TimeMs| {
             !end.is_confirmed
                 && now.since(at) <= REFUTABLE_MS
@@ -179,16 +218,55 @@
                     .is_some_and(|alive| refutes(alive, at, (!end.is_closed).then_some(silence_ms)))
         };
         let before = self.len();
+        let refuted = self.all().filter(|(end, at)| is_refuted(end, *at));
+        let refuted = refuted.flat_map(|(end, at)| {
+            let same = self.stored.iter().filter(move |(_, known)| known.is_same(end, at));
+            same.map(|(key, _)| key.clone())
+        });
+        let refuted: Vec<PartItemKey> = refuted.collect();
         self.own.retain(|known| !is_refuted(&known.end, known.at));
         for ends in self.peers.values_mut() {
             ends.retain(|(end, at)| !is_refuted(end, *at));
         }
+        for key in &refuted {
+            self.stored.remove(key);
+        }
         self.has_changed |= self.len() != before;
+        refuted
+    }
+
+    /// Adds an end that the store holds. It is settled, so that no response refutes it. If there are
+    /// too many, or they have too many parts, the oldest are dropped.
+    pub fn set_stored(&mut self, key: PartItemKey, end: EngineEnd, at: TimeMs) {
+        self.has_changed = true;
+        self.stored.insert(key, StoredEnd { at, end });
+        while self.stored.len() > MAX_ENDS || self.stored_parts() > MAX_STORED_PARTS {
+            let oldest = self.stored.iter().min_by_key(|(_, known)| known.at);
+            let Some(oldest) = oldest.map(|(key, _)| key.clone()) else {
+                break;
+            };
+            self.stored.remove(&oldest);
+        }
+    }
+
+    /// Returns when an end that the store holds was, or somewhat later.
+    pub fn stored_at(&self, key: &PartItemKey) -> Option<TimeMs> {
+        self.stored.get(key).map(|known| known.at)
+    }
+
+    /// Removes an end that the store no longer holds.
+    pub fn remove_stored(&mut self, key: &PartItemKey) {
+        self.has_changed |= self.stored.remove(key).is_some();
+    }
+
+    fn stored_parts(&self) -> usize {
+        let stored = self.stored.values();
+        stored.map(|known| known.end.parts.len() + known.end.tried.len()).sum()
     }
 
     /// Returns the number of ends, counted for each gateway that reports them.
     fn len(&self) -> usize {
-        self.own.len() + self.peers.values().map(Vec::len).sum::<usize>()
+        self.own.len() + self.peers.values().map(Vec::len).sum::<usize>() + self.stored.len()
     }
 
     /// Iterates over the recent ends of engines that may go on, with their times. A request shows
@@ -255,7 +333,7 @@
     pub fn held_parts(&self) -> usize {
         let of_peers = self.of_peers().map(|(end, _)| end.parts.len() + end.tried.len());
         let merged = self.merged.iter().map(|end| end.parts.len() + end.tried.len());
-        self.own_parts() + of_peers.sum::<usize>() + merged.sum::<usize>()
+        self.own_parts() + self.stored_parts() + of_peers.sum::<usize>() + merged.sum::<usize>()
     }
 
     /// Drops ends that are too old, and parts that have been proven sound since.
@@ -279,6 +357,7 @@
             ends.retain(|(_, at)| now.since(*at) <= END_TTL_MS);
         }
         self.peers.retain(|_, ends| !ends.is_empty());
+        self.stored.retain(|_, known| now.since(known.at) <= END_TTL_MS);
         self.has_changed |= before != (self.len(), self.own_parts());
     }
 
@@ -311,8 +390,8 @@
         self.repeated.contains(&part)
     }
 
-    /// Returns the parts of the ends that other gateways report, with the latest of these, as of the
-    /// last [`EndLog::refresh`].
+    /// Returns the parts of the ends that other gateways report or the store holds, with the latest of
+    /// these, as of the last [`EndLog::refresh`].
     pub const fn parts_of_peers(&self) -> &HashMap<PartKey, TimeMs> {
         &self.parts_of_peers
     }
@@ -327,11 +406,13 @@
         let parts = self.merged.iter().flat_map(|end| end.parts.iter().copied());
         self.repeated = parts.filter(|part| !once.insert(*part)).collect();
         let mut of_peers: HashMap<PartKey, TimeMs> = HashMap::new();
-        for (end, at) in self.of_peers() {
+        let stored = self.stored.values().map(|known| (&known.end, known.at));
+        let of_others = self.of_peers().map(|(end, at)| (end, *at)).chain(stored);
+        for (end, at) in of_others {
             for part in &end.parts {
                 let key = PartKey { service: end.service.clone(), part: *part };
                 let latest = of_peers.entry(key).or_default();
-                *latest = (*latest).max(*at);
+                *latest = (*latest).max(at);
             }
         }
         self.parts_of_peers = of_peers;
@@ -352,17 +433,26 @@
                     last.is_confirmed |= end.is_confirmed;
                     last.is_closed |= end.is_closed;
                 }
-                _ => merged.push(MergedEnd {
-                    upstream: end.upstream.clone(),
-                    service: end.service.clone(),
-                    version: end.version.clone(),
-                    at,
-                    parts: end.parts.iter().copied().collect(),
-                    tried: end.tried.iter().copied().collect(),
-                    cut_off,
-                    is_confirmed: end.is_confirmed,
-                    is_closed: end.is_closed,
-                }),
+                _ => merged.push(MergedEnd { cut_off, ..MergedEnd::new(end, at) }),
+            }
+        }
+        for known in self.stored.values() {
+            let is_same = |end: &&mut MergedEnd| {
+                (&end.upstream, end.started_unix_ms)
+                    == (&known.end.upstream, known.end.started_unix_ms)
+                    && end.at <= known.at + SAME_END_MS
+            };
+            match merged.iter_mut().find(is_same) {
+                Some(end) => {
+                    end.parts.extend(known.end.parts.iter().copied());
+                    end.tried.extend(known.end.tried.iter().copied());
+                }
+                None => {
+                    merged.push(MergedEnd {
+                        is_confirmed: true,
+                        ..MergedEnd::new(&known.end, known.at)
+                    });
+                }
             }
         }
         merged
--- a/crates/hickorydoor/src/gateway/quarantine/engine_end.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/engine_end.rs
@@ -12,6 +12,8 @@
 pub struct EngineEnd {
     /// Engine that ended.
     pub upstream: UpstreamId,
+    /// Start of the engine, in Unix ms, as it says itself; 0 if that is not known.
+    pub started_unix_ms: u64,
     /// Service of the engine.
     pub service: ServiceName,
     /// Version of the engine's software.
--- a/crates/hickorydoor/src/gateway/quarantine/held_record.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/held_record.rs
@@ -17,6 +17,8 @@
     pub(super) until: TimeMs,
     /// Number of ends on which this gateway decided; `None` if another one did.
     pub(super) decided_on: Option<usize>,
+    /// Whether it was read from the store, so that `until` may be too late.
+    pub(super) is_from_store: bool,
 }
 
 pub(super) fn quarantine_ms(quarantines: u32) -> DurationMs {
--- a/crates/hickorydoor/src/gateway/quarantine/mod.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/mod.rs
@@ -37,6 +37,9 @@
 //!   caller has a part.
 //! - The operator can allow a part, whatever the evidence.
 //!
+//! - What is known of ends and records is kept in the store ([`PartItem`]), so that it outlasts the
+//!   loss of all gateways at any moment of the learning. A gateway reads it with its configuration.
+//!
 //! Prompts have up to some thousand parts. `part_selection` chooses which of them are kept.
 
 mod admission;
@@ -50,6 +53,7 @@
 mod held_record;
 mod part_ends;
 mod part_id;
+mod part_item;
 mod part_key;
 pub(super) mod part_selection;
 mod peer_suspects;
@@ -58,6 +62,8 @@
 mod quarantine_report;
 mod quarantine_table;
 mod records;
+mod stored_items;
+mod storing;
 mod survival_table;
 mod suspect;
 mod trial_slot;
@@ -67,6 +73,10 @@
 pub use chance_model::ChanceModel;
 pub use engine_end::EngineEnd;
 pub use part_id::PartId;
+pub use part_item::PartItem;
+pub use part_item::PartItemKey;
+pub use part_item::PartWrite;
+pub use part_item::StoredPartItem;
 pub use part_key::PartKey;
 pub use part_key::PartKeyError;
 pub use quarantine_change::QuarantineChange;
@@ -81,3 +91,5 @@
 pub use trial_slot::TrialSlot;
 pub use verdict::Verdict;
 pub use wire::WireQuarantine;
+pub use wire::decode_part_item;
+pub use wire::encode_part_item;
--- a/crates/hickorydoor/src/gateway/quarantine/quarantine_table.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/quarantine_table.rs
@@ -18,6 +18,7 @@
 use crate::gateway::quarantine::part_selection::sorted;
 use crate::gateway::quarantine::peer_suspects::PeerSuspects;
 use crate::gateway::quarantine::quarantine_change::QuarantineChange;
+use crate::gateway::quarantine::stored_items::StoredItems;
 use crate::gateway::quarantine::survival_table::SurvivalTable;
 use crate::gateway::quarantine::suspect::Suspect;
 use crate::id::ServiceName;
@@ -49,6 +50,7 @@
     pub(super) alive_at_peers: BTreeMap<UpstreamId, TimeMs>,
     pub(super) peer_suspects: PeerSuspects,
     pub(super) records: Vec<HeldRecord>,
+    pub(super) stored: StoredItems,
     /// Parts that the operator allows, whatever the evidence.
     pub(super) allowed: BTreeSet<PartKey>,
     pub(super) changes: Vec<QuarantineChange>,
@@ -78,6 +80,7 @@
             alive_at_peers: BTreeMap::new(),
             peer_suspects: PeerSuspects::default(),
             records: Vec::new(),
+            stored: StoredItems::default(),
             allowed: BTreeSet::new(),
             changes: Vec::new(),
             is_stale: false,
--- a/crates/hickorydoor/src/gateway/quarantine/records.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/records.rs
@@ -58,7 +58,7 @@
         }
     }
 
-    fn release(&mut self, record: QuarantineRecord, now: TimeMs) {
+    pub(super) fn release(&mut self, record: QuarantineRecord, now: TimeMs) {
         self.push_change(QuarantineStep::Released, &record.service, &record.parts);
         let state = QuarantineState::Released;
         let released = QuarantineRecord { state, change: record.change + 1, ..record };
@@ -107,8 +107,13 @@
 
     /// Adopts a record of another gateway if it is newer than the known one.
     pub(super) fn adopt(&mut self, record: QuarantineRecord, until: TimeMs, now: TimeMs) {
-        let known = self.records.iter().find(|held| held.record.is_same_subject(&record));
-        if known.is_some_and(|held| !record.replaces(&held.record)) {
+        let known = self.records.iter_mut().find(|held| held.record.is_same_subject(&record));
+        if let Some(held) = &known
+            && !record.replaces(&held.record)
+        {
+            if let Some(held) = known.filter(|held| held.record == record && held.is_from_store) {
+                held.until = held.until.min(until);
+            }
             return;
         }
         if known.is_none() && record.state == QuarantineState::Released {
@@ -136,7 +141,8 @@
         {
             self.records.retain(|held| held.until > least);
         }
-        self.records.push(HeldRecord { record, changed_at: now, until, decided_on });
+        let is_from_store = false;
+        self.records.push(HeldRecord { record, changed_at: now, until, decided_on, is_from_store });
         self.is_stale = true;
         self.is_urgent = true;
     }
--- a/crates/hickorydoor/src/gateway/quarantine/wire.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/wire.rs
@@ -1,9 +1,11 @@
 //! Protobuf form of a gateway's report about prompt parts.
 
 use prost::Message;
+use prost::Oneof;
 
 use crate::gateway::quarantine::engine_end::EngineEnd;
 use crate::gateway::quarantine::part_id::PartId;
+use crate::gateway::quarantine::part_item::PartItem;
 use crate::gateway::quarantine::part_key::PartKey;
 use crate::gateway::quarantine::quarantine_record::QuarantineRecord;
 use crate::gateway::quarantine::quarantine_record::QuarantineState;
@@ -32,6 +34,8 @@
     tried: Vec<u64>,
     #[prost(bool, tag = "8")]
     is_closed: bool,
+    #[prost(uint64, tag = "9")]
+    started_unix_ms: u64,
 }
 
 #[derive(Clone, PartialEq)]
@@ -95,6 +99,56 @@
 /// Number of parts that are sent one by one, as older gateways read them; the others are packed.
 const SINGLE_PARTS: usize = 128;
 
+/// An item about prompt parts, as the store and the feed have it.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct WirePartItem {
+    #[prost(oneof = "WirePartFact", tags = "1, 2")]
+    fact: Option<WirePartFact>,
+}
+
+#[derive(Clone, PartialEq)]
+#[derive(Oneof)]
+enum WirePartFact {
+    #[prost(message, tag = "1")]
+    End(WireEnd),
+    #[prost(message, tag = "2")]
+    Record(WireRecord),
+}
+
+/// Maximum number of parts of an item that is read.
+const MAX_ITEM_PARTS: usize = 1_024;
+
+/// Encodes an item for the store or the feed.
+pub fn encode_part_item(item: &PartItem) -> Vec<u8> {
+    let fact = match item {
+        PartItem::End { end, age_ms } => WirePartFact::End(encode_end(end, *age_ms)),
+        PartItem::Record { record, left_ms } => {
+            WirePartFact::Record(encode_record(record, *left_ms))
+        }
+    };
+    WirePartItem { fact: Some(fact) }.encode_to_vec()
+}
+
+/// Decodes an item; `None` if it is not valid, of a kind that is not known here, or too large.
+pub fn decode_part_item(bytes: &[u8]) -> Option<PartItem> {
+    let item = match WirePartItem::decode(bytes).ok()?.fact? {
+        WirePartFact::End(end) => {
+            let (end, age_ms) = decode_end(end).ok()?;
+            PartItem::End { end, age_ms }
+        }
+        WirePartFact::Record(record) => {
+            let (record, left_ms) = decode_record(record).ok()?;
+            PartItem::Record { record, left_ms }
+        }
+    };
+    let parts = match &item {
+        PartItem::End { end, .. } => end.parts.len() + end.tried.len(),
+        PartItem::Record { record, .. } => record.parts.len(),
+    };
+    (1..=MAX_ITEM_PARTS).contains(&parts).then_some(item)
+}
+
 /// Report about prompt parts in a digest.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
@@ -207,6 +261,7 @@
 fn encode_end(end: &EngineEnd, age_ms: DurationMs) -> WireEnd {
     WireEnd {
         upstream: end.upstream.to_string(),
+        started_unix_ms: end.started_unix_ms,
         service: end.service.to_string(),
         version: end.version.to_string(),
         age_ms: age_ms.get(),
@@ -220,6 +275,7 @@
 fn decode_end(wire: WireEnd) -> Result<(EngineEnd, DurationMs), IdError> {
     let end = EngineEnd {
         upstream: wire.upstream.parse()?,
+        started_unix_ms: wire.started_unix_ms,
         service: wire.service.parse()?,
         version: wire.version.into(),
         is_confirmed: wire.is_confirmed,
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -217,6 +217,11 @@
             GatewayEvent::DataCentreIn(id) => self.on_data_centre_in(&id, now),
             GatewayEvent::PartAllowed(part) => self.quarantine.allow(part, now),
             GatewayEvent::PartNotAllowed(part) => self.quarantine.disallow(&part),
+            GatewayEvent::PartItemStored(stored) => self.quarantine.apply_stored(*stored, now),
+            GatewayEvent::PartItemRemoved(key) => {
+                let is_over = !self.is_store_unstable(now) && !self.freshness.is_restoring(now);
+                self.quarantine.apply_stored_removal(&key, is_over, now);
+            }
             GatewayEvent::GatewayJoined(member) => {
                 self.members.insert(member.host.clone(), member);
                 self.update_gateways();
@@ -412,6 +417,7 @@
         self.expire_calls(now, effects);
         self.abandon_unresponsive(now, effects);
         self.step_rollouts(now, effects);
+        self.write_part_items(now, effects);
         let session_ms = self.settings.session_ms;
         self.sessions.retain(|_, (_, used_at)| now.since(*used_at) <= session_ms);
     }
--- a/crates/hickorydoor/src/gateway/store_listing.rs
+++ b/crates/hickorydoor/src/gateway/store_listing.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use crate::gateway::quarantine::PartItemKey;
 use crate::gateway::quarantine::PartKey;
 use crate::id::DataCentreId;
 use crate::id::HostId;
@@ -22,4 +23,6 @@
     pub allowed_parts: BTreeSet<PartKey>,
     /// Services with a rollout record.
     pub recorded_rollouts: BTreeSet<ServiceName>,
+    /// Items about prompt parts.
+    pub part_items: BTreeSet<PartItemKey>,
 }
--- a/crates/hickorydoor/src/gateway/store_view.rs
+++ b/crates/hickorydoor/src/gateway/store_view.rs
@@ -18,6 +18,7 @@
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::freshness::RESTORE_WINDOW_MS;
 use crate::gateway::member::GatewayMember;
+use crate::gateway::quarantine::PartItemKey;
 use crate::gateway::reducer::Gateway;
 use crate::gateway::rollout::Rollout;
 use crate::gateway::rollout::RolloutOrder;
@@ -108,6 +109,8 @@
         events.extend(closed.cloned().map(GatewayEvent::DataCentreOut));
         let allowed = self.quarantine.allowed_parts();
         events.extend(allowed.cloned().map(GatewayEvent::PartAllowed));
+        let items = self.quarantine.stored_items(now).into_iter();
+        events.extend(items.map(|item| GatewayEvent::PartItemStored(Box::new(item))));
         for rollout in self.rollouts.values() {
             let (order, age_ms) = (rollout.order().clone(), rollout.age_ms(now));
             events.push(GatewayEvent::RolloutOrdered { order, age_ms });
@@ -147,6 +150,10 @@
             GatewayEvent::DataCentreIn(id) => !self.closed_data_centres.contains_key(id),
             GatewayEvent::PartAllowed(part) => self.quarantine.is_allowed(part),
             GatewayEvent::PartNotAllowed(part) => !self.quarantine.is_allowed(part),
+            GatewayEvent::PartItemStored(stored) => self.quarantine.is_stored(stored),
+            GatewayEvent::PartItemRemoved(key) => {
+                !self.quarantine.stored_keys().any(|known| known == key)
+            }
             GatewayEvent::GatewayJoined(member) => {
                 self.members.is_present(&member.host)
                     && self.members.get(&member.host) == Some(member)
@@ -164,6 +171,7 @@
             closed_data_centres: self.closed_data_centres.present_keys().cloned().collect(),
             allowed_parts: self.quarantine.allowed_parts().cloned().collect(),
             recorded_rollouts: self.records.keys().cloned().collect(),
+            part_items: self.quarantine.stored_keys().cloned().collect(),
         }
     }
 
@@ -242,6 +250,13 @@
             }
         }
         self.quarantine.retain_allowed(&listing.allowed_parts);
+        let is_over = !store_unstable && !self.freshness.is_restoring(now);
+        let stored = self.quarantine.stored_keys();
+        let absent: Vec<PartItemKey> =
+            stored.filter(|key| !listing.part_items.contains(key)).cloned().collect();
+        for key in absent {
+            self.quarantine.apply_stored_removal(&key, is_over, now);
+        }
         if let Some(era) = self.era {
             for (service, rollout) in &mut self.rollouts {
                 if !listing.recorded_rollouts.contains(service) {
--- a/crates/hickorydoor/tests/feed_wire.rs
+++ b/crates/hickorydoor/tests/feed_wire.rs
@@ -16,6 +16,11 @@
 use hickorydoor::gateway::feed_wire::WatcherMessage;
 use hickorydoor::gateway::feed_wire::WireFollowerFrame;
 use hickorydoor::gateway::feed_wire::WireWatcherFrame;
+use hickorydoor::gateway::quarantine::EngineEnd;
+use hickorydoor::gateway::quarantine::PartId;
+use hickorydoor::gateway::quarantine::PartItem;
+use hickorydoor::gateway::quarantine::PartItemKey;
+use hickorydoor::gateway::quarantine::StoredPartItem;
 use hickorydoor::gateway::rollout::RolloutPhase;
 use hickorydoor::gateway::rollout::RolloutRecord;
 use hickorydoor::gateway::route::CallKind;
@@ -65,6 +70,22 @@
     }
 }
 
+fn stored_end() -> StoredPartItem {
+    let end = EngineEnd {
+        upstream: "e-1".parse().unwrap(),
+        started_unix_ms: 17,
+        service: ENGINES.parse().unwrap(),
+        version: "v1".into(),
+        is_confirmed: true,
+        is_closed: true,
+        parts: [1, 2, u64::MAX].into_iter().map(PartId::new).collect(),
+        tried: [PartId::new(2)].into_iter().collect(),
+    };
+    let key = PartItemKey::of_end(&end);
+    let item = Some(PartItem::End { end, age_ms: DurationMs::new(450) });
+    StoredPartItem { key, item, position: position(3, 9) }
+}
+
 #[test]
 fn every_event_of_the_view_is_the_same_after_a_transfer() {
     let mut cold = registration("e-1", ENGINES);
@@ -78,6 +99,7 @@
         closed_data_centres: ["dc-9"].iter().map(|id| id.parse().unwrap()).collect(),
         allowed_parts: ["engines/beef"].iter().map(|part| part.parse().unwrap()).collect(),
         recorded_rollouts: [ENGINES].iter().map(|id| id.parse().unwrap()).collect(),
+        part_items: [PartItemKey::new("end-1".into())].into_iter().collect(),
     };
     let mut events = vec![
         GatewayEvent::StoreRestored { era: StoreEra::new(4) },
@@ -91,6 +113,9 @@
         GatewayEvent::RolloutOrdered { order: order(19), age_ms: None },
         GatewayEvent::RolloutOrdered { order: order(20), age_ms: Some(DurationMs::new(640)) },
         GatewayEvent::RolloutWithdrawn(ENGINES.parse().unwrap()),
+        GatewayEvent::PartItemStored(Box::new(stored_end())),
+        GatewayEvent::PartItemStored(Box::new(StoredPartItem { item: None, ..stored_end() })),
+        GatewayEvent::PartItemRemoved(PartItemKey::new("end-1".into())),
         GatewayEvent::DataCentreOut("dc-1".parse().unwrap()),
         GatewayEvent::DataCentreIn("dc-1".parse().unwrap()),
         GatewayEvent::GatewayJoined(member("gw-1", "dc-1", 20)),
--- a/crates/hickorydoor/tests/gateway/mod.rs
+++ b/crates/hickorydoor/tests/gateway/mod.rs
@@ -41,6 +41,7 @@
 pub mod crash_fleet;
 pub mod fleet;
 pub mod limit_fleet;
+pub mod part_store;
 pub mod rollout_fleet;
 pub mod room_fleet;
 
--- a/crates/hickorydoor/tests/gateway_event_work.rs
+++ b/crates/hickorydoor/tests/gateway_event_work.rs
@@ -26,6 +26,7 @@
 fn digest(peer: usize, sequence: u64) -> PeerDigest {
     let end = |index: u64| EngineEnd {
         upstream: format!("e-{}", (peer as u64 + index) % 70).parse().unwrap(),
+        started_unix_ms: 0,
         service: ENGINES.parse().unwrap(),
         version: "v1".into(),
         is_confirmed: true,
--- a/crates/hickorydoor/tests/gateway_long_prompts.rs
+++ b/crates/hickorydoor/tests/gateway_long_prompts.rs
@@ -124,6 +124,7 @@
 fn end_of(engine: u64, parts: u64, random: &mut Pcg64Mcg) -> EngineEnd {
     EngineEnd {
         upstream: format!("e-{engine}").parse().unwrap(),
+        started_unix_ms: 0,
         service: ENGINES.parse().unwrap(),
         version: "v1".into(),
         is_confirmed: false,
--- a/crates/hickorydoor/tests/gateway_silent_engines.rs
+++ b/crates/hickorydoor/tests/gateway_silent_engines.rs
@@ -150,6 +150,7 @@
                     let subject = 100 + self.random.random_range(0..SUBJECTS);
                     let end = EngineEnd {
                         upstream,
+                        started_unix_ms: 0,
                         service: ENGINES.parse().unwrap(),
                         version: "v1".into(),
                         is_confirmed: false,
