Serve nothing from a copy of the store that nothing proves

Cause: a starting gateway that finds no other one took its first read for the truth, since an era that follows no known one began no restore. When the store was restored was known to processes alone.

Change: a gateway notes the era in the store once the time is over in which what a copy lacks is written again. Who starts, has no view of another gateway and reads a later era rejects requests as not run for that time, or until a newer configuration is read; so do those that follow it.

--- a/crates/hickoryd/src/gateway/core.rs
+++ b/crates/hickoryd/src/gateway/core.rs
@@ -102,6 +102,8 @@
     pub rollout_steps: mpsc::UnboundedReceiver<RolloutStep>,
     /// Changes of items about prompt parts to make in the store, in order.
     pub part_writes: mpsc::UnboundedReceiver<Vec<PartWrite>>,
+    /// Eras to note in the store.
+    pub era_notes: mpsc::UnboundedReceiver<StoreEra>,
 }
 
 #[derive(Debug)]
@@ -143,6 +145,7 @@
     active_connections: Cell<u64>,
     rollout_steps: mpsc::UnboundedSender<RolloutStep>,
     part_writes: mpsc::UnboundedSender<Vec<PartWrite>>,
+    era_notes: mpsc::UnboundedSender<StoreEra>,
     stopping: watch::Sender<bool>,
     stop_timeout_ms: DurationMs,
     /// When a stopping process answers what has not ended; `None` unless it is stopping.
@@ -173,6 +176,7 @@
     ) -> Result<(Rc<Self>, AdapterEffects), prometheus::Error> {
         let (sender, rollout_steps) = mpsc::unbounded_channel();
         let (part_sender, part_writes) = mpsc::unbounded_channel();
+        let (era_sender, era_notes) = mpsc::unbounded_channel();
         let stop_timeout_ms = settings.stop_timeout_ms;
         let (permits, permit_receiver) = mpsc::unbounded_channel();
         let core = Self {
@@ -185,6 +189,7 @@
             active_connections: Cell::new(0),
             rollout_steps: sender,
             part_writes: part_sender,
+            era_notes: era_sender,
             stopping: watch::Sender::new(false),
             stop_timeout_ms,
             answer_at: Cell::new(None),
@@ -200,7 +205,7 @@
             is_behind: Cell::new(false),
             metrics: GatewayMetrics::new()?,
         };
-        Ok((Rc::new(core), AdapterEffects { rollout_steps, part_writes }))
+        Ok((Rc::new(core), AdapterEffects { rollout_steps, part_writes, era_notes }))
     }
 
     /// Returns the current time on the clock by which the reducer measures time.
@@ -617,6 +622,11 @@
                 // Sending fails only without an adapter, and then there is no store to write to.
                 drop(self.part_writes.send(writes));
             }
+            GatewayEffect::NoteStoreEra(era) => {
+                if self.era_notes.send(era).is_err() {
+                    debug!(era:% = era; "no adapter to note the era in the store");
+                }
+            }
             GatewayEffect::WriteRollout(step) => {
                 info!(
                     service:% = step.record.service, version = step.record.target.as_str(),
--- a/crates/hickoryd/src/gateway/event_log.rs
+++ b/crates/hickoryd/src/gateway/event_log.rs
@@ -146,6 +146,12 @@
         GatewayEvent::StoreRestored { era } => {
             warn!(era:% = era; "store was restored from a copy; keeping what it may lack");
         }
+        GatewayEvent::StoreUnproven { era } => {
+            warn!(
+                era:% = era;
+                "store may have been restored from a copy; waiting for what it may lack"
+            );
+        }
         GatewayEvent::GatewayJoined(member) => {
             info!(gateway:% = member.host, address:% = member.address; "gateway joined");
         }
--- a/crates/hickorydoor/src/gateway/containment.rs
+++ b/crates/hickorydoor/src/gateway/containment.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 
 use smallvec::SmallVec;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::active_call::ActiveCall;
 use crate::gateway::active_call::Attempt;
@@ -25,7 +24,6 @@
 use crate::gateway::quarantine::part_selection::is_subset;
 use crate::gateway::quarantine::part_selection::shares_any;
 use crate::gateway::reducer::Gateway;
-use crate::id::HostId;
 use crate::id::ServiceName;
 use crate::id::UpstreamId;
 use crate::time::TimeMs;
@@ -230,8 +228,7 @@
         self.quarantine.assess(is_replaced, alive_at, now);
     }
 
-    /// Has the store hold what is known of prompt parts. Gateways take turns, in an order that all
-    /// know without messages.
+    /// Has the store hold what is known of prompt parts. Gateways take turns.
     pub(super) fn write_part_items(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
         let Some(era) = self.era.filter(|_| self.is_store_answering(now)) else {
             return;
@@ -239,10 +236,8 @@
         if self.is_reading_copy || !self.quarantine.has_items() {
             return;
         }
-        let hash = |host: &HostId| xxh3_64(host.as_str().as_bytes());
-        let own = hash(&self.settings.host);
-        let rank = self.gateways.iter().filter(|host| hash(host) < own).count();
-        let writes = self.quarantine.due_writes(era, rank, now);
+        let turn = self.turn();
+        let writes = self.quarantine.due_writes(era, turn, now);
         if !writes.is_empty() {
             effects.push(GatewayEffect::WritePartItems(writes));
         }
--- a/crates/hickorydoor/src/gateway/effect.rs
+++ b/crates/hickorydoor/src/gateway/effect.rs
@@ -15,6 +15,7 @@
 use crate::gateway::refusal::CallRefusal;
 use crate::gateway::rollout::RolloutProgress;
 use crate::gateway::rollout::RolloutStep;
+use crate::gateway::store_position::StoreEra;
 use crate::gateway::upstreams::RoomChange;
 use crate::id::CustomerId;
 use crate::id::HostId;
@@ -185,6 +186,8 @@
     RolloutProgress(Box<RolloutProgress>),
     /// Write a rollout record to the store with a compare-and-swap.
     WriteRollout(RolloutStep),
+    /// Note in the store that its current era is known, and what a copy lacked was written again.
+    NoteStoreEra(StoreEra),
     /// Write items about prompt parts to the store, each with a compare-and-swap.
     WritePartItems(Vec<PartWrite>),
     /// Record what has changed for prompt parts under which engines end.
--- a/crates/hickorydoor/src/gateway/event.rs
+++ b/crates/hickorydoor/src/gateway/event.rs
@@ -80,6 +80,14 @@
         /// Era that has begun.
         era: StoreEra,
     },
+    /// The store is in an era that no gateway has noted in it, and this one knows nothing from before:
+    /// what it reads may be a copy that lacks acknowledged changes.
+    StoreUnproven {
+        /// Era of the store.
+        era: StoreEra,
+    },
+    /// The era that a gateway has noted in the store was read.
+    StoreEraNoted(StoreEra),
     /// A configuration was read; one that is not newer than the one in force is ignored.
     Configured(Arc<Catalog>),
     /// An upstream has registered or renewed its registration.
--- a/crates/hickorydoor/src/gateway/event_kind.rs
+++ b/crates/hickorydoor/src/gateway/event_kind.rs
@@ -46,6 +46,8 @@
             GatewayEvent::Arrived { .. } => Self::Arrival,
             GatewayEvent::Tick | GatewayEvent::Stop => Self::Tick,
             GatewayEvent::StoreRestored { .. }
+            | GatewayEvent::StoreUnproven { .. }
+            | GatewayEvent::StoreEraNoted(_)
             | GatewayEvent::Configured(_)
             | GatewayEvent::Registered(_)
             | GatewayEvent::Deregistered(_)
--- a/crates/hickorydoor/src/gateway/feed_wire/event.rs
+++ b/crates/hickorydoor/src/gateway/feed_wire/event.rs
@@ -35,7 +35,7 @@
 pub struct WireEvent {
     #[prost(
         oneof = "EventBody",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
     )]
     body: Option<EventBody>,
 }
@@ -79,6 +79,11 @@
     PartItemStored(WireStoredPartItem),
     #[prost(string, tag = "17")]
     PartItemRemoved(String),
+    /// Era that is not noted in the store.
+    #[prost(uint64, tag = "18")]
+    Unproven(u64),
+    #[prost(uint64, tag = "19")]
+    EraNoted(u64),
 }
 
 #[derive(Clone, PartialEq)]
@@ -211,6 +216,8 @@
             EventBody::PartItemStored(WireStoredPartItem::from(&**stored))
         }
         GatewayEvent::PartItemRemoved(key) => EventBody::PartItemRemoved(key.to_string()),
+        GatewayEvent::StoreUnproven { era } => EventBody::Unproven(era.get()),
+        GatewayEvent::StoreEraNoted(era) => EventBody::EraNoted(era.get()),
         _ => return None,
     };
     Some(WireEvent { body: Some(body) }.encode_to_vec().into())
@@ -261,6 +268,8 @@
         EventBody::PartItemStored(stored) => {
             GatewayEvent::PartItemStored(Box::new(StoredPartItem::try_from(stored)?))
         }
+        EventBody::Unproven(era) => GatewayEvent::StoreUnproven { era: StoreEra::new(era) },
+        EventBody::EraNoted(era) => GatewayEvent::StoreEraNoted(StoreEra::new(era)),
         EventBody::PartItemRemoved(key) => {
             GatewayEvent::PartItemRemoved(PartItemKey::new(key.into()))
         }
--- a/crates/hickorydoor/src/gateway/freshness.rs
+++ b/crates/hickorydoor/src/gateway/freshness.rs
@@ -38,6 +38,8 @@
     resumed_at: Option<TimeMs>,
     /// Whether the store may still lack acknowledged changes of the configuration.
     may_lack_configuration: bool,
+    /// Whether nothing is known from before a restore that the store may just have had.
+    is_unproven: bool,
 }
 
 impl Freshness {
@@ -58,7 +60,8 @@
     /// Records that all changes acknowledged before `synced_at` are known.
     ///
     /// Shortly after a restore, the store may lack a revocation that it had acknowledged, so what
-    /// it says then proves nothing, unless nothing better is known.
+    /// it says then proves nothing. A gateway that learns of the restore from another one, and knows
+    /// nothing else, takes over what that one says.
     pub fn record_sync(&mut self, synced_at: TimeMs, now: TimeMs) {
         if self.unreachable_since.take().is_some() {
             self.recovered_at = Some(now);
@@ -68,8 +71,10 @@
         }
         self.view_synced_at = self.view_synced_at.max(Some(synced_at));
         self.may_lack_configuration &= self.is_restoring(now);
-        if !self.may_lack_configuration || self.synced_at.is_none() {
+        let is_first = self.synced_at.is_none() && !self.is_unproven;
+        if !self.may_lack_configuration || is_first {
             self.synced_at = self.synced_at.max(Some(synced_at));
+            self.is_unproven = false;
         }
     }
 
@@ -118,6 +123,17 @@
         self.may_lack_configuration = true;
     }
 
+    /// Records that nothing proves how old the store's copy is that is about to be read.
+    pub fn record_unproven(&mut self, now: TimeMs) {
+        self.record_restore(now);
+        self.is_unproven = self.synced_at.is_none();
+    }
+
+    /// Returns whether the store may lack acknowledged changes, and nothing is known from before.
+    pub const fn is_unproven(&self) -> bool {
+        self.is_unproven
+    }
+
     /// Records a configuration that is newer than all earlier ones: after a restore, the operator
     /// has written it.
     pub const fn record_new_configuration(&mut self) {
--- a/crates/hickorydoor/src/gateway/reducer.rs
+++ b/crates/hickorydoor/src/gateway/reducer.rs
@@ -98,6 +98,10 @@
     pub(super) position: Option<StorePosition>,
     /// Current era of the store; `None` before the first synchronization.
     pub(super) era: Option<StoreEra>,
+    /// Era that the store holds as noted by a gateway.
+    pub(super) noted_era: Option<StoreEra>,
+    /// Since when, or from when on again, the era is to be noted.
+    pub(super) era_due_since: Option<TimeMs>,
     /// Whether the items of the first complete read after a restore are being applied.
     pub(super) is_reading_copy: bool,
     pub(super) members: RetainedMap<HostId, GatewayMember>,
@@ -160,6 +164,8 @@
             deferred_orders: BTreeMap::new(),
             position: None,
             era: None,
+            noted_era: None,
+            era_due_since: None,
             is_reading_copy: false,
             members: RetainedMap::new(),
             gateways,
@@ -193,6 +199,8 @@
         match event {
             GatewayEvent::Tick => self.on_tick(now, &mut effects),
             GatewayEvent::StoreRestored { era } => self.on_store_restored(era, now),
+            GatewayEvent::StoreUnproven { era } => self.on_store_unproven(era, now),
+            GatewayEvent::StoreEraNoted(era) => self.noted_era = Some(era),
             GatewayEvent::Configured(catalog) => self.on_configured(catalog),
             GatewayEvent::Registered(registration) => self.on_registered(*registration, now),
             GatewayEvent::Deregistered(upstream) => {
@@ -418,6 +426,7 @@
         self.abandon_unresponsive(now, effects);
         self.step_rollouts(now, effects);
         self.write_part_items(now, effects);
+        self.note_store_era(now, effects);
         let session_ms = self.settings.session_ms;
         self.sessions.retain(|_, (_, used_at)| now.since(*used_at) <= session_ms);
     }
--- a/crates/hickorydoor/src/gateway/store_view.rs
+++ b/crates/hickorydoor/src/gateway/store_view.rs
@@ -6,15 +6,22 @@
 //! they own. Until then, for [`RESTORE_WINDOW_MS`], the gateway keeps to what restricts it more: a
 //! configuration is replaced only by one with a higher version, a data centre stays out, an upstream
 //! that has left or is draining stays so, and an order that replaced another one stays in force.
+//!
+//! A gateway that starts knows nothing to keep to. So the era is noted in the store once that time is
+//! over. Whoever reads an era that is not noted yet, and has no view of another gateway, takes what it
+//! reads for a copy, and rejects requests for the same time or until the operator has written a newer
+//! configuration.
 
 use std::collections::HashSet;
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::catalog::Catalog;
 use crate::gateway::digest_pace::regular_interval_ms;
 use crate::gateway::digest_pace::urgent_interval_ms;
+use crate::gateway::effect::GatewayEffect;
 use crate::gateway::event::GatewayEvent;
 use crate::gateway::freshness::RESTORE_WINDOW_MS;
 use crate::gateway::member::GatewayMember;
@@ -40,6 +47,10 @@
 
 /// How long upstreams are treated as cold after their data centre was taken back.
 const REOPENED_COLD_MS: DurationMs = DurationMs::new(1_500);
+/// Time for which a gateway leaves the note of the era to each of those whose turn comes before.
+const ERA_TURN_MS: u64 = 400;
+/// Time after which the note is written again if the store still lacks it.
+const ERA_RETRY_MS: DurationMs = DurationMs::from_secs(2);
 
 impl Gateway {
     /// Returns the position in the store up to which changes have been applied; `None` before the
@@ -93,7 +104,14 @@
             self.freshness.is_restoring(now) || known.is_some_and(|known| known.era < era)
         };
         let restored = self.era.filter(|era| is_restored(*era));
-        events.extend(restored.map(|era| GatewayEvent::StoreRestored { era }));
+        events.extend(restored.map(|era| {
+            if self.freshness.is_unproven() {
+                GatewayEvent::StoreUnproven { era }
+            } else {
+                GatewayEvent::StoreRestored { era }
+            }
+        }));
+        events.extend(self.noted_era.map(GatewayEvent::StoreEraNoted));
         events.extend(self.members.values().cloned().map(GatewayEvent::GatewayJoined));
         for (upstream, departure) in self.pool.departures() {
             let (upstream, departure) = (upstream.clone(), *departure);
@@ -150,6 +168,7 @@
             GatewayEvent::DataCentreIn(id) => !self.closed_data_centres.contains_key(id),
             GatewayEvent::PartAllowed(part) => self.quarantine.is_allowed(part),
             GatewayEvent::PartNotAllowed(part) => !self.quarantine.is_allowed(part),
+            GatewayEvent::StoreEraNoted(era) => self.noted_era == Some(*era),
             GatewayEvent::PartItemStored(stored) => self.quarantine.is_stored(stored),
             GatewayEvent::PartItemRemoved(key) => {
                 !self.quarantine.stored_keys().any(|known| known == key)
@@ -181,6 +200,43 @@
         self.freshness.record_restore(now);
     }
 
+    pub(super) fn on_store_unproven(&mut self, era: StoreEra, now: TimeMs) {
+        let is_known = self.freshness.age_ms(now).is_some();
+        if is_known && self.era >= Some(era) {
+            return;
+        }
+        self.on_store_restored(era, now);
+        if !is_known {
+            self.freshness.record_unproven(now);
+        }
+    }
+
+    /// Has the era of the store noted in it once what a copy lacked has been written again. Gateways
+    /// take turns.
+    pub(super) fn note_store_era(&mut self, now: TimeMs, effects: &mut Vec<GatewayEffect>) {
+        let Some(era) = self.era.filter(|era| *era > StoreEra::default()) else {
+            return;
+        };
+        let is_settled = !self.freshness.is_restoring(now) && !self.freshness.is_unproven();
+        if self.noted_era >= Some(era) || !is_settled || !self.is_store_answering(now) {
+            self.era_due_since = None;
+            return;
+        }
+        let since = *self.era_due_since.get_or_insert(now);
+        if now >= since + DurationMs::new(ERA_TURN_MS * self.turn() as u64) {
+            self.era_due_since = Some(now + ERA_RETRY_MS);
+            effects.push(GatewayEffect::NoteStoreEra(era));
+        }
+    }
+
+    /// Returns the number of gateways whose turn comes before that of this one, where one of them is
+    /// to write what all know. All gateways know the order without messages.
+    pub(super) fn turn(&self) -> usize {
+        let hash = |host: &HostId| xxh3_64(host.as_str().as_bytes());
+        let own = hash(&self.settings.host);
+        self.gateways.iter().filter(|host| hash(host) < own).count()
+    }
+
     pub(super) fn on_store_synced(
         &mut self,
         synced_at: TimeMs,
--- a/crates/hickorydoor/tests/feed_wire.rs
+++ b/crates/hickorydoor/tests/feed_wire.rs
@@ -103,6 +103,8 @@
     };
     let mut events = vec![
         GatewayEvent::StoreRestored { era: StoreEra::new(4) },
+        GatewayEvent::StoreUnproven { era: StoreEra::new(5) },
+        GatewayEvent::StoreEraNoted(StoreEra::new(6)),
         GatewayEvent::Configured(Arc::new(catalog(7, &[KEY, "other"]))),
         without_customers(Some(Vec::new())),
         without_customers(None),
