Compute the turn of a gateway only when it compares what the store holds

The turn hashes the hosts of all gateways and was computed on each tick while anything is known of prompt parts; comparisons are due every 500 ms. gateway_part_items and gateway_part_after_losses pass. The cost was not measured.

--- a/crates/hickorydoor/src/gateway/containment.rs
+++ b/crates/hickorydoor/src/gateway/containment.rs
@@ -233,7 +233,8 @@
         let Some(era) = self.era.filter(|_| self.is_store_answering(now)) else {
             return;
         };
-        if self.is_reading_copy || !self.quarantine.has_items() {
+        let is_due = !self.is_reading_copy && self.quarantine.begin_comparison(now);
+        if !is_due {
             return;
         }
         let turn = self.turn();
--- a/crates/hickorydoor/src/gateway/quarantine/stored_items.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/stored_items.rs
@@ -138,12 +138,12 @@
     }
 
     /// Returns the writes that are due. `wanted` lists what the store has to hold, each with how
-    /// far the store is from that; `rank` is the number of gateways whose turn comes before.
+    /// far the store is from that; `turn` is the number of gateways whose turn comes before.
     pub(super) fn due_writes(
         &mut self,
         mut wanted: Vec<WantedItem>,
         era: StoreEra,
-        rank: usize,
+        turn: usize,
         now: TimeMs,
     ) -> Vec<PartWrite> {
         let retracted = self.retracted.iter().cloned();
@@ -164,7 +164,7 @@
         });
         let keys: BTreeSet<&PartItemKey> = wanted.iter().map(|wanted| &wanted.key).collect();
         self.differing.retain(|key, _| keys.contains(key));
-        let wait_ms = DurationMs::new(TURN_MS * rank as u64);
+        let wait_ms = DurationMs::new(TURN_MS * turn as u64);
         let mut writes = Vec::new();
         for WantedItem { key, item, ttl_ms, .. } in wanted {
             let since = *self.differing.entry(key.clone()).or_insert(now);
--- a/crates/hickorydoor/src/gateway/quarantine/storing.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/storing.rs
@@ -121,17 +121,17 @@
         items.collect()
     }
 
-    /// Returns whether anything is known that the store may have to hold.
-    pub fn has_items(&self) -> bool {
-        !self.records.is_empty() || !self.ends.merged().is_empty() || self.stored.has_retracted()
+    /// Returns whether it is time to compare what is known with what the store holds.
+    pub fn begin_comparison(&mut self, now: TimeMs) -> bool {
+        let has_items = !self.records.is_empty()
+            || !self.ends.merged().is_empty()
+            || self.stored.has_retracted();
+        has_items && self.stored.begin_comparison(now)
     }
 
-    /// Returns the writes that are due so that the store holds what is known. `rank` is the number of
-    /// gateways whose turn comes before.
-    pub fn due_writes(&mut self, era: StoreEra, rank: usize, now: TimeMs) -> Vec<PartWrite> {
-        if !self.stored.begin_comparison(now) {
-            return Vec::new();
-        }
+    /// Returns the writes that are due so that the store holds what is known, after
+    /// [`QuarantineTable::begin_comparison`]. `turn` is the number of gateways whose turn comes before.
+    pub fn due_writes(&mut self, era: StoreEra, turn: usize, now: TimeMs) -> Vec<PartWrite> {
         let mut wanted = Vec::new();
         let merged = self.ends.merged();
         let mut latest: Vec<&MergedEnd> = merged.iter().collect();
@@ -140,7 +140,7 @@
             wanted.extend(self.wanted_end(end, now));
         }
         wanted.extend(self.records.iter().map(|held| self.wanted_record(held, now)));
-        self.stored.due_writes(wanted, era, rank, now)
+        self.stored.due_writes(wanted, era, turn, now)
     }
 
     fn wanted_record(&self, held: &HeldRecord, now: TimeMs) -> WantedItem {
