Pass on the empty answer to a stream resumed behind its last event

Cause: a complete answer without events was taken for a broken connection unless this gateway had sent a part of the stream itself; that the client resumes was not looked at.

Change: a framed answer without events to a request that resumes is complete, and is passed on.

--- a/crates/hickoryd/src/gateway/call_driver.rs
+++ b/crates/hickoryd/src/gateway/call_driver.rs
@@ -261,10 +261,13 @@
             match read {
                 Ok(Some(bytes)) => splitter.push(&bytes),
                 Ok(None) if !splitter.partial().is_empty() => return fault(ResponseFault::Closed),
-                Ok(None) if head.is_some() && (self.events.is_none() || !is_framed) => {
+                Ok(None) if head.is_some() && !(is_framed && self.is_resumed()) => {
                     return fault(ResponseFault::Closed);
                 }
                 Ok(None) => {
+                    if let Some((status, headers)) = head.take() {
+                        self.start_stream(status, headers);
+                    }
                     if let Some(gap_us) = pace.end() {
                         self.core.apply(GatewayEvent::StreamPaced { call: self.call, gap_us });
                     }
@@ -324,6 +327,12 @@
         known.is_none_or(|known| known == kind && self.last_event.is_some())
     }
 
+    /// Returns whether the caller has received a part of the stream, from this response or before its
+    /// request, so that nothing may be left of it.
+    const fn is_resumed(&self) -> bool {
+        self.events.is_some() || self.last_event.is_some()
+    }
+
     /// Returns whether an event directly follows the last one that the caller has received. Once
     /// events have numbers, only comments come without.
     fn is_next(&self, id: Option<u64>, event: &[u8]) -> bool {
