Give merged and stored ends files of their own

Ends that the store holds are bounded by one type, and whether an end is the same as one known otherwise is decided in one place.

The suites of prompt parts pass.

--- a/crates/hickorydoor/src/gateway/quarantine/assessment.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/assessment.rs
@@ -9,8 +9,8 @@
 
 use crate::gateway::quarantine::chance_model::ChanceModel;
 use crate::gateway::quarantine::chance_model::MIN_SUSPICION_ENDS;
-use crate::gateway::quarantine::end_log::MergedEnd;
 use crate::gateway::quarantine::held_record::quarantine_ms;
+use crate::gateway::quarantine::merged_end::MergedEnd;
 use crate::gateway::quarantine::part_ends::PartEnds;
 use crate::gateway::quarantine::part_ends::distinct_ends;
 use crate::gateway::quarantine::part_ends::engines_of;
--- a/crates/hickorydoor/src/gateway/quarantine/end_log.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/end_log.rs
@@ -1,26 +1,25 @@
 //! Engines that ended, as this gateway and the others have seen it.
 
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use compact_str::CompactString;
 use smallvec::Array;
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::quarantine::engine_end::EngineEnd;
+use crate::gateway::quarantine::merged_end::MergedEnd;
 use crate::gateway::quarantine::part_id::PartId;
 use crate::gateway::quarantine::part_item::PartItemKey;
 use crate::gateway::quarantine::part_key::PartKey;
 use crate::gateway::quarantine::part_selection::keep_most_suspect;
 use crate::gateway::quarantine::part_selection::sorted;
+use crate::gateway::quarantine::stored_ends::StoredEnds;
+use crate::gateway::quarantine::stored_ends::is_same_end;
 use crate::gateway::quarantine::survival_table::SurvivalTable;
 use crate::id::HostId;
-use crate::id::ServiceName;
 use crate::id::UpstreamId;
 use crate::time::DurationMs;
 use crate::time::TimeMs;
@@ -31,7 +30,7 @@
 /// attempts that they have closed shortly before.
 const MIN_REPORT_MS: DurationMs = DurationMs::from_secs(2);
 /// Ends of the same engine closer together than this are one: gateways notice it at different times.
-const SAME_END_MS: DurationMs = DurationMs::from_secs(3);
+pub(super) const SAME_END_MS: DurationMs = DurationMs::from_secs(3);
 /// Time after an end from which on a response shows that the engine has not ended; what it sent before
 /// may arrive until then.
 const MIN_REFUTATION_MS: DurationMs = DurationMs::new(100);
@@ -48,11 +47,9 @@
 /// Error of the time of an end that is not worth a new assessment.
 const MAX_TIME_ERROR_MS: DurationMs = DurationMs::new(20);
 /// Maximum number of ends of one gateway; the oldest are dropped.
-const MAX_ENDS: usize = 48;
+pub(super) const MAX_ENDS: usize = 48;
 /// Maximum number of parts of all ends of one gateway. A head of 16 KB holds 1,500 parts.
 const MAX_OWN_PARTS: usize = 8_192;
-/// Maximum number of parts of the ends that the store holds.
-const MAX_STORED_PARTS: usize = 6_144;
 /// Maximum number of parts of the ends that all other gateways report.
 const MAX_PEER_PARTS: usize = 131_072;
 
@@ -65,60 +62,6 @@
     cut_off: u32,
 }
 
-/// An end, with all that gateways know about it.
-#[derive(Clone, Debug)]
-pub struct MergedEnd {
-    pub upstream: UpstreamId,
-    pub started_unix_ms: u64,
-    pub service: ServiceName,
-    pub version: CompactString,
-    pub at: TimeMs,
-    pub parts: BTreeSet<PartId>,
-    pub tried: BTreeSet<PartId>,
-    pub cut_off: u32,
-    pub is_confirmed: bool,
-    /// Whether the engine closed a connection.
-    pub is_closed: bool,
-}
-
-impl MergedEnd {
-    fn new(end: &EngineEnd, at: TimeMs) -> Self {
-        Self {
-            upstream: end.upstream.clone(),
-            started_unix_ms: end.started_unix_ms,
-            service: end.service.clone(),
-            version: end.version.clone(),
-            at,
-            parts: end.parts.iter().copied().collect(),
-            tried: end.tried.iter().copied().collect(),
-            cut_off: 0,
-            is_confirmed: end.is_confirmed,
-            is_closed: end.is_closed,
-        }
-    }
-
-    /// Returns whether nothing but silence speaks for the end.
-    pub const fn is_silent(&self) -> bool {
-        !self.is_closed && !self.is_confirmed
-    }
-}
-
-/// An end that the store holds. When it was is not known exactly.
-#[derive(Clone, Debug)]
-struct StoredEnd {
-    /// The time that it states, or a later one.
-    at: TimeMs,
-    end: EngineEnd,
-}
-
-impl StoredEnd {
-    fn is_same(&self, end: &EngineEnd, at: TimeMs) -> bool {
-        let known = &self.end;
-        (&known.upstream, known.started_unix_ms) == (&end.upstream, end.started_unix_ms)
-            && at <= self.at + SAME_END_MS
-    }
-}
-
 /// Ends of engines, bounded in number and age.
 #[derive(Clone, Debug, Default)]
 pub struct EndLog {
@@ -127,7 +70,7 @@
     /// still count.
     peers: HashMap<(HostId, u64), Vec<(EngineEnd, TimeMs)>>,
     /// Ends that the store holds, by their keys. Those that are known otherwise too count once.
-    stored: BTreeMap<PartItemKey, StoredEnd>,
+    stored: StoredEnds,
     /// The ends as they were merged last.
     merged: Arc<[MergedEnd]>,
     /// Parts that more than one of these holds.
@@ -218,12 +161,12 @@
                     .is_some_and(|alive| refutes(alive, at, (!end.is_closed).then_some(silence_ms)))
         };
         let before = self.len();
-        let refuted = self.all().filter(|(end, at)| is_refuted(end, *at));
-        let refuted = refuted.flat_map(|(end, at)| {
-            let same = self.stored.iter().filter(move |(_, known)| known.is_same(end, at));
-            same.map(|(key, _)| key.clone())
-        });
-        let refuted: Vec<PartItemKey> = refuted.collect();
+        let mut refuted = Vec::new();
+        if !self.stored.is_empty() {
+            for (end, at) in self.all().filter(|(end, at)| is_refuted(end, *at)) {
+                refuted.extend(self.stored.keys_of(&end.upstream, end.started_unix_ms, at));
+            }
+        }
         self.own.retain(|known| !is_refuted(&known.end, known.at));
         for ends in self.peers.values_mut() {
             ends.retain(|(end, at)| !is_refuted(end, *at));
@@ -235,33 +178,20 @@
         refuted
     }
 
-    /// Adds an end that the store holds. It is settled, so that no response refutes it. If there are
-    /// too many, or they have too many parts, the oldest are dropped.
+    /// Adds an end that the store holds. It is settled, so that no response refutes it.
     pub fn set_stored(&mut self, key: PartItemKey, end: EngineEnd, at: TimeMs) {
         self.has_changed = true;
-        self.stored.insert(key, StoredEnd { at, end });
-        while self.stored.len() > MAX_ENDS || self.stored_parts() > MAX_STORED_PARTS {
-            let oldest = self.stored.iter().min_by_key(|(_, known)| known.at);
-            let Some(oldest) = oldest.map(|(key, _)| key.clone()) else {
-                break;
-            };
-            self.stored.remove(&oldest);
-        }
+        self.stored.set(key, end, at);
     }
 
-    /// Returns when an end that the store holds was, or somewhat later.
+    /// Returns when an end that the store holds was, as far as is known.
     pub fn stored_at(&self, key: &PartItemKey) -> Option<TimeMs> {
-        self.stored.get(key).map(|known| known.at)
+        self.stored.at(key)
     }
 
     /// Removes an end that the store no longer holds.
     pub fn remove_stored(&mut self, key: &PartItemKey) {
-        self.has_changed |= self.stored.remove(key).is_some();
-    }
-
-    fn stored_parts(&self) -> usize {
-        let stored = self.stored.values();
-        stored.map(|known| known.end.parts.len() + known.end.tried.len()).sum()
+        self.has_changed |= self.stored.remove(key);
     }
 
     /// Returns the number of ends, counted for each gateway that reports them.
@@ -333,7 +263,7 @@
     pub fn held_parts(&self) -> usize {
         let of_peers = self.of_peers().map(|(end, _)| end.parts.len() + end.tried.len());
         let merged = self.merged.iter().map(|end| end.parts.len() + end.tried.len());
-        self.own_parts() + self.stored_parts() + of_peers.sum::<usize>() + merged.sum::<usize>()
+        self.own_parts() + self.stored.parts() + of_peers.sum::<usize>() + merged.sum::<usize>()
     }
 
     /// Drops ends that are too old, and parts that have been proven sound since.
@@ -357,7 +287,7 @@
             ends.retain(|(_, at)| now.since(*at) <= END_TTL_MS);
         }
         self.peers.retain(|_, ends| !ends.is_empty());
-        self.stored.retain(|_, known| now.since(known.at) <= END_TTL_MS);
+        self.stored.expire(now);
         self.has_changed |= before != (self.len(), self.own_parts());
     }
 
@@ -406,8 +336,7 @@
         let parts = self.merged.iter().flat_map(|end| end.parts.iter().copied());
         self.repeated = parts.filter(|part| !once.insert(*part)).collect();
         let mut of_peers: HashMap<PartKey, TimeMs> = HashMap::new();
-        let stored = self.stored.values().map(|known| (&known.end, known.at));
-        let of_others = self.of_peers().map(|(end, at)| (end, *at)).chain(stored);
+        let of_others = self.of_peers().map(|(end, at)| (end, *at)).chain(self.stored.iter());
         for (end, at) in of_others {
             for part in &end.parts {
                 let key = PartKey { service: end.service.clone(), part: *part };
@@ -436,23 +365,15 @@
                 _ => merged.push(MergedEnd { cut_off, ..MergedEnd::new(end, at) }),
             }
         }
-        for known in self.stored.values() {
+        for (stored, stored_at) in self.stored.iter() {
             let is_same = |end: &&mut MergedEnd| {
-                (&end.upstream, end.started_unix_ms)
-                    == (&known.end.upstream, known.end.started_unix_ms)
-                    && end.at <= known.at + SAME_END_MS
+                is_same_end(stored, stored_at, &end.upstream, end.started_unix_ms, end.at)
             };
-            match merged.iter_mut().find(is_same) {
-                Some(end) => {
-                    end.parts.extend(known.end.parts.iter().copied());
-                    end.tried.extend(known.end.tried.iter().copied());
-                }
-                None => {
-                    merged.push(MergedEnd {
-                        is_confirmed: true,
-                        ..MergedEnd::new(&known.end, known.at)
-                    });
-                }
+            if let Some(end) = merged.iter_mut().find(is_same) {
+                end.parts.extend(stored.parts.iter().copied());
+                end.tried.extend(stored.tried.iter().copied());
+            } else {
+                merged.push(MergedEnd { is_confirmed: true, ..MergedEnd::new(stored, stored_at) });
             }
         }
         merged
--- a/crates/hickorydoor/src/gateway/quarantine/part_ends.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/part_ends.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 
-use crate::gateway::quarantine::end_log::MergedEnd;
+use crate::gateway::quarantine::merged_end::MergedEnd;
 use crate::gateway::quarantine::part_id::PartId;
 use crate::gateway::quarantine::part_key::PartKey;
 use crate::id::ServiceName;
--- a/crates/hickorydoor/src/gateway/quarantine/records.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/records.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 
 use crate::gateway::quarantine::assessment::REVIEW_MS;
-use crate::gateway::quarantine::end_log::MergedEnd;
 use crate::gateway::quarantine::held_record::HeldRecord;
+use crate::gateway::quarantine::merged_end::MergedEnd;
 use crate::gateway::quarantine::part_id::PartId;
 use crate::gateway::quarantine::part_key::PartKey;
 use crate::gateway::quarantine::quarantine_change::QuarantineChange;
--- a/crates/hickorydoor/src/gateway/quarantine/storing.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/storing.rs
@@ -3,9 +3,9 @@
 use smallvec::SmallVec;
 
 use crate::gateway::quarantine::end_log::END_TTL_MS;
-use crate::gateway::quarantine::end_log::MergedEnd;
 use crate::gateway::quarantine::engine_end::EngineEnd;
 use crate::gateway::quarantine::held_record::HeldRecord;
+use crate::gateway::quarantine::merged_end::MergedEnd;
 use crate::gateway::quarantine::part_id::PartId;
 use crate::gateway::quarantine::part_item::PartItem;
 use crate::gateway::quarantine::part_item::PartItemKey;
@@ -30,7 +30,7 @@
 /// read and written again and again.
 const READ_AGE_MS: DurationMs = DurationMs::from_secs(2);
 /// Maximum number of ends that are kept in the store, the latest ones.
-const MAX_WRITTEN_ENDS: usize = 64;
+const MAX_WRITTEN_ENDS: usize = 48;
 /// Maximum number of parts of an end that is written.
 const MAX_WRITTEN_PARTS: usize = 512;
 /// How long a released record is kept in the store, so that no late write brings the earlier one back.
