Tell of the survivals of parts that only the store holds once

Cause: the store keeps a part of an end for some seconds after it was proven sound, and each gateway told all others in each digest when it had last proven it.

Change: a gateway tells of such a part until it hears that another one has told.

The suites of prompt parts pass.

--- a/crates/hickorydoor/src/gateway/quarantine/end_log.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/end_log.rs
@@ -75,9 +75,10 @@
     merged: Arc<[MergedEnd]>,
     /// Parts that more than one of these holds.
     repeated: HashSet<PartId>,
-    /// Parts of the ends that other gateways report or the store holds, with the latest of these, as
-    /// of then.
+    /// Parts of the ends that other gateways report, with the latest of these, as of then.
     parts_of_peers: HashMap<PartKey, TimeMs>,
+    /// Parts of the ends that the store holds, likewise.
+    parts_of_store: HashMap<PartKey, TimeMs>,
     /// Whether the ends have changed since they were merged.
     has_changed: bool,
 }
@@ -320,12 +321,18 @@
         self.repeated.contains(&part)
     }
 
-    /// Returns the parts of the ends that other gateways report or the store holds, with the latest of
-    /// these, as of the last [`EndLog::refresh`].
+    /// Returns the parts of the ends that other gateways report, with the latest of these, as of the
+    /// last [`EndLog::refresh`].
     pub const fn parts_of_peers(&self) -> &HashMap<PartKey, TimeMs> {
         &self.parts_of_peers
     }
 
+    /// Returns the parts of the ends that the store holds, with the latest of these, as of the last
+    /// [`EndLog::refresh`].
+    pub const fn parts_of_store(&self) -> &HashMap<PartKey, TimeMs> {
+        &self.parts_of_store
+    }
+
     /// Merges the ends again if they have changed.
     pub fn refresh(&mut self) {
         if !std::mem::take(&mut self.has_changed) {
@@ -335,16 +342,8 @@
         let mut once = HashSet::new();
         let parts = self.merged.iter().flat_map(|end| end.parts.iter().copied());
         self.repeated = parts.filter(|part| !once.insert(*part)).collect();
-        let mut of_peers: HashMap<PartKey, TimeMs> = HashMap::new();
-        let of_others = self.of_peers().map(|(end, at)| (end, *at)).chain(self.stored.iter());
-        for (end, at) in of_others {
-            for part in &end.parts {
-                let key = PartKey { service: end.service.clone(), part: *part };
-                let latest = of_peers.entry(key).or_default();
-                *latest = (*latest).max(at);
-            }
-        }
-        self.parts_of_peers = of_peers;
+        self.parts_of_peers = latest_by_part(self.of_peers().map(|(end, at)| (end, *at)));
+        self.parts_of_store = latest_by_part(self.stored.iter());
     }
 
     fn merge(&self) -> Vec<MergedEnd> {
@@ -380,6 +379,21 @@
     }
 }
 
+/// Returns the parts of some ends, each with the time of the latest of these.
+fn latest_by_part<'a>(
+    ends: impl Iterator<Item = (&'a EngineEnd, TimeMs)>,
+) -> HashMap<PartKey, TimeMs> {
+    let mut by_part: HashMap<PartKey, TimeMs> = HashMap::new();
+    for (end, at) in ends {
+        for part in &end.parts {
+            let key = PartKey { service: end.service.clone(), part: *part };
+            let latest = by_part.entry(key).or_default();
+            *latest = (*latest).max(at);
+        }
+    }
+    by_part
+}
+
 /// Adds the parts that are not known yet.
 fn add_parts<A: Array<Item = PartId>>(known: &mut SmallVec<A>, further: &[PartId]) {
     let before: HashSet<PartId> = known.iter().copied().collect();
--- a/crates/hickorydoor/src/gateway/quarantine/exchange.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/exchange.rs
@@ -118,14 +118,23 @@
         ends
     }
 
-    /// Returns the survivals of parts that others have reported: first those that refute an end.
+    /// Returns the survivals of parts that others have reported: first those that refute an end. Of
+    /// parts that only the store holds, those are left out that another gateway has told of: the store
+    /// keeps them longer than any report, and all gateways would go on to say the same.
     fn reported_survivals(&self, now: TimeMs) -> Vec<(PartKey, DurationMs)> {
         let parts = self.ends.parts_of_peers().iter();
         let known = parts.filter_map(|(part, ended_at)| {
             let own_at = self.survivals.own_at(part)?;
             Some((own_at <= *ended_at, part, own_at))
         });
-        let mut known: Vec<(bool, &PartKey, TimeMs)> = known.collect();
+        let stored = self.ends.parts_of_store().iter();
+        let untold = stored.filter_map(|(part, ended_at)| {
+            let own_at = self.survivals.own_at(part).filter(|at| at > ended_at)?;
+            let is_told = self.survivals.peer_at(part).is_some_and(|at| at > *ended_at);
+            let is_reported = self.ends.parts_of_peers().contains_key(part);
+            (!is_told && !is_reported).then_some((false, part, own_at))
+        });
+        let mut known: Vec<(bool, &PartKey, TimeMs)> = known.chain(untold).collect();
         if known.len() > MAX_REPORTED_PARTS {
             known.sort_by_cached_key(|(is_earlier, part, _)| {
                 (*is_earlier, chance_of(part.part, now.get()))
--- a/crates/hickorydoor/src/gateway/quarantine/survival_table.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/survival_table.rs
@@ -15,6 +15,8 @@
 struct Survivals {
     /// At this gateway.
     own_at: Option<TimeMs>,
+    /// At another gateway.
+    peer_at: Option<TimeMs>,
     /// At this gateway or another one.
     last_at: Option<TimeMs>,
     /// Attempts of this gateway.
@@ -43,6 +45,7 @@
     /// Records when an attempt of another gateway survived.
     pub fn record_at_peer(&mut self, part: PartKey, at: TimeMs) {
         let known = self.entry(part);
+        known.peer_at = known.peer_at.max(Some(at));
         known.last_at = known.last_at.max(Some(at));
     }
 
@@ -56,6 +59,11 @@
         self.parts.get(part)?.own_at
     }
 
+    /// Returns when an attempt of another gateway last proved the part sound, as far as is known.
+    pub fn peer_at(&self, part: &PartKey) -> Option<TimeMs> {
+        self.parts.get(part)?.peer_at
+    }
+
     /// Returns the number of recent attempts of this gateway with the part that survived.
     pub fn of_part(&self, part: &PartKey, now: TimeMs) -> f64 {
         self.parts.get(part).map_or(0.0, |known| known.recent.at(now))
