--- a/crates/hickorydoor/src/gateway/containment.rs
+++ b/crates/hickorydoor/src/gateway/containment.rs
@@ -237,8 +237,8 @@
         if !is_due {
             return;
         }
-        let turn = self.turn();
-        let writes = self.quarantine.due_writes(era, turn, now);
+        let wait_ms = self.turn_wait_ms();
+        let writes = self.quarantine.due_writes(era, wait_ms, now);
         if !writes.is_empty() {
             effects.push(GatewayEffect::WritePartItems(writes));
         }
--- a/crates/hickorydoor/src/gateway/quarantine/stored_items.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/stored_items.rs
@@ -21,8 +21,6 @@
 
 /// Longest lease of an item. The store grants ten minutes at most.
 pub(super) const MAX_LEASE_MS: DurationMs = DurationMs::from_secs(600);
-/// Time for which a gateway leaves a write to each of those whose turn comes before its own.
-const TURN_MS: u64 = 400;
 /// Minimum time between two comparisons, and so between two batches of writes of one gateway.
 const COMPARE_INTERVAL_MS: DurationMs = DurationMs::new(500);
 /// Minimum time between the last change of an item and a write that only leaves parts out.
@@ -138,12 +136,13 @@
     }
 
     /// Returns the writes that are due. `wanted` lists what the store has to hold, each with how
-    /// far the store is from that; `turn` is the number of gateways whose turn comes before.
+    /// far the store is from that; a difference is written after it has been
+    /// known for `wait_ms`.
     pub(super) fn due_writes(
         &mut self,
         mut wanted: Vec<WantedItem>,
         era: StoreEra,
-        turn: usize,
+        wait_ms: DurationMs,
         now: TimeMs,
     ) -> Vec<PartWrite> {
         let retracted = self.retracted.iter().cloned();
@@ -164,7 +163,6 @@
         });
         let keys: BTreeSet<&PartItemKey> = wanted.iter().map(|wanted| &wanted.key).collect();
         self.differing.retain(|key, _| keys.contains(key));
-        let wait_ms = DurationMs::new(TURN_MS * turn as u64);
         let mut writes = Vec::new();
         for WantedItem { key, item, ttl_ms, .. } in wanted {
             let since = *self.differing.entry(key.clone()).or_insert(now);
--- a/crates/hickorydoor/src/gateway/quarantine/storing.rs
+++ b/crates/hickorydoor/src/gateway/quarantine/storing.rs
@@ -130,8 +130,14 @@
     }
 
     /// Returns the writes that are due so that the store holds what is known, after
-    /// [`QuarantineTable::begin_comparison`]. `turn` is the number of gateways whose turn comes before.
-    pub fn due_writes(&mut self, era: StoreEra, turn: usize, now: TimeMs) -> Vec<PartWrite> {
+    /// [`QuarantineTable::begin_comparison`]. A difference is written after it
+    /// has been known for `wait_ms`.
+    pub fn due_writes(
+        &mut self,
+        era: StoreEra,
+        wait_ms: DurationMs,
+        now: TimeMs,
+    ) -> Vec<PartWrite> {
         let mut wanted = Vec::new();
         let merged = self.ends.merged();
         let mut latest: Vec<&MergedEnd> = merged.iter().collect();
@@ -140,7 +146,7 @@
             wanted.extend(self.wanted_end(end, now));
         }
         wanted.extend(self.records.iter().map(|held| self.wanted_record(held, now)));
-        self.stored.due_writes(wanted, era, turn, now)
+        self.stored.due_writes(wanted, era, wait_ms, now)
     }
 
     fn wanted_record(&self, held: &HeldRecord, now: TimeMs) -> WantedItem {
--- a/crates/hickorydoor/src/gateway/store_view.rs
+++ b/crates/hickorydoor/src/gateway/store_view.rs
@@ -47,8 +47,8 @@
 
 /// How long upstreams are treated as cold after their data centre was taken back.
 const REOPENED_COLD_MS: DurationMs = DurationMs::new(1_500);
-/// Time for which a gateway leaves the note of the era to each of those whose turn comes before.
-const ERA_TURN_MS: u64 = 400;
+/// Time for which a gateway leaves a write to each of those whose turn comes before.
+const TURN_MS: u64 = 400;
 /// Time after which the note is written again if the store still lacks it.
 const ERA_RETRY_MS: DurationMs = DurationMs::from_secs(2);
 
@@ -223,18 +223,19 @@
             return;
         }
         let since = *self.era_due_since.get_or_insert(now);
-        if now >= since + DurationMs::new(ERA_TURN_MS * self.turn() as u64) {
+        if now >= since + self.turn_wait_ms() {
             self.era_due_since = Some(now + ERA_RETRY_MS);
             effects.push(GatewayEffect::NoteStoreEra(era));
         }
     }
 
-    /// Returns the number of gateways whose turn comes before that of this one, where one of them is
-    /// to write what all know. All gateways know the order without messages.
-    pub(super) fn turn(&self) -> usize {
+    /// Returns how long this gateway leaves it to others to write what all know. All gateways know the
+    /// order of their turns without messages.
+    pub(super) fn turn_wait_ms(&self) -> DurationMs {
         let hash = |host: &HostId| xxh3_64(host.as_str().as_bytes());
         let own = hash(&self.settings.host);
-        self.gateways.iter().filter(|host| hash(host) < own).count()
+        let before = self.gateways.iter().filter(|host| hash(host) < own).count();
+        DurationMs::new(TURN_MS * before as u64)
     }
 
     pub(super) fn on_store_synced(
--- a/crates/hickorydoor/tests/gateway_calls.rs
+++ b/crates/hickorydoor/tests/gateway_calls.rs
@@ -107,10 +107,10 @@
         let mut failed = 0;
         for number in 0..60 {
             let (id, effects) = rig.send(call("/book/1", &format!("a-{number}")));
-            let is_grey = dispatch(&effects).unwrap().upstream.as_str() == "p-0";
-            failed += u32::from(is_grey);
+            let is_failing = dispatch(&effects).unwrap().upstream.as_str() == "p-0";
+            failed += u32::from(is_failing);
             let outcome =
-                if is_grey { AttemptOutcome::Failed { status } } else { AttemptOutcome::Served };
+                if is_failing { AttemptOutcome::Failed { status } } else { AttemptOutcome::Served };
             rig.end_attempt(id, outcome);
             rig.advance(50);
         }
